--- /dev/null
+++ b/internal/core/ledger/ledger.go
@@ -0,0 +1,365 @@
+package ledger
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/core/record"
+)
+
+type (
+	// Key names a grant.
+	Key struct {
+		Upstream string
+		Model    string
+		Version  string
+	}
+
+	// Ownership is the right of Daemon to order loads on an upstream.
+	Ownership struct {
+		Daemon string `json:"daemon"`
+		// Epoch is the offset of the ownership record; orders carry it as
+		// fencing number.
+		Epoch uint64 `json:"epoch"`
+		// Resigned is set once the owner has acknowledged that it is done.
+		Resigned bool `json:"resigned,omitempty"`
+	}
+
+	// Former is an owner that was replaced at LostAt and has not
+	// acknowledged it.
+	Former struct {
+		Daemon string `json:"daemon"`
+		Epoch  uint64 `json:"epoch"`
+		LostAt uint64 `json:"lost-at"`
+	}
+
+	// Grant is a replica that counts against the limits.
+	Grant struct {
+		// GrantedAt is the offset of the grant's record.
+		GrantedAt uint64 `json:"granted-at"`
+		// Bytes is the memory reserved when it was granted.
+		Bytes int64 `json:"bytes"`
+	}
+
+	// Reason says why a record had no effect; empty means that it had one.
+	Reason string
+
+	// Outcome is the result of applying one record.
+	Outcome struct {
+		Offset uint64
+		Record record.Record
+		Reason Reason
+		Detail string
+	}
+
+	// Ledger is the folded state. The zero value is not usable; see New.
+	Ledger struct {
+		applied  uint64
+		version  uint64
+		operator string
+		raw      []byte
+		index    *declare.Index
+		owners   map[string]Ownership
+		formers  map[string][]Former
+		grants   map[string]map[Key]Grant // by upstream
+		replicas map[string]int           // grants by model
+	}
+)
+
+// Reasons for a record without effect.
+const (
+	Accepted         Reason = ""
+	StaleVersion     Reason = "stale-version"
+	InvalidConfig    Reason = "invalid-config"
+	StaleEpoch       Reason = "stale-epoch"
+	UnknownUpstream  Reason = "unknown-upstream"
+	UnknownModel     Reason = "unknown-model"
+	WrongService     Reason = "wrong-service"
+	AlreadyGranted   Reason = "already-granted"
+	NotGranted       Reason = "not-granted"
+	ReplicaLimit     Reason = "replica-limit"
+	MemoryLimit      Reason = "memory-limit"
+	FormerOwner      Reason = "former-owner-not-acknowledged"
+	NothingToDo      Reason = "nothing-to-do"
+	OutOfOrder       Reason = "out-of-order"
+	UnknownRecord    Reason = "unknown-record"
+	SnapshotRecorded Reason = "snapshot-recorded"
+)
+
+// New returns an empty Ledger, the state before offset 1.
+func New() *Ledger {
+	return &Ledger{
+		index:    declare.NewIndex(&declare.Deployment{}),
+		owners:   map[string]Ownership{},
+		formers:  map[string][]Former{},
+		grants:   map[string]map[Key]Grant{},
+		replicas: map[string]int{},
+	}
+}
+
+// HostOf returns the host part of a daemon's name.
+func HostOf(daemon string) string {
+	host, _, _ := strings.Cut(daemon, "/")
+	return host
+}
+
+// Applied returns the offset of the last applied record.
+func (l *Ledger) Applied() uint64 { return l.applied }
+
+// Version returns the version in force, 0 before the first publication.
+func (l *Ledger) Version() uint64 { return l.version }
+
+// Operator returns who published the version in force.
+func (l *Ledger) Operator() string { return l.operator }
+
+// Config returns the configuration in force. It is shared and immutable.
+func (l *Ledger) Config() *declare.Index { return l.index }
+
+// Owner returns the owner of an upstream; ok is false if it never had one.
+func (l *Ledger) Owner(upstream string) (o Ownership, ok bool) {
+	o, ok = l.owners[upstream]
+	return o, ok
+}
+
+// Grant returns the grant for k.
+func (l *Ledger) Grant(k Key) (g Grant, ok bool) {
+	g, ok = l.grants[k.Upstream][k]
+	return g, ok
+}
+
+// GrantsOf appends the grants of an upstream to dst and returns it. The order
+// is unspecified.
+func (l *Ledger) GrantsOf(dst []Key, upstream string) []Key {
+	for k := range l.grants[upstream] {
+		dst = append(dst, k)
+	}
+	return dst
+}
+
+// Replicas returns the number of grants of a model over all versions.
+func (l *Ledger) Replicas(model string) int { return l.replicas[model] }
+
+// Reserved returns the memory in bytes that the grants of an upstream reserve.
+func (l *Ledger) Reserved(upstream string) int64 {
+	var n int64
+	for k, g := range l.grants[upstream] {
+		n += l.bytesOf(k, g)
+	}
+	return n
+}
+
+// FormersOf returns the replaced owners of an upstream that have not
+// acknowledged; the slice is shared.
+func (l *Ledger) FormersOf(upstream string) []Former { return l.formers[upstream] }
+
+// Releasable reports whether a release of k would be accepted from the
+// current owner, and otherwise why not.
+func (l *Ledger) Releasable(k Key) Reason {
+	g, ok := l.Grant(k)
+	if !ok {
+		return NotGranted
+	}
+	u := l.index.Upstream(k.Upstream)
+	if u != nil && !u.IgnoresFencing {
+		return Accepted
+	}
+	for _, f := range l.formers[k.Upstream] {
+		if g.GrantedAt < f.LostAt {
+			return FormerOwner
+		}
+	}
+	return Accepted
+}
+
+// bytesOf returns the larger of what a grant reserved and what the
+// configuration in force says, because a published change of size does not
+// change what is loaded.
+func (l *Ledger) bytesOf(k Key, g Grant) int64 {
+	n, _ := l.index.ReplicaBytes(k.Model, k.Version)
+	return max(n, g.Bytes)
+}
+
+// Apply folds the record at offset into l. Records are applied once, in order
+// of their offsets; offset gaps are allowed because a stream may hold records
+// that can't be decoded, which are skipped by all readers alike.
+func (l *Ledger) Apply(offset uint64, r record.Record) Outcome {
+	out := Outcome{Offset: offset, Record: r}
+	if offset <= l.applied {
+		out.Reason = OutOfOrder
+		out.Detail = fmt.Sprintf("offset %d is applied already, at %d", offset, l.applied)
+		return out
+	}
+	l.applied = offset
+	switch r := r.(type) {
+	case record.Publish:
+		out.Reason, out.Detail = l.publish(offset, r)
+	case record.TakeOwnership:
+		out.Reason, out.Detail = l.take(offset, r)
+	case record.AcknowledgeLoss:
+		out.Reason, out.Detail = l.acknowledge(r)
+	case record.HostGone:
+		out.Reason, out.Detail = l.hostGone(r)
+	case record.Grant:
+		out.Reason, out.Detail = l.grant(offset, r)
+	case record.Release:
+		out.Reason, out.Detail = l.release(r)
+	case record.Snapshot:
+		out.Reason = SnapshotRecorded
+	default:
+		out.Reason = UnknownRecord
+	}
+	return out
+}
+
+// Skip advances l past a record that can't be decoded.
+func (l *Ledger) Skip(offset uint64) {
+	l.applied = max(l.applied, offset)
+}
+
+func (l *Ledger) publish(offset uint64, r record.Publish) (Reason, string) {
+	if r.Replaces != l.version {
+		return StaleVersion, fmt.Sprintf("replaces version %d, but version %d by %s is in force", r.Replaces, l.version, l.operator)
+	}
+	d, err := declare.Decode(r.Config)
+	if err != nil {
+		return InvalidConfig, err.Error()
+	}
+	if err := d.Validate(); err != nil {
+		return InvalidConfig, err.Error()
+	}
+	l.version, l.operator, l.raw = offset, r.Operator, r.Config
+	l.index = declare.NewIndex(d)
+	return Accepted, ""
+}
+
+func (l *Ledger) take(offset uint64, r record.TakeOwnership) (Reason, string) {
+	if l.index.Upstream(r.Upstream) == nil {
+		return UnknownUpstream, r.Upstream
+	}
+	o, ok := l.owners[r.Upstream]
+	if o.Epoch != r.Previous {
+		return StaleEpoch, fmt.Sprintf("previous epoch %d, but %s owns %s since epoch %d", r.Previous, o.Daemon, r.Upstream, o.Epoch)
+	}
+	if ok && !o.Resigned {
+		l.formers[r.Upstream] = append(l.formers[r.Upstream], Former{Daemon: o.Daemon, Epoch: o.Epoch, LostAt: offset})
+	}
+	l.owners[r.Upstream] = Ownership{Daemon: r.Daemon, Epoch: offset}
+	return Accepted, ""
+}
+
+func (l *Ledger) acknowledge(r record.AcknowledgeLoss) (Reason, string) {
+	if o, ok := l.owners[r.Upstream]; ok && o.Daemon == r.Daemon && o.Epoch == r.Epoch {
+		o.Resigned = true
+		l.owners[r.Upstream] = o
+		return Accepted, ""
+	}
+	fs := l.formers[r.Upstream]
+	kept := fs[:0:0]
+	for _, f := range fs {
+		if f.Daemon != r.Daemon || f.Epoch != r.Epoch {
+			kept = append(kept, f)
+		}
+	}
+	if len(kept) == len(fs) {
+		return NothingToDo, ""
+	}
+	l.setFormers(r.Upstream, kept)
+	return Accepted, ""
+}
+
+func (l *Ledger) hostGone(r record.HostGone) (Reason, string) {
+	changed := false
+	for u, o := range l.owners {
+		if HostOf(o.Daemon) == r.Host && !o.Resigned {
+			o.Resigned = true
+			l.owners[u] = o
+			changed = true
+		}
+	}
+	for u, fs := range l.formers {
+		kept := fs[:0:0]
+		for _, f := range fs {
+			if HostOf(f.Daemon) != r.Host {
+				kept = append(kept, f)
+			}
+		}
+		if len(kept) != len(fs) {
+			l.setFormers(u, kept)
+			changed = true
+		}
+	}
+	if !changed {
+		return NothingToDo, ""
+	}
+	return Accepted, ""
+}
+
+func (l *Ledger) setFormers(upstream string, fs []Former) {
+	if len(fs) == 0 {
+		delete(l.formers, upstream)
+		return
+	}
+	l.formers[upstream] = fs
+}
+
+// current checks that epoch is the current, not resigned ownership.
+func (l *Ledger) current(upstream string, epoch uint64) (Reason, string) {
+	o := l.owners[upstream]
+	if o.Epoch != epoch || o.Resigned || epoch == 0 {
+		return StaleEpoch, fmt.Sprintf("epoch %d, but %s owns %s since epoch %d", epoch, o.Daemon, upstream, o.Epoch)
+	}
+	return Accepted, ""
+}
+
+func (l *Ledger) grant(offset uint64, r record.Grant) (Reason, string) {
+	if why, detail := l.current(r.Upstream, r.Epoch); why != Accepted {
+		return why, detail
+	}
+	u := l.index.Upstream(r.Upstream)
+	if u == nil {
+		return UnknownUpstream, r.Upstream
+	}
+	m := l.index.Model(r.Model)
+	need, ok := l.index.ReplicaBytes(r.Model, r.Version)
+	if m == nil || !ok {
+		return UnknownModel, r.Model + "@" + r.Version
+	}
+	if !m.Serves(u.Service) {
+		return WrongService, fmt.Sprintf("model %s is not declared for service %s", r.Model, u.Service)
+	}
+	k := Key{Upstream: r.Upstream, Model: r.Model, Version: r.Version}
+	if _, ok := l.grants[r.Upstream][k]; ok {
+		return AlreadyGranted, ""
+	}
+	if n := l.replicas[r.Model]; n >= m.Replicas {
+		return ReplicaLimit, fmt.Sprintf("model %s has %d of %d replicas", r.Model, n, m.Replicas)
+	}
+	if used := l.Reserved(r.Upstream); used+need > u.MemoryBytes {
+		return MemoryLimit, fmt.Sprintf("%s needs %d bytes, %d of %d are reserved on %s", r.Model, need, used, u.MemoryBytes, r.Upstream)
+	}
+	if l.grants[r.Upstream] == nil {
+		l.grants[r.Upstream] = map[Key]Grant{}
+	}
+	l.grants[r.Upstream][k] = Grant{GrantedAt: offset, Bytes: need}
+	l.replicas[r.Model]++
+	return Accepted, ""
+}
+
+func (l *Ledger) release(r record.Release) (Reason, string) {
+	if why, detail := l.current(r.Upstream, r.Epoch); why != Accepted {
+		return why, detail
+	}
+	k := Key{Upstream: r.Upstream, Model: r.Model, Version: r.Version}
+	if why := l.Releasable(k); why != Accepted {
+		return why, ""
+	}
+	delete(l.grants[r.Upstream], k)
+	if len(l.grants[r.Upstream]) == 0 {
+		delete(l.grants, r.Upstream)
+	}
+	if l.replicas[r.Model]--; l.replicas[r.Model] == 0 {
+		delete(l.replicas, r.Model)
+	}
+	return Accepted, ""
+}
