--- /dev/null
+++ b/internal/core/member/set_test.go
@@ -0,0 +1,132 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+func daemon(name, domain string) Fact {
+	return Fact{Kind: Daemon, Name: name, Domain: domain, Status: Alive, Counter: 1}
+}
+
+// TestRefute guards against a false alarm that can't be taken back.
+func TestRefute(t *testing.T) {
+	a := New(start, daemon("a", "x"), Settings{})
+	b := New(start, daemon("b", "x"), Settings{})
+	a.Merge(start, []Fact{b.Self()})
+	must.True(t, a.Failed(start, "b"))
+	must.Eq(t, []string{"a", "b"}, a.Live(nil, ""))
+	a.Tick(start.Add(3 * time.Second))
+	must.Eq(t, []string{"a"}, a.Live(nil, ""))
+
+	b.Merge(start, a.Outgoing(nil, "x", 1000))
+	must.Eq(t, Alive, b.Self().Status)
+	a.Heard(start, b.Self())
+	must.Eq(t, []string{"a", "b"}, a.Live(nil, ""))
+}
+
+// TestLateFact guards against an old fact that reverts a newer one.
+func TestLateFact(t *testing.T) {
+	a := New(start, daemon("a", "x"), Settings{})
+	up := Fact{Kind: Upstream, Name: "u", Status: Alive, Domain: "x"}
+	must.True(t, a.Report(start, up))
+	old, _ := a.Get(up.Key())
+	up.Status = Leaving
+	must.True(t, a.Report(start, up))
+	must.SliceEmpty(t, a.Merge(start, []Fact{old}))
+	got, _ := a.Get(up.Key())
+	must.Eq(t, Leaving, got.Status)
+	must.False(t, a.Report(start, up))
+}
+
+// TestDissemination guards against a fact that does not reach every daemon
+// within the bound, with the rates of the design: one exchange a second
+// within the failure domain and one across every four.
+func TestDissemination(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		var all []*Set
+		for i := range 320 {
+			all = append(all, New(start, daemon(fmt.Sprintf("d%03d", i), fmt.Sprintf("x%d", i%8)), Settings{}))
+		}
+		full := make([]Fact, 0, len(all))
+		for _, m := range all {
+			full = append(full, m.Self())
+		}
+		for _, m := range all {
+			m.Merge(start, full)
+			for range 40 {
+				m.Outgoing(nil, "x0", 1<<20)
+			}
+		}
+		leaving := Fact{Kind: Upstream, Name: "u", Status: Leaving, Domain: "x3"}
+		all[3].Report(start, leaving)
+		exchange := func(a, b *Set) {
+			b.Merge(start, a.Outgoing(nil, b.Self().Domain, 700))
+			a.Merge(start, b.Outgoing(nil, a.Self().Domain, 700))
+		}
+		rounds := 0
+		for ; rounds < 60; rounds++ {
+			known := 0
+			for _, m := range all {
+				if _, ok := m.Get(leaving.Key()); ok {
+					known++
+				}
+			}
+			if known == len(all) {
+				break
+			}
+			for i, m := range all {
+				exchange(m, all[(i+8*rng.IntN(40))%320])
+				if (rounds+i)%4 == 0 {
+					exchange(m, all[rng.IntN(320)])
+				}
+			}
+		}
+		t.Logf("seed %d: all 320 daemons know after %d rounds", seed, rounds)
+		must.Less(t, 20, rounds)
+	}
+}
+
+// TestBucket guards against a fact that was missed and is never repaired.
+func TestBucket(t *testing.T) {
+	a := New(start, daemon("a", "x"), Settings{})
+	b := New(start, daemon("b", "x"), Settings{})
+	for i := range 200 {
+		f := Fact{Kind: Upstream, Name: fmt.Sprint(i), Status: Alive, Counter: 1}
+		a.Merge(start, []Fact{f})
+		if i%10 != 0 {
+			b.Merge(start, []Fact{f})
+		}
+	}
+	b.Merge(start, a.Bucket(nil, b.Digest()))
+	a.Merge(start, b.Bucket(nil, a.Digest()))
+	must.Eq(t, a.Digest(), b.Digest())
+}
+
+// BenchmarkMerge measures the cost of one news exchange at several sizes.
+func BenchmarkMerge(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("facts=%d", n), func(b *testing.B) {
+			m := New(start, daemon("a", "x"), Settings{})
+			for i := range n {
+				m.Merge(start, []Fact{{Kind: Upstream, Name: fmt.Sprint(i), Status: Alive, Counter: 1}})
+			}
+			news := make([]Fact, 10)
+			counter := uint64(2)
+			for b.Loop() {
+				for i := range news {
+					news[i] = Fact{Kind: Upstream, Name: fmt.Sprint(i), Status: Alive, Counter: counter}
+				}
+				counter++
+				m.Merge(start, news)
+			}
+		})
+	}
+}
