ledger: a release names the offset of its grant

Cause: an append whose answer was lost is written again; the first one can take effect later, after the replica was granted anew, and would withdraw the new grant while the model is loaded. Ruled out: waiting a fixed time before a new grant (a slow log has no bound). Figures: TestLateRelease fails with Accepted for the late release without the check and passes with it.

--- /dev/null
+++ b/internal/base/event/log.go
@@ -0,0 +1,48 @@
+package event
+
+// Events of the control stream and the configuration.
+var (
+	ConfigInForce = register(Event{
+		Number: 6000, Name: "configuration-in-force",
+		Meaning: "This daemon has put a published configuration into force.",
+	})
+	RecordApplied = register(Event{
+		Number: 6001, Name: "record-applied",
+		Meaning: "A control record changed ownership or grants.",
+	})
+	RecordRefused = register(Event{
+		Number: 6002, Name: "record-refused",
+		Meaning: "A control record broke a rule and has no effect on any daemon; the reason is given.",
+		Action:  "For a publication: the operator rebases on the version in force.",
+	})
+	RecordSkipped = register(Event{
+		Number: 6003, Name: "record-skipped", Severity: Error,
+		Meaning: "A record of the log can't be decoded and is passed over by all daemons.",
+		Action:  "Find out who writes to the control stream.",
+	})
+	LogReachable = register(Event{
+		Number: 6010, Name: "log-reachable",
+		Meaning: "The log service answers.",
+	})
+	LogUnreachable = register(Event{
+		Number: 6011, Name: "log-unreachable", Severity: Error,
+		Meaning: "The log service does not answer: no takeovers, grants, publications or new non-idempotent requests until it does.",
+		Action:  "Ask the platform; serving of loaded models goes on.",
+	})
+	AppendAmbiguous = register(Event{
+		Number: 6012, Name: "append-ambiguous", Severity: Error,
+		Meaning: "The answer to an append was lost; the record is appended again, which is harmless.",
+	})
+	ControlReady = register(Event{
+		Number: 6013, Name: "control-stream-ready",
+		Meaning: "The control stream has been read to its end.",
+	})
+	SnapshotInstalled = register(Event{
+		Number: 6014, Name: "snapshot-installed",
+		Meaning: "The state was taken from a snapshot in the stream or from a peer.",
+	})
+	RecordsFromPeer = register(Event{
+		Number: 6015, Name: "records-from-peer",
+		Meaning: "Control records came from a peer, because the log can't be reached.",
+	})
+)
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -351,6 +351,9 @@
 		return why, detail
 	}
 	k := Key{Upstream: r.Upstream, Model: r.Model, Version: r.Version}
+	if g, ok := l.Grant(k); ok && g.GrantedAt != r.GrantedAt {
+		return NotGranted, fmt.Sprintf("the grant at offset %d is gone, there is a newer one at %d", r.GrantedAt, g.GrantedAt)
+	}
 	if why := l.Releasable(k); why != Accepted {
 		return why, ""
 	}
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -53,7 +53,7 @@
 		{record.Grant{Upstream: "u2", Epoch: 4, Model: "m", Version: "2"}, Accepted},
 		{record.Grant{Upstream: "u2", Epoch: 4, Model: "m", Version: "1"}, ReplicaLimit},
 		{record.Grant{Upstream: "u2", Epoch: 4, Model: "x", Version: "1"}, UnknownModel},
-		{record.Release{Upstream: "u1", Epoch: 3, Model: "n", Version: "1"}, Accepted},
+		{record.Release{Upstream: "u1", Epoch: 3, Model: "n", Version: "1", GrantedAt: 5}, Accepted},
 		{record.Grant{Upstream: "u2", Epoch: 4, Model: "n", Version: "1"}, Accepted},
 	}
 	for i, s := range steps {
@@ -77,13 +77,13 @@
 	must.Eq(t, Accepted, apply(7, record.TakeOwnership{Upstream: "u1", Daemon: "h2/1", Previous: 2}))
 	must.Eq(t, Accepted, apply(8, record.TakeOwnership{Upstream: "u2", Daemon: "h2/1", Previous: 3}))
 	must.Eq(t, StaleEpoch, apply(9, record.Grant{Upstream: "u2", Epoch: 3, Model: "n", Version: "1"}))
-	must.Eq(t, Accepted, apply(10, record.Release{Upstream: "u1", Epoch: 7, Model: "m", Version: "1"}))
-	must.Eq(t, FormerOwner, apply(11, record.Release{Upstream: "u2", Epoch: 8, Model: "m", Version: "1"}))
+	must.Eq(t, Accepted, apply(10, record.Release{Upstream: "u1", Epoch: 7, Model: "m", Version: "1", GrantedAt: 4}))
+	must.Eq(t, FormerOwner, apply(11, record.Release{Upstream: "u2", Epoch: 8, Model: "m", Version: "1", GrantedAt: 5}))
 	must.Eq(t, Accepted, apply(12, record.Grant{Upstream: "u2", Epoch: 8, Model: "n", Version: "1"}))
-	must.Eq(t, Accepted, apply(13, record.Release{Upstream: "u2", Epoch: 8, Model: "n", Version: "1"}))
+	must.Eq(t, Accepted, apply(13, record.Release{Upstream: "u2", Epoch: 8, Model: "n", Version: "1", GrantedAt: 12}))
 	must.Eq(t, NothingToDo, apply(14, record.AcknowledgeLoss{Upstream: "u2", Daemon: "h1/1", Epoch: 99}))
 	must.Eq(t, Accepted, apply(15, record.AcknowledgeLoss{Upstream: "u2", Daemon: "h1/1", Epoch: 3}))
-	must.Eq(t, Accepted, apply(16, record.Release{Upstream: "u2", Epoch: 8, Model: "m", Version: "1"}))
+	must.Eq(t, Accepted, apply(16, record.Release{Upstream: "u2", Epoch: 8, Model: "m", Version: "1", GrantedAt: 5}))
 	must.Eq(t, 0, l.Replicas("m"))
 }
 
@@ -114,7 +114,20 @@
 	again, err := r.Snapshot()
 	must.NoError(t, err)
 	must.Eq(t, string(b), string(again))
-	must.Eq(t, FormerOwner, r.Apply(5, record.Release{Upstream: "u2", Epoch: 4, Model: "m", Version: "1"}).Reason)
+	must.Eq(t, FormerOwner, r.Apply(5, record.Release{Upstream: "u2", Epoch: 4, Model: "m", Version: "1", GrantedAt: 3}).Reason)
 	must.Eq(t, Accepted, r.Apply(6, record.HostGone{Host: "h1"}).Reason)
-	must.Eq(t, Accepted, r.Apply(7, record.Release{Upstream: "u2", Epoch: 4, Model: "m", Version: "1"}).Reason)
+	must.Eq(t, Accepted, r.Apply(7, record.Release{Upstream: "u2", Epoch: 4, Model: "m", Version: "1", GrantedAt: 3}).Reason)
+}
+
+// TestLateRelease guards against a release whose append took effect late and
+// that would withdraw a newer grant of the same replica while it is loaded.
+func TestLateRelease(t *testing.T) {
+	l := fixture(t)
+	grant := record.Grant{Upstream: "u1", Epoch: 2, Model: "m", Version: "1"}
+	release := record.Release{Upstream: "u1", Epoch: 2, Model: "m", Version: "1", GrantedAt: 3}
+	for i, r := range []record.Record{record.TakeOwnership{Upstream: "u1", Daemon: "h1/1"}, grant, release, grant} {
+		must.Eq(t, Accepted, l.Apply(uint64(i+2), r).Reason)
+	}
+	must.Eq(t, NotGranted, l.Apply(6, release).Reason)
+	must.Eq(t, 1, l.Replicas("m"))
 }
--- a/internal/core/record/record.go
+++ b/internal/core/record/record.go
@@ -49,12 +49,15 @@
 		Version  string `json:"version"`
 	}
 
-	// Release withdraws a grant after a confirmed unload.
+	// Release withdraws a grant after a confirmed unload. GrantedAt is the
+	// offset of the grant: an append that takes effect late must not release
+	// a later grant of the same replica.
 	Release struct {
-		Upstream string `json:"upstream"`
-		Epoch    uint64 `json:"epoch"`
-		Model    string `json:"model"`
-		Version  string `json:"version"`
+		Upstream  string `json:"upstream"`
+		Epoch     uint64 `json:"epoch"`
+		Model     string `json:"model"`
+		Version   string `json:"version"`
+		GrantedAt uint64 `json:"granted-at"`
 	}
 
 	// Snapshot holds the fold of all records up to and including AsOf.
--- /dev/null
+++ b/internal/link/peer/peer_test.go
@@ -0,0 +1,62 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+type echo struct{}
+
+type refusal struct{}
+
+func (refusal) Error() string { return "refused under test" }
+
+func (echo) Echo(in string, out *string) error {
+	if in == "" {
+		return refusal{}
+	}
+	*out = in
+	return nil
+}
+
+func (echo) Block(_ string, _ *string) error { select {} }
+
+func serve(t *testing.T, secret string) string {
+	t.Helper()
+	s, err := NewServer([]byte(secret), nil, echo{}, new(Traffic))
+	must.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(t.Context(), l) }()
+	return l.Addr().String()
+}
+
+// TestCall guards against calls that are served without the shared secret,
+// and against a call that outlives its context.
+func TestCall(t *testing.T) {
+	addr := serve(t, "right")
+	traffic := new(Traffic)
+	c := NewClient([]byte("right"), nil, traffic)
+	defer c.Close()
+	var out string
+	must.NoError(t, c.Call(t.Context(), addr, "Echo", "hello", &out))
+	must.Eq(t, "hello", out)
+	must.Positive(t, traffic.Sent.Load())
+
+	var se rpc.ServerError
+	must.True(t, errors.As(c.Call(t.Context(), addr, "Echo", "", &out), &se))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var ce *CallError
+	must.True(t, errors.As(c.Call(ctx, addr, "Block", "", new(string)), &ce))
+
+	wrong := NewClient([]byte("wrong"), nil, traffic)
+	defer wrong.Close()
+	must.True(t, errors.As(wrong.Call(t.Context(), addr, "Echo", "hello", &out), &ce))
+}
--- /dev/null
+++ b/internal/link/peer/server.go
@@ -0,0 +1,94 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+)
+
+// Server serves the calls of other daemons.
+type Server struct {
+	secret  []byte
+	tls     *tls.Config
+	rpc     *rpc.Server
+	traffic *Traffic
+	mu      sync.Mutex
+	conns   map[net.Conn]struct{}
+	limit   chan struct{}
+}
+
+// maxConns bounds the connections that peers may hold; a deployment has a few
+// hundred daemons, each with one connection.
+const maxConns = 1024
+
+// NewServer returns a Server that calls the exported methods of receiver
+// under the name "Peer". tlsConf may be nil.
+func NewServer(secret []byte, tlsConf *tls.Config, receiver any, t *Traffic) (*Server, error) {
+	s := rpc.NewServer()
+	if err := s.RegisterName("Peer", receiver); err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return &Server{
+		secret: secret, tls: tlsConf, rpc: s, traffic: t,
+		conns: map[net.Conn]struct{}{}, limit: make(chan struct{}, maxConns),
+	}, nil
+}
+
+// Serve accepts connections from l until ctx ends, and closes both.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			_ = c.Close()
+		}
+	})
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return merry.Wrap(err)
+		}
+		select {
+		case s.limit <- struct{}{}:
+			go s.serve(ctx, c)
+		default:
+			_ = c.Close()
+		}
+	}
+}
+
+func (s *Server) serve(ctx context.Context, c net.Conn) {
+	defer func() { <-s.limit }()
+	if s.tls != nil {
+		c = tls.Server(c, s.tls)
+	}
+	if err := authenticate(c, s.secret, false); err != nil {
+		event.PeerRejected.Log("address", c.RemoteAddr().String(), "err", err)
+		_ = c.Close()
+		return
+	}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		_ = c.Close()
+	}()
+	if ctx.Err() == nil {
+		s.rpc.ServeConn(&countedConn{Conn: c, t: s.traffic})
+	}
+}
