standin: platform and engine, first version

Cause: the daemon needs a log service, a host list, a weight store and engines to run against. Ruled out: third-party servers, and mocks of the clients, which would hide errors in the protocol. Change: two programs with importable packages for use inside a test. Conclusion: the clients can be written against them.

--- /dev/null
+++ b/standin/engine/engsv/report.go
@@ -0,0 +1,102 @@
+package engsv
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/azurespan/azurespan/standin/serve"
+)
+
+type (
+	report struct {
+		Name        string           `json:"name"`
+		Incarnation int64            `json:"incarnation"`
+		TimeMS      int64            `json:"time-ms"`
+		Leaving     bool             `json:"leaving"`
+		Role        string           `json:"role"`
+		Fencing     uint64           `json:"fencing"`
+		Memory      int64            `json:"memory-bytes"`
+		Used        int64            `json:"used-bytes"`
+		Sequences   int              `json:"sequences"`
+		Running     int              `json:"running"`
+		Queued      int              `json:"queued"`
+		Models      []modelReport    `json:"models"`
+		Checkpoints []checkpointTier `json:"checkpoints"`
+	}
+
+	modelReport struct {
+		Model    string   `json:"model"`
+		Version  string   `json:"version"`
+		State    string   `json:"state"`
+		Memory   int64    `json:"memory-bytes"`
+		Adapters []string `json:"adapters"`
+		Streams  int      `json:"streams"`
+	}
+
+	checkpointTier struct {
+		Model   string `json:"model"`
+		Version string `json:"version"`
+		Tier    string `json:"tier"`
+	}
+)
+
+// current returns the report on the present state. The caller holds s.mu.
+func (s *Server) current(st *state) report {
+	r := report{
+		Name: s.cfg.Name, Incarnation: st.incarnation, TimeMS: time.Now().UnixMilli(),
+		Leaving: s.faults.Leaving, Role: st.role, Fencing: s.fencing,
+		Memory: s.cfg.MemoryBytes, Used: st.used(), Sequences: s.cfg.Sequences,
+		Running: len(st.running), Queued: len(st.queue),
+		Models: []modelReport{}, Checkpoints: []checkpointTier{},
+	}
+	for _, k := range slices.Sorted(maps.Keys(st.replicas)) {
+		rep := st.replicas[k]
+		r.Models = append(r.Models, modelReport{
+			Model: rep.model, Version: rep.version, State: rep.state, Memory: rep.memory,
+			Adapters: append([]string{}, slices.Sorted(maps.Keys(rep.ready))...),
+			Streams:  st.streamsOf(rep.model, rep.version, ""),
+		})
+	}
+	for _, k := range slices.Compact(slices.Sorted(slices.Values(slices.Concat(st.memory, s.disk)))) {
+		model, version, _ := strings.Cut(k, "@")
+		r.Checkpoints = append(r.Checkpoints, checkpointTier{model, version, s.tier(st, k)})
+	}
+	return r
+}
+
+// snapshot keeps reports until they are older than the lag.
+func (s *Server) snapshot(st *state) {
+	if s.cfg.ReportLag <= 0 {
+		return
+	}
+	tick := time.NewTicker(max(s.cfg.ReportLag/4, time.Millisecond))
+	defer tick.Stop()
+	for {
+		s.mu.Lock()
+		st.reports = append(st.reports, s.current(st))
+		for len(st.reports) > 1 && time.Since(time.UnixMilli(st.reports[1].TimeMS)) > s.cfg.ReportLag {
+			st.reports = st.reports[1:]
+		}
+		s.mu.Unlock()
+		select {
+		case <-tick.C:
+		case <-st.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) getReport(w http.ResponseWriter, _ *http.Request) {
+	st := s.begin(w, false)
+	var r report
+	if len(st.reports) > 0 {
+		r = st.reports[0]
+	} else {
+		r = s.current(st)
+	}
+	s.mu.Unlock()
+	serve.JSON(w, http.StatusOK, r)
+}
--- /dev/null
+++ b/standin/platform/platsv/hosts.go
@@ -0,0 +1,73 @@
+package platsv
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/azurespan/azurespan/standin/serve"
+)
+
+type (
+	// Host is one entry of the host list.
+	Host struct {
+		Name          string `json:"name"`
+		Address       string `json:"address"`
+		FailureDomain string `json:"failure-domain"`
+		// State is live, leaving or gone; empty removes the entry.
+		State string `json:"state"`
+	}
+
+	hostChange struct {
+		due  time.Time
+		host Host
+	}
+)
+
+// SetHost changes an entry of the host list; the change shows after the lag.
+func (s *Server) SetHost(h Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, hostChange{due: s.cfg.Now().Add(s.cfg.HostLag), host: h})
+	s.note(Entry{Kind: "host", Host: &h})
+}
+
+func (s *Server) putHost(w http.ResponseWriter, r *http.Request) {
+	h := Host{}
+	if !serve.Read(w, r, &h) {
+		return
+	}
+	h.Name = r.PathValue("name")
+	if r.Method == http.MethodDelete {
+		h = Host{Name: h.Name}
+	}
+	s.SetHost(h)
+	serve.JSON(w, http.StatusOK, h)
+}
+
+func (s *Server) getHosts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	now := s.cfg.Now()
+	for len(s.pending) > 0 && !s.pending[0].due.After(now) {
+		h := s.pending[0].host
+		s.pending = s.pending[1:]
+		if h.State == "" {
+			delete(s.hosts, h.Name)
+			continue
+		}
+		s.hosts[h.Name] = h
+	}
+	missing := s.faults.HostsMissing
+	out := make([]Host, 0, len(s.hosts))
+	for _, h := range s.hosts {
+		out = append(out, h)
+	}
+	s.mu.Unlock()
+	if missing {
+		serve.Refuse(w, http.StatusServiceUnavailable, "missing", "there is no host list")
+		return
+	}
+	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	serve.JSON(w, http.StatusOK, map[string]any{"time-ms": now.UnixMilli(), "hosts": out})
+}
