route: table of replicas and choice for a request

Cause: requests need a replica chosen from late reports by many daemons. Change: Table with reports, sent and done requests, health, prefix hints with an age, slow replicas set aside; Pick draws twice among near-equal replicas.

--- /dev/null
+++ b/internal/rule/route/table_test.go
@@ -0,0 +1,255 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func report(up, dom string, at time.Time, seqs, running int, models ...Loaded) Report {
+	return Report{Upstream: up, FailureDomain: dom, Incarnation: "1", At: at, Sequences: seqs, Running: running, Models: models}
+}
+
+// build returns a table of n replicas over models and adapters with random
+// load, from seed.
+func build(seed uint64, n, models, adapters int) (*Table, *rand.Rand) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	t := New(Settings{FailureDomain: "d0"})
+	for i := range n {
+		l := Loaded{Model: fmt.Sprint("m", i%models), Version: "1"}
+		for range rng.IntN(8) {
+			l.Adapters = append(l.Adapters, fmt.Sprint("a", rng.IntN(max(adapters, 1))))
+		}
+		name := fmt.Sprint("u", i)
+		t.SetReport(report(name, fmt.Sprint("d", rng.IntN(3)), t0.Add(-time.Duration(rng.IntN(2000))*time.Millisecond), 8, rng.IntN(14), l))
+		t.SetHealth(name, []Health{Live, Live, Live, Live, Suspect, Leaving, Down}[rng.IntN(7)])
+		for range rng.IntN(3) {
+			t.Sent(t0, name, uint64(1+rng.IntN(20)))
+		}
+	}
+	return t, rng
+}
+
+// allowed is the naive reference: the set of upstreams that Pick may return.
+func allowed(t *Table, q Query) []string {
+	type cand struct {
+		name        string
+		wait, fixed time.Duration
+		age         time.Duration
+	}
+	var live, rest []cand
+	for name, u := range t.upstreams {
+		for _, p := range u.replicas {
+			if p.of.name != q.Model || p.version != q.Version || p.gone {
+				continue
+			}
+			if u.health == Leaving || u.health == Down || slices.Contains(q.Exclude, name) {
+				continue
+			}
+			c := cand{name: name, age: t0.Sub(u.reportAt)}
+			if u.outstanding >= u.sequences {
+				c.wait = t.s.ServiceTime * time.Duration(u.outstanding+1-u.sequences) / time.Duration(u.sequences)
+			}
+			if !u.local {
+				c.fixed += t.s.CrossingCost
+			}
+			if q.Adapter != "" && !slices.Contains(p.adapters, t.adapters[q.Adapter]) {
+				c.fixed += t.s.AdapterCost
+			}
+			if h, ok := t.prefixes.get(q.Prefix); ok && q.Prefix != 0 && slices.ContainsFunc(h[:], func(h hint) bool { return h.up == u }) {
+				c.fixed -= t.s.PrefixSaving
+			}
+			if u.health == Suspect {
+				rest = append(rest, c)
+			} else {
+				live = append(live, c)
+			}
+		}
+	}
+	if len(live) == 0 {
+		live = rest
+	}
+	spread := time.Duration(0)
+	for _, c := range live {
+		spread = max(spread, c.age)
+	}
+	spread = min(spread+t.s.Spread, t.s.MaxSpread)
+	cost := func(a, b cand) int { return int(a.wait + a.fixed - b.wait - b.fixed) }
+	if len(live) == 0 {
+		return nil
+	}
+	least := slices.MinFunc(live, cost)
+	live = slices.DeleteFunc(live, func(c cand) bool { return cost(c, least) > int(spread) })
+	fixed := slices.MinFunc(live, func(a, b cand) int { return int(a.fixed - b.fixed) }).fixed
+	var out []string
+	for _, c := range live {
+		if c.fixed <= fixed+time.Millisecond {
+			out = append(out, c.name)
+		}
+	}
+	return out
+}
+
+// TestPickAgainstReference guards against a choice outside the set that a
+// direct reading of the rules allows.
+func TestPickAgainstReference(t *testing.T) {
+	for seed := range uint64(300) {
+		tab, rng := build(seed, 1+int(seed%60), 1+int(seed%7), 10)
+		for range 20 {
+			q := Query{Model: fmt.Sprint("m", rng.IntN(8)), Version: "1"}
+			if rng.IntN(2) == 0 {
+				q.Adapter = fmt.Sprint("a", rng.IntN(12))
+			}
+			q.Prefix = uint64(rng.IntN(25))
+			for range rng.IntN(4) {
+				q.Exclude = append(q.Exclude, fmt.Sprint("u", rng.IntN(60)))
+			}
+			want := allowed(tab, q)
+			got := tab.Pick(t0, rng, &q)
+			if len(want) == 0 {
+				must.Eq(t, "", got.Upstream, must.Sprintf("seed %d", seed))
+				continue
+			}
+			must.SliceContains(t, want, got.Upstream, must.Sprintf("seed %d, query %+v", seed, q))
+		}
+	}
+}
+
+// TestNoRush guards against many daemons with the same late report choosing
+// the one replica that looks empty.
+func TestNoRush(t *testing.T) {
+	n := 0
+	for seed := range uint64(320) {
+		tab := New(Settings{FailureDomain: "d"})
+		for i := range 12 {
+			running := 8
+			if i == 0 {
+				running = 7
+			}
+			tab.SetReport(report(fmt.Sprint("u", i), "d", t0, 8, running, Loaded{Model: "m", Version: "1"}))
+		}
+		rng := rand.New(rand.NewPCG(seed, 2))
+		if tab.Pick(t0.Add(time.Second), rng, &Query{Model: "m", Version: "1"}).Upstream == "u0" {
+			n++
+		}
+	}
+	must.Less(t, 160, n)
+	must.Greater(t, 20, n)
+}
+
+// TestLateReport guards against a report that hides requests sent after it was
+// taken, and against one that brings back an unloaded or drops a new replica.
+func TestLateReport(t *testing.T) {
+	tab := New(Settings{FailureDomain: "d"})
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	m := Loaded{Model: "m", Version: "1"}
+	tab.SetReport(report("u", "d", at(0), 4, 1, m))
+	tab.Sent(at(10), "u", 0)
+	tab.Sent(at(30), "u", 0)
+	tab.SetReport(report("u", "d", at(20), 4, 2, m))
+	n, _ := tab.Outstanding("u")
+	must.Eq(t, 3, n)
+	must.False(t, tab.SetReport(report("u", "d", at(15), 4, 0, m)))
+	tab.Done(at(40), "u", "m", "1", 0, 0)
+	n, _ = tab.Outstanding("u")
+	must.Eq(t, 2, n)
+	tab.SetReport(report("u", "d", at(50), 4, 0, m))
+	n, _ = tab.Outstanding("u")
+	must.Eq(t, 1, n, must.Sprint("this daemon's request in flight is a lower bound"))
+
+	rng := rand.New(rand.NewPCG(1, 1))
+	tab.Unloaded(at(70), "u", "m", "1")
+	tab.Loaded(at(70), "u", "d", "n", "1")
+	tab.SetReport(report("u", "d", at(60), 4, 0, m))
+	must.Eq(t, NotLoaded, tab.Pick(at(80), rng, &Query{Model: "m", Version: "1"}).Reason)
+	must.Eq(t, "u", tab.Pick(at(80), rng, &Query{Model: "n", Version: "1"}).Upstream)
+	tab.SetReport(report("u", "d", at(90), 4, 0, m))
+	must.Eq(t, "u", tab.Pick(at(99), rng, &Query{Model: "m", Version: "1"}).Upstream)
+	must.Eq(t, NotLoaded, tab.Pick(at(99), rng, &Query{Model: "n", Version: "1"}).Reason)
+	tab.Remove("u")
+	must.Eq(t, NotLoaded, tab.Pick(at(99), rng, &Query{Model: "m", Version: "1"}).Reason)
+}
+
+// TestSetAside guards against a slow upstream that keeps its share of the
+// requests, and against one that is never tried again.
+func TestSetAside(t *testing.T) {
+	tab := New(Settings{FailureDomain: "d"})
+	for i := range 4 {
+		tab.SetReport(report(fmt.Sprint("u", i), "d", t0, 8, 0, Loaded{Model: "m", Version: "1"}))
+	}
+	for range minSamples {
+		for i := range 4 {
+			u, lat := fmt.Sprint("u", i), 100*time.Millisecond
+			if i == 3 {
+				lat = time.Second
+			}
+			tab.Sent(t0, u, 0)
+			tab.Done(t0, u, "m", "1", lat, 0)
+		}
+	}
+	seen := func(now time.Time, q Query) map[string]bool {
+		rng := rand.New(rand.NewPCG(3, 3))
+		out := map[string]bool{}
+		for range 200 {
+			out[tab.Pick(now, rng, &q).Upstream] = true
+		}
+		return out
+	}
+	q := Query{Model: "m", Version: "1"}
+	must.False(t, seen(t0, q)["u3"])
+	must.True(t, seen(t0.Add(31*time.Second), q)["u3"])
+	q.Exclude = []string{"u0", "u1", "u2"}
+	must.True(t, seen(t0, q)["u3"])
+}
+
+// TestManyReplicas guards against a sampled choice that misses the replica
+// with the cached prefix, or that never reaches some replicas.
+func TestManyReplicas(t *testing.T) {
+	tab := New(Settings{FailureDomain: "d"})
+	for i := range 3 * window {
+		tab.SetReport(report(fmt.Sprint("u", i), "d", t0, 8, 0, Loaded{Model: "m", Version: "1"}))
+	}
+	tab.CacheStored("u7", 9, t0)
+	rng := rand.New(rand.NewPCG(4, 4))
+	seen := map[string]bool{}
+	for range 60 * window {
+		must.Eq(t, "u7", tab.Pick(t0, rng, &Query{Model: "m", Version: "1", Prefix: 9}).Upstream)
+		seen[tab.Pick(t0, rng, &Query{Model: "m", Version: "1"}).Upstream] = true
+	}
+	must.MapLen(t, 3*window, seen)
+}
+
+// TestPickAllocates guards against garbage on the path of every request.
+func TestPickAllocates(t *testing.T) {
+	tab, rng := build(1, 600, 260, 1800)
+	q := Query{Model: "m1", Version: "1", Adapter: "a5", Prefix: 3, Exclude: []string{"u9"}}
+	tab.Pick(t0, rng, &q)
+	must.Eq(t, 0, testing.AllocsPerRun(100, func() { tab.Pick(t0, rng, &q) }))
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, s := range []struct{ replicas, models, adapters int }{
+		{12, 1, 77}, {60, 40, 77}, {600, 260, 1800}, {600, 30, 1800}, {600, 1, 1800},
+	} {
+		b.Run(fmt.Sprintf("replicas=%d/models=%d/adapters=%d", s.replicas, s.models, s.adapters), func(b *testing.B) {
+			tab, rng := build(1, s.replicas, s.models, s.adapters)
+			names := make([]string, s.models)
+			for i := range names {
+				names[i] = fmt.Sprint("m", i)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				q := Query{Model: names[i%s.models], Version: "1", Adapter: "a5", Prefix: uint64(i % 20)}
+				tab.Pick(t0, rng, &q)
+				i++
+			}
+		})
+	}
+}
