declare: validate a deployment and report all contradictions

Cause: Validate accepted everything, so the fold of the control stream put any decodable configuration in force.

Ruled out: stopping at the first contradiction, because an operator would correct one per run; comparing each model version with each upstream, which grows with their product; unbounded lists inside a service or model, because they are searched linearly and one record can hold 10^5 elements.

--- a/declare/problem.go
+++ b/declare/problem.go
@@ -3,21 +3,57 @@
 import "fmt"
 
 type (
-	// ProblemKind names a class of contradictions.
+	// ProblemKind names a class of contradictions. The names are stable, so
+	// that scripts can match them.
 	ProblemKind string
 
 	// Problem is one contradiction in a Deployment.
 	Problem struct {
-		Kind ProblemKind
+		Kind ProblemKind `json:"kind"`
 		// Path names the part, such as models[3].replicas.
-		Path   string
-		Detail string
+		Path string `json:"path"`
+		// Detail gives the value found and what is allowed.
+		Detail string `json:"detail"`
 	}
 )
 
 // Kinds of problem.
 const (
+	// BadSyntax is text that is not a configuration in JSON.
 	BadSyntax ProblemKind = "bad-syntax"
+	// BadName is a name that is empty, too long or not in kebab case.
+	BadName ProblemKind = "bad-name"
+	// DuplicateName is a name used twice where it must be unique.
+	DuplicateName ProblemKind = "duplicate-name"
+	// DuplicateAddress is an address that two upstreams share.
+	DuplicateAddress ProblemKind = "duplicate-address"
+	// DuplicateCall is a method and path prefix that a service lists twice.
+	DuplicateCall ProblemKind = "duplicate-call"
+	// UnknownReference is a name that is declared nowhere.
+	UnknownReference ProblemKind = "unknown-reference"
+	// UnknownValue is a word outside a fixed set, such as a class.
+	UnknownValue ProblemKind = "unknown-value"
+	// Missing is a list or field that must not be empty.
+	Missing ProblemKind = "missing"
+	// OutOfRange is a number below or above its bounds.
+	OutOfRange ProblemKind = "out-of-range"
+	// BadAddress is an address that is not an IP number with a port.
+	BadAddress ProblemKind = "bad-address"
+	// BadPath is a path prefix without a leading slash or with a query,
+	// fragment or dot segment.
+	BadPath ProblemKind = "bad-path"
+	// BadTime is a wake-at entry that is not a time of day such as 07:30.
+	BadTime ProblemKind = "bad-time"
+	// WrongKind is a field or reference that the service's kind excludes.
+	WrongKind ProblemKind = "wrong-kind"
+	// NoUpstreams is a service that no upstream belongs to.
+	NoUpstreams ProblemKind = "no-upstreams"
+	// TooLarge is a model version that fits on no upstream of its services.
+	TooLarge ProblemKind = "too-large"
+	// NoRoom is a set of min-replicas that the upstreams can't hold.
+	NoRoom ProblemKind = "no-room"
+	// NoAdapterSlots is an adapter of a model without adapter slots.
+	NoAdapterSlots ProblemKind = "no-adapter-slots"
 )
 
 var _ error = (*Problem)(nil)
@@ -29,3 +65,20 @@
 	}
 	return fmt.Sprintf("%s: %s: %s", p.Path, p.Kind, p.Detail)
 }
+
+// Problems returns the problems in an error of Decode or Validate, in the
+// order in which they were found. It returns nil for any other error.
+func Problems(err error) []*Problem {
+	switch e := err.(type) {
+	case *Problem:
+		return []*Problem{e}
+	case interface{ Unwrap() []error }:
+		var out []*Problem
+		for _, one := range e.Unwrap() {
+			out = append(out, Problems(one)...)
+		}
+		return out
+	default:
+		return nil
+	}
+}
