--- /dev/null
+++ b/internal/base/event/owner.go
@@ -0,0 +1,58 @@
+package event
+
+// Events of ownership, loads and placement.
+var (
+	OwnershipFailed = register(Event{
+		Number: 3000, Name: "ownership-record-failed", Severity: Error,
+		Meaning: "An ownership record could not be appended; it is tried again.",
+	})
+	OwnershipLost = register(Event{
+		Number: 3001, Name: "ownership-record-refused",
+		Meaning: "Another daemon was first to take an upstream, or the record came too late.",
+	})
+	OrderSent = register(Event{
+		Number: 3010, Name: "order-sent",
+		Meaning: "An order went to an engine, with the owner's epoch as fencing number.",
+	})
+	Loaded = register(Event{
+		Number: 3011, Name: "replica-loaded",
+		Meaning: "An engine has loaded a model version.",
+	})
+	LoadFailed = register(Event{
+		Number: 3012, Name: "load-failed", Severity: Error,
+		Meaning: "A load was refused or failed; the reason is given, and waiting requests try elsewhere.",
+		Action:  "If it repeats for one upstream, look at the engine; if for all, at the weight store.",
+	})
+	Unloaded = register(Event{
+		Number: 3013, Name: "replica-unloaded",
+		Meaning: "An engine has unloaded a model version after it was idle for the time given.",
+	})
+	UnloadFailed = register(Event{
+		Number: 3014, Name: "unload-failed", Severity: Error,
+		Meaning: "An unload or the release of its grant failed; it is tried again.",
+	})
+	AdapterLoaded = register(Event{
+		Number: 3015, Name: "adapter-loaded",
+		Meaning: "An engine has loaded an adapter.",
+	})
+	ReportFailed = register(Event{
+		Number: 3020, Name: "reports-failed", Severity: Error,
+		Meaning: "An engine did not answer several polls and counts as dead.",
+		Action:  "Replace the upstream's host or remove it from the configuration.",
+	})
+	WakeStarted = register(Event{
+		Number: 3030, Name: "wake-started",
+		Meaning: "A model that is loaded nowhere in reach is being loaded; the upstream and the reason are given.",
+	})
+	WakeRefused = register(Event{
+		Number: 3031, Name: "wake-refused",
+		Meaning: "No replica can be loaded; the reason is given.",
+		Action:  "For replica-elsewhere or no-capacity over a longer time: raise the limit or add memory.",
+	})
+)
+
+// CoordinatorFailed belongs to wakes.
+var CoordinatorFailed = register(Event{
+	Number: 3032, Name: "coordinator-failed", Severity: Error,
+	Meaning: "The daemon that coordinates a model's wakes did not answer; this daemon coordinates the wake itself.",
+})
--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -64,6 +64,7 @@
 	KeyMismatch         Kind = "key-mismatch"
 	KeyInProgress       Kind = "key-in-progress"
 	OutcomeUnknown      Kind = "outcome-unknown"
+	NotOwner            Kind = "not-owner"
 	Draining            Kind = "draining"
 	NotReady            Kind = "not-ready"
 	VersionConflict     Kind = "version-conflict"
@@ -116,6 +117,17 @@
 	return &c
 }
 
+// Portable returns a copy of f that can be sent to another daemon: the cause
+// becomes part of the detail.
+func (f *Fault) Portable() *Fault {
+	c := *f
+	if c.Cause != nil {
+		c.Detail += ": " + c.Cause.Error()
+		c.Cause = nil
+	}
+	return &c
+}
+
 // Status returns the HTTP status code for f.
 func (f *Fault) Status() int {
 	switch f.Kind {
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"strings"
 
 	"github.com/azurespan/azurespan/declare"
@@ -137,6 +138,46 @@
 	return dst
 }
 
+// Holders appends the grants of a model, all versions, to dst and returns it,
+// oldest first.
+func (l *Ledger) Holders(dst []Key, model string) []Key {
+	n := len(dst)
+	if l.replicas[model] == 0 {
+		return dst
+	}
+	for _, gs := range l.grants {
+		for k := range gs {
+			if k.Model == model {
+				dst = append(dst, k)
+			}
+		}
+	}
+	sort.Slice(dst[n:], func(i, j int) bool {
+		a, b := dst[n+i], dst[n+j]
+		return l.grants[a.Upstream][a].GrantedAt < l.grants[b.Upstream][b].GrantedAt
+	})
+	return dst
+}
+
+// Surplus reports whether the configuration in force no longer allows the
+// grant k: its model or version is not declared any more, or the replica
+// limit is below the rank of the grant by age.
+func (l *Ledger) Surplus(k Key) bool {
+	if _, ok := l.index.ReplicaBytes(k.Model, k.Version); !ok {
+		return true
+	}
+	limit := l.index.Model(k.Model).Replicas
+	if l.replicas[k.Model] <= limit {
+		return false
+	}
+	for i, h := range l.Holders(nil, k.Model) {
+		if h == k {
+			return i >= limit
+		}
+	}
+	return false
+}
+
 // Replicas returns the number of grants of a model over all versions.
 func (l *Ledger) Replicas(model string) int { return l.replicas[model] }
 
@@ -230,9 +271,34 @@
 	}
 	l.version, l.operator, l.raw = offset, r.Operator, r.Config
 	l.index = declare.NewIndex(d)
+	for u := range l.grants {
+		if l.index.Upstream(u) == nil {
+			l.dropGrants(u)
+		}
+	}
 	return Accepted, ""
 }
 
+// dropGrants removes the grants of an upstream that is gone: its operators
+// have removed it from the configuration, or the platform reports its host
+// gone. Either is stated only after the engine has stopped for good.
+func (l *Ledger) dropGrants(upstream string) {
+	for k := range l.grants[upstream] {
+		l.drop(k)
+	}
+}
+
+// drop removes one grant.
+func (l *Ledger) drop(k Key) {
+	delete(l.grants[k.Upstream], k)
+	if len(l.grants[k.Upstream]) == 0 {
+		delete(l.grants, k.Upstream)
+	}
+	if l.replicas[k.Model]--; l.replicas[k.Model] == 0 {
+		delete(l.replicas, k.Model)
+	}
+}
+
 func (l *Ledger) take(offset uint64, r record.TakeOwnership) (Reason, string) {
 	if l.index.Upstream(r.Upstream) == nil {
 		return UnknownUpstream, r.Upstream
@@ -269,7 +335,8 @@
 }
 
 func (l *Ledger) hostGone(r record.HostGone) (Reason, string) {
-	changed := false
+	changed := len(l.grants[r.Host]) > 0
+	l.dropGrants(r.Host)
 	for u, o := range l.owners {
 		if HostOf(o.Daemon) == r.Host && !o.Resigned {
 			o.Resigned = true
@@ -357,12 +424,6 @@
 	if why := l.Releasable(k); why != Accepted {
 		return why, ""
 	}
-	delete(l.grants[r.Upstream], k)
-	if len(l.grants[r.Upstream]) == 0 {
-		delete(l.grants, r.Upstream)
-	}
-	if l.replicas[r.Model]--; l.replicas[r.Model] == 0 {
-		delete(l.replicas, r.Model)
-	}
+	l.drop(k)
 	return Accepted, ""
 }
--- a/internal/core/member/fact.go
+++ b/internal/core/member/fact.go
@@ -33,6 +33,9 @@
 		Incarnation string
 		// Loaded lists the replicas of an upstream.
 		Loaded []Replica
+		// InMemory and OnDisk list checkpoints, as model@version, that an
+		// upstream's host has cached.
+		InMemory, OnDisk []string
 		// Running and Queued are the load of an upstream (Kind Load).
 		Running, Queued int
 		// Crashes lists the crashes of a suspect request (Kind Request).
@@ -94,6 +97,12 @@
 	for _, c := range f.Crashes {
 		n += 8 + len(c.ID)
 	}
+	for _, c := range f.InMemory {
+		n += 1 + len(c)
+	}
+	for _, c := range f.OnDisk {
+		n += 1 + len(c)
+	}
 	return n
 }
 
--- a/internal/core/member/set.go
+++ b/internal/core/member/set.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/bits"
+	"slices"
 	"sort"
 	"time"
 )
@@ -296,24 +297,15 @@
 func sameContent(a, b Fact) bool {
 	if a.Status != b.Status || a.Domain != b.Domain || a.Address != b.Address ||
 		a.Incarnation != b.Incarnation || a.Running != b.Running || a.Queued != b.Queued ||
-		len(a.Loaded) != len(b.Loaded) || len(a.Crashes) != len(b.Crashes) {
+		len(a.Loaded) != len(b.Loaded) || len(a.Crashes) != len(b.Crashes) ||
+		!slices.Equal(a.InMemory, b.InMemory) || !slices.Equal(a.OnDisk, b.OnDisk) {
 		return false
 	}
 	for i := range a.Loaded {
 		x, y := a.Loaded[i], b.Loaded[i]
-		if x.Model != y.Model || x.Version != y.Version || len(x.Adapters) != len(y.Adapters) {
-			return false
-		}
-		for j := range x.Adapters {
-			if x.Adapters[j] != y.Adapters[j] {
-				return false
-			}
-		}
-	}
-	for i := range a.Crashes {
-		if a.Crashes[i] != b.Crashes[i] {
+		if x.Model != y.Model || x.Version != y.Version || !slices.Equal(x.Adapters, y.Adapters) {
 			return false
 		}
 	}
-	return true
+	return slices.Equal(a.Crashes, b.Crashes)
 }
--- a/internal/core/record/record.go
+++ b/internal/core/record/record.go
@@ -35,8 +35,9 @@
 		Epoch    uint64 `json:"epoch"`
 	}
 
-	// HostGone states that the platform has reported the host gone for good,
-	// which acknowledges all losses of daemons that ran on it.
+	// HostGone states that the platform has reported the host gone for good.
+	// It acknowledges all losses of daemons that ran on it, and withdraws the
+	// grants of the upstream of that name.
 	HostGone struct {
 		Host string `json:"host"`
 	}
--- /dev/null
+++ b/internal/node/follow/append.go
@@ -0,0 +1,79 @@
+package follow
+
+import (
+	"context"
+	"errors"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/record"
+	"github.com/azurespan/azurespan/internal/link/stream"
+)
+
+// Append writes r to the control stream and waits until it has been applied
+// here. It returns the outcome of the fold.
+//
+// The answer of an append can be lost after it took effect. Append then writes
+// r again: the records that a daemon appends have an effect once only (a
+// second take-ownership names a stale epoch, a second grant or release finds
+// nothing to change), so the caller checks the ledger for the state it wants
+// and not only the outcome. It fails with a fault of kind LogUnavailable.
+func (f *Follower) Append(ctx context.Context, r record.Record) (ledger.Outcome, error) {
+	b, err := record.Encode(r)
+	if err != nil {
+		return ledger.Outcome{}, err
+	}
+	for {
+		c, cancel := context.WithTimeout(ctx, f.set.AppendTimeout)
+		first, _, err := f.log.Append(c, Stream, b)
+		cancel()
+		if err == nil {
+			return f.await(ctx, first)
+		}
+		var se *stream.Error
+		if !errors.As(err, &se) || !se.Ambiguous || ctx.Err() != nil {
+			return ledger.Outcome{}, unavailable(err)
+		}
+		event.AppendAmbiguous.Log("record", record.TypeOf(r), "err", err)
+		sleep(ctx, f.set.Retry)
+	}
+}
+
+// await waits until offset has been applied.
+func (f *Follower) await(ctx context.Context, offset uint64) (ledger.Outcome, error) {
+	for {
+		f.mu.RLock()
+		out, ok := f.outcomes[offset]
+		applied, changed := f.led.Applied(), f.changed
+		f.mu.RUnlock()
+		if ok || applied >= offset {
+			return out, nil
+		}
+		select {
+		case <-ctx.Done():
+			return ledger.Outcome{}, unavailable(ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
+// SnapshotDue reports whether enough records have come since the last
+// snapshot in the stream.
+func (f *Follower) SnapshotDue() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.ready && f.led.Applied() >= f.lastSnap+snapshotEvery
+}
+
+// AppendSnapshot writes the fold to the stream.
+func (f *Follower) AppendSnapshot(ctx context.Context) error {
+	f.mu.RLock()
+	asOf := f.led.Applied()
+	b, err := f.led.Snapshot()
+	f.mu.RUnlock()
+	if err != nil {
+		return err
+	}
+	_, err = f.Append(ctx, record.Snapshot{AsOf: asOf, State: b})
+	return err
+}
--- /dev/null
+++ b/internal/node/follow/follow.go
@@ -0,0 +1,289 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/record"
+	"github.com/azurespan/azurespan/internal/link/stream"
+)
+
+type (
+	// Log is the part of the log client that a Follower needs.
+	Log interface {
+		Append(ctx context.Context, stream string, data ...[]byte) (first uint64, timeMS int64, err error)
+		Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (stream.Page, error)
+	}
+
+	// Peers is how a Follower reaches other daemons.
+	Peers interface {
+		// Records returns control records from an offset on, from any peer
+		// that has them; an empty page if none is ahead.
+		Records(ctx context.Context, from uint64) (stream.Page, error)
+		// State returns a snapshot of a peer's fold.
+		State(ctx context.Context) ([]byte, error)
+	}
+
+	// Settings of a Follower. Zero fields stand for the defaults.
+	Settings struct {
+		// Poll is the longest wait of one read; default 10 s.
+		Poll time.Duration
+		// Retry is the pause after a failed read; default 500 ms.
+		Retry time.Duration
+		// PeerPoll is the interval of asking peers while the log is down;
+		// default 1 s.
+		PeerPoll time.Duration
+		// AppendTimeout bounds one append call; default 2 s.
+		AppendTimeout time.Duration
+	}
+
+	// Follower owns the daemon's Ledger.
+	Follower struct {
+		log   Log
+		peers Peers
+		set   Settings
+
+		mu       sync.RWMutex
+		led      *ledger.Ledger
+		ready    bool
+		logUp    bool
+		outcomes map[uint64]ledger.Outcome
+		recent   []stream.Record
+		changed  chan struct{}
+		lastSnap uint64
+		lost     bool
+	}
+)
+
+// Stream is the name of the control stream.
+const Stream = "control"
+
+const (
+	// keepRecent bounds the records kept for peers and for waiting writers.
+	keepRecent = 1024
+	// pageMax is the number of records read at once.
+	pageMax = 256
+	// snapshotEvery is the number of records between snapshots.
+	snapshotEvery = 512
+)
+
+// New returns a Follower that has applied nothing. Run does the work.
+func New(l Log, p Peers, s Settings) *Follower {
+	if s.Poll == 0 {
+		s.Poll = 10 * time.Second
+	}
+	if s.Retry == 0 {
+		s.Retry = 500 * time.Millisecond
+	}
+	if s.PeerPoll == 0 {
+		s.PeerPoll = time.Second
+	}
+	if s.AppendTimeout == 0 {
+		s.AppendTimeout = 2 * time.Second
+	}
+	return &Follower{
+		log: l, peers: p, set: s, led: ledger.New(),
+		outcomes: map[uint64]ledger.Outcome{}, changed: make(chan struct{}),
+	}
+}
+
+// View calls f with the ledger, which f must neither change nor keep.
+func (f *Follower) View(fn func(l *ledger.Ledger)) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	fn(f.led)
+}
+
+// Status returns the last applied offset, whether the stream has been read to
+// its end once, and whether the last read of the log succeeded.
+func (f *Follower) Status() (applied uint64, ready, logUp bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.led.Applied(), f.ready, f.logUp
+}
+
+// Changed returns a channel that is closed at the next change.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.changed
+}
+
+// Recent returns the records from an offset on for a peer, at most pageMax.
+// Oldest is the first offset that it can give.
+func (f *Follower) Recent(from uint64) stream.Page {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	p := stream.Page{End: f.led.Applied() + 1, Oldest: f.led.Applied() + 1}
+	if len(f.recent) > 0 {
+		p.Oldest = f.recent[0].Offset
+	}
+	for _, r := range f.recent {
+		if r.Offset >= from && len(p.Records) < pageMax {
+			p.Records = append(p.Records, r)
+		}
+	}
+	return p
+}
+
+// Snapshot returns the fold as bytes for a starting peer.
+func (f *Follower) Snapshot() ([]byte, error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.led.Snapshot()
+}
+
+// Run follows the stream until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		from, wait := f.next()
+		page, err := f.log.Read(ctx, Stream, from, pageMax, wait)
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.setLogUp(err == nil, err)
+		if err == nil && page.Oldest > from {
+			err = f.restart(ctx, page)
+			if err == nil {
+				continue
+			}
+		}
+		if err != nil {
+			f.fromPeers(ctx)
+			sleep(ctx, f.set.Retry)
+			continue
+		}
+		f.apply(page.Records)
+		if next, _ := f.next(); next >= page.End {
+			f.setReady()
+		}
+	}
+	return nil
+}
+
+// next returns the offset to read from and how long a read may wait: not at
+// all until the end of the stream has been reached once.
+func (f *Follower) next() (from uint64, wait time.Duration) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if f.ready {
+		wait = f.set.Poll
+	}
+	return f.led.Applied() + 1, wait
+}
+
+func (f *Follower) setReady() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.ready {
+		f.ready = true
+		event.ControlReady.Log("applied", f.led.Applied(), "version", f.led.Version())
+		f.notify()
+	}
+}
+
+func (f *Follower) setLogUp(up bool, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if up == f.logUp && !(f.led.Applied() == 0 && !up && !f.lost) {
+		return
+	}
+	f.logUp = up
+	if up {
+		f.lost = false
+		event.LogReachable.Log("applied", f.led.Applied())
+		return
+	}
+	f.lost = true
+	event.LogUnreachable.Log("applied", f.led.Applied(), "err", err)
+}
+
+// notify wakes everyone who waits for a change; f.mu is held.
+func (f *Follower) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// apply folds records that follow the last applied one.
+func (f *Follower) apply(records []stream.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range records {
+		if r.Offset <= f.led.Applied() {
+			continue
+		}
+		n++
+		f.recent = append(f.recent, r)
+		rec, err := record.Decode(r.Data)
+		if err != nil {
+			event.RecordSkipped.Log("offset", r.Offset, "err", err)
+			f.led.Skip(r.Offset)
+			continue
+		}
+		out := f.led.Apply(r.Offset, rec)
+		f.outcomes[r.Offset] = out
+		logOutcome(out)
+		if s, ok := rec.(record.Snapshot); ok {
+			f.lastSnap = max(f.lastSnap, s.AsOf)
+		}
+	}
+	if n == 0 {
+		return
+	}
+	if drop := len(f.recent) - keepRecent; drop > 0 {
+		for _, r := range f.recent[:drop] {
+			delete(f.outcomes, r.Offset)
+		}
+		f.recent = append(f.recent[:0:0], f.recent[drop:]...)
+	}
+	f.notify()
+}
+
+func logOutcome(o ledger.Outcome) {
+	kv := []any{"offset", o.Offset, "record", record.TypeOf(o.Record)}
+	switch r := o.Record.(type) {
+	case record.Publish:
+		kv = append(kv, "operator", r.Operator, "replaces", r.Replaces)
+		if o.Reason == ledger.Accepted {
+			event.ConfigInForce.Log(kv...)
+			return
+		}
+	case record.TakeOwnership:
+		kv = append(kv, "upstream", r.Upstream, "daemon", r.Daemon)
+	case record.AcknowledgeLoss:
+		kv = append(kv, "upstream", r.Upstream, "daemon", r.Daemon, "epoch", r.Epoch)
+	case record.Grant:
+		kv = append(kv, "upstream", r.Upstream, "model", r.Model, "version", r.Version, "epoch", r.Epoch)
+	case record.Release:
+		kv = append(kv, "upstream", r.Upstream, "model", r.Model, "version", r.Version, "epoch", r.Epoch)
+	case record.HostGone:
+		kv = append(kv, "host", r.Host)
+	case record.Snapshot:
+		kv = append(kv, "as-of", r.AsOf)
+	}
+	if o.Reason == ledger.Accepted || o.Reason == ledger.SnapshotRecorded {
+		event.RecordApplied.Log(kv...)
+		return
+	}
+	event.RecordRefused.Log(append(kv, "reason", string(o.Reason), "detail", o.Detail)...)
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// unavailable is the refusal for what needs the log while it is down.
+func unavailable(err error) error {
+	return fault.Wrap(err, fault.LogUnavailable, "the log service can't be reached")
+}
--- /dev/null
+++ b/internal/node/follow/start.go
@@ -0,0 +1,134 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/record"
+	"github.com/azurespan/azurespan/internal/link/stream"
+)
+
+// restart rebuilds the fold when the stream no longer holds the next record:
+// at the start of a daemon, or after it was paused for longer than the
+// retention. It uses the newest snapshot whose following records are all
+// still there, and a peer's state if there is none.
+func (f *Follower) restart(ctx context.Context, page stream.Page) error {
+	oldest := page.Oldest
+	var all []stream.Record
+	var base *record.Snapshot
+	for from := oldest; ; {
+		p, err := f.log.Read(ctx, Stream, from, pageMax, 0)
+		if err != nil {
+			return err
+		}
+		for _, r := range p.Records {
+			all = append(all, r)
+			from = r.Offset + 1
+			rec, err := record.Decode(r.Data)
+			if err != nil {
+				continue
+			}
+			if s, ok := rec.(record.Snapshot); ok && s.AsOf+1 >= oldest {
+				base = &s
+				all = trim(all, s.AsOf)
+			}
+		}
+		if len(p.Records) == 0 || from >= p.End {
+			break
+		}
+	}
+	state := []byte(nil)
+	if base != nil {
+		state = base.State
+	} else if b, err := f.peers.State(ctx); err == nil {
+		state = b
+	}
+	if state == nil {
+		return fault.New(fault.NotReady, "the control stream starts at offset %d without a snapshot, and no peer has the state", oldest)
+	}
+	if err := f.install(state); err != nil {
+		return err
+	}
+	f.apply(all)
+	return nil
+}
+
+// trim drops the records up to and including offset.
+func trim(all []stream.Record, offset uint64) []stream.Record {
+	for i, r := range all {
+		if r.Offset > offset {
+			return append([]stream.Record(nil), all[i:]...)
+		}
+	}
+	return nil
+}
+
+// install replaces the fold by a newer one; an older one is ignored, so that
+// no configuration reverts.
+func (f *Follower) install(state []byte) error {
+	l, err := ledger.Restore(state)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.Applied() <= f.led.Applied() {
+		return nil
+	}
+	f.led = l
+	f.lastSnap = l.Applied()
+	f.recent = nil
+	f.outcomes = map[uint64]ledger.Outcome{}
+	event.SnapshotInstalled.Log("applied", l.Applied(), "version", l.Version())
+	f.notify()
+	return nil
+}
+
+// fromPeers asks peers for newer records while the log can't be read.
+func (f *Follower) fromPeers(ctx context.Context) {
+	c, cancel := context.WithTimeout(ctx, f.set.PeerPoll)
+	defer cancel()
+	from, _ := f.next()
+	page, err := f.peers.Records(c, from)
+	if err != nil || page.End <= from {
+		return
+	}
+	if len(page.Records) > 0 && page.Records[0].Offset == from {
+		event.RecordsFromPeer.Log("from", from, "records", len(page.Records))
+		f.apply(page.Records)
+		return
+	}
+	// Control records have consecutive offsets, so a gap means that the peer
+	// has dropped what is missing here.
+	if state, err := f.peers.State(c); err == nil {
+		if err := f.install(state); err != nil {
+			event.RecordSkipped.Log("offset", from, "err", err)
+		}
+	}
+}
+
+// WaitReady waits until the stream was read to its end, or a peer's state was
+// installed while the log is down.
+func (f *Follower) WaitReady(ctx context.Context, poll time.Duration) error {
+	for {
+		f.mu.RLock()
+		ok := f.ready || f.led.Version() > 0
+		changed := f.changed
+		f.mu.RUnlock()
+		if ok {
+			return nil
+		}
+		t := time.NewTimer(poll)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
--- /dev/null
+++ b/internal/node/gossip/gossip.go
@@ -0,0 +1,359 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/member"
+)
+
+type (
+	// Caller is the part of the peer client that a Gossip needs.
+	Caller interface {
+		Call(ctx context.Context, address, method string, args, reply any) error
+		Drop(address string)
+	}
+
+	// News is one half of an exchange.
+	News struct {
+		// From is the sender's fact about itself.
+		From member.Fact
+		// Facts are recent facts.
+		Facts []member.Fact
+		// Applied is the sender's offset in the control stream.
+		Applied uint64
+		// Digest is sent with some exchanges; the reply then has the facts
+		// of the buckets that differ.
+		Digest *[member.Buckets]uint64
+	}
+
+	// Settings of a Gossip. Zero fields stand for the defaults.
+	Settings struct {
+		// Interval between exchanges; default 1 s.
+		Interval time.Duration
+		// Timeout of one exchange; default 1 s.
+		Timeout time.Duration
+		// MaxBytes bounds the facts in one exchange; default 700.
+		MaxBytes int
+		// Seeds are peer addresses.
+		Seeds []string
+	}
+
+	// Gossip owns the daemon's member.Set.
+	Gossip struct {
+		set    Settings
+		caller Caller
+		// onChange is called with the facts that changed, without the lock.
+		onChange func(now time.Time, changed []member.Fact)
+		applied  func() uint64
+
+		mu    sync.Mutex
+		facts *member.Set
+		rng   *rand.Rand
+		seeds map[string]struct{}
+		// ahead is the peer address with the highest offset heard of.
+		ahead   string
+		aheadAt uint64
+		kick    chan struct{}
+	}
+)
+
+const (
+	// crossEvery is the number of intervals between exchanges with another
+	// failure domain.
+	crossEvery = 4
+	// digestEvery is the number of intervals between digests, which cost
+	// 512 bytes each.
+	digestEvery = 8
+	// seedEvery is the number of intervals between attempts to reach seeds
+	// and daemons believed dead.
+	seedEvery = 5
+	// kickGap is the least time between exchanges caused by changes.
+	kickGap = 100 * time.Millisecond
+)
+
+// New returns a Gossip for the daemon described by self. applied returns its
+// offset in the control stream.
+func New(now time.Time, self member.Fact, ms member.Settings, s Settings, c Caller, rng *rand.Rand,
+	applied func() uint64, onChange func(time.Time, []member.Fact),
+) *Gossip {
+	if s.Interval == 0 {
+		s.Interval = time.Second
+	}
+	if s.Timeout == 0 {
+		s.Timeout = time.Second
+	}
+	if s.MaxBytes == 0 {
+		s.MaxBytes = 700
+	}
+	g := &Gossip{
+		set: s, caller: c, onChange: onChange, applied: applied,
+		facts: member.New(now, self, ms), rng: rng,
+		seeds: map[string]struct{}{}, kick: make(chan struct{}, 1),
+	}
+	g.AddSeeds(s.Seeds)
+	return g
+}
+
+// AddSeeds adds peer addresses to try.
+func (g *Gossip) AddSeeds(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := g.facts.Self().Address
+	for _, a := range addresses {
+		if a != own && a != "" {
+			g.seeds[a] = struct{}{}
+		}
+	}
+}
+
+// Do calls fn with the member set under the lock. fn must not call back.
+func (g *Gossip) Do(fn func(m *member.Set)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	fn(g.facts)
+}
+
+// Live returns the live daemons of a failure domain, "" for all.
+func (g *Gossip) Live(domain string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.facts.Live(nil, domain)
+}
+
+// Address returns the peer address of a daemon that is not known to be dead.
+func (g *Gossip) Address(daemon string) (string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f, ok := g.facts.Get(member.Key{Kind: member.Daemon, Name: daemon})
+	return f.Address, ok && f.Status != member.Dead
+}
+
+// Report records own observations and sends changed ones on at once, but for
+// load, which waits for the next interval.
+func (g *Gossip) Report(now time.Time, facts ...member.Fact) {
+	g.mu.Lock()
+	var changed []member.Fact
+	urgent := false
+	for _, f := range facts {
+		if g.facts.Report(now, f) {
+			f, _ = g.facts.Get(f.Key())
+			changed = append(changed, f)
+			urgent = urgent || f.Kind != member.Load
+		}
+	}
+	g.mu.Unlock()
+	g.changed(now, changed, urgent)
+}
+
+// Leave tells the peers that this daemon takes no new duties.
+func (g *Gossip) Leave(ctx context.Context, now time.Time) {
+	g.mu.Lock()
+	g.facts.Leave(now)
+	g.mu.Unlock()
+	for range 3 {
+		g.round(ctx, now, 0)
+	}
+}
+
+func (g *Gossip) changed(now time.Time, facts []member.Fact, urgent bool) {
+	if len(facts) == 0 {
+		return
+	}
+	for _, f := range facts {
+		switch f.Kind {
+		case member.Daemon:
+			event.DaemonStatus.Log("daemon", f.Name, "status", f.Status.String(), "failure-domain", f.Domain)
+		case member.Upstream:
+			event.UpstreamStatus.Log("upstream", f.Name, "status", f.Status.String(), "replicas", len(f.Loaded), "incarnation", f.Incarnation)
+		case member.Load, member.Request:
+		}
+	}
+	g.onChange(now, facts)
+	if urgent {
+		select {
+		case g.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Exchange merges a peer's news and returns the reply; it serves the call of
+// the same name.
+func (g *Gossip) Exchange(now time.Time, in News) News {
+	g.mu.Lock()
+	changed := g.facts.Heard(now, in.From)
+	changed = append(changed, g.facts.Merge(now, in.Facts)...)
+	out := News{From: g.facts.Self(), Applied: g.applied()}
+	out.Facts = g.facts.Outgoing(g.doubt(in.From.Name), in.From.Domain, g.set.MaxBytes)
+	if in.Digest != nil {
+		out.Facts = g.facts.Bucket(out.Facts, *in.Digest)
+	}
+	g.noteApplied(in.From.Address, in.Applied)
+	g.mu.Unlock()
+	g.changed(now, changed, hasStatus(changed))
+	return out
+}
+
+// doubt returns the fact about a peer that is believed suspect or dead, so
+// that the peer refutes it in this exchange. g.mu is held.
+func (g *Gossip) doubt(name string) []member.Fact {
+	f, ok := g.facts.Get(member.Key{Kind: member.Daemon, Name: name})
+	if !ok || f.Status != member.Suspect && f.Status != member.Dead {
+		return nil
+	}
+	return []member.Fact{f}
+}
+
+// hasStatus reports whether facts hold more than load reports.
+func hasStatus(facts []member.Fact) bool {
+	for _, f := range facts {
+		if f.Kind != member.Load {
+			return true
+		}
+	}
+	return false
+}
+
+// noteApplied remembers which peer is furthest in the control stream.
+func (g *Gossip) noteApplied(address string, applied uint64) {
+	if applied >= g.aheadAt {
+		g.ahead, g.aheadAt = address, applied
+	}
+}
+
+// Ahead returns the address of a peer that has applied offset from or later.
+func (g *Gossip) Ahead(from uint64) (address string, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ahead, g.ahead != "" && g.aheadAt >= from
+}
+
+// ClearAhead forgets the peer that is furthest, because it did not answer.
+func (g *Gossip) ClearAhead() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ahead, g.aheadAt = "", 0
+}
+
+// Run exchanges news until ctx ends.
+func (g *Gossip) Run(ctx context.Context) error {
+	tick := time.NewTicker(g.set.Interval)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		g.round(ctx, time.Now(), n)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-g.kick:
+			time.Sleep(kickGap)
+			n--
+			g.round(ctx, time.Now(), crossEvery)
+		}
+		g.tick(time.Now())
+	}
+}
+
+func (g *Gossip) tick(now time.Time) {
+	g.mu.Lock()
+	changed := g.facts.Tick(now)
+	g.mu.Unlock()
+	g.changed(now, changed, true)
+}
+
+// round exchanges news with the peers of one interval, all at the same time.
+func (g *Gossip) round(ctx context.Context, now time.Time, n int) {
+	var wg sync.WaitGroup
+	for _, p := range g.targets(n) {
+		wg.Go(func() { g.exchange(ctx, now, p, n%digestEvery == 0) })
+	}
+	wg.Wait()
+}
+
+type target struct{ name, domain, address string }
+
+// targets picks the peers for interval n.
+func (g *Gossip) targets(n int) []target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self := g.facts.Self()
+	var own, other, dead []target
+	known := map[string]bool{}
+	g.facts.Each(member.Daemon, func(f member.Fact) {
+		t := target{f.Name, f.Domain, f.Address}
+		switch {
+		case f.Name == self.Name:
+		case f.Status == member.Dead:
+			dead = append(dead, t)
+		case f.Domain == self.Domain:
+			own = append(own, t)
+			known[f.Address] = true
+		default:
+			other = append(other, t)
+			known[f.Address] = true
+		}
+	})
+	var out []target
+	pick := func(list []target) {
+		if len(list) > 0 {
+			out = append(out, list[g.rng.IntN(len(list))])
+		}
+	}
+	pick(own)
+	// A daemon that is alone in its failure domain hears nothing there.
+	if n%crossEvery == 0 || len(own) == 0 {
+		pick(other)
+	}
+	if n%seedEvery == 0 {
+		pick(dead)
+		var seeds []target
+		for a := range g.seeds {
+			if !known[a] {
+				seeds = append(seeds, target{address: a})
+			}
+		}
+		pick(seeds)
+		if len(own)+len(other) == 0 {
+			out = append(out, seeds...)
+		}
+	}
+	return out
+}
+
+func (g *Gossip) exchange(ctx context.Context, now time.Time, p target, digest bool) {
+	g.mu.Lock()
+	in := News{From: g.facts.Self(), Applied: g.applied()}
+	in.Facts = g.facts.Outgoing(g.doubt(p.name), p.domain, g.set.MaxBytes)
+	if digest {
+		d := g.facts.Digest()
+		in.Digest = &d
+	}
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, g.set.Timeout)
+	defer cancel()
+	out := new(News)
+	if err := g.caller.Call(ctx, p.address, "News", in, out); err != nil {
+		g.caller.Drop(p.address)
+		if p.name == "" || ctx.Err() == context.Canceled {
+			return
+		}
+		g.mu.Lock()
+		suspected := g.facts.Failed(now, p.name)
+		f, _ := g.facts.Get(member.Key{Kind: member.Daemon, Name: p.name})
+		g.mu.Unlock()
+		if suspected {
+			g.changed(now, []member.Fact{f}, true)
+		}
+		return
+	}
+	g.mu.Lock()
+	changed := g.facts.Heard(now, out.From)
+	changed = append(changed, g.facts.Merge(now, out.Facts)...)
+	g.noteApplied(out.From.Address, out.Applied)
+	g.mu.Unlock()
+	g.changed(now, changed, hasStatus(changed))
+}
--- /dev/null
+++ b/internal/node/owner/adapter.go
@@ -0,0 +1,120 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/link/engine"
+)
+
+// loadAdapter makes sure that an adapter is loaded on a replica. The number
+// of adapters stays within the model's adapter slots, whose memory the grant
+// reserves; the one used longest ago makes room.
+func (o *Owner) loadAdapter(ctx context.Context, k ledger.Key, q Request) error {
+	var m *declare.Model
+	var a *declare.Adapter
+	var d *declare.Upstream
+	o.ctl.View(func(l *ledger.Ledger) {
+		m, a, d = l.Config().Model(k.Model), l.Config().Adapter(q.Adapter), l.Config().Upstream(k.Upstream)
+	})
+	if m == nil || a == nil || d == nil {
+		return fault.New(fault.UnknownAdapter, "adapter %s of model %s is not declared", q.Adapter, q.Model)
+	}
+	unlock, err := o.lockAdapters(ctx, k)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	victim, present := o.adapterRoom(time.Now(), k, q.Adapter, m.AdapterSlots)
+	if present {
+		return nil
+	}
+	if victim != "" {
+		if err := o.order(ctx, k, engine.Order{Kind: engine.UnloadAdapter, Model: k.Model, Version: k.Version, Adapter: victim}); err != nil {
+			return busyAdapter(err, victim)
+		}
+		o.setAdapter(k, victim, false)
+	}
+	err = o.order(ctx, k, engine.Order{
+		Kind: engine.LoadAdapter, Model: k.Model, Version: k.Version, Adapter: a.Name, MemoryBytes: a.Bytes, Priority: q.Class,
+	})
+	if err != nil {
+		return err
+	}
+	o.setAdapter(k, a.Name, true)
+	event.AdapterLoaded.Log("upstream", k.Upstream, "model", k.Model, "adapter", a.Name, "evicted", victim)
+	o.publish(time.Now(), d)
+	return nil
+}
+
+func busyAdapter(err error, victim string) error {
+	var ee *engine.Error
+	if errors.As(err, &ee) && ee.Kind == engine.Busy {
+		return fault.Wrap(err, fault.NoCapacity, "adapter %s is in use", victim).WithRetry(time.Second)
+	}
+	return err
+}
+
+// lockAdapters admits one change of a replica's adapters at a time.
+func (o *Owner) lockAdapters(ctx context.Context, k ledger.Key) (unlock func(), err error) {
+	for {
+		o.mu.Lock()
+		l := o.adapterLocks[k]
+		if l == nil {
+			l = make(chan struct{})
+			o.adapterLocks[k] = l
+			o.mu.Unlock()
+			return func() {
+				o.mu.Lock()
+				delete(o.adapterLocks, k)
+				o.mu.Unlock()
+				close(l)
+			}, nil
+		}
+		o.mu.Unlock()
+		select {
+		case <-l:
+		case <-ctx.Done():
+			return nil, fault.New(fault.DeadlineUnreachable, "waiting for another adapter of %s on %s", k.Model, k.Upstream)
+		}
+	}
+}
+
+// adapterRoom reports whether the adapter is loaded, and otherwise which one
+// must go; an empty victim means that there is a free slot.
+func (o *Owner) adapterRoom(now time.Time, k ledger.Key, adapter string, slots int) (victim string, present bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	rep := o.unit(k.Upstream).replica(now, k)
+	if _, ok := rep.adapters[adapter]; ok {
+		rep.adapters[adapter] = now
+		return "", true
+	}
+	if len(rep.adapters) < slots {
+		return "", false
+	}
+	for a, used := range rep.adapters {
+		if victim == "" || used.Before(rep.adapters[victim]) || used.Equal(rep.adapters[victim]) && a < victim {
+			victim = a
+		}
+	}
+	return victim, false
+}
+
+func (o *Owner) setAdapter(k ledger.Key, adapter string, loaded bool) {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	rep := o.unit(k.Upstream).replica(now, k)
+	rep.changed = now
+	if loaded {
+		rep.adapters[adapter] = now
+	} else {
+		delete(rep.adapters, adapter)
+	}
+}
--- /dev/null
+++ b/internal/node/owner/load.go
@@ -0,0 +1,384 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/member"
+	"github.com/azurespan/azurespan/internal/core/record"
+	"github.com/azurespan/azurespan/internal/link/engine"
+	"github.com/azurespan/azurespan/internal/rule/place"
+)
+
+// Request asks an owner for a replica, and for an adapter on it if one is
+// named.
+type Request struct {
+	Upstream string
+	Model    string
+	Version  string
+	Adapter  string
+	Class    declare.Class
+	Deadline time.Time
+}
+
+// grantAttempts bounds how often a load looks for room, since other loads on
+// the upstream change the grants meanwhile.
+const grantAttempts = 4
+
+// Load returns when the replica and the adapter are loaded. Loads of the same
+// replica are joined; a load goes on when its waiting callers leave. It fails
+// with a *fault.Fault.
+func (o *Owner) Load(ctx context.Context, q Request) error {
+	k := ledger.Key{Upstream: q.Upstream, Model: q.Model, Version: q.Version}
+	if _, _, ok := o.owned(q.Upstream); !ok {
+		return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, q.Upstream)
+	}
+	o.mu.Lock()
+	u := o.unit(q.Upstream)
+	if o.leaving {
+		o.mu.Unlock()
+		return fault.New(fault.Draining, "%s is leaving", o.set.Self)
+	}
+	if rep := u.replicas[k]; rep == nil || !rep.loaded {
+		l := u.loads[k]
+		if l == nil {
+			l = &load{done: make(chan struct{})}
+			u.loads[k] = l
+			go o.run(context.WithoutCancel(ctx), u, k, q, l)
+		}
+		o.mu.Unlock()
+		select {
+		case <-l.done:
+		case <-ctx.Done():
+			return fault.New(fault.DeadlineUnreachable, "the load of %s on %s goes on", q.Model, q.Upstream)
+		}
+		if l.err != nil {
+			return l.err
+		}
+	} else {
+		o.mu.Unlock()
+	}
+	if q.Adapter == "" {
+		return nil
+	}
+	return o.loadAdapter(ctx, k, q)
+}
+
+// run carries out one load and wakes all who wait for it.
+func (o *Owner) run(ctx context.Context, u *unit, k ledger.Key, q Request, l *load) {
+	ctx, cancel := context.WithTimeout(ctx, o.set.LoadTimeout)
+	defer cancel()
+	began := time.Now()
+	err := o.loadModel(ctx, k, q)
+	now := time.Now()
+	o.mu.Lock()
+	delete(u.loads, k)
+	rep := u.replica(now, k)
+	if err == nil {
+		rep.loaded, rep.hidden, rep.changed, rep.idleSince = true, false, now, now
+		clear(rep.adapters)
+	}
+	o.mu.Unlock()
+	if err != nil {
+		l.err = fault.Of(err)
+		event.LoadFailed.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "err", err)
+	} else {
+		event.Loaded.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "seconds", now.Sub(began).Seconds())
+		o.idle.Used(now, k)
+		o.obs.Loaded(now, k, now.Sub(began))
+		var d *declare.Upstream
+		o.ctl.View(func(l *ledger.Ledger) { d = l.Config().Upstream(k.Upstream) })
+		if d != nil {
+			o.publish(now, d)
+		}
+	}
+	close(l.done)
+}
+
+// loadModel makes sure of a grant and orders the load under it.
+func (o *Owner) loadModel(ctx context.Context, k ledger.Key, q Request) error {
+	if err := o.ensureGrant(ctx, k, q); err != nil {
+		return err
+	}
+	release, err := o.pacer.Acquire(ctx, q.Class)
+	if err != nil {
+		return fault.Wrap(err, fault.DeadlineUnreachable, "waiting for the weight store")
+	}
+	defer release()
+	var bytes, adapters int64
+	o.ctl.View(func(l *ledger.Ledger) {
+		bytes, _ = l.Config().ReplicaBytes(k.Model, k.Version)
+		if m := l.Config().Model(k.Model); m != nil {
+			for _, v := range m.Versions {
+				if v.Name == k.Version {
+					adapters = bytes - v.WeightBytes - m.KVBytes
+				}
+			}
+		}
+	})
+	return o.order(ctx, k, engine.Order{
+		Kind: engine.Load, Model: k.Model, Version: k.Version,
+		MemoryBytes: bytes, AdapterBytes: adapters, Priority: q.Class,
+	})
+}
+
+// ensureGrant returns once the control stream holds a grant for k under this
+// daemon's epoch, evicting idle replicas if memory or the model's own older
+// version stands in the way.
+func (o *Owner) ensureGrant(ctx context.Context, k ledger.Key, q Request) error {
+	var last ledger.Outcome
+	for range grantAttempts {
+		epoch, d, ok := o.owned(k.Upstream)
+		if !ok {
+			return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
+		}
+		granted, victims, err := o.room(time.Now(), k, q, d)
+		if granted {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for _, v := range victims {
+			if err := o.evict(ctx, v, true); err != nil {
+				return fault.Wrap(err, fault.NoCapacity, "%s can't be unloaded from %s", v.Model, v.Upstream)
+			}
+		}
+		last, err = o.ctl.Append(ctx, record.Grant{Upstream: k.Upstream, Epoch: epoch, Model: k.Model, Version: k.Version})
+		if err != nil {
+			return err
+		}
+		o.obs.Decided(time.Now(), "grant", k, string(last.Reason))
+	}
+	switch last.Reason {
+	case ledger.ReplicaLimit:
+		return fault.New(fault.ReplicaElsewhere, "%s", last.Detail)
+	case ledger.StaleEpoch:
+		return fault.New(fault.NotOwner, "%s", last.Detail)
+	default:
+		return fault.New(fault.NoCapacity, "%s: %s", last.Reason, last.Detail)
+	}
+}
+
+// room reports whether k is granted already, and otherwise what to evict.
+func (o *Owner) room(now time.Time, k ledger.Key, q Request, d *declare.Upstream) (granted bool, victims []ledger.Key, err error) {
+	_, _, logUp := o.ctl.Status()
+	var w place.Wake
+	c := place.Candidate{Upstream: k.Upstream, FailureDomain: d.FailureDomain, MemoryBytes: d.MemoryBytes}
+	o.mu.Lock()
+	u := o.unit(k.Upstream)
+	o.ctl.View(func(l *ledger.Ledger) {
+		_, granted = l.Grant(k)
+		bytes, _ := l.Config().ReplicaBytes(k.Model, k.Version)
+		m := l.Config().Model(k.Model)
+		if m == nil {
+			return
+		}
+		w = place.Wake{
+			Model: k.Model, Version: k.Version, WeightBytes: bytes, Bytes: bytes,
+			Replicas: l.Replicas(k.Model), Limit: m.Replicas, FailureDomain: d.FailureDomain,
+			Class: q.Class, LogDown: !logUp,
+		}
+		c.ReservedBytes, c.Granted = l.Reserved(k.Upstream), granted
+		c.Unavailable = u.status >= member.Leaving
+		for _, g := range l.GrantsOf(nil, k.Upstream) {
+			if g == k {
+				continue
+			}
+			if g.Model == k.Model {
+				// The replica of an older version is replaced, so that the
+				// limit need not allow two.
+				victims = append(victims, g)
+				w.Replicas--
+			}
+			c.Residents = append(c.Residents, o.resident(now, l, u, g))
+		}
+	})
+	o.mu.Unlock()
+	if granted {
+		return true, nil, nil
+	}
+	o.choose.Lock()
+	defer o.choose.Unlock()
+	switch dec := o.chooser.Choose(now, &w, []place.Candidate{c}).(type) {
+	case place.Load:
+		for _, v := range dec.Evict {
+			g := ledger.Key{Upstream: k.Upstream, Model: v.Model, Version: v.Version}
+			if v.Model != k.Model {
+				victims = append(victims, g)
+			}
+		}
+		return false, victims, nil
+	case place.Refuse:
+		return false, nil, refusal(dec, k)
+	default:
+		return false, nil, fault.New(fault.Internal, "unknown placement decision")
+	}
+}
+
+// resident describes another grant on the upstream; o.mu is held.
+func (o *Owner) resident(now time.Time, l *ledger.Ledger, u *unit, g ledger.Key) place.Resident {
+	bytes, _ := l.Config().ReplicaBytes(g.Model, g.Version)
+	r := place.Resident{Model: g.Model, Version: g.Version, Bytes: bytes, IdleSince: now.Add(-time.Hour), Reload: 5 * time.Second}
+	if gr, ok := l.Grant(g); ok {
+		r.Bytes = max(bytes, gr.Bytes)
+	}
+	r.Pinned = l.Releasable(g) != ledger.Accepted || u.loads[g] != nil
+	if m := l.Config().Model(g.Model); m != nil && m.MinReplicas > 0 && l.Replicas(g.Model) <= m.MinReplicas {
+		r.Pinned = true
+	}
+	if rep := u.replicas[g]; rep != nil && rep.loaded {
+		r.Loaded, r.Active, r.IdleSince = true, rep.streams, rep.idleSince
+	}
+	return r
+}
+
+// refusal turns a placement refusal into a fault.
+func refusal(r place.Refuse, k ledger.Key) error {
+	kind := fault.NoCapacity
+	switch r.Reason {
+	case place.ReplicaElsewhere, place.ReplicaLimit:
+		kind = fault.ReplicaElsewhere
+	case place.LogUnavailable:
+		kind = fault.LogUnavailable
+	case place.TooLate:
+		kind = fault.DeadlineUnreachable
+	case place.NoMemory, place.NoUpstream:
+	}
+	return fault.New(kind, "%s@%s on %s: %s", k.Model, k.Version, k.Upstream, r.Reason)
+}
+
+// evict unloads a replica and, if release is set, withdraws its grant once
+// the unload is confirmed. A replica with streams is left alone.
+func (o *Owner) evict(ctx context.Context, k ledger.Key, release bool) error {
+	_, d, ok := o.owned(k.Upstream)
+	if !ok {
+		return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
+	}
+	o.mu.Lock()
+	u := o.unit(k.Upstream)
+	if u.loads[k] != nil {
+		o.mu.Unlock()
+		return fault.New(fault.NoCapacity, "%s is being loaded on %s", k.Model, k.Upstream)
+	}
+	rep := u.replica(time.Now(), k)
+	wasLoaded, idleSince := rep.loaded, rep.idleSince
+	rep.hidden = true
+	o.mu.Unlock()
+	o.publish(time.Now(), d)
+
+	// The order is sent even if the replica seems unloaded, because a report
+	// may not show yet what a former owner loaded.
+	err := o.order(ctx, k, engine.Order{Kind: engine.Unload, Model: k.Model, Version: k.Version})
+	now := time.Now()
+	o.mu.Lock()
+	rep.hidden = false
+	if err == nil {
+		rep.loaded, rep.changed = false, now
+		clear(rep.adapters)
+	}
+	o.mu.Unlock()
+	if err != nil {
+		o.publish(now, d)
+		return err
+	}
+	if wasLoaded {
+		event.Unloaded.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "idle-seconds", now.Sub(idleSince).Seconds(), "grant-released", release)
+		o.obs.Unloaded(now, k, now.Sub(idleSince))
+	}
+	if !release {
+		return nil
+	}
+	return o.release(ctx, k)
+}
+
+// release withdraws the grant of an unloaded replica.
+func (o *Owner) release(ctx context.Context, k ledger.Key) error {
+	epoch, _, ok := o.owned(k.Upstream)
+	var g ledger.Grant
+	var why ledger.Reason
+	o.ctl.View(func(l *ledger.Ledger) {
+		g, _ = l.Grant(k)
+		why = l.Releasable(k)
+	})
+	if !ok || why == ledger.NotGranted {
+		return nil
+	}
+	if why != ledger.Accepted {
+		return fault.New(fault.NoCapacity, "%s on %s: %s", k.Model, k.Upstream, why)
+	}
+	out, err := o.ctl.Append(ctx, record.Release{Upstream: k.Upstream, Epoch: epoch, Model: k.Model, Version: k.Version, GrantedAt: g.GrantedAt})
+	if err != nil {
+		return err
+	}
+	o.obs.Decided(time.Now(), "release", k, string(out.Reason))
+	return nil
+}
+
+// order sends one order under the current epoch. An order without an answer
+// is sent again under the same identifier, which joins the first one, until
+// ctx ends, because its effect must be known before the grant moves.
+func (o *Owner) order(ctx context.Context, k ledger.Key, od engine.Order) error {
+	epoch, d, ok := o.owned(k.Upstream)
+	if !ok {
+		return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
+	}
+	o.mu.Lock()
+	u := o.unit(k.Upstream)
+	u.sequence++
+	u.inFlight++
+	od.Fencing, od.Sequence = epoch, u.sequence
+	od.ID = fmt.Sprintf("%s-%d-%d", o.set.Self, epoch, u.sequence)
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		u.inFlight--
+		o.mu.Unlock()
+	}()
+	event.OrderSent.Log("upstream", k.Upstream, "kind", string(od.Kind), "model", k.Model, "version", k.Version, "adapter", od.Adapter, "epoch", epoch, "sequence", od.Sequence)
+	for {
+		err := o.eng.Order(ctx, d.Address, od)
+		var ee *engine.Error
+		if err == nil || !errors.As(err, &ee) {
+			return err
+		}
+		if ee.Kind != engine.Unreachable || !ee.Reached || ctx.Err() != nil || o.isDead(k.Upstream) {
+			return orderFault(ee, k)
+		}
+		sleep(ctx, o.set.ReportInterval)
+	}
+}
+
+// isDead reports whether the engine stopped answering reports.
+func (o *Owner) isDead(upstream string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.unit(upstream).status == member.Dead
+}
+
+// orderFault classifies a failed order.
+func orderFault(e *engine.Error, k ledger.Key) error {
+	switch e.Kind {
+	case engine.StaleFencing, engine.StaleSequence:
+		return fault.Wrap(e, fault.NotOwner, "%s refused the order", k.Upstream)
+	case engine.NoMemory, engine.Busy:
+		return fault.Wrap(e, fault.NoCapacity, "%s refused the order", k.Upstream)
+	default:
+		return fault.Wrap(e, fault.UpstreamUnavailable, "%s did not carry out the order", k.Upstream)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/node/owner/owner.go
@@ -0,0 +1,256 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/member"
+	"github.com/azurespan/azurespan/internal/core/record"
+	"github.com/azurespan/azurespan/internal/link/engine"
+	"github.com/azurespan/azurespan/internal/rule/place"
+)
+
+type (
+	// Control is the part of the control stream's follower that an Owner
+	// needs.
+	Control interface {
+		View(func(l *ledger.Ledger))
+		Append(ctx context.Context, r record.Record) (ledger.Outcome, error)
+		Changed() <-chan struct{}
+		Status() (applied uint64, ready, logUp bool)
+	}
+
+	// Engines sends orders to engines and reads their reports.
+	Engines interface {
+		Order(ctx context.Context, address string, o engine.Order) error
+		Report(ctx context.Context, address string) (engine.Report, error)
+	}
+
+	// Facts is the part of the gossip that an Owner needs.
+	Facts interface {
+		Report(now time.Time, facts ...member.Fact)
+		Live(domain string) []string
+		Do(func(m *member.Set))
+	}
+
+	// Pacer limits the loads that run at the same time.
+	Pacer interface {
+		// Acquire waits for a share of the weight store's limit.
+		Acquire(ctx context.Context, class declare.Class) (release func(), err error)
+	}
+
+	// Observer hears of loads and unloads, for metrics and decision records.
+	Observer interface {
+		Loaded(now time.Time, k ledger.Key, took time.Duration)
+		Unloaded(now time.Time, k ledger.Key, idle time.Duration)
+		Decided(now time.Time, what string, k ledger.Key, why string)
+	}
+
+	// Settings of an Owner. Zero fields stand for the defaults.
+	Settings struct {
+		// Self is the daemon's name.
+		Self string
+		// FailureDomain is the daemon's own.
+		FailureDomain string
+		// ReportInterval between polls of an engine; default 500 ms.
+		ReportInterval time.Duration
+		// ReportTimeout bounds one poll; default 1 s.
+		ReportTimeout time.Duration
+		// DeadAfter failed polls an upstream counts as dead; default 3.
+		DeadAfter int
+		// LoadTimeout bounds one load order; default 5 min.
+		LoadTimeout time.Duration
+		// Settle is the time after start before ownership is taken from a
+		// daemon that was never heard of; default 5 s.
+		Settle time.Duration
+		// RebalanceAfter is how long another daemon must have been assigned
+		// before ownership is handed to it; default 20 s.
+		RebalanceAfter time.Duration
+		// ReportLag is the longest lag of a report; a report does not undo
+		// what an order did less than this ago; default 3 s.
+		ReportLag time.Duration
+	}
+
+	// Owner manages upstreams.
+	Owner struct {
+		set     Settings
+		ctl     Control
+		eng     Engines
+		facts   Facts
+		pacer   Pacer
+		idle    Idle
+		obs     Observer
+		chooser *place.Chooser
+		choose  sync.Mutex
+		started time.Time
+
+		mu      sync.Mutex
+		units   map[string]*unit
+		leaving bool
+		// adapterLocks holds a channel for each replica whose adapters are
+		// being changed.
+		adapterLocks map[ledger.Key]chan struct{}
+	}
+
+	// Idle decides which loaded replicas to unload.
+	Idle interface {
+		// Unload reports whether a replica that is idle since the given time
+		// is unloaded at now.
+		Unload(now time.Time, m *declare.Model, k ledger.Key, idleSince time.Time) bool
+		// Used records that the replica had requests at now.
+		Used(now time.Time, k ledger.Key)
+	}
+
+	// unit is an upstream that this daemon owns or watches.
+	unit struct {
+		name     string
+		replicas map[ledger.Key]*replica
+		loads    map[ledger.Key]*load
+		// inFlight counts orders that have no answer yet.
+		inFlight int
+		sequence uint64
+		report   engine.Report
+		failures int
+		status   member.Status
+		// misplaced is since when another daemon is assigned.
+		misplaced time.Time
+		busy   bool
+	}
+
+	replica struct {
+		loaded    bool
+		hidden    bool
+		adapters  map[string]time.Time
+		streams   int
+		idleSince time.Time
+		changed   time.Time
+	}
+
+	load struct {
+		done chan struct{}
+		err  error
+	}
+)
+
+// New returns an Owner; Run does the work.
+func New(now time.Time, s Settings, ctl Control, eng Engines, f Facts, p Pacer, idle Idle, obs Observer) *Owner {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	def(&s.ReportInterval, 500*time.Millisecond)
+	def(&s.ReportTimeout, time.Second)
+	def(&s.LoadTimeout, 5*time.Minute)
+	def(&s.Settle, 5*time.Second)
+	def(&s.RebalanceAfter, 20*time.Second)
+	def(&s.ReportLag, 3*time.Second)
+	if s.DeadAfter == 0 {
+		s.DeadAfter = 3
+	}
+	return &Owner{
+		set: s, ctl: ctl, eng: eng, facts: f, pacer: p, idle: idle, obs: obs,
+		chooser: place.New(place.Settings{}), started: now, units: map[string]*unit{},
+		adapterLocks: map[ledger.Key]chan struct{}{},
+	}
+}
+
+// Run manages the upstreams until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	tick := time.NewTicker(o.set.ReportInterval)
+	defer tick.Stop()
+	for {
+		changed := o.ctl.Changed()
+		o.reconcile(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-tick.C:
+			o.poll(ctx, time.Now())
+			o.unloadIdle(ctx, time.Now())
+		}
+	}
+}
+
+// unit returns the entry for an upstream; o.mu is held.
+func (o *Owner) unit(name string) *unit {
+	u := o.units[name]
+	if u == nil {
+		u = &unit{name: name, replicas: map[ledger.Key]*replica{}, loads: map[ledger.Key]*load{}, status: member.Alive}
+		o.units[name] = u
+	}
+	return u
+}
+
+// replica returns the entry for k; o.mu is held.
+func (u *unit) replica(now time.Time, k ledger.Key) *replica {
+	r := u.replicas[k]
+	if r == nil {
+		r = &replica{adapters: map[string]time.Time{}, idleSince: now}
+		u.replicas[k] = r
+	}
+	return r
+}
+
+// owned returns the epoch under which this daemon owns an upstream, and the
+// upstream's declaration. ok is false if it does not own it.
+func (o *Owner) owned(upstream string) (epoch uint64, d *declare.Upstream, ok bool) {
+	o.ctl.View(func(l *ledger.Ledger) {
+		own, has := l.Owner(upstream)
+		d = l.Config().Upstream(upstream)
+		epoch, ok = own.Epoch, has && d != nil && own.Daemon == o.set.Self && !own.Resigned
+	})
+	return epoch, d, ok
+}
+
+// Leave makes the Owner resign all ownerships and take no new ones. It
+// returns when all are acknowledged or ctx ends.
+func (o *Owner) Leave(ctx context.Context) {
+	o.mu.Lock()
+	o.leaving = true
+	o.mu.Unlock()
+	for ctx.Err() == nil {
+		o.reconcile(ctx, time.Now())
+		if o.holdsNothing() {
+			return
+		}
+		t := time.NewTimer(50 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+		if _, _, up := o.ctl.Status(); !up {
+			return
+		}
+	}
+}
+
+func (o *Owner) holdsNothing() bool {
+	holds := false
+	o.ctl.View(func(l *ledger.Ledger) {
+		for i := range l.Config().Deployment.Upstreams {
+			own, ok := l.Owner(l.Config().Deployment.Upstreams[i].Name)
+			holds = holds || ok && own.Daemon == o.set.Self && !own.Resigned
+		}
+	})
+	return !holds
+}
+
+// Owned returns the number of upstreams that this daemon owns.
+func (o *Owner) Owned() int {
+	n := 0
+	o.ctl.View(func(l *ledger.Ledger) {
+		for i := range l.Config().Deployment.Upstreams {
+			own, ok := l.Owner(l.Config().Deployment.Upstreams[i].Name)
+			if ok && own.Daemon == o.set.Self && !own.Resigned {
+				n++
+			}
+		}
+	})
+	return n
+}
--- /dev/null
+++ b/internal/node/owner/reconcile.go
@@ -0,0 +1,142 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/hrw"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/member"
+	"github.com/azurespan/azurespan/internal/core/record"
+)
+
+// appendTimeout bounds a record of ownership, which is tried again later.
+const appendTimeout = 3 * time.Second
+
+// plan is what reconcile does about one upstream.
+type plan struct {
+	record   record.Record
+	upstream string
+	resign   bool
+}
+
+// Assigned returns the daemon that should own an upstream: the first by
+// rendezvous hash among the live daemons of its failure domain, or among all
+// live daemons if that has none.
+func Assigned(f Facts, u *declare.Upstream) string {
+	live := f.Live(u.FailureDomain)
+	if len(live) == 0 {
+		live = f.Live("")
+	}
+	return hrw.First(u.Name, live)
+}
+
+// reconcile takes, hands over and acknowledges ownerships.
+func (o *Owner) reconcile(ctx context.Context, now time.Time) {
+	_, ready, logUp := o.ctl.Status()
+	if !ready || !logUp {
+		return
+	}
+	for _, p := range o.plans(now) {
+		c, cancel := context.WithTimeout(ctx, appendTimeout)
+		out, err := o.ctl.Append(c, p.record)
+		cancel()
+		if err != nil {
+			event.OwnershipFailed.Log("upstream", p.upstream, "record", record.TypeOf(p.record), "err", err)
+			return
+		}
+		if out.Reason != ledger.Accepted {
+			event.OwnershipLost.Log("upstream", p.upstream, "reason", string(out.Reason), "detail", out.Detail)
+		}
+	}
+}
+
+// plans returns the records that reconcile appends.
+func (o *Owner) plans(now time.Time) []plan {
+	live := o.facts.Live("")
+	var out []plan
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ctl.View(func(l *ledger.Ledger) {
+		ups := l.Config().Deployment.Upstreams
+		for i := range ups {
+			d := &ups[i]
+			if s := l.Config().Service(d.Service); s == nil || s.Kind != declare.ModelService {
+				continue
+			}
+			out = append(out, o.planFor(now, l, d, live)...)
+		}
+	})
+	return out
+}
+
+// planFor decides about one upstream; o.mu is held.
+func (o *Owner) planFor(now time.Time, l *ledger.Ledger, d *declare.Upstream, live []string) []plan {
+	var out []plan
+	own, has := l.Owner(d.Name)
+	u := o.unit(d.Name)
+	for _, f := range l.FormersOf(d.Name) {
+		mine := f.Daemon == o.set.Self && u.inFlight == 0
+		if mine || o.replaced(f.Daemon) {
+			out = append(out, plan{upstream: d.Name, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: f.Daemon, Epoch: f.Epoch}})
+		}
+	}
+	mine := has && own.Daemon == o.set.Self && !own.Resigned
+	assigned := o.assignedLocked(d, live)
+	switch {
+	case mine && (o.leaving || o.handOver(now, u, assigned)):
+		if u.inFlight == 0 {
+			u.misplaced = time.Time{}
+			out = append(out, plan{upstream: d.Name, resign: true, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: o.set.Self, Epoch: own.Epoch}})
+		}
+	case mine || o.leaving || assigned != o.set.Self:
+	case !has || own.Resigned, o.replaced(own.Daemon), o.gone(now, own.Daemon, live):
+		out = append(out, plan{upstream: d.Name, record: record.TakeOwnership{Upstream: d.Name, Daemon: o.set.Self, Previous: own.Epoch}})
+	}
+	return out
+}
+
+// assignedLocked is Assigned with the list of all live daemons at hand.
+func (o *Owner) assignedLocked(d *declare.Upstream, live []string) string {
+	own := o.facts.Live(d.FailureDomain)
+	if len(own) == 0 {
+		own = live
+	}
+	return hrw.First(d.Name, own)
+}
+
+// handOver reports whether another daemon has been assigned for long enough.
+func (o *Owner) handOver(now time.Time, u *unit, assigned string) bool {
+	if assigned == o.set.Self || assigned == "" {
+		u.misplaced = time.Time{}
+		return false
+	}
+	if u.misplaced.IsZero() {
+		u.misplaced = now
+	}
+	return now.Sub(u.misplaced) >= o.set.RebalanceAfter
+}
+
+// replaced reports whether daemon is an earlier process on this host. This
+// process listens on the host's peer address, so the earlier one has ended and
+// sends no more orders.
+func (o *Owner) replaced(daemon string) bool {
+	return daemon != o.set.Self && ledger.HostOf(daemon) == ledger.HostOf(o.set.Self)
+}
+
+// gone reports whether an owner counts as dead. A daemon that was never heard
+// of counts as dead only some time after the start of this one.
+func (o *Owner) gone(now time.Time, daemon string, live []string) bool {
+	if slices.Contains(live, daemon) {
+		return false
+	}
+	known := false
+	o.facts.Do(func(m *member.Set) {
+		f, ok := m.Get(member.Key{Kind: member.Daemon, Name: daemon})
+		known = ok && f.Status == member.Dead
+	})
+	return known || now.Sub(o.started) >= o.set.Settle
+}
