link: clients of log, host list and engines; standin: plain service

Cause: the daemon reaches the outside systems only through these clients, and must know of each failure whether the call may have taken effect. Ruled out: one error type for all clients, because only an append is ambiguous and only an engine states fencing; taking every 5xx of the log as ambiguous, because the service states 503 only for calls it did not accept. Change: typed errors with Ambiguous or Reached, taken from whether the request's headers were written; bounded answers; strict checks of pages, lists, reports, cache events and stream events; the service stand-in. Conclusion: the daemon can be connected to these clients.

--- /dev/null
+++ b/internal/link/engine/report.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+type (
+	// ReplicaState is the state of a model version on an engine.
+	ReplicaState string
+
+	// Tier is where a checkpoint lies.
+	Tier string
+
+	// Replica is a model version that is in an engine's memory.
+	Replica struct {
+		Model       string       `json:"model"`
+		Version     string       `json:"version"`
+		State       ReplicaState `json:"state"`
+		MemoryBytes int64        `json:"memory-bytes"`
+		// Adapters that are loaded.
+		Adapters []string `json:"adapters"`
+		// Streams running or queued.
+		Streams int `json:"streams"`
+	}
+
+	// Checkpoint is a model version in a cache of an engine's host. One that
+	// is not listed is remote.
+	Checkpoint struct {
+		Model   string `json:"model"`
+		Version string `json:"version"`
+		Tier    Tier   `json:"tier"`
+	}
+
+	// Report is an engine's state at an earlier time.
+	Report struct {
+		Name string `json:"name"`
+		// Incarnation increases with each restart.
+		Incarnation int64 `json:"incarnation"`
+		// TimeMS is the engine's time of the state, in milliseconds since
+		// 1970.
+		TimeMS  int64  `json:"time-ms"`
+		Leaving bool   `json:"leaving"`
+		Role    string `json:"role"`
+		// Fencing is the highest fencing number seen.
+		Fencing     uint64       `json:"fencing"`
+		MemoryBytes int64        `json:"memory-bytes"`
+		UsedBytes   int64        `json:"used-bytes"`
+		Sequences   int          `json:"sequences"`
+		Running     int          `json:"running"`
+		Queued      int          `json:"queued"`
+		Replicas    []Replica    `json:"models"`
+		Checkpoints []Checkpoint `json:"checkpoints"`
+	}
+)
+
+// States of a replica and tiers of a checkpoint.
+const (
+	Loading  ReplicaState = "loading"
+	Ready    ReplicaState = "ready"
+	Draining ReplicaState = "draining"
+
+	InMemory Tier = "memory"
+	OnDisk   Tier = "disk"
+	Remote   Tier = "remote"
+)
+
+// Tier returns where the checkpoint of a model version lies.
+func (r *Report) Tier(model, version string) Tier {
+	for _, c := range r.Checkpoints {
+		if c.Model == model && c.Version == version {
+			return c.Tier
+		}
+	}
+	return Remote
+}
+
+// Replica returns the entry of a model version, nil if there is none.
+func (r *Report) Replica(model, version string) *Replica {
+	for i := range r.Replicas {
+		if r.Replicas[i].Model == model && r.Replicas[i].Version == version {
+			return &r.Replicas[i]
+		}
+	}
+	return nil
+}
+
+// decodeReport checks a report. It fails for missing or negative numbers,
+// unknown states and tiers, and a model version that occurs twice.
+func decodeReport(b []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Report{}, err
+	}
+	if r.Incarnation <= 0 || r.TimeMS <= 0 || r.MemoryBytes <= 0 || r.UsedBytes < 0 || r.Sequences <= 0 || r.Running < 0 || r.Queued < 0 {
+		return Report{}, fmt.Errorf("a number of the report is missing or negative")
+	}
+	for i, m := range r.Replicas {
+		switch {
+		case m.Model == "" || m.Version == "":
+			return Report{}, fmt.Errorf("models[%d]: no model or version", i)
+		case m.State != Loading && m.State != Ready && m.State != Draining:
+			return Report{}, fmt.Errorf("models[%d]: unknown state %q", i, m.State)
+		case m.MemoryBytes < 0 || m.Streams < 0 || slices.Contains(m.Adapters, ""):
+			return Report{}, fmt.Errorf("models[%d]: a negative number or an adapter without a name", i)
+		case r.Replica(m.Model, m.Version) != &r.Replicas[i]:
+			return Report{}, fmt.Errorf("models[%d]: %s@%s occurs twice", i, m.Model, m.Version)
+		}
+	}
+	for i, c := range r.Checkpoints {
+		if c.Model == "" || c.Version == "" || c.Tier != InMemory && c.Tier != OnDisk && c.Tier != Remote {
+			return Report{}, fmt.Errorf("checkpoints[%d]: no model or version, or unknown tier %q", i, c.Tier)
+		}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/link/engine/stream.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/node/flow"
+)
+
+type (
+	// stream reads the tokens of one answer. Next and Close may be called
+	// from different goroutines, Next from one at a time.
+	stream struct {
+		upstream, address, id string
+		events                *sseReader
+		body                  io.ReadCloser
+		cancel                context.CancelFunc
+		idle                  time.Duration
+		timer                 *time.Timer
+		stalled               atomic.Bool
+		// next is the index of the next token.
+		next     int64
+		repeated int64
+		// end is the error that all further calls of Next return.
+		end error
+	}
+
+	// chunk holds the fields of a chat.completion.chunk that are used.
+	chunk struct {
+		ID      string `json:"id"`
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+			Finish string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+)
+
+// doneData marks the end of an answer.
+const doneData = "[DONE]"
+
+var _ flow.Stream = (*stream)(nil)
+
+func newStream(body io.ReadCloser, cancel context.CancelFunc, upstream, address, id string, from int64, idle time.Duration) *stream {
+	s := &stream{upstream: upstream, address: address, id: id, body: body, cancel: cancel, idle: idle, next: from}
+	s.timer = time.AfterFunc(idle, func() {
+		s.stalled.Store(true)
+		cancel()
+	})
+	// The timer runs only while Next waits: a slow reader is no stall.
+	s.timer.Stop()
+	s.events = newSSEReader(s)
+	return s
+}
+
+// Read passes bytes of the answer on and restarts the idle timer.
+func (s *stream) Read(b []byte) (int, error) {
+	n, err := s.body.Read(b)
+	if n > 0 {
+		s.timer.Reset(s.idle)
+	}
+	return n, err
+}
+
+// Upstream returns the name of the engine.
+func (s *stream) Upstream() string { return s.upstream }
+
+// Close ends the connection; the engine goes on with the run. A stream that
+// was closed before its end can be resumed.
+func (s *stream) Close() error {
+	s.cancel()
+	s.timer.Stop()
+	return s.body.Close()
+}
+
+// Next returns the next token, or io.EOF after the token with the finish
+// reason. Any other error is an *Error and final; its Token is the index from
+// which to resume. The end of ctx breaks the stream.
+func (s *stream) Next(ctx context.Context) (flow.Token, error) {
+	if s.end != nil {
+		return flow.Token{}, s.end
+	}
+	stop := context.AfterFunc(ctx, s.cancel)
+	s.timer.Reset(s.idle)
+	t, err := s.read()
+	s.timer.Stop()
+	stop()
+	if err == nil {
+		if t.Finish != "" {
+			s.end = io.EOF
+			// The answer is complete. Waiting for the end mark, in order to
+			// use the connection again, could delay the caller.
+			s.cancel()
+		}
+		return t, nil
+	}
+	if err.Kind == Unreachable {
+		switch {
+		case s.stalled.Load():
+			err.Kind = Stalled
+		case ctx.Err() != nil:
+			err.Kind, err.Err = Cancelled, context.Cause(ctx)
+		case errors.Is(err.Err, io.EOF):
+			err.Kind = Truncated
+		}
+	}
+	s.end = err
+	s.cancel()
+	return flow.Token{}, err
+}
+
+// read returns the next token that was not returned before.
+func (s *stream) read() (flow.Token, *Error) {
+	for {
+		ev, err := s.events.next()
+		if err != nil {
+			k := Unreachable
+			if errors.Is(err, errTooLarge) {
+				k = Garbage
+			}
+			return flow.Token{}, s.fail(k, "", err)
+		}
+		if string(ev.data) == doneData {
+			return flow.Token{}, s.fail(Truncated, "the answer ended without a finish reason", nil)
+		}
+		var c chunk
+		if err := json.Unmarshal(ev.data, &c); err != nil {
+			return flow.Token{}, s.fail(Garbage, "", err)
+		}
+		if c.ID != s.id {
+			return flow.Token{}, s.fail(Foreign, "an event of request "+strconv.Quote(c.ID[:min(len(c.ID), maxDetail)]), nil)
+		}
+		if ev.id == "" && len(c.Choices) == 0 {
+			// A chunk that only states the token usage.
+			continue
+		}
+		i, err := strconv.ParseInt(ev.id, 10, 64)
+		if err != nil || i < 0 || len(c.Choices) != 1 {
+			return flow.Token{}, s.fail(Garbage, "an event without a token index or with several choices", err)
+		}
+		switch {
+		case i > s.next:
+			return flow.Token{}, s.fail(Gap, "token "+strconv.FormatInt(i, 10)+" arrived too early", nil)
+		case i < s.next:
+			if s.repeated++; s.repeated == 1 {
+				event.TokenRepeated.Log("upstream", s.upstream, "request", s.id, "token", i)
+			}
+			continue
+		}
+		s.next++
+		return flow.Token{Index: i, Text: c.Choices[0].Delta.Content, Finish: c.Choices[0].Finish}, nil
+	}
+}
+
+func (s *stream) fail(k Kind, detail string, err error) *Error {
+	return &Error{Kind: k, Op: "stream", Address: s.address, Reached: true, Token: s.next, Detail: detail, Err: err}
+}
--- /dev/null
+++ b/internal/link/rest/rest.go
@@ -0,0 +1,125 @@
+package rest
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+type (
+	// Call is one HTTP request.
+	Call struct {
+		Method string
+		URL    string
+		Header http.Header
+		// Body is sent as JSON unless it is nil.
+		Body []byte
+		// Limit is the largest answer accepted, in bytes.
+		Limit int64
+	}
+
+	// Reply is a complete answer.
+	Reply struct {
+		Status int
+		Header http.Header
+		Body   []byte
+	}
+
+	// Error is a call without a complete answer.
+	Error struct {
+		// Reached is false only if the server can't have seen the request.
+		Reached bool
+		// TooLarge is set for an answer above the limit.
+		TooLarge bool
+		Err      error
+	}
+)
+
+const (
+	// dialTimeout bounds connecting; all servers are in the same network.
+	dialTimeout = 2 * time.Second
+	// idlePerHost keeps connections to the few servers that a daemon calls
+	// often, at no more than one for each concurrent stream.
+	idlePerHost = 64
+)
+
+var _ error = (*Error)(nil)
+
+// Error returns the cause.
+func (e *Error) Error() string {
+	if e.Reached {
+		return "call without an answer: " + e.Err.Error()
+	}
+	return "call not sent: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Client returns a copy of hc that follows no redirects, because the services
+// send none. A nil hc stands for a client without a proxy.
+func Client(hc *http.Client) *http.Client {
+	c := http.Client{}
+	if hc != nil {
+		c = *hc
+	} else {
+		c.Transport = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     time.Minute,
+		}
+	}
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &c
+}
+
+// Open sends the call and returns once the headers of the answer are there.
+// The caller closes the body. The error is an *Error.
+func (c *Call) Open(ctx context.Context, hc *http.Client) (*http.Response, error) {
+	var reached atomic.Bool
+	// A request whose headers were not completely written has no effect.
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { reached.Store(true) }})
+	var body io.Reader
+	if c.Body != nil {
+		body = bytes.NewReader(c.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, body)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	for k, v := range c.Header {
+		req.Header[k] = v
+	}
+	if c.Body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return nil, &Error{Reached: reached.Load(), Err: err}
+	}
+	return resp, nil
+}
+
+// Do sends the call and reads the whole answer, whatever its status. The
+// error is an *Error.
+func (c *Call) Do(ctx context.Context, hc *http.Client) (Reply, error) {
+	resp, err := c.Open(ctx, hc)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, c.Limit+1))
+	if err != nil {
+		return Reply{}, &Error{Reached: true, Err: err}
+	}
+	if int64(len(b)) > c.Limit {
+		return Reply{}, &Error{Reached: true, TooLarge: true, Err: fmt.Errorf("the answer is larger than %d bytes", c.Limit)}
+	}
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
+}
--- a/standin/engine/engsv/report.go
+++ b/standin/engine/engsv/report.go
@@ -69,23 +69,20 @@
 
 // snapshot keeps reports until they are older than the lag.
 func (s *Server) snapshot(st *state) {
-	if s.cfg.ReportLag <= 0 {
-		return
-	}
 	tick := time.NewTicker(max(s.cfg.ReportLag/4, time.Millisecond))
 	defer tick.Stop()
 	for {
+		select {
+		case <-tick.C:
+		case <-st.ctx.Done():
+			return
+		}
 		s.mu.Lock()
 		st.reports = append(st.reports, s.current(st))
 		for len(st.reports) > 1 && time.Since(time.UnixMilli(st.reports[1].TimeMS)) > s.cfg.ReportLag {
 			st.reports = st.reports[1:]
 		}
 		s.mu.Unlock()
-		select {
-		case <-tick.C:
-		case <-st.ctx.Done():
-			return
-		}
 	}
 }
 
--- a/standin/engine/engsv/server.go
+++ b/standin/engine/engsv/server.go
@@ -190,7 +190,10 @@
 	}
 	s.faults.Leaving = false
 	go s.decode(s.st)
-	go s.snapshot(s.st)
+	if s.cfg.ReportLag > 0 {
+		s.st.reports = []report{s.current(s.st)}
+		go s.snapshot(s.st)
+	}
 }
 
 // Faults returns the faults in force.
