rest: keep net/http from repeating calls with an Idempotency-Key

Cause: http.Transport takes an Idempotency-Key header as leave to send a request again when its reused connection breaks after the request was sent; a booking would run twice. Ruled out: leaving the header out, because the service needs the key; a new connection for each call, which costs a round trip and was not needed. Change: the request's body has no GetBody, and calls other than GET have a body reader even if it is empty. A given Content-Type is kept. Conclusion: the at-most-once rule must hold below our own retry policy, too.

--- a/internal/link/rest/rest.go
+++ b/internal/link/rest/rest.go
@@ -85,18 +85,21 @@
 	var reached atomic.Bool
 	// A request whose headers were not completely written has no effect.
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { reached.Store(true) }})
-	var body io.Reader
-	if c.Body != nil {
-		body = bytes.NewReader(c.Body)
-	}
-	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, body)
+	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, nil)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	// net/http repeats a request with an Idempotency-Key by itself if it can
+	// read the body again. A body without GetBody, even an empty one, keeps it
+	// from running a non-idempotent call twice.
+	if c.Body != nil || c.Method != http.MethodGet {
+		req.Body = io.NopCloser(bytes.NewReader(c.Body))
+		req.ContentLength = int64(len(c.Body))
+	}
 	for k, v := range c.Header {
 		req.Header[k] = v
 	}
-	if c.Body != nil {
+	if c.Body != nil && req.Header.Get("Content-Type") == "" {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	resp, err := hc.Do(req)
--- /dev/null
+++ b/internal/node/broker/complete.go
@@ -0,0 +1,341 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/member"
+	"github.com/azurespan/azurespan/internal/core/poison"
+	"github.com/azurespan/azurespan/internal/link/engine"
+	"github.com/azurespan/azurespan/internal/node/flow"
+	"github.com/azurespan/azurespan/internal/node/owner"
+	"github.com/azurespan/azurespan/internal/node/waker"
+	"github.com/azurespan/azurespan/internal/rule/route"
+)
+
+const (
+	// waitBase is the first delay before a wake is tried again; it doubles
+	// up to waitMax.
+	waitBase = 100 * time.Millisecond
+	waitMax  = 2 * time.Second
+	// logRetry is the retry delay given while the log is down.
+	logRetry = 10 * time.Second
+	// elsewhereRetry is the retry delay for a replica in a failure domain
+	// that can't be reached.
+	elsewhereRetry = 15 * time.Second
+)
+
+// Complete starts a chat completion and returns its stream once an engine has
+// accepted it.
+func (b *Broker) Complete(ctx context.Context, r flow.Request) (flow.Stream, error) {
+	now := time.Now()
+	if !now.Before(r.Deadline) {
+		return nil, passed("the request was received", fault.RunNo)
+	}
+	x := b.Config()
+	if x == nil {
+		return nil, fault.New(fault.NotReady, "there is no configuration yet").WithRetry(b.jitter(time.Second))
+	}
+	if x.Model(r.Model) == nil {
+		return nil, fault.New(fault.UnknownModel, "model %s is not declared", r.Model)
+	}
+	b.mu.Lock()
+	b.budget.Request()
+	b.mu.Unlock()
+	a := &answer{b: b, r: r, began: now}
+	if err := a.open(ctx); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// open finds a replica for the rest of the answer and opens the stream there.
+func (a *answer) open(ctx context.Context) error {
+	ctx, cancel := context.WithDeadline(ctx, a.r.Deadline)
+	defer cancel()
+	delay := waitBase
+	var excluded []string
+	for tries := 0; ; tries++ {
+		if err := a.quarantined(time.Now()); err != nil {
+			return err
+		}
+		err := a.attempt(ctx, &excluded)
+		if err == nil {
+			return nil
+		}
+		var f *fault.Fault
+		if !errors.As(err, &f) || !transient(f) {
+			return a.refuse(err)
+		}
+		if ctx.Err() != nil {
+			return a.refuse(a.expired(f))
+		}
+		wait := a.b.jitter(delay)
+		if left := time.Until(a.r.Deadline); wait >= left {
+			return a.refuse(a.expired(f))
+		}
+		delay = min(2*delay, waitMax)
+		sleep(ctx, wait)
+		// What failed a while ago may work by now.
+		if tries%3 == 2 {
+			excluded = excluded[:0]
+		}
+	}
+}
+
+// transient reports whether a wait may remove the reason of a refusal: an
+// upstream changes its owner, a busy replica becomes idle, a load fails.
+func transient(f *fault.Fault) bool {
+	switch f.Kind {
+	case fault.NotOwner, fault.UpstreamUnavailable, fault.NoCapacity, fault.Draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// expired is the refusal of a request that waited in vain until its deadline.
+func (a *answer) expired(f *fault.Fault) *fault.Fault {
+	p := passed("waiting: "+f.Detail, a.run())
+	return p.WithRetry(a.b.jitter(5 * time.Second))
+}
+
+// run states whether an engine has begun the answer.
+func (a *answer) run() fault.Run {
+	switch {
+	case a.next > 0:
+		return fault.RunYes
+	case a.reached:
+		return fault.RunUnknown
+	default:
+		return fault.RunNo
+	}
+}
+
+// refuse adds what the caller needs to a refusal and logs it.
+func (a *answer) refuse(err error) error {
+	f := fault.Of(err)
+	if f.Run == "" || f.Run == fault.RunNo {
+		f = f.WithRun(a.run())
+	}
+	if f.RetryAfter == 0 {
+		switch f.Kind {
+		case fault.LogUnavailable:
+			f = f.WithRetry(a.b.jitter(logRetry))
+		case fault.ReplicaElsewhere:
+			f = f.WithRetry(a.b.jitter(elsewhereRetry))
+		case fault.DeadlineUnreachable, fault.NoCapacity, fault.UpstreamUnavailable, fault.NotOwner:
+			f = f.WithRetry(a.b.jitter(5 * time.Second))
+		}
+	}
+	event.RequestRefused.Log("request", a.r.ID, "model", a.r.Model, "class", string(a.r.Class), "reason", string(f.Kind),
+		"run", string(f.Run), "retry-after", f.RetryAfter.String(), "detail", f.Detail)
+	a.b.obs.Decided(time.Now(), a.r.ID, a.r.Model, "refused", "", string(f.Kind)+": "+f.Detail)
+	return f
+}
+
+// attempt routes the request once, waking the model or loading the adapter if
+// need be, and opens the stream.
+func (a *answer) attempt(ctx context.Context, excluded *[]string) error {
+	b, r := a.b, &a.r
+	q := route.Query{Model: r.Model, Version: r.Version, Adapter: r.Adapter, Prefix: r.PrefixHash, Exclude: *excluded}
+	if a.suspect {
+		q.Exclude = append(append([]string(nil), *excluded...), b.withSuspects()...)
+	}
+	now := time.Now()
+	b.mu.Lock()
+	c := b.models.Pick(now, b.rng, &q)
+	b.mu.Unlock()
+	if c.Upstream == "" {
+		up, err := b.waker.Wake(ctx, waker.Request{Model: r.Model, Version: r.Version, Class: r.Class, Deadline: r.Deadline})
+		if err != nil {
+			return err
+		}
+		if d := b.Config().Upstream(up); d != nil {
+			b.mu.Lock()
+			b.models.Loaded(time.Now(), up, d.FailureDomain, r.Model, r.Version)
+			b.mu.Unlock()
+		}
+		b.obs.Cold(r.Class, time.Since(now))
+		b.obs.Decided(time.Now(), r.ID, r.Model, "woken", up, string(c.Reason))
+		c = route.Choice{Upstream: up, Reason: "woken", AdapterLoad: r.Adapter != ""}
+	} else if c.Free <= 0 {
+		b.grow(r)
+	}
+	event.Routed.Log("request", r.ID, "model", r.Model, "version", r.Version, "adapter", r.Adapter, "upstream", c.Upstream,
+		"class", string(r.Class), "reason", string(c.Reason), "wait", c.Wait.String(), "free", c.Free,
+		"crosses", c.Crosses, "prefix", c.PrefixHint, "from-token", a.next)
+	b.obs.Decided(now, r.ID, r.Model, "routed", c.Upstream, string(c.Reason))
+	if c.AdapterLoad && r.Adapter != "" {
+		err := b.waker.Ensure(ctx, owner.Request{
+			Upstream: c.Upstream, Model: r.Model, Version: r.Version, Adapter: r.Adapter, Class: r.Class, Deadline: r.Deadline,
+		})
+		if err != nil {
+			*excluded = append(*excluded, c.Upstream)
+			return err
+		}
+	}
+	err := a.send(ctx, c.Upstream)
+	if err != nil {
+		*excluded = append(*excluded, c.Upstream)
+	}
+	return err
+}
+
+// send opens the stream on an upstream.
+func (a *answer) send(ctx context.Context, upstream string) error {
+	b := a.b
+	d := b.Config().Upstream(upstream)
+	if d == nil {
+		return fault.New(fault.UpstreamUnavailable, "%s is not declared any more", upstream)
+	}
+	a.r.PrefixTokens = a.next
+	a.r.Prefix = a.text.String()
+	a.incarnation = b.incarnation(upstream)
+	now := time.Now()
+	b.mu.Lock()
+	b.models.Sent(now, upstream, a.r.PrefixHash)
+	if a.suspect {
+		b.running[upstream]++
+	}
+	b.mu.Unlock()
+	s, err := b.eng.Open(ctx, upstream, d.Address, a.r)
+	if err != nil {
+		a.left(upstream, false)
+		return a.openFailed(ctx, upstream, d, err)
+	}
+	a.stream, a.upstream, a.address, a.sentAt = s, upstream, d.Address, now
+	return nil
+}
+
+// openFailed classifies a refused or failed opening.
+func (a *answer) openFailed(ctx context.Context, upstream string, d *declare.Upstream, err error) error {
+	var e *engine.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	b, now := a.b, time.Now()
+	switch e.Kind {
+	case engine.NotLoaded:
+		b.mu.Lock()
+		b.models.Unloaded(now, upstream, a.r.Model, a.r.Version)
+		b.mu.Unlock()
+	case engine.Leaving:
+		b.reportLeaving(now, upstream, d)
+	case engine.BadRequest:
+		return fault.Wrap(e, fault.BadRequest, "%s refused the request", upstream)
+	case engine.InUse:
+		return fault.Wrap(e, fault.Internal, "%s knows the request already", upstream).WithRun(fault.RunUnknown)
+	default:
+		a.reached = a.reached || e.MayHaveRun()
+		if e.MayHaveRun() && ctx.Err() == nil {
+			a.checkCrash(ctx, upstream, d.Address)
+		}
+		b.mu.Lock()
+		b.models.SetHealth(upstream, route.Suspect)
+		b.mu.Unlock()
+	}
+	return fault.Wrap(e, fault.UpstreamUnavailable, "%s did not take the request", upstream)
+}
+
+// left records that the request no longer runs on an upstream.
+func (a *answer) left(upstream string, finished bool) {
+	b, now := a.b, time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var latency, service time.Duration
+	if finished {
+		latency, service = a.firstAt.Sub(a.sentAt), now.Sub(a.sentAt)
+	}
+	b.models.Done(now, upstream, a.r.Model, a.r.Version, latency, service)
+	if a.suspect {
+		if b.running[upstream]--; b.running[upstream] <= 0 {
+			delete(b.running, upstream)
+		}
+	}
+}
+
+// grow asks for another replica in the background, because those loaded have
+// no free sequence.
+func (b *Broker) grow(r *flow.Request) {
+	b.mu.Lock()
+	busy := b.growing[r.Model]
+	b.growing[r.Model] = true
+	b.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+		defer cancel()
+		// A refusal means that the loaded replicas have to do.
+		_, _ = b.waker.Wake(ctx, waker.Request{Model: r.Model, Version: r.Version, Class: r.Class, Deadline: r.Deadline, Extra: true})
+		b.mu.Lock()
+		delete(b.growing, r.Model)
+		b.mu.Unlock()
+	}()
+}
+
+// incarnation returns the engine process that the peers know for an upstream.
+func (b *Broker) incarnation(upstream string) string {
+	var s string
+	b.facts.Do(func(m *member.Set) {
+		f, _ := m.Get(member.Key{Kind: member.Upstream, Name: upstream})
+		s = f.Incarnation
+	})
+	return s
+}
+
+// reportLeaving tells the peers that an upstream has refused work because it
+// is leaving.
+func (b *Broker) reportLeaving(now time.Time, upstream string, d *declare.Upstream) {
+	var f member.Fact
+	b.facts.Do(func(m *member.Set) { f, _ = m.Get(member.Key{Kind: member.Upstream, Name: upstream}) })
+	f.Kind, f.Name, f.Domain, f.Status = member.Upstream, upstream, d.FailureDomain, member.Leaving
+	b.facts.Report(now, f)
+	b.mu.Lock()
+	b.models.SetHealth(upstream, route.Leaving)
+	b.mu.Unlock()
+}
+
+// withSuspects returns the upstreams on which crash suspects run.
+func (b *Broker) withSuspects() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for u := range b.running {
+		out = append(out, u)
+	}
+	return out
+}
+
+// fingerprint is the name under which the peers know a request.
+func fingerprint(r *flow.Request) string { return strconv.FormatUint(r.Fingerprint, 16) }
+
+// quarantined refuses a request that has crashed upstreams, and marks one
+// that may have.
+func (a *answer) quarantined(now time.Time) error {
+	b := a.b
+	b.mu.Lock()
+	v, left := b.suspects.Judge(now, fingerprint(&a.r))
+	b.mu.Unlock()
+	a.suspect = v == poison.Suspect
+	if v != poison.Quarantined {
+		return nil
+	}
+	return a.refuse(fault.New(fault.RequestQuarantined, "this request has crashed several upstreams").WithRun(fault.RunYes).WithRetry(left))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -32,7 +32,6 @@
 	// Facts is the part of the gossip that an Owner needs.
 	Facts interface {
 		Report(now time.Time, facts ...member.Fact)
-		Live(domain string) []string
 		Do(func(m *member.Set))
 	}
 
@@ -117,7 +116,7 @@
 		status   member.Status
 		// misplaced is since when another daemon is assigned.
 		misplaced time.Time
-		busy   bool
+		busy      bool
 	}
 
 	replica struct {
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -20,7 +20,7 @@
 // assigned to it.
 func (o *Owner) watched() []*declare.Upstream {
 	var out []*declare.Upstream
-	live := o.facts.Live("")
+	ros := o.roster()
 	o.ctl.View(func(l *ledger.Ledger) {
 		ups := l.Config().Deployment.Upstreams
 		for i := range ups {
@@ -29,7 +29,7 @@
 				continue
 			}
 			own, ok := l.Owner(d.Name)
-			if ok && own.Daemon == o.set.Self || o.assignedLocked(d, live) == o.set.Self {
+			if ok && own.Daemon == o.set.Self || ros.assigned(d) == o.set.Self {
 				out = append(out, d)
 			}
 		}
@@ -214,4 +214,3 @@
 		}()
 	}
 }
-
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -23,15 +23,37 @@
 	resign   bool
 }
 
-// Assigned returns the daemon that should own an upstream: the first by
+// roster is what is known about the daemons at one time. It is taken before
+// the ledger is viewed, because the gossip's lock goes before the ledger's.
+type roster struct {
+	live map[string][]string // by failure domain, "" for all
+	dead map[string]bool
+}
+
+func (o *Owner) roster() roster {
+	r := roster{live: map[string][]string{}, dead: map[string]bool{}}
+	o.facts.Do(func(m *member.Set) {
+		m.Each(member.Daemon, func(f member.Fact) {
+			if f.Status == member.Dead {
+				r.dead[f.Name] = true
+			}
+			if f.Status < member.Leaving {
+				r.live[f.Domain] = append(r.live[f.Domain], f.Name)
+				r.live[""] = append(r.live[""], f.Name)
+			}
+		})
+	})
+	return r
+}
+
+// assigned returns the daemon that should own an upstream: the first by
 // rendezvous hash among the live daemons of its failure domain, or among all
 // live daemons if that has none.
-func Assigned(f Facts, u *declare.Upstream) string {
-	live := f.Live(u.FailureDomain)
-	if len(live) == 0 {
-		live = f.Live("")
+func (r roster) assigned(u *declare.Upstream) string {
+	if own := r.live[u.FailureDomain]; len(own) > 0 {
+		return hrw.First(u.Name, own)
 	}
-	return hrw.First(u.Name, live)
+	return hrw.First(u.Name, r.live[""])
 }
 
 // reconcile takes, hands over and acknowledges ownerships.
@@ -56,7 +78,7 @@
 
 // plans returns the records that reconcile appends.
 func (o *Owner) plans(now time.Time) []plan {
-	live := o.facts.Live("")
+	ros := o.roster()
 	var out []plan
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -67,14 +89,14 @@
 			if s := l.Config().Service(d.Service); s == nil || s.Kind != declare.ModelService {
 				continue
 			}
-			out = append(out, o.planFor(now, l, d, live)...)
+			out = append(out, o.planFor(now, l, d, ros)...)
 		}
 	})
 	return out
 }
 
 // planFor decides about one upstream; o.mu is held.
-func (o *Owner) planFor(now time.Time, l *ledger.Ledger, d *declare.Upstream, live []string) []plan {
+func (o *Owner) planFor(now time.Time, l *ledger.Ledger, d *declare.Upstream, ros roster) []plan {
 	var out []plan
 	own, has := l.Owner(d.Name)
 	u := o.unit(d.Name)
@@ -85,7 +107,7 @@
 		}
 	}
 	mine := has && own.Daemon == o.set.Self && !own.Resigned
-	assigned := o.assignedLocked(d, live)
+	assigned := ros.assigned(d)
 	switch {
 	case mine && (o.leaving || o.handOver(now, u, assigned)):
 		if u.inFlight == 0 {
@@ -93,21 +115,12 @@
 			out = append(out, plan{upstream: d.Name, resign: true, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: o.set.Self, Epoch: own.Epoch}})
 		}
 	case mine || o.leaving || assigned != o.set.Self:
-	case !has || own.Resigned, o.replaced(own.Daemon), o.gone(now, own.Daemon, live):
+	case !has || own.Resigned, o.replaced(own.Daemon), o.gone(now, own.Daemon, ros):
 		out = append(out, plan{upstream: d.Name, record: record.TakeOwnership{Upstream: d.Name, Daemon: o.set.Self, Previous: own.Epoch}})
 	}
 	return out
 }
 
-// assignedLocked is Assigned with the list of all live daemons at hand.
-func (o *Owner) assignedLocked(d *declare.Upstream, live []string) string {
-	own := o.facts.Live(d.FailureDomain)
-	if len(own) == 0 {
-		own = live
-	}
-	return hrw.First(d.Name, own)
-}
-
 // handOver reports whether another daemon has been assigned for long enough.
 func (o *Owner) handOver(now time.Time, u *unit, assigned string) bool {
 	if assigned == o.set.Self || assigned == "" {
@@ -129,14 +142,9 @@
 
 // gone reports whether an owner counts as dead. A daemon that was never heard
 // of counts as dead only some time after the start of this one.
-func (o *Owner) gone(now time.Time, daemon string, live []string) bool {
-	if slices.Contains(live, daemon) {
+func (o *Owner) gone(now time.Time, daemon string, ros roster) bool {
+	if slices.Contains(ros.live[""], daemon) {
 		return false
 	}
-	known := false
-	o.facts.Do(func(m *member.Set) {
-		f, ok := m.Get(member.Key{Kind: member.Daemon, Name: daemon})
-		known = ok && f.Status == member.Dead
-	})
-	return known || now.Sub(o.started) >= o.set.Settle
+	return ros.dead[daemon] || now.Sub(o.started) >= o.set.Settle
 }
--- a/internal/node/waker/waker.go
+++ b/internal/node/waker/waker.go
@@ -324,4 +324,3 @@
 	}
 	return fault.New(kind, "no replica of %s@%s can be loaded: %s", q.Model, q.Version, d.Reason)
 }
-
