--- /dev/null
+++ b/internal/base/setup/page.go
@@ -0,0 +1,36 @@
+package setup
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Markdown returns the tables of docs/settings.md.
+func Markdown() string {
+	var b strings.Builder
+	section := ""
+	for i := range fields {
+		f := &fields[i]
+		if f.section != section {
+			section = f.section
+			fmt.Fprintf(&b, "\n## [%s]\n\n| key | default | unit | allowed | meaning |\n|---|---|---|---|---|\n", section)
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", f.key, f.fallback(), orNone(f.unit), f.allowed, f.meaning)
+	}
+	return b.String()
+}
+
+// fallback describes what applies when the key is absent.
+func (f *field) fallback() string {
+	if f.required {
+		return "required"
+	}
+	return orNone(f.standard)
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
