--- a/declare/example_test.go
+++ b/declare/example_test.go
@@ -82,3 +82,12 @@
 	must.NoError(t, err)
 	must.Eq(t, d, back)
 }
+
+func ExampleDeployment_SetAddresses() {
+	d := small()
+	fmt.Println(d.SetAddresses([]byte(`{"engine-1":"127.0.0.1:41001"}`)), d.Upstreams[0].Address)
+	fmt.Println(d.SetAddresses([]byte(`{"engine-9":"127.0.0.1:41009"}`)))
+	// Output:
+	// <nil> 127.0.0.1:41001
+	// addresses: unknown-reference: "engine-9" is not a declared upstream
+}
