admit, queue: queue by class and deadline with wait estimates

Ruled out: one queue for all models (a loading model blocks loaded ones); strict priority (background starves); promotion without a bound (late background work displaces urgent work).

--- /dev/null
+++ b/internal/rule/admit/queue_test.go
@@ -0,0 +1,161 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/declare"
+)
+
+var (
+	t0    = time.Unix(1_700_000_000, 0)
+	ample = Capacity{Sequences: 1 << 20, Free: 1 << 20}
+)
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// TestNothingLost guards against a request that is dropped, served twice, kept
+// past its deadline, or served against the order of the classes.
+func TestNothingLost(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		q := New(Settings{Length: 64})
+		model := map[uint64]Item{} // naive reference: all that wait
+		ended := map[uint64]int{}
+		now, id := t0, uint64(0)
+		for range 400 {
+			now = now.Add(ms(rng.IntN(300)))
+			for _, it := range q.Expire(now, nil) {
+				must.True(t, !now.Before(it.Deadline.Add(-it.Needs-q.s.Margin)))
+				ended[it.ID]++
+				delete(model, it.ID)
+			}
+			for _, it := range model {
+				must.True(t, now.Before(it.Deadline.Add(-it.Needs)), must.Sprintf("seed %d: %+v waits too long", seed, it))
+			}
+			switch rng.IntN(5) {
+			case 0, 1, 2:
+				id++
+				it := Item{ID: id, Model: fmt.Sprint("m", rng.IntN(3)), Class: declare.Urgent, Deadline: now.Add(ms(rng.IntN(9000))), Needs: ms(rng.IntN(500))}
+				if rng.IntN(2) == 0 {
+					it.Class, it.Deadline = declare.Background, now.Add(ms(rng.IntN(60_000)))
+				}
+				if _, ok := q.Offer(now, rng, it, ample).(Admit); ok {
+					model[id] = it
+				}
+			case 3:
+				m := fmt.Sprint("m", rng.IntN(3))
+				it, ok := q.Next(now, m)
+				waits := false
+				for _, o := range model {
+					if o.Model != m {
+						continue
+					}
+					waits = true
+					sooner := o.Deadline.Add(-o.Needs).Before(it.Deadline.Add(-it.Needs))
+					if ok && o.Class == it.Class {
+						must.False(t, sooner, must.Sprint("earliest latest start first"))
+					}
+					if ok && o.Class == declare.Urgent && it.Class == declare.Background {
+						must.False(t, sooner)
+						must.Less(t, q.s.Promote, it.Deadline.Add(-it.Needs).Sub(now))
+					}
+				}
+				must.Eq(t, waits, ok)
+				if ok {
+					ended[it.ID]++
+					delete(model, it.ID)
+				}
+			case 4:
+				k := uint64(rng.IntN(int(id) + 1))
+				_, ok := model[k]
+				must.Eq(t, ok, q.Remove(k))
+				if ok {
+					ended[k]++
+					delete(model, k)
+				}
+			}
+			must.Eq(t, len(model), q.Len())
+		}
+		for k, n := range ended {
+			must.Eq(t, 1, n, must.Sprintf("seed %d: request %d", seed, k))
+		}
+	}
+}
+
+// TestPromotion guards against background requests that starve behind a flow
+// of urgent ones, and against late ones that take every place.
+func TestPromotion(t *testing.T) {
+	q := New(Settings{})
+	rng := rand.New(rand.NewPCG(1, 1))
+	add := func(id uint64, c declare.Class, d time.Duration) {
+		_, ok := q.Offer(t0, rng, Item{ID: id, Model: "m", Class: c, Deadline: t0.Add(d)}, ample).(Admit)
+		must.True(t, ok)
+	}
+	add(1, declare.Background, 40*time.Second)
+	add(2, declare.Background, 41*time.Second)
+	for id := uint64(3); id < 9; id++ {
+		add(id, declare.Urgent, 50*time.Second)
+	}
+	var got []uint64
+	for i := range 6 {
+		it, _ := q.Next(t0.Add(time.Duration(10*min(i, 3))*time.Second), "m")
+		got = append(got, it.ID)
+	}
+	must.Eq(t, []uint64{3, 4, 5, 1, 6, 2}, got)
+}
+
+// TestRefusedAtOnce guards against admitting what can't end in time, and
+// against refusing what can.
+func TestRefusedAtOnce(t *testing.T) {
+	q := New(Settings{Length: 8})
+	rng := rand.New(rand.NewPCG(1, 1))
+	q.Observe("m", 2*time.Second)
+	it := Item{Model: "m", Class: declare.Urgent, Deadline: t0.Add(10 * time.Second), Needs: time.Second}
+	offer := func(c Capacity) Decision { it.ID++; return q.Offer(t0, rng, it, c) }
+	reason := func(d Decision) Reason { r, _ := d.(Refuse); return r.Reason }
+	must.Eq(t, Decision(Admit{Wait: 8 * time.Second}), offer(Capacity{Sequences: 2, Free: 2, Ready: 8 * time.Second}))
+	must.Eq(t, DeadlineUnreachable, reason(offer(Capacity{Sequences: 2, Free: 2, Ready: 9 * time.Second})))
+	must.Eq(t, Decision(Admit{Wait: 4 * time.Second}), offer(Capacity{Sequences: 1}))
+	must.Eq(t, NoCapacity, reason(offer(Capacity{None: true})))
+	for range 4 {
+		offer(ample)
+	}
+	must.Eq(t, QueueFull, reason(offer(ample)))
+	it.Deadline = t0
+	must.Eq(t, DeadlinePassed, reason(offer(ample)))
+	seen := map[time.Duration]bool{}
+	it.Deadline = t0.Add(10 * time.Second)
+	for range 50 {
+		it.ID++
+		r := New(Settings{}).Offer(t0, rng, it, Capacity{Sequences: 1, Ready: 20 * time.Second}).(Refuse)
+		must.Between(t, 10*time.Second, r.RetryAfter, 60*time.Second)
+		seen[r.RetryAfter] = true
+	}
+	must.Greater(t, 40, len(seen), must.Sprint("callers come back at one moment"))
+}
+
+func BenchmarkOffer(b *testing.B) {
+	for _, n := range []int{0, 16, 128, 700} {
+		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
+			q := New(Settings{})
+			rng := rand.New(rand.NewPCG(1, 1))
+			it := Item{Model: "m", Class: declare.Urgent, Deadline: t0.Add(time.Hour)}
+			for range n {
+				it.ID++
+				it.Deadline = t0.Add(time.Hour + ms(rng.IntN(100_000)))
+				q.Offer(t0, rng, it, ample)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				it.ID++
+				q.Offer(t0, rng, it, ample)
+				q.Remove(it.ID)
+			}
+		})
+	}
+}
