claims: fold of a claims stream

Non-idempotent requests need a claim that all readers of a partition judge alike, also readers that start after retention dropped records.

Entries that may be void because of a dropped record are marked uncertain: they answer unknown and a withdraw does not free them.

--- /dev/null
+++ b/internal/core/claims/query.go
@@ -0,0 +1,71 @@
+package claims
+
+type (
+	// Result answers a query for a key.
+	Result interface{ result() }
+
+	// Free means that no claim holds the key. Only applying a claim record
+	// decides, because the key may have expired since the last record.
+	Free struct{}
+
+	// Granted means that the asking claim holds the key.
+	Granted struct{ ID ID }
+
+	// Finished carries the stored answer.
+	Finished struct {
+		ID ID
+		Stored
+	}
+
+	// Unknown means that the key is or may be claimed and has no answer.
+	Unknown struct{ ID ID }
+
+	// Expired means that the key is older than the window.
+	Expired struct{}
+
+	// Mismatch means that the key belongs to a request with another digest.
+	Mismatch struct {
+		// Final is set when the other request has an answer, so that no
+		// request with the asked digest ran or will run under the key.
+		Final bool
+	}
+)
+
+var (
+	_ Result = Free{}
+	_ Result = Granted{}
+	_ Result = Finished{}
+	_ Result = Unknown{}
+	_ Result = Expired{}
+	_ Result = Mismatch{}
+)
+
+func (Free) result()     {}
+func (Granted) result()  {}
+func (Finished) result() {}
+func (Unknown) result()  {}
+func (Expired) result()  {}
+func (Mismatch) result() {}
+
+// Query returns what f knows about k for a request with digest d. Granted is
+// returned only if the claim id holds the key; the zero id stands for none.
+func (f *Fold) Query(k Key, d Digest, id ID) Result {
+	if f.expired(k) {
+		return Expired{}
+	}
+	e, ok := f.keys[k]
+	switch {
+	case !ok:
+		return Free{}
+	case e.digest != d && e.uncertain:
+		return Unknown{ID: e.id}
+	case e.digest != d:
+		return Mismatch{Final: e.done != nil}
+	case e.done != nil:
+		return Finished{ID: e.id, Stored: *e.done}
+	case e.id == id && !id.IsZero() && !e.uncertain:
+		return Granted{ID: id}
+	default:
+		return Unknown{ID: e.id}
+	}
+}
