--- a/internal/base/event/log.go
+++ b/internal/base/event/log.go
@@ -46,3 +46,10 @@
 		Meaning: "Control records came from a peer, because the log can't be reached.",
 	})
 )
+
+// SnapshotFailed belongs to the control stream.
+var SnapshotFailed = register(Event{
+	Number: 6016, Name: "snapshot-failed", Severity: Error,
+	Meaning: "A snapshot could not be appended; it is tried again.",
+	Action:  "If it lasts longer than the log's retention, new daemons can start from peers only.",
+})
--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -64,6 +64,7 @@
 	KeyMismatch         Kind = "key-mismatch"
 	KeyInProgress       Kind = "key-in-progress"
 	OutcomeUnknown      Kind = "outcome-unknown"
+	AnswerNotKept       Kind = "answer-not-kept"
 	NotOwner            Kind = "not-owner"
 	Draining            Kind = "draining"
 	NotReady            Kind = "not-ready"
@@ -143,7 +144,7 @@
 		return http.StatusRequestTimeout
 	case KeyExpired, KeyMismatch, RequestQuarantined:
 		return http.StatusUnprocessableEntity
-	case KeyInProgress, OutcomeUnknown, VersionConflict:
+	case KeyInProgress, OutcomeUnknown, AnswerNotKept, VersionConflict:
 		return http.StatusConflict
 	case QueueFull:
 		return http.StatusTooManyRequests
--- /dev/null
+++ b/internal/node/claim/claim.go
@@ -0,0 +1,241 @@
+package claim
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/claims"
+	"github.com/azurespan/azurespan/internal/link/peer"
+	"github.com/azurespan/azurespan/internal/node/flow"
+	"github.com/azurespan/azurespan/internal/node/keeper"
+)
+
+type (
+	// Keeper is the daemon's own keeper of partitions.
+	Keeper interface {
+		Claim(ctx context.Context, now time.Time, a keeper.ClaimArgs) (keeper.Decision, error)
+		Done(ctx context.Context, now time.Time, a keeper.DoneArgs) error
+		Withdraw(ctx context.Context, now time.Time, a keeper.WithdrawArgs) error
+	}
+
+	// Facts is the part of the gossip that a Client needs.
+	Facts interface {
+		Live(domain string) []string
+		Address(daemon string) (string, bool)
+	}
+
+	// Caller calls other daemons.
+	Caller interface {
+		Call(ctx context.Context, address, method string, args, reply any) error
+	}
+
+	// Client claims keys for the calls of one daemon. It is safe for
+	// concurrent use.
+	Client struct {
+		self   string
+		own    Keeper
+		facts  Facts
+		caller Caller
+
+		mu      sync.Mutex
+		held    map[string]keeper.ClaimArgs // by request identifier
+		pending sync.WaitGroup
+	}
+)
+
+const (
+	// retryPause is the pause before a claim is asked for again, while a
+	// partition changes its owner.
+	retryPause = 100 * time.Millisecond
+	// reportFor bounds how long the end of a call is reported; after that the
+	// key's outcome stays unknown.
+	reportFor = 30 * time.Second
+)
+
+// New returns a Client of the daemon self.
+func New(self string, own Keeper, f Facts, c Caller) *Client {
+	return &Client{self: self, own: own, facts: f, caller: c, held: map[string]keeper.ClaimArgs{}}
+}
+
+// Claim returns nil if the call may run now, the stored answer of an earlier
+// run, or a *fault.Fault. A refusal with run "no" is withdrawn in the
+// background, in case its claim took effect.
+func (c *Client) Claim(ctx context.Context, call flow.Call) (*flow.Answer, error) {
+	key, err := claims.ParseKey(call.Key)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, "Idempotency-Key")
+	}
+	a := keeper.ClaimArgs{
+		Key: call.Key, Daemon: c.self, Deadline: call.Deadline,
+		Digest: claims.DigestOf([]byte(call.Service), []byte(call.Method), []byte(call.Path), []byte(call.RawQuery), call.Body),
+	}
+	lost := false
+	for {
+		if a.ID.IsZero() {
+			if a.ID, err = claims.NewID(time.Now().UnixMilli(), rand.Reader); err != nil {
+				return nil, fault.Wrap(err, fault.Internal, "random source")
+			}
+		}
+		d, err := c.ask(ctx, key.Partition(), a)
+		if err == nil {
+			return c.decided(call, a, d)
+		}
+		var ce *peer.CallError
+		unanswered := errors.As(err, &ce)
+		lost = lost || unanswered
+		if !unanswered && !keeper.NotOwner(err) {
+			return nil, c.refused(a, err, lost)
+		}
+		if !pause(ctx) {
+			return nil, c.refused(a, fault.New(fault.LogUnavailable, "the claim of the key could not be confirmed in time: %v", err), lost)
+		}
+		if !unanswered {
+			// A former owner may still withdraw the claim that it refused, so
+			// its identifier is not used again.
+			c.giveBack(a, lost)
+			a.ID, lost = claims.ID{}, false
+		}
+	}
+}
+
+// decided takes a keeper's decision over.
+func (c *Client) decided(call flow.Call, a keeper.ClaimArgs, d keeper.Decision) (*flow.Answer, error) {
+	if d.State == keeper.Granted {
+		c.mu.Lock()
+		c.held[call.ID] = a
+		c.mu.Unlock()
+		return nil, nil
+	}
+	if d.Answer.Truncated {
+		return nil, fault.New(fault.AnswerNotKept, "the call was run and answered with status %d; its answer was too long to keep", d.Answer.Status).WithRun(fault.RunYes)
+	}
+	return &flow.Answer{Status: d.Answer.Status, ContentType: d.Answer.ContentType, Body: d.Answer.Body}, nil
+}
+
+// refused gives the claim back if an owner may have granted it although its
+// answer was lost, and returns err.
+func (c *Client) refused(a keeper.ClaimArgs, err error, lost bool) error {
+	c.giveBack(a, lost)
+	return err
+}
+
+// giveBack withdraws a claim under which nothing was run.
+func (c *Client) giveBack(a keeper.ClaimArgs, lost bool) {
+	if lost {
+		c.background(func(ctx context.Context) error { return c.withdraw(ctx, a) })
+	}
+}
+
+// ask sends the claim to the owner of the partition.
+func (c *Client) ask(ctx context.Context, partition int, a keeper.ClaimArgs) (keeper.Decision, error) {
+	owner := keeper.Owner(partition, c.facts.Live(""))
+	if owner == c.self {
+		return c.own.Claim(ctx, time.Now(), a)
+	}
+	address, ok := c.facts.Address(owner)
+	if !ok {
+		return keeper.Decision{}, &peer.CallError{Address: owner, Method: "Claim", Cause: fault.New(fault.NotOwner, "no owner is known")}
+	}
+	r := new(keeper.Reply)
+	if err := c.caller.Call(ctx, address, "Claim", a, r); err != nil {
+		return keeper.Decision{}, err
+	}
+	return r.Decision, r.Refusal.Err()
+}
+
+// take removes the claim held for a call.
+func (c *Client) take(request string) (keeper.ClaimArgs, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a, ok := c.held[request]
+	delete(c.held, request)
+	return a, ok
+}
+
+// Done records the answer of a run, in the background. If it can't be recorded
+// within 30 s, the outcome stays unknown to a caller that sends the call again.
+func (c *Client) Done(call flow.Call, answer flow.Answer) {
+	a, ok := c.take(call.ID)
+	if !ok {
+		return
+	}
+	args := keeper.DoneArgs{Key: a.Key, ID: a.ID, Answer: claims.Store(answer.Status, answer.ContentType, answer.Body)}
+	c.background(func(ctx context.Context) error {
+		return c.tell(ctx, a.Key, "Done", args, func() error { return c.own.Done(ctx, time.Now(), args) })
+	})
+}
+
+// Withdraw gives back the claim of a call that did not run, in the background.
+func (c *Client) Withdraw(call flow.Call) {
+	if a, ok := c.take(call.ID); ok {
+		c.background(func(ctx context.Context) error { return c.withdraw(ctx, a) })
+	}
+}
+
+func (c *Client) withdraw(ctx context.Context, a keeper.ClaimArgs) error {
+	args := keeper.WithdrawArgs{Key: a.Key, ID: a.ID}
+	return c.tell(ctx, a.Key, "Withdraw", args, func() error { return c.own.Withdraw(ctx, time.Now(), args) })
+}
+
+// tell reports to the owner of a key's partition until it succeeds.
+func (c *Client) tell(ctx context.Context, key, method string, args any, local func() error) error {
+	k, err := claims.ParseKey(key)
+	if err != nil {
+		return err
+	}
+	for {
+		owner := keeper.Owner(k.Partition(), c.facts.Live(""))
+		if owner == c.self {
+			err = local()
+		} else if address, ok := c.facts.Address(owner); ok {
+			r := new(keeper.Reply)
+			if err = c.caller.Call(ctx, address, method, args, r); err == nil {
+				err = r.Refusal.Err()
+			}
+		}
+		if err == nil || !pause(ctx) {
+			return err
+		}
+	}
+}
+
+// background runs f, which is bounded in time, and logs its failure.
+func (c *Client) background(f func(context.Context) error) {
+	c.pending.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportFor)
+		defer cancel()
+		if err := f(ctx); err != nil {
+			event.ClaimReportFailed.Log("err", err)
+		}
+	})
+}
+
+// Wait returns when no report is outstanding or ctx ends.
+func (c *Client) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		c.pending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// pause waits before another try; it reports false if ctx ended.
+func pause(ctx context.Context) bool {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/node/daemon/daemon.go
@@ -0,0 +1,265 @@
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/base/setup"
+	"github.com/azurespan/azurespan/internal/base/super"
+	"github.com/azurespan/azurespan/internal/core/claims"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/member"
+	"github.com/azurespan/azurespan/internal/link/engine"
+	"github.com/azurespan/azurespan/internal/link/hosts"
+	"github.com/azurespan/azurespan/internal/link/peer"
+	"github.com/azurespan/azurespan/internal/link/stream"
+	"github.com/azurespan/azurespan/internal/node/audit"
+	"github.com/azurespan/azurespan/internal/node/broker"
+	"github.com/azurespan/azurespan/internal/node/claim"
+	"github.com/azurespan/azurespan/internal/node/follow"
+	"github.com/azurespan/azurespan/internal/node/front"
+	"github.com/azurespan/azurespan/internal/node/gossip"
+	"github.com/azurespan/azurespan/internal/node/keeper"
+	"github.com/azurespan/azurespan/internal/node/owner"
+	"github.com/azurespan/azurespan/internal/node/waker"
+)
+
+type (
+	// Daemon is one running daemon.
+	Daemon struct {
+		set     *setup.Settings
+		name    string
+		traffic *peer.Traffic
+		metrics *metric.Metrics
+		reg     *prometheus.Registry
+		trail   *audit.Trail
+		hosts   *hosts.Client
+		follow  *follow.Follower
+		gossip  *gossip.Gossip
+		owner   *owner.Owner
+		waker   *waker.Waker
+		keeper  *keeper.Keeper
+		claims  *claim.Client
+		broker  *broker.Broker
+		front   *front.Front
+		client  *peer.Client
+		server  *peer.Server
+		// applied mirrors the follower's offset without its lock, because the
+		// gossip reads it under its own.
+		applied atomic.Uint64
+
+		callers, peers, admin net.Listener
+		adminSrv              *http.Server
+	}
+
+	// Addresses are where a Daemon listens.
+	Addresses struct{ Caller, Peer, Admin string }
+)
+
+// New binds the listeners and assembles a Daemon. It fails if an address can't
+// be bound.
+func New(now time.Time, s *setup.Settings) (*Daemon, error) {
+	d := &Daemon{
+		set: s, name: s.Daemon.Name + "/" + ulid.Make().String(),
+		traffic: new(peer.Traffic), trail: audit.New(s.Limits.Decisions), reg: prometheus.NewRegistry(),
+	}
+	d.metrics = metric.New(d.reg)
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	secret := []byte(s.Secret.SharedSecret)
+	peerTLS, callerTLS, err := tlsConfigs(s)
+	if err != nil {
+		return nil, err
+	}
+	if callerTLS != nil {
+		d.callers = wrapTLS(d.callers, callerTLS)
+	}
+	log := stream.New(s.Platform.LogAddress, nil)
+	log.Timeout = s.Timing.LogTimeout
+	d.hosts = hosts.New(s.Platform.HostsAddress, nil)
+	d.client = peer.NewClient(secret, peerTLS, d.traffic)
+	if d.server, err = peer.NewServer(secret, peerTLS, &service{d: d}, d.traffic); err != nil {
+		return nil, err
+	}
+	d.follow = follow.New(log, peerRecords{d}, follow.Settings{Poll: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout})
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	d.gossip = gossip.New(now, member.Fact{
+		Name: d.name, Domain: s.Daemon.FailureDomain, Address: d.peers.Addr().String(),
+	}, member.Settings{SuspectAfter: s.Timing.SuspectAfter}, gossip.Settings{
+		Interval: s.Timing.GossipInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
+	}, d.client, rng, d.applied.Load, d.onFacts)
+	eng := engine.New(nil)
+	d.owner = owner.New(now, owner.Settings{
+		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
+	}, d.follow, eng, d.gossip, newPacer(), newIdle(d.follow), observer{d})
+	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain}, d.follow, d.gossip, d.client, d.owner)
+	d.keeper = keeper.New(keeper.Settings{
+		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
+	}, claimsLog{log}, crand.Reader)
+	d.claims = claim.New(d.name, d.keeper, d.gossip, d.client)
+	d.broker = broker.New(broker.Settings{FailureDomain: s.Daemon.FailureDomain, QuarantineFor: s.Timing.Quarantine},
+		d.follow, d.gossip, d.waker, eng, d.claims, nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), observer{d})
+	d.front, err = front.New(front.Settings{
+		Secret: secret, MaxBodyBytes: s.Limits.Body, MaxHeaderBytes: int(s.Limits.Headers),
+		MaxStreams: s.Limits.Streams, MaxConnections: s.Limits.Connections, StreamBufferBytes: int(s.Limits.StreamBuffer),
+		HeaderTimeout: s.Limits.HeaderTimeout, IdleTimeout: s.Limits.IdleTimeout, Metrics: d.metrics,
+	}, backend{d.broker, d})
+	if err != nil {
+		return nil, err
+	}
+	d.adminSrv = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	return d, nil
+}
+
+// listen binds all listeners, or none.
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&d.peers, d.set.Daemon.PeerAddress},
+		{&d.callers, d.set.Daemon.CallerAddress},
+		{&d.admin, d.set.Daemon.AdminAddress},
+	} {
+		var err error
+		if *l.to, err = net.Listen("tcp", l.address); err != nil {
+			for _, o := range []net.Listener{d.peers, d.callers, d.admin} {
+				if o != nil {
+					_ = o.Close()
+				}
+			}
+			return merry.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// Addresses returns where d listens.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{Caller: d.callers.Addr().String(), Peer: d.peers.Addr().String(), Admin: d.admin.Addr().String()}
+}
+
+// Name returns the daemon's name, which is unique to the process.
+func (d *Daemon) Name() string { return d.name }
+
+// Run serves until ctx ends, then drains: it takes no new requests, resigns
+// its ownerships, finishes the requests in progress and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	tree := super.New(d.name)
+	tree.Add("follow", d.follow.Run)
+	tree.Add("mirror", d.mirror)
+	tree.Add("gossip", d.gossip.Run)
+	tree.Add("peers", func(ctx context.Context) error { return d.server.Serve(ctx, d.peers) })
+	tree.Add("hosts", d.watchHosts)
+	tree.Add("owner", d.owner.Run)
+	tree.Add("keeper", d.keeper.Serve)
+	tree.Add("duties", d.duties)
+	tree.Add("callers", func(context.Context) error { return serveHTTP(d.front.Serve(d.callers)) })
+	tree.Add("admin", func(context.Context) error { return serveHTTP(d.adminSrv.Serve(d.admin)) })
+	a := d.Addresses()
+	event.Started.Log("daemon", d.name, "failure-domain", d.set.Daemon.FailureDomain, "caller", a.Caller, "peer", a.Peer, "admin", a.Admin)
+	done := make(chan error, 1)
+	go func() { done <- tree.Serve(run) }()
+	select {
+	case err := <-done:
+		return merry.Wrap(err)
+	case <-ctx.Done():
+	}
+	d.drain(run)
+	cancel()
+	_ = d.adminSrv.Close()
+	<-done
+	d.client.Close()
+	return nil
+}
+
+// drain finishes what is in progress, within the drain timeout.
+func (d *Daemon) drain(ctx context.Context) {
+	event.DrainStarted.Log("daemon", d.name)
+	ctx, cancel := context.WithTimeout(ctx, d.set.Timing.DrainTimeout)
+	defer cancel()
+	d.front.Drain()
+	d.gossip.Leave(ctx, time.Now())
+	d.keeper.Assign(nil)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		d.owner.Leave(ctx)
+	}()
+	err := d.front.Wait(ctx)
+	d.claims.Wait(ctx)
+	<-left
+	if err != nil {
+		event.DrainTimedOut.Log("daemon", d.name, "err", err)
+		return
+	}
+	event.DrainFinished.Log("daemon", d.name)
+}
+
+// serveHTTP turns the end of a closed server into success.
+func serveHTTP(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return merry.Wrap(err)
+}
+
+// onFacts passes changed facts on.
+func (d *Daemon) onFacts(now time.Time, changed []member.Fact) {
+	d.broker.OnFacts(now, changed)
+	for _, f := range changed {
+		if f.Kind == member.Daemon {
+			d.assign()
+			return
+		}
+	}
+}
+
+// assign tells the keeper which daemons share the claims partitions. It waits
+// for news of other daemons after the start.
+func (d *Daemon) assign() {
+	live := d.gossip.Live("")
+	for _, n := range live {
+		if n == d.name {
+			d.keeper.Assign(live)
+			return
+		}
+	}
+}
+
+// mirror keeps the applied offset and the broker's tables current.
+func (d *Daemon) mirror(ctx context.Context) error {
+	for {
+		changed := d.follow.Changed()
+		applied, _, _ := d.follow.Status()
+		d.applied.Store(applied)
+		d.broker.Refresh(time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// Config returns the configuration in force, nil before the first.
+func (d *Daemon) Config() *declare.Index { return d.broker.Config() }
+
+// View calls fn with the daemon's ledger.
+func (d *Daemon) View(fn func(l *ledger.Ledger)) { d.follow.View(fn) }
--- /dev/null
+++ b/internal/node/daemon/duties.go
@@ -0,0 +1,140 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/hrw"
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/member"
+	"github.com/azurespan/azurespan/internal/core/record"
+	"github.com/azurespan/azurespan/internal/link/hosts"
+)
+
+const (
+	dutyInterval = time.Second
+	// snapshotDuty is the key by which one daemon is chosen to write
+	// snapshots.
+	snapshotDuty = "snapshot"
+)
+
+// duties does what one daemon of the deployment or this one has to do now and
+// then: snapshots, claims assignments, metrics of control traffic.
+func (d *Daemon) duties(ctx context.Context) error {
+	tick := time.NewTicker(dutyInterval)
+	defer tick.Stop()
+	var sent, received uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		s, r := d.traffic.Sent.Load(), d.traffic.Received.Load()
+		d.metrics.ControlSentBytes.Add(float64(s - sent))
+		d.metrics.ControlReceivedBytes.Add(float64(r - received))
+		sent, received = s, r
+		d.assign()
+		if d.follow.SnapshotDue() && hrw.First(snapshotDuty, d.gossip.Live("")) == d.name {
+			c, cancel := context.WithTimeout(ctx, 10*time.Second)
+			if err := d.follow.AppendSnapshot(c); err != nil {
+				event.SnapshotFailed.Log("err", err)
+			}
+			cancel()
+		}
+	}
+}
+
+// watchHosts reads the platform's host list: it gives addresses of peers,
+// upstreams that leave, and hosts that are gone.
+func (d *Daemon) watchHosts(ctx context.Context) error {
+	tick := time.NewTicker(d.set.Timing.HostsInterval)
+	defer tick.Stop()
+	failing := false
+	for {
+		list, err := d.hosts.List(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil && !failing:
+			event.HostListFailed.Log("err", err)
+		case err == nil:
+			d.takeHosts(ctx, time.Now(), list)
+		}
+		failing = err != nil
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (d *Daemon) takeHosts(ctx context.Context, now time.Time, list hosts.List) {
+	var seeds, gone []string
+	for _, h := range list.Hosts {
+		switch h.State {
+		case hosts.Live:
+			// A host's entry names its peer address if it is a daemon.
+			if _, _, err := net.SplitHostPort(h.Address); err == nil && !d.isUpstream(h.Name) {
+				seeds = append(seeds, h.Address)
+			}
+		case hosts.Leaving:
+			d.upstreamLeaving(now, h.Name)
+		case hosts.Gone:
+			gone = append(gone, h.Name)
+		}
+	}
+	d.gossip.AddSeeds(seeds)
+	for _, h := range gone {
+		d.recordGone(ctx, h)
+	}
+}
+
+func (d *Daemon) isUpstream(name string) bool {
+	found := false
+	d.follow.View(func(l *ledger.Ledger) { found = l.Config().Upstream(name) != nil })
+	return found
+}
+
+// upstreamLeaving tells the peers of an upstream that the list says is leaving.
+func (d *Daemon) upstreamLeaving(now time.Time, name string) {
+	if !d.isUpstream(name) {
+		return
+	}
+	var f member.Fact
+	var ok bool
+	d.gossip.Do(func(m *member.Set) { f, ok = m.Get(member.Key{Kind: member.Upstream, Name: name}) })
+	if ok && f.Status < member.Leaving {
+		f.Status = member.Leaving
+		d.gossip.Report(now, f)
+	}
+}
+
+// recordGone writes that a host is gone, if the ledger still counts on it.
+// One daemon of the deployment does so.
+func (d *Daemon) recordGone(ctx context.Context, host string) {
+	needed := false
+	d.follow.View(func(l *ledger.Ledger) {
+		needed = len(l.GrantsOf(nil, host)) > 0
+		for i := range l.Config().Deployment.Upstreams {
+			u := l.Config().Deployment.Upstreams[i].Name
+			if o, ok := l.Owner(u); ok && !o.Resigned && ledger.HostOf(o.Daemon) == host {
+				needed = true
+			}
+			needed = needed || slices.ContainsFunc(l.FormersOf(u), func(f ledger.Former) bool { return ledger.HostOf(f.Daemon) == host })
+		}
+	})
+	if !needed || hrw.First("gone/"+host, d.gossip.Live("")) != d.name || strings.HasPrefix(d.name, host+"/") {
+		return
+	}
+	c, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	if _, err := d.follow.Append(c, record.HostGone{Host: host}); err != nil {
+		event.OwnershipFailed.Log("host", host, "record", "host-gone", "err", err)
+	}
+}
--- a/internal/node/follow/start.go
+++ b/internal/node/follow/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
@@ -109,26 +108,3 @@
 		}
 	}
 }
-
-// WaitReady waits until the stream was read to its end, or a peer's state was
-// installed while the log is down.
-func (f *Follower) WaitReady(ctx context.Context, poll time.Duration) error {
-	for {
-		f.mu.RLock()
-		ok := f.ready || f.led.Version() > 0
-		changed := f.changed
-		f.mu.RUnlock()
-		if ok {
-			return nil
-		}
-		t := time.NewTimer(poll)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return ctx.Err()
-		case <-changed:
-		case <-t.C:
-		}
-		t.Stop()
-	}
-}
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -154,7 +154,7 @@
 		if err != nil {
 			return err
 		}
-		o.obs.Decided(time.Now(), "grant", k, string(last.Reason))
+		o.obs.Placed(time.Now(), "grant", k, string(last.Reason))
 	}
 	switch last.Reason {
 	case ledger.ReplicaLimit:
@@ -317,7 +317,7 @@
 	if err != nil {
 		return err
 	}
-	o.obs.Decided(time.Now(), "release", k, string(out.Reason))
+	o.obs.Placed(time.Now(), "release", k, string(out.Reason))
 	return nil
 }
 
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -45,7 +45,7 @@
 	Observer interface {
 		Loaded(now time.Time, k ledger.Key, took time.Duration)
 		Unloaded(now time.Time, k ledger.Key, idle time.Duration)
-		Decided(now time.Time, what string, k ledger.Key, why string)
+		Placed(now time.Time, what string, k ledger.Key, why string)
 	}
 
 	// Settings of an Owner. Zero fields stand for the defaults.
