metric: add the Prometheus metrics of a daemon

Cause: operators need the two measures (cold start, idle accelerator time) and the latency targets as metrics with units in their names. Ruled out: labels for models and adapters (1,800 adapters). Conclusion: bucket bounds contain 1.1 s and 79 ms, so the shares of requests within the targets are exact.

--- /dev/null
+++ b/internal/base/metric/metric.go
@@ -0,0 +1,96 @@
+package metric
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// Metrics holds the metrics of one daemon. All fields are safe for concurrent
+// use.
+type Metrics struct {
+	// RequestSeconds is the time from receipt to the last byte of the answer,
+	// by class and outcome (see Outcomes).
+	RequestSeconds *prometheus.HistogramVec
+	// FirstTokenSeconds is the time from receipt to the first token, by class.
+	FirstTokenSeconds *prometheus.HistogramVec
+	// TokenIntervalSeconds is the time between tokens of one answer.
+	TokenIntervalSeconds prometheus.Histogram
+	// QueueSeconds is the time a request waits in the queue, by class.
+	QueueSeconds *prometheus.HistogramVec
+	// Refusals counts refused requests by reason, a fault kind.
+	Refusals *prometheus.CounterVec
+	// ColdStartSeconds is the time from a request for a model that is not
+	// loaded to the end of the load that serves it.
+	ColdStartSeconds prometheus.Histogram
+	// IdleAcceleratorSeconds is the time accelerators hold a loaded model
+	// without a request, summed over accelerators.
+	IdleAcceleratorSeconds prometheus.Counter
+	// ControlSentBytes and ControlReceivedBytes are control traffic.
+	ControlSentBytes     prometheus.Counter
+	ControlReceivedBytes prometheus.Counter
+	// Streams is the number of streams in progress.
+	Streams prometheus.Gauge
+	// Loads counts finished loads by outcome, ok or failed.
+	Loads *prometheus.CounterVec
+	// LoadSeconds is the duration of successful loads.
+	LoadSeconds prometheus.Histogram
+
+	entries []Entry
+}
+
+// Values of the label outcome of RequestSeconds.
+const (
+	// OutcomeOK is a complete answer.
+	OutcomeOK = "ok"
+	// OutcomeRefused is a problem document in place of an answer.
+	OutcomeRefused = "refused"
+	// OutcomeBroken is an answer that broke off after its start.
+	OutcomeBroken = "broken"
+	// OutcomeSlowReader is an answer that was cut because the caller read
+	// too slowly.
+	OutcomeSlowReader = "slow-reader"
+	// OutcomeCallerGone is a request whose caller closed the connection.
+	OutcomeCallerGone = "caller-gone"
+)
+
+// Outcomes lists the values of the label outcome of RequestSeconds.
+var Outcomes = []string{OutcomeOK, OutcomeRefused, OutcomeBroken, OutcomeSlowReader, OutcomeCallerGone}
+
+// Buckets in seconds. The token bucket bounds contain the targets of 1.1 s for
+// the first token and 79 ms between tokens, so that the share of requests
+// within a target is exact.
+var (
+	requestBuckets  = []float64{.005, .02, .1, .25, .5, 1.1, 2, 5, 10, 30, 60, 120, 300, 600, 1800}
+	firstBuckets    = []float64{.01, .05, .1, .25, .5, .75, 1.1, 2, 4, 8, 15, 30, 60, 120, 300}
+	intervalBuckets = []float64{.002, .005, .01, .02, .04, .079, .15, .3, 1, 5}
+	queueBuckets    = []float64{.001, .005, .02, .1, .5, 1.1, 2, 5, 15, 30, 60, 300, 600}
+	loadBuckets     = []float64{.005, .01, .05, .25, 1, 2, 5, 10, 20, 40, 80, 160, 320}
+)
+
+// New returns the metrics of one daemon, registered with reg together with
+// the process collector. With a nil reg nothing is registered, which serves
+// tests and tools. It panics if reg already has one of the names.
+func New(reg prometheus.Registerer) *Metrics {
+	b := &builder{reg: reg}
+	m := &Metrics{
+		RequestSeconds:         b.histogramVec("azurespan_request_duration_seconds", "Time from receipt to the last byte of the answer.", requestBuckets, "class", "outcome"),
+		FirstTokenSeconds:      b.histogramVec("azurespan_first_token_seconds", "Time from receipt to the first token.", firstBuckets, "class"),
+		TokenIntervalSeconds:   b.histogram("azurespan_token_interval_seconds", "Time between tokens of one answer.", intervalBuckets),
+		QueueSeconds:           b.histogramVec("azurespan_queue_seconds", "Time that a request waits in the queue.", queueBuckets, "class"),
+		Refusals:               b.counterVec("azurespan_refusals_total", "Refused requests by fault kind.", "reason"),
+		ColdStartSeconds:       b.histogram("azurespan_cold_start_seconds", "Time from a request for an idle model to the end of the load that serves it.", loadBuckets),
+		IdleAcceleratorSeconds: b.counter("azurespan_idle_accelerator_seconds_total", "Time that accelerators hold a loaded model without a request, summed over accelerators."),
+		ControlSentBytes:       b.counter("azurespan_control_sent_bytes_total", "Control traffic sent: log service, host list, engine orders and reports, other daemons."),
+		ControlReceivedBytes:   b.counter("azurespan_control_received_bytes_total", "Control traffic received."),
+		Streams:                b.gauge("azurespan_streams_in_progress", "Answers in progress, streamed or whole."),
+		Loads:                  b.counterVec("azurespan_loads_total", "Finished loads by outcome (ok, failed).", "outcome"),
+		LoadSeconds:            b.histogram("azurespan_load_seconds", "Duration of successful loads.", loadBuckets),
+	}
+	if reg != nil {
+		reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	}
+	b.add("process_cpu_seconds_total", "counter", "User and system CPU time of the process (process collector).")
+	b.add("process_resident_memory_bytes", "gauge", "Resident memory of the process (process collector).")
+	m.entries = b.entries
+	return m
+}
