front: stream chat completions to callers

Ruled out: writing tokens directly from the handler, because one slow caller would then hold the engine's stream; sending the headers before the first token, because a refusal would then lose its status. Conclusion: a first version that can be connected; slow readers, drain, half-open connections and fuzz targets are tested next.

--- /dev/null
+++ b/internal/node/front/health.go
@@ -0,0 +1,33 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// readiness is the document of GET /readyz.
+type readiness struct {
+	Ready bool `json:"ready"`
+	// Missing names what keeps the daemon from serving.
+	Missing []string `json:"missing"`
+}
+
+// Livez answers 200 while the process can answer at all.
+func (f *Front) Livez(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = w.Write([]byte("ok\n")) // a probe that is gone needs no answer
+}
+
+// Readyz answers 200 when the daemon can serve new requests, else 503, with
+// what is missing.
+func (f *Front) Readyz(w http.ResponseWriter, _ *http.Request) {
+	missing := append([]string{}, f.backend.Ready()...)
+	if f.gate.isClosed() {
+		missing = append(missing, "draining")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if len(missing) > 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(readiness{len(missing) == 0, missing}) // as above
+}
--- /dev/null
+++ b/internal/node/front/resume.go
@@ -0,0 +1,52 @@
+package front
+
+import (
+	"context"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/api/oas"
+	"github.com/azurespan/azurespan/internal/node/flow"
+)
+
+// ResumeStream answers GET /v1/streams/{request-id} with the tokens after the
+// one that the caller names.
+func (f *Front) ResumeStream(ctx context.Context, params oas.ResumeStreamParams) (oas.ResumeStreamRes, error) {
+	x := exchangeOf(ctx)
+	text, ok := params.LastEventID.Get()
+	if !ok {
+		if text, ok = params.After.Get(); !ok {
+			return nil, badField(fieldEventID, "is missing; give it as a header or as the query parameter after")
+		}
+	}
+	p, err := f.signer.parse(text)
+	if err != nil {
+		return nil, err
+	}
+	if p.request != params.RequestID {
+		return nil, badField("request-id", "differs from the request of the event id")
+	}
+	if err := x.takeSlot(); err != nil {
+		return nil, err
+	}
+	from := p.index + 1
+	deadline := x.received.Add(declare.DefaultUrgentDeadline)
+	a, err := x.begin(ctx, deadline, from, func() (flow.Stream, error) {
+		return f.backend.Resume(ctx, p.request, p.upstream, from)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &oas.ResumeStreamOK{Data: x.start(a, newChunker(f.signer, p.request, "", createdOf(p.request), from))}, nil
+}
+
+// createdOf returns the Unix time of a request identifier in seconds, which is
+// the same in every part of a resumed answer.
+func createdOf(id string) int64 {
+	u, err := ulid.ParseStrict(id)
+	if err != nil {
+		return 0
+	}
+	return ulid.Time(u.Time()).Unix()
+}
--- /dev/null
+++ b/internal/node/front/stream_test.go
@@ -0,0 +1,143 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/ogen-go/ogen/sse"
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/api/oas"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/node/flow"
+)
+
+// events reads a stream to its end, or to the failure of its connection.
+func events(t *testing.T, res *http.Response) ([]sse.Event, error) {
+	t.Helper()
+	must.Eq(t, 200, res.StatusCode)
+	must.Eq(t, "text/event-stream", res.Header.Get("Content-Type"))
+	var out []sse.Event
+	d := sse.NewDecoder(res.Body, 0, 0, "", nil)
+	for {
+		e, err := d.Decode()
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+		out = append(out, e)
+	}
+}
+
+// TestStream guards against chunks, identifiers or an end that differ from
+// the described form.
+func TestStream(t *testing.T) {
+	_, base := serve(t, Settings{}, &fakeBackend{})
+	res := post(t, base, chatBody)
+	id := res.Header.Get("X-Request-Id")
+	es, err := events(t, res)
+	must.NoError(t, err)
+	must.Len(t, 4, es)
+	must.StrHasPrefix(t, id+".engine-1.0.", es[0].ID)
+	must.StrHasPrefix(t, id+".engine-1.2.", es[2].ID)
+	must.StrContains(t, string(es[0].Data), `"delta":{"role":"assistant","content":"Fig "},"finish_reason":null`)
+	must.StrContains(t, string(es[2].Data), `"delta":{"content":"ready."},"finish_reason":"stop"`)
+	must.Eq(t, "[DONE]", string(es[3].Data))
+}
+
+// TestResume guards against a resumed answer that repeats or loses a token,
+// and against a forged place.
+func TestResume(t *testing.T) {
+	all := tokens("Fig ", "trays ", "are ", "ready.")
+	b := &fakeBackend{}
+	b.complete = func(context.Context, flow.Request) (flow.Stream, error) { return newFakeStream(all...), nil }
+	b.resume = func(_ context.Context, _, upstream string, from int64) (flow.Stream, error) {
+		must.Eq(t, "engine-1", upstream)
+		// The engine repeats a token, as after a failover.
+		return newFakeStream(all[max(from-1, 0):]...), nil
+	}
+	_, base := serve(t, Settings{}, b)
+	_, other := serve(t, Settings{Secret: []byte("another secret")}, b)
+	res := post(t, base, chatBody)
+	id := res.Header.Get("X-Request-Id")
+	es, err := events(t, res)
+	must.NoError(t, err)
+	for i, e := range es[:4] {
+		rest, err := events(t, send(t, "GET", base+"/v1/streams/"+id, "", "Last-Event-ID", e.ID))
+		must.NoError(t, err)
+		must.Len(t, 4-i, rest)
+		for j := range rest {
+			must.Eq(t, es[i+1+j].ID, rest[j].ID)
+		}
+	}
+	_, err = events(t, send(t, "GET", base+"/v1/streams/"+id+"?after="+es[1].ID, ""))
+	must.NoError(t, err)
+
+	forged := strings.Replace(es[1].ID, ".1.", ".2.", 1)
+	for _, bad := range []string{forged, es[1].ID + "x", "", id + ".engine-1.1", strings.Repeat(".", 600)} {
+		must.Eq(t, "Last-Event-ID", problem(t, send(t, "GET", base+"/v1/streams/"+id, "", "Last-Event-ID", bad)).Field.Value)
+	}
+	must.Eq(t, 400, problem(t, send(t, "GET", other+"/v1/streams/"+id, "", "Last-Event-ID", es[1].ID)).Status)
+	must.Eq(t, "request-id", problem(t, send(t, "GET", base+"/v1/streams/"+b.lastRequest().ID[:25]+"!", "", "Last-Event-ID", es[1].ID)).Field.Value)
+}
+
+// TestBrokenAnswer guards against an incomplete answer that looks complete,
+// and against a refusal that denies a run which took place.
+func TestBrokenAnswer(t *testing.T) {
+	cut := fault.New(fault.UpstreamUnavailable, "engine-1 is gone")
+	tests := []struct {
+		name   string
+		tokens []flow.Token
+		err    error
+		kind   fault.Kind
+	}{
+		{"failure", tokens("Fig ", "trays")[:1], cut, fault.UpstreamUnavailable},
+		{"untyped failure", tokens("Fig ", "trays")[:1], io.ErrUnexpectedEOF, fault.Internal},
+		{"end without finish", tokens("Fig ", "trays")[:1], io.EOF, fault.UpstreamInvalid},
+		{"gap", []flow.Token{{Text: "Fig "}, {Index: 2, Text: "ready", Finish: "stop"}}, io.EOF, fault.UpstreamInvalid},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			b := &fakeBackend{complete: func(context.Context, flow.Request) (flow.Stream, error) {
+				s := newFakeStream(tc.tokens...)
+				s.err = tc.err
+				return s, nil
+			}}
+			_, base := serve(t, Settings{}, b)
+			es, err := events(t, post(t, base, chatBody))
+			must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			must.Len(t, 2, es)
+			must.Eq(t, "error", es[1].Type)
+			var p oas.Problem
+			must.NoError(t, p.UnmarshalJSON([]byte(es[1].Data)))
+			must.Eq(t, typePrefix+string(tc.kind), p.Type)
+			must.Eq(t, oas.ProblemRunYes, p.Run)
+
+			whole := problem(t, post(t, base, strings.Replace(chatBody, `"stream":true`, `"stream":false`, 1)))
+			must.Eq(t, p.Type, whole.Type)
+			must.Eq(t, oas.ProblemRunYes, whole.Run)
+		})
+	}
+}
+
+// TestRefusalBeforeFirstToken guards against a refusal that is hidden in an
+// event stream, and against a lost or rounded-down retry time.
+func TestRefusalBeforeFirstToken(t *testing.T) {
+	b := &fakeBackend{complete: func(context.Context, flow.Request) (flow.Stream, error) {
+		s := newFakeStream()
+		s.err = fault.New(fault.NoCapacity, "all engines are full").WithRetry(1_200_000_000)
+		return s, nil
+	}}
+	_, base := serve(t, Settings{}, b)
+	res := post(t, base, chatBody)
+	must.Eq(t, "2", res.Header.Get("Retry-After"))
+	p := problem(t, res)
+	must.Eq(t, 503, p.Status)
+	must.Eq(t, oas.ProblemRunNo, p.Run)
+}
