cmd/azurespan: add check, publish, status and explain

Cause: operators need commands to check files offline, to publish a configuration against concurrent operators and a log whose answers get lost, and to see what a daemon decided.

Ruled out: trusting the answer of an append, because it can be lost after the append took effect, and because the fold may refuse the record; never repeating an ambiguous append, because a lost request would then fail the publication. Both records of a repeated append replace the same version, so the fold accepts at most one.

The log client here stands in for internal/link/stream.

The cases cover a race, a lost answer, a lost request, an outage, and retention.

Conclusion: each publication ends as accepted, refused with the winner, or unknown with the identifier to ask again.

--- /dev/null
+++ b/cmd/azurespan/command.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/azurespan/azurespan/internal/base/setup"
+)
+
+type (
+	// environment is what a run takes from its process.
+	environment struct {
+		in        io.Reader
+		out, errs io.Writer
+		now       func() time.Time
+		entropy   io.Reader
+	}
+
+	// options are the flags of all commands.
+	options struct {
+		command     string
+		json        bool
+		settings    []string
+		configs     []string
+		replaces    string
+		operator    string
+		log         string
+		publication string
+		timeout     time.Duration
+		admin       string
+		secretFile  string
+		request     string
+		model       string
+		trace       string
+	}
+
+	// outcome is the result of a command: a text for readers, and a value
+	// that --json prints.
+	outcome interface{ text(w io.Writer) }
+)
+
+const exitCodes = "Exit codes: 0 ok, 1 refused or problem found, 2 usage, 3 unreachable, 4 internal."
+
+// parse reads the command line. On a wrong one it prints help and returns the
+// exit code with done set; the same goes for a request for help.
+func parse(args []string) (o options, code int, done bool) {
+	// flaggy ends the process on a wrong command line, which would skip
+	// deferred calls; as a panic it can be turned into an exit code.
+	flaggy.PanicInsteadOfExit = true
+	defer func() {
+		r := recover()
+		if r == nil {
+			return
+		}
+		text, ok := r.(string)
+		if _, err := fmt.Sscanf(text, "Panic instead of exit with code: %d", &code); !ok || err != nil {
+			panic(r)
+		}
+		done = true
+	}()
+	o.timeout = 30 * time.Second
+	p := flaggy.NewParser("azurespan")
+	p.Description = "Serves rarely used language models on a few accelerators."
+	p.AdditionalHelpAppend = "\nEach command has its own help: azurespan publish --help\n" + exitCodes
+	p.ShowCompletion = false
+	p.Version = "unknown"
+	if b, ok := debug.ReadBuildInfo(); ok {
+		p.Version = b.Main.Version
+	}
+	add := func(name, description, examples string, flags func(*flaggy.Subcommand)) *flaggy.Subcommand {
+		sc := flaggy.NewSubcommand(name)
+		sc.Description = description
+		sc.AdditionalHelpAppend = "\nExamples:\n  " + strings.ReplaceAll(examples, "\n", "\n  ") + "\n" + exitCodes
+		sc.Bool(&o.json, "j", "json", "Print the result as one JSON object.")
+		flags(sc)
+		p.AttachSubcommand(sc, 1)
+		return sc
+	}
+	commands := []*flaggy.Subcommand{
+		add("serve", "Runs a daemon until SIGTERM, then shuts it down gracefully.",
+			"azurespan serve --settings /etc/azurespan.ini", func(sc *flaggy.Subcommand) {
+				sc.StringSlice(&o.settings, "s", "settings", "Settings file of the daemon.")
+			}),
+		add("check", "Checks settings and configuration files offline and reports all problems.",
+			"azurespan check --settings azurespan.ini --config config.json\ncooperative | azurespan check --config -", func(sc *flaggy.Subcommand) {
+				sc.StringSlice(&o.settings, "s", "settings", "Settings file; may be repeated.")
+				sc.StringSlice(&o.configs, "c", "config", "Configuration file, - for standard input; may be repeated.")
+			}),
+		add("publish", "Publishes a configuration that replaces the stated version.",
+			"azurespan publish --config config.json --replaces 0 --operator haneul --log 10.0.0.7:7000\nazurespan publish --config config.json --replaces 41 --operator haneul --log 10.0.0.7:7000 \\\n  --publication 01JE5T0000000000000000000A   (after a lost answer)", func(sc *flaggy.Subcommand) {
+				sc.StringSlice(&o.configs, "c", "config", "Configuration file, - for standard input.")
+				sc.String(&o.replaces, "r", "replaces", "Version that the configuration replaces; 0 if there is none.")
+				sc.String(&o.operator, "o", "operator", "Name of the operator, shown to the others.")
+				sc.String(&o.log, "l", "log", "Log service: IP number and port, or URL.")
+				sc.String(&o.publication, "p", "publication", "Identifier of an earlier attempt whose outcome is not known.")
+				sc.Duration(&o.timeout, "t", "timeout", "Time limit.")
+			}),
+		add("status", "Prints the status of a daemon.",
+			"azurespan status --settings /etc/azurespan.ini\nazurespan status --admin 10.0.0.7:7002 --secret-file secret --json", func(sc *flaggy.Subcommand) {
+				adminFlags(sc, &o)
+			}),
+		add("explain", "Prints why a daemon routed, loaded or refused something.",
+			"azurespan explain --settings /etc/azurespan.ini --request 01JE5T0000000000000000000A\nazurespan explain --admin 10.0.0.7:7002 --secret-file secret --model tray-general-8b", func(sc *flaggy.Subcommand) {
+				adminFlags(sc, &o)
+				sc.String(&o.request, "r", "request", "Request identifier.")
+				sc.String(&o.model, "m", "model", "Model or adapter name.")
+			}),
+		add("replay", "Runs a recorded trace and compares the outcomes with the stated ones.",
+			"azurespan replay --trace trace.jsonl", func(sc *flaggy.Subcommand) {
+				sc.String(&o.trace, "f", "trace", "Trace file.")
+			}),
+	}
+	if err := p.ParseArgs(args); err != nil {
+		p.ShowHelpWithMessage(err.Error())
+		return o, exitUsage, true
+	}
+	for _, sc := range commands {
+		if sc.Used {
+			o.command = sc.Name
+			return o, exitOK, false
+		}
+	}
+	p.ShowHelpWithMessage("A command is required.")
+	return o, exitUsage, true
+}
+
+func adminFlags(sc *flaggy.Subcommand, o *options) {
+	sc.StringSlice(&o.settings, "s", "settings", "Settings file with the admin address and the secret.")
+	sc.String(&o.admin, "a", "admin", "Admin address of the daemon, instead of the one in the settings.")
+	sc.String(&o.secretFile, "k", "secret-file", "File with the shared secret, instead of the one in the settings.")
+	sc.Duration(&o.timeout, "t", "timeout", "Time limit.")
+}
+
+// run runs one command and returns its exit code.
+func run(ctx context.Context, args []string, env environment) int {
+	o, code, done := parse(args)
+	if done {
+		return code
+	}
+	if o.command != "serve" {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, o.timeout)
+		defer cancel()
+	}
+	result, err := dispatch(ctx, o, env)
+	return report(env, o, result, err)
+}
+
+// dispatch runs the command of o. A result may come with an error, which then
+// only sets the exit code.
+func dispatch(ctx context.Context, o options, env environment) (outcome, error) {
+	if o.timeout <= 0 {
+		return nil, &usageError{detail: "--timeout must be above 0"}
+	}
+	switch o.command {
+	case "serve":
+		if len(o.settings) != 1 {
+			return nil, &usageError{detail: "serve needs one --settings file"}
+		}
+		s, err := setup.Load(o.settings[0])
+		if err != nil {
+			return settingsProblems(err), &refusedError{detail: "the settings are not valid"}
+		}
+		return nil, serve(ctx, s)
+	case "check":
+		return check(o, env.in)
+	case "publish":
+		return publishCommand(ctx, o, env, func(base string) controlLog { return &httpLog{base: base, client: http.DefaultClient} })
+	case "status", "explain":
+		return adminCommand(ctx, o, http.DefaultClient)
+	case "replay":
+		if o.trace == "" {
+			return nil, &usageError{detail: "replay needs a --trace file"}
+		}
+		return nil, replay(ctx, env.out, o.trace)
+	default:
+		return nil, &usageError{detail: "unknown command " + o.command}
+	}
+}
--- /dev/null
+++ b/cmd/azurespan/command_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func invoke(t *testing.T, args ...string) (code int, out, errs string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = run(t.Context(), args, environment{in: strings.NewReader(""), out: &o, errs: &e, now: time.Now, entropy: strings.NewReader("")})
+	return code, o.String(), e.String()
+}
+
+// TestExitCodes guards against a command line that ends with an undocumented
+// exit code.
+func TestExitCodes(t *testing.T) {
+	const settings = "../../examples/kawabata/azurespan.ini"
+	for _, c := range []struct {
+		want int
+		args string
+	}{
+		{exitUsage, ""},
+		{exitUsage, "unknown"},
+		{exitUsage, "check"},
+		{exitUsage, "check --bogus"},
+		{exitUsage, "check --config"},
+		{exitUsage, "publish --config x"},
+		{exitUsage, "publish --config x --replaces -1 --operator a --log 127.0.0.1:1"},
+		{exitUsage, "publish --config x --replaces 0 --operator a --log host:1"},
+		{exitUsage, "publish --config x --replaces 0 --operator a --log 127.0.0.1:1 --timeout 0s"},
+		{exitUsage, "publish --config x --timeout soon"},
+		{exitUsage, "explain --settings " + settings},
+		{exitUsage, "explain --settings " + settings + " --request a --model b"},
+		{exitUsage, "status --admin 127.0.0.1:1"},
+		{exitUsage, "serve"},
+		{exitUsage, "replay"},
+		{exitOK, "--help"},
+		{exitOK, "check --help"},
+		{exitOK, "check --settings " + settings},
+		{exitRefused, "check --settings absent.ini --config absent.json"},
+		{exitRefused, "serve --settings absent.ini"},
+		{exitRefused, "status --settings absent.ini"},
+		{exitInternal, "replay --trace x"},
+	} {
+		code, out, errs := invoke(t, strings.Fields(c.args)...)
+		must.Eq(t, c.want, code, must.Sprintf("%s\n%s\n%s", c.args, out, errs))
+	}
+}
+
+// TestCheckReportsAll guards against a check that stops at the first file, and
+// against settings whose failure domain the configuration lacks.
+func TestCheckReportsAll(t *testing.T) {
+	dir := t.TempDir()
+	config, settings := filepath.Join(dir, "c.json"), filepath.Join(dir, "s.ini")
+	must.NoError(t, os.WriteFile(config, []byte(`{"name":"x"}`), 0o600))
+	must.NoError(t, os.WriteFile(settings, []byte("[limits]\nbody = 1\n"), 0o600))
+	code, out, _ := invoke(t, "check", "--settings", settings, "--config", config, "--config", filepath.Join(dir, "absent"))
+	must.Eq(t, exitRefused, code)
+	for _, want := range []string{"s.ini:2: [limits] body: wrong-unit", "c.json: failure-domains: missing", "absent: unreadable"} {
+		must.StrContains(t, out, want)
+	}
+	must.NoError(t, os.WriteFile(config, []byte(`{"name":"x","failure-domains":["a"]}`), 0o600))
+	code, out, _ = invoke(t, "check", "--json", "--settings", "../../examples/kawabata/azurespan.ini", "--config", config)
+	must.Eq(t, exitRefused, code)
+	must.StrContains(t, out, `"path": "daemon.failure-domain"`)
+}
+
+// TestAdmin guards against a request without the secret, and against exit
+// codes that don't tell refusals from unreachable daemons.
+func TestAdmin(t *testing.T) {
+	secret := filepath.Join(t.TempDir(), "secret")
+	must.NoError(t, os.WriteFile(secret, []byte("0123456789abcdef\n"), 0o600))
+	status := http.StatusOK
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer 0123456789abcdef" {
+			status = http.StatusUnauthorized
+		}
+		w.WriteHeader(status)
+		answer := `{"version":18446744073709551615,"ready":true,"domain":{"name":"a"},"peers":["b","c"]}`
+		if r.URL.Path == "/admin/decisions" {
+			answer = `{"decisions":[]}`
+			if r.FormValue("request") == "r1" {
+				answer = `{"decisions":[{"why":"no room","kind":"place","time":"t1","set":["x","y"]},{"kind":"route","time":"t2"}]}`
+			}
+		}
+		_, _ = w.Write([]byte(answer))
+	}))
+	defer s.Close()
+	flags := []string{"--admin", s.URL, "--secret-file", secret}
+	code, out, _ := invoke(t, append([]string{"status"}, flags...)...)
+	must.Eq(t, exitOK, code)
+	must.Eq(t, "domain.name: a\npeers: b, c\nready: true\nversion: 18446744073709551615\n", out)
+	code, out, _ = invoke(t, append([]string{"explain", "--request", "r1"}, flags...)...)
+	must.Eq(t, exitOK, code)
+	must.Eq(t, "decisions: time=t1 kind=place set=[x,y] why=\"no room\"\ndecisions: time=t2 kind=route\n", out)
+	code, _, errs := invoke(t, append([]string{"explain", "--model", "m"}, flags...)...)
+	must.Eq(t, exitRefused, code)
+	must.StrContains(t, errs, "no decision")
+	for answer, want := range map[int]int{http.StatusUnauthorized: exitRefused, http.StatusServiceUnavailable: exitUnreachable, http.StatusBadGateway: exitInternal} {
+		status = answer
+		code, _, _ = invoke(t, append([]string{"status"}, flags...)...)
+		must.Eq(t, want, code)
+	}
+	s.Close()
+	code, _, _ = invoke(t, append([]string{"status"}, flags...)...)
+	must.Eq(t, exitUnreachable, code)
+}
--- /dev/null
+++ b/cmd/azurespan/main.go
@@ -0,0 +1,21 @@
+// Command azurespan runs a daemon and gives operators the means to check and
+// publish configurations and to see what the daemons do. docs/cli.md describes
+// its commands and exit codes.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	code := run(ctx, os.Args[1:], environment{in: os.Stdin, out: os.Stdout, errs: os.Stderr, now: time.Now, entropy: rand.Reader})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/azurespan/publish_test.go
@@ -0,0 +1,298 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/record"
+)
+
+// fakeLog is a log service with one stream, whose appends can fail.
+type fakeLog struct {
+	mu      sync.Mutex
+	oldest  uint64
+	records []logRecord
+	// onAppend is called before each append; it says how the append fails.
+	onAppend func(n int) failure
+	appends  int
+	reads    int
+}
+
+type failure int
+
+const (
+	none failure = iota
+	// answerLost stores the records and breaks the connection.
+	answerLost
+	// requestLost breaks the connection.
+	requestLost
+	// outage answers 503.
+	outage
+)
+
+func (f *fakeLog) put(t testing.TB, r record.Record) uint64 {
+	b, err := record.Encode(r)
+	must.NoError(t, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store(b)
+}
+
+func (f *fakeLog) store(b []byte) uint64 {
+	next := uint64(1)
+	if n := len(f.records); n > 0 {
+		next = f.records[n-1].Offset + 1
+	}
+	f.records = append(f.records, logRecord{Offset: next, Data: b})
+	return next
+}
+
+func (f *fakeLog) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/streams/control/records" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if r.Method == http.MethodPost {
+		f.append(w, r)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	from, _ := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	most, _ := strconv.Atoi(r.FormValue("max"))
+	p := logPage{Oldest: max(f.oldest, 1), End: 1}
+	for _, rec := range f.records {
+		p.End = rec.Offset + 1
+		if rec.Offset >= max(from, p.Oldest) && len(p.Records) < most {
+			p.Records = append(p.Records, rec)
+		}
+	}
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func (f *fakeLog) append(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Records [][]byte `json:"records"`
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil || len(body.Records) != 1 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	n := f.appends
+	f.appends++
+	f.mu.Unlock()
+	how := none
+	if f.onAppend != nil {
+		how = f.onAppend(n)
+	}
+	if how == outage {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if how == requestLost {
+		panic(http.ErrAbortHandler)
+	}
+	f.mu.Lock()
+	first := f.store(body.Records[0])
+	f.mu.Unlock()
+	if how == answerLost {
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"first-offset": first, "time-ms": 1})
+}
+
+// start returns the fake's base URL and a publisher whose pauses end its
+// context after the given number of them.
+func start(t *testing.T, f *fakeLog, replaces uint64, pauses int) *publisher {
+	t.Helper()
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	return &publisher{
+		log:    &httpLog{base: s.URL, client: s.Client()},
+		record: record.Publish{Publication: "mine", Operator: "haneul", Replaces: replaces, Config: []byte(config)},
+		pause: func(context.Context, time.Duration) error {
+			if pauses--; pauses < 0 {
+				return context.DeadlineExceeded
+			}
+			return nil
+		},
+	}
+}
+
+const config = `{"name":"t","cold-start-weight":0,"failure-domains":["a"],"limits":{},"services":[],"upstreams":[],"models":[],"adapters":[]}`
+
+func other(publication, operator string, replaces uint64) record.Publish {
+	return record.Publish{Publication: publication, Operator: operator, Replaces: replaces, Config: []byte(config)}
+}
+
+// TestPublishOutcomes guards against telling an operator the wrong outcome
+// when publications race or answers of the log are lost, and against a second
+// record where one was found.
+func TestPublishOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		replaces uint64
+		before   []record.Record
+		onAppend func(t *testing.T, f *fakeLog) func(n int) failure
+		state    string
+		version  uint64
+		operator string
+		appends  int
+		detail   string
+	}{
+		"first":     {state: stateAccepted, version: 1, operator: "haneul", appends: 1},
+		"next":      {replaces: 1, before: []record.Record{other("p", "sora", 0)}, state: stateAccepted, version: 2, operator: "haneul", appends: 1},
+		"stale":     {replaces: 1, before: []record.Record{other("p", "sora", 0), other("q", "ken", 1)}, state: stateRefused, version: 2, operator: "ken", detail: "nothing was appended"},
+		"no record": {replaces: 7, state: stateRefused, detail: "version 0 by nobody"},
+		"race": {state: stateRefused, version: 1, operator: "sora", appends: 1, detail: "version 1 by sora", onAppend: func(t *testing.T, f *fakeLog) func(int) failure {
+			return func(int) failure { f.put(t, other("p", "sora", 0)); return none }
+		}},
+		"answer lost": {state: stateAccepted, version: 1, operator: "haneul", appends: 1, onAppend: func(*testing.T, *fakeLog) func(int) failure {
+			return func(int) failure { return answerLost }
+		}},
+		"request lost": {state: stateAccepted, version: 1, operator: "haneul", appends: 2, onAppend: func(*testing.T, *fakeLog) func(int) failure {
+			return func(n int) failure {
+				if n == 0 {
+					return requestLost
+				}
+				return none
+			}
+		}},
+		"request lost, then overtaken": {state: stateRefused, version: 1, operator: "sora", appends: 1, detail: "refused as well", onAppend: func(t *testing.T, f *fakeLog) func(int) failure {
+			return func(int) failure { f.put(t, other("p", "sora", 0)); return requestLost }
+		}},
+		"short outage": {state: stateAccepted, version: 1, operator: "haneul", appends: 3, onAppend: func(*testing.T, *fakeLog) func(int) failure {
+			return func(n int) failure {
+				if n < 2 {
+					return outage
+				}
+				return none
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeLog{}
+			for _, r := range c.before {
+				f.put(t, r)
+			}
+			if c.onAppend != nil {
+				f.onAppend = c.onAppend(t, f)
+			}
+			got, err := start(t, f, c.replaces, 5).publish(t.Context())
+			must.NoError(t, err)
+			must.Eq(t, c.state, got.State)
+			must.Eq(t, c.version, got.Version)
+			must.Eq(t, c.operator, got.Operator)
+			must.Eq(t, c.appends, f.appends)
+			must.StrContains(t, got.Detail, c.detail)
+		})
+	}
+}
+
+// TestPublishOutage guards against claiming an outcome that is not known, and
+// against a second record when the attempt is resumed.
+func TestPublishOutage(t *testing.T) {
+	f := &fakeLog{onAppend: func(int) failure { return outage }}
+	got, err := start(t, f, 0, 2).publish(t.Context())
+	must.Eq(t, exitUnreachable, exitCode(err))
+	must.Eq(t, reasonNotAppended, got.Reason)
+	f.onAppend = func(int) failure { return requestLost }
+	p := start(t, f, 0, 2)
+	got, err = p.publish(t.Context())
+	must.Eq(t, exitUnreachable, exitCode(err))
+	must.Eq(t, stateUnknown, got.State)
+	// The lost append takes effect later, and another operator follows it.
+	f.put(t, p.record)
+	f.put(t, other("q", "sora", 1))
+	f.appends = 0
+	p = start(t, f, 0, 0)
+	p.tried = true
+	got, err = p.publish(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, stateAccepted, got.State)
+	must.Eq(t, 1, got.Version)
+	must.Eq(t, 2, got.Latest)
+	must.Eq(t, "sora", got.LatestOperator)
+	must.Eq(t, 0, f.appends)
+}
+
+// TestPublishRetention guards against a wrong version in force, or a wrong
+// outcome, after the log has dropped its oldest records.
+func TestPublishRetention(t *testing.T) {
+	l := ledger.New()
+	f := &fakeLog{}
+	for i := range uint64(100) {
+		r := other("p"+strconv.FormatUint(i, 10), "sora", i)
+		f.put(t, r)
+		must.Eq(t, ledger.Accepted, l.Apply(i+1, r).Reason)
+	}
+	state, err := l.Snapshot()
+	must.NoError(t, err)
+	f.put(t, other("late", "ken", 100))
+	f.records, f.oldest = f.records[95:], 96
+	_, err = start(t, f, 101, 0).publish(t.Context())
+	var gap *gapError
+	must.True(t, errors.As(err, &gap), must.Sprint(err))
+	f.put(t, record.Snapshot{AsOf: 100, State: state})
+	// p98 is known from the stream but its fold is not; p99 was in force.
+	for id, want := range map[string]string{"p98": stateUnknown, "p99": stateAccepted, "late": stateAccepted, "p3": stateUnknown, "new": stateRefused} {
+		p := start(t, f, 98, 0)
+		p.record.Publication = id
+		p.tried = id != "new"
+		got, err := p.publish(t.Context())
+		must.NoError(t, err, must.Sprint(id))
+		must.Eq(t, want, got.State, must.Sprint(id))
+	}
+	got, err := start(t, f, 101, 0).publish(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, stateAccepted, got.State)
+	must.Eq(t, 103, got.Version)
+}
+
+// TestPublishCommand guards against wrong exit codes and output of the whole
+// command, and against publishing an invalid configuration.
+func TestPublishCommand(t *testing.T) {
+	f := &fakeLog{}
+	s := httptest.NewServer(f)
+	defer s.Close()
+	// Each attempt takes 10 bytes.
+	entropy := strings.NewReader("0123456789abcdefghijklmnopqrst")
+	id := ulid.MustNew(1, strings.NewReader("0123456789")).String()
+	publish := func(text string, more ...string) (int, string) {
+		var out bytes.Buffer
+		env := environment{in: strings.NewReader(text), out: &out, errs: &out, now: func() time.Time { return time.UnixMilli(1) }, entropy: entropy}
+		args := append([]string{"publish", "--config", "-", "--operator", "haneul", "--log", s.URL}, more...)
+		return run(t.Context(), args, env), out.String()
+	}
+	code, out := publish("{}", "--replaces", "0")
+	must.Eq(t, exitRefused, code, must.Sprint(out))
+	must.StrContains(t, out, "-: failure-domains: missing")
+	must.Eq(t, 0, f.reads)
+	code, out = publish(config, "--replaces", "0")
+	must.Eq(t, exitOK, code, must.Sprint(out))
+	must.Eq(t, "publication "+id+" is accepted as version 1\n", out)
+	code, out = publish(config, "--replaces", "0", "--publication", id, "--json")
+	must.Eq(t, exitOK, code, must.Sprint(out))
+	must.StrContains(t, out, `"state": "accepted"`)
+	code, out = publish(config, "--replaces", "0")
+	must.Eq(t, exitRefused, code)
+	must.StrContains(t, out, "version 1 by haneul is in force")
+	s.Close()
+	code, out = publish(config, "--replaces", "1", "--timeout", "50ms")
+	must.Eq(t, exitUnreachable, code, must.Sprint(out))
+	must.StrContains(t, out, "no record was appended")
+}
--- a/internal/base/setup/value.go
+++ b/internal/base/setup/value.go
@@ -130,3 +130,13 @@
 	}
 	return s
 }
+
+// BaseURL returns the base URL, without a trailing slash, for an IP number
+// with a port or an http or https URL of one. It fails with a *Problem.
+func BaseURL(v string) (string, error) {
+	base, kind, detail := parseBase(v)
+	if kind != "" {
+		return "", &Problem{Kind: kind, File: "address", Detail: detail, Allowed: allowedBase}
+	}
+	return base, nil
+}
