--- a/cmd/azurespan/command.go
+++ b/cmd/azurespan/command.go
@@ -168,7 +168,7 @@
 		if err != nil {
 			return settingsProblems(err), &refusedError{detail: "the settings are not valid"}
 		}
-		return nil, serve(ctx, s)
+		return nil, serve(ctx, env.out, s)
 	case "check":
 		return check(o, env.in)
 	case "publish":
--- /dev/null
+++ b/internal/check/fleet/caller.go
@@ -0,0 +1,232 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+type (
+	// Caller sends requests as a client of the service would.
+	Caller struct{ HTTP *http.Client }
+
+	// Chat is a chat completion to send.
+	Chat struct {
+		Model, Prompt string
+		MaxTokens     int
+		Class         string
+		Deadline      time.Duration
+	}
+
+	// Answer is what arrived of a streamed answer.
+	Answer struct {
+		// Status of the response, 0 if there was none.
+		Status int
+		// Text holds the tokens that arrived, Events their number.
+		Text   string
+		Events int
+		// LastID is the identifier of the last event.
+		LastID string
+		// RequestID is in the events.
+		RequestID string
+		// Done is set if the end of the answer arrived.
+		Done bool
+		// Problem is the refusal, if any.
+		Problem Problem
+		// First is the time to the first token.
+		First time.Duration
+		Err   error
+	}
+
+	// Problem is a refusal.
+	Problem struct {
+		Type   string `json:"type"`
+		Run    string `json:"run"`
+		Detail string `json:"detail"`
+		Status int    `json:"status"`
+		// RetryAfter is the header in seconds, 0 if there is none.
+		RetryAfter int `json:"-"`
+	}
+
+	// Reply is the answer of a plain service.
+	Reply struct {
+		Status   int
+		Body     string
+		Replayed bool
+		Problem  Problem
+		Err      error
+	}
+)
+
+// Stream sends a streamed chat completion. onEvent, if not nil, is called
+// after each event with the number so far; the stream is left if it returns
+// false.
+func (c *Caller) Stream(ctx context.Context, d *Proc, q Chat, onEvent func(int) bool) Answer {
+	body, _ := json.Marshal(map[string]any{
+		"model": q.Model, "stream": true, "max_tokens": q.MaxTokens, "ignore_eos": true,
+		"messages": []map[string]string{{"role": "user", "content": q.Prompt}},
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Line["caller"]+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if q.Class != "" {
+		req.Header.Set("Azurespan-Class", q.Class)
+	}
+	if q.Deadline > 0 {
+		req.Header.Set("Azurespan-Deadline", strconv.FormatInt(q.Deadline.Milliseconds(), 10))
+	}
+	return c.read(req, Answer{}, onEvent)
+}
+
+// Resume continues an answer through a daemon, from its last event on.
+func (c *Caller) Resume(ctx context.Context, d *Proc, a Answer) Answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Line["caller"]+"/v1/streams/"+url.PathEscape(a.RequestID), nil)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	req.Header.Set("Last-Event-ID", a.LastID)
+	a.Err, a.Problem = nil, Problem{}
+	return c.read(req, a, nil)
+}
+
+// read sends req and appends the events of its answer to a.
+func (c *Caller) read(req *http.Request, a Answer, onEvent func(int) bool) Answer {
+	began := time.Now()
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	defer resp.Body.Close()
+	a.Status = resp.StatusCode
+	if resp.StatusCode != http.StatusOK {
+		a.Problem, a.Err = problem(resp)
+		return a
+	}
+	sc := bufio.NewScanner(resp.Body)
+	sc.Buffer(nil, 1<<20)
+	id, event := "", ""
+	for sc.Scan() {
+		field, value, _ := strings.Cut(sc.Text(), ": ")
+		switch field {
+		case "id":
+			id = value
+		case "event":
+			event = value
+		case "data":
+			if event == "error" {
+				a.Err = json.Unmarshal([]byte(value), &a.Problem)
+				return a
+			}
+			if value == "[DONE]" {
+				a.Done = true
+				return a
+			}
+			if err := a.take(value, id); err != nil {
+				a.Err = err
+				return a
+			}
+			if a.First == 0 {
+				a.First = time.Since(began)
+			}
+			if onEvent != nil && !onEvent(a.Events) {
+				return a
+			}
+		case "":
+			event = ""
+		}
+	}
+	if a.Err = sc.Err(); a.Err == nil {
+		a.Err = io.ErrUnexpectedEOF
+	}
+	return a
+}
+
+// take adds one chunk.
+func (a *Answer) take(data, id string) error {
+	var chunk struct {
+		ID      string `json:"id"`
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return err
+	}
+	if len(chunk.Choices) == 0 {
+		return nil
+	}
+	if a.RequestID != "" && a.RequestID != chunk.ID {
+		return fmt.Errorf("event of request %s in the answer to %s", chunk.ID, a.RequestID)
+	}
+	a.RequestID = chunk.ID
+	if id != "" {
+		a.LastID = id
+	}
+	a.Text += chunk.Choices[0].Delta.Content
+	if chunk.Choices[0].Delta.Content != "" {
+		a.Events++
+	}
+	return nil
+}
+
+// Call calls a plain service.
+func (c *Caller) Call(ctx context.Context, d *Proc, method, path, key, body string, deadline time.Duration) Reply {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.Line["caller"]+path, strings.NewReader(body))
+	if err != nil {
+		return Reply{Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header["Idempotency-Key"] = []string{key}
+	}
+	if deadline > 0 {
+		req.Header.Set("Azurespan-Deadline", strconv.FormatInt(deadline.Milliseconds(), 10))
+	}
+	// Without GetBody net/http does not send the call again by itself, which
+	// would count as a resend by the caller.
+	req.GetBody = nil
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return Reply{Err: err}
+	}
+	defer resp.Body.Close()
+	r := Reply{Status: resp.StatusCode, Replayed: resp.Header.Get("Idempotency-Replayed") != ""}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "application/problem+json") {
+		r.Problem, r.Err = problem(resp)
+		return r
+	}
+	b, err := io.ReadAll(resp.Body)
+	r.Body, r.Err = string(b), err
+	return r
+}
+
+func problem(resp *http.Response) (Problem, error) {
+	var p Problem
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return p, err
+	}
+	if err := json.Unmarshal(b, &p); err != nil {
+		return p, fmt.Errorf("status %d with %q: %w", resp.StatusCode, b, err)
+	}
+	// The header is absent where a retry does not help.
+	p.RetryAfter, _ = strconv.Atoi(resp.Header.Get("Retry-After"))
+	return p, nil
+}
+
+// Kind returns the last part of the refusal's type.
+func (p Problem) Kind() string { return p.Type[strings.LastIndex(p.Type, ":")+1:] }
