--- a/internal/check/fleet/site.go
+++ b/internal/check/fleet/site.go
@@ -167,7 +167,13 @@
 	if err != nil {
 		return &CommandError{Args: args, Code: cmd.ProcessState.ExitCode(), Output: text.String() + errs.String()}
 	}
-	return json.Unmarshal(text.Bytes(), out)
+	var wrapped struct {
+		Result json.RawMessage `json:"result"`
+	}
+	if err := json.Unmarshal(text.Bytes(), &wrapped); err != nil {
+		return err
+	}
+	return json.Unmarshal(wrapped.Result, out)
 }
 
 // Status asks a daemon for its status.
--- a/internal/node/waker/waker.go
+++ b/internal/node/waker/waker.go
@@ -168,6 +168,16 @@
 func (w *Waker) load(ctx context.Context, q Request) (string, error) {
 	excluded := map[string]bool{}
 	var last error
+	if !q.Extra {
+		for _, up := range w.holders(q) {
+			event.WakeStarted.Log("model", q.Model, "version", q.Version, "upstream", up, "tier", "granted",
+				"needs-grant", false, "evictions", 0, "class", string(q.Class), "extra", false)
+			if last = w.order(ctx, up, q); last == nil {
+				return up, nil
+			}
+			excluded[up] = true
+		}
+	}
 	for range attempts {
 		dec := w.decide(time.Now(), q, excluded)
 		var l place.Load
@@ -193,6 +203,32 @@
 	return "", last
 }
 
+// holders returns the upstreams that have a grant for the model version and
+// seem usable, those of the own failure domain first. The control stream tells
+// of a grant sooner than the peers' news tell of the load, so a replica that
+// another failure domain has just loaded is found here instead of being loaded
+// twice.
+func (w *Waker) holders(q Request) []string {
+	var own, other []string
+	w.facts.Do(func(m *member.Set) {
+		w.ctl.View(func(l *ledger.Ledger) {
+			for _, h := range l.Holders(nil, q.Model) {
+				u := l.Config().Upstream(h.Upstream)
+				f, known := m.Get(member.Key{Kind: member.Upstream, Name: h.Upstream})
+				if u == nil || h.Version != q.Version || known && f.Status >= member.Leaving {
+					continue
+				}
+				if u.FailureDomain == w.set.FailureDomain {
+					own = append(own, h.Upstream)
+				} else {
+					other = append(other, h.Upstream)
+				}
+			}
+		})
+	})
+	return append(own, other...)
+}
+
 // order has the owner of an upstream load the model.
 func (w *Waker) order(ctx context.Context, upstream string, q Request) error {
 	return w.Ensure(ctx, owner.Request{Upstream: upstream, Model: q.Model, Version: q.Version, Class: q.Class, Deadline: q.Deadline})
