cmd/azurespan: publish compact JSON and call only the named address

Cause: a printed configuration is indented, which each daemon keeps and each reader of the log fetches; the default HTTP client follows redirects and proxy variables, which could carry the shared secret elsewhere.

Ruled out: printing configurations without indentation, because operators read and compare them.

Change: publish drops white space; the client has no proxy and follows no redirect.

--- a/cmd/azurespan/command.go
+++ b/cmd/azurespan/command.go
@@ -46,6 +46,13 @@
 	outcome interface{ text(w io.Writer) }
 )
 
+// direct calls the address that the operator named: no proxy of the process's
+// environment and no redirect may carry the secret elsewhere.
+var direct = &http.Client{
+	Transport:     &http.Transport{},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
 const exitCodes = "Exit codes: 0 ok, 1 refused or problem found, 2 usage, 3 unreachable, 4 internal."
 
 // parse reads the command line. On a wrong one it prints help and returns the
@@ -172,9 +179,9 @@
 	case "check":
 		return check(o, env.in)
 	case "publish":
-		return publishCommand(ctx, o, env, func(base string) controlLog { return &httpLog{base: base, client: http.DefaultClient} })
+		return publishCommand(ctx, o, env, func(base string) controlLog { return &httpLog{base: base, client: direct} })
 	case "status", "explain":
-		return adminCommand(ctx, o, http.DefaultClient)
+		return adminCommand(ctx, o, direct)
 	case "replay":
 		if o.trace == "" {
 			return nil, &usageError{detail: "replay needs a --trace file"}
--- a/cmd/azurespan/publish.go
+++ b/cmd/azurespan/publish.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -114,6 +116,11 @@
 	if len(problems) > 0 {
 		return &checked{Problems: problems}, &refusedError{detail: "the configuration is not valid; nothing was published"}
 	}
+	// Daemons keep and log readers fetch the text, so white space is dropped.
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, text); err != nil {
+		return nil, err
+	}
 	id := o.publication
 	if id == "" {
 		u, err := ulid.New(ulid.Timestamp(env.now()), env.entropy)
@@ -126,7 +133,7 @@
 	}
 	p := &publisher{
 		log: dial(base), tried: o.publication != "", pause: sleep,
-		record: record.Publish{Publication: id, Operator: o.operator, Replaces: replaces, Config: text},
+		record: record.Publish{Publication: id, Operator: o.operator, Replaces: replaces, Config: compact.Bytes()},
 	}
 	result, err := p.publish(ctx)
 	switch {
