setup: drop the daemon's own address from its peers

Cause: all hosts share one list of peer addresses, so each daemon found its own address among its peers and would have contacted itself. The time limit of azurespan also applied to replay, which has no flag to raise it.

Ruled out: reporting the own address as a fault, because the list would then differ from host to host.

Change: Parse removes the daemon's own peer address. The time limit applies to publish, status and explain only.

Conclusion: the example settings give each daemon three peers of four.

--- a/cmd/azurespan/command.go
+++ b/cmd/azurespan/command.go
@@ -151,7 +151,8 @@
 	if done {
 		return code
 	}
-	if o.command != "serve" {
+	switch o.command {
+	case "publish", "status", "explain":
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, o.timeout)
 		defer cancel()
--- a/internal/base/setup/parse.go
+++ b/internal/base/setup/parse.go
@@ -106,6 +106,7 @@
 		return true
 	}
 	p.listeners()
+	p.skipSelf()
 	switch {
 	case s.Secret.SharedSecret != "" && s.Secret.SharedSecretFile != "":
 		p.clash("secret", "shared-secret-file", "shared-secret is set as well", "one of both keys")
@@ -147,6 +148,20 @@
 	}
 }
 
+// skipSelf drops the daemon's own peer address from the peers, so that all
+// hosts can share one list.
+func (p *parser) skipSelf() {
+	s := &p.settings
+	own, err := netip.ParseAddrPort(s.Daemon.PeerAddress)
+	if err != nil {
+		return
+	}
+	s.Peers.Addresses = slices.DeleteFunc(s.Peers.Addresses, func(v string) bool {
+		a, err := netip.ParseAddrPort(v)
+		return err == nil && a == own
+	})
+}
+
 func (p *parser) files(prefix, certificate, key, ca string) {
 	if certificate != "" && key == "" {
 		p.clash("tls", prefix+"-certificate", prefix+"-key is not set", "both keys or none")
--- a/internal/base/setup/settings.go
+++ b/internal/base/setup/settings.go
@@ -28,7 +28,7 @@
 
 	// Peers names daemons to contact first.
 	Peers struct {
-		// Addresses are peer addresses; the daemon's own may be among them.
+		// Addresses are peer addresses without the daemon's own.
 		Addresses []string
 	}
 
--- a/internal/base/setup/setup_test.go
+++ b/internal/base/setup/setup_test.go
@@ -167,12 +167,14 @@
 	must.Len(t, 1, setup.Problems(err))
 }
 
-// TestExamples guards against example settings that a daemon would refuse.
+// TestExamples guards against example settings that a daemon would refuse,
+// and against a daemon that contacts itself as a peer.
 func TestExamples(t *testing.T) {
 	for _, name := range []string{"cooperative", "kawabata"} {
 		s, err := setup.Load("../../../examples/" + name + "/azurespan.ini")
 		must.NoError(t, err)
-		must.Len(t, 4, s.Peers.Addresses)
+		must.Len(t, 3, s.Peers.Addresses)
+		must.SliceNotContains(t, s.Peers.Addresses, s.Daemon.PeerAddress)
 	}
 }
 
