front, broker: refusals for kept answers and changing owners

Cause: two fault kinds were missing on the refusals page, and a caller could meet not-owner, which names an internal state. Ruled out: leaving not-owner to callers; they can do nothing with it. Change: both kinds are listed; not-owner becomes upstream-unavailable. Conclusion: the page is complete again.

--- a/internal/node/broker/complete.go
+++ b/internal/node/broker/complete.go
@@ -123,13 +123,16 @@
 	if f.Run == "" || f.Run == fault.RunNo {
 		f = f.WithRun(a.run())
 	}
+	if f.Kind == fault.NotOwner {
+		f = fault.New(fault.UpstreamUnavailable, "%s", f.Detail).WithRun(f.Run)
+	}
 	if f.RetryAfter == 0 {
 		switch f.Kind {
 		case fault.LogUnavailable:
 			f = f.WithRetry(a.b.jitter(logRetry))
 		case fault.ReplicaElsewhere:
 			f = f.WithRetry(a.b.jitter(elsewhereRetry))
-		case fault.DeadlineUnreachable, fault.NoCapacity, fault.UpstreamUnavailable, fault.NotOwner:
+		case fault.DeadlineUnreachable, fault.NoCapacity, fault.UpstreamUnavailable:
 			f = f.WithRetry(a.b.jitter(5 * time.Second))
 		}
 	}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -16,7 +16,7 @@
 	// Log is the part of the log client that a Follower needs.
 	Log interface {
 		Append(ctx context.Context, stream string, data ...[]byte) (first uint64, timeMS int64, err error)
-		Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (stream.Page, error)
+		Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (stream.Page, error)
 	}
 
 	// Peers is how a Follower reaches other daemons.
--- a/internal/node/front/refusal.go
+++ b/internal/node/front/refusal.go
@@ -42,6 +42,8 @@
 	{fault.KeyMismatch, "Key mismatch", "no", "The key was used for a different request.", "Use a new key for a new call."},
 	{fault.KeyInProgress, "Key in progress", "yes, unknown", "A call with this key is running.", "Retry with the same key after the given time."},
 	{fault.OutcomeUnknown, "Outcome unknown", "unknown", "A call with this key was started and its end is not known; it is never run again.", "Find out from the service whether the call took effect."},
+	{fault.AnswerNotKept, "Answer not kept", "yes", "A call with this key was run; its answer was longer than the 1 KiB that is kept.", "Take the call as done; read its result from the service."},
+	{fault.NotOwner, "Owner changing", "no", "The upstream or the key's partition is changing its owner. Callers meet it only inside another refusal's detail.", "Retry after the given time."},
 	{fault.Draining, "Draining", "no", "The daemon is shutting down.", "Retry at another daemon."},
 	{fault.NotReady, "Not ready", "no", "The daemon has no configuration yet.", "Retry after the given time, or at another daemon."},
 	{fault.VersionConflict, "Version conflict", "no", "Another configuration was published first.", "Operators only: publish again on top of the accepted version."},
