follow: smaller pages after an answer above the bound, tests

Cause: a page of 256 records with large configurations exceeds the client's bound of 8 MiB, and the follower would ask for the same page for ever. A rate limit on an append was reported as a log outage. Ruled out: a larger bound, which only moves the size at which it happens. Change: the page size is halved after a bad answer; an append waits out a rate limit. The command line uses the shared log client instead of its own.

--- a/cmd/azurespan/command.go
+++ b/cmd/azurespan/command.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/azurespan/azurespan/internal/base/setup"
+	"github.com/azurespan/azurespan/internal/link/stream"
 )
 
 type (
@@ -180,7 +181,7 @@
 	case "check":
 		return check(o, env.in)
 	case "publish":
-		return publishCommand(ctx, o, env, func(base string) controlLog { return &httpLog{base: base, client: direct} })
+		return publishCommand(ctx, o, env, func(base string) controlLog { return stream.New(base, direct) })
 	case "status", "explain":
 		return adminCommand(ctx, o, direct)
 	case "replay":
--- a/cmd/azurespan/control.go
+++ b/cmd/azurespan/control.go
@@ -7,14 +7,15 @@
 
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
+	"github.com/azurespan/azurespan/internal/link/stream"
 )
 
 type (
 	// controlLog is what this command needs of the log service. Offsets start
-	// at 1. A failed call returns a *logError.
+	// at 1. A failed call returns a *stream.Error.
 	controlLog interface {
 		Append(ctx context.Context, stream string, data ...[]byte) (first uint64, timeMS int64, err error)
-		Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logPage, error)
+		Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (stream.Page, error)
 	}
 
 	// folder folds the control stream as the daemons do, and keeps what
@@ -25,7 +26,7 @@
 		next   uint64
 		// pending holds records since the oldest retained one while no
 		// snapshot was found that covers the dropped records before it.
-		pending []logRecord
+		pending []stream.Record
 		dropped uint64
 		// gaps counts how often records were dropped before they were read.
 		gaps  int
@@ -101,14 +102,14 @@
 	}
 }
 
-func (f *folder) read(ctx context.Context) (logPage, error) {
+func (f *folder) read(ctx context.Context) (stream.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return f.log.Read(ctx, controlStream, f.next, pageRecords, 0)
 }
 
 // apply folds one record, or keeps it until a snapshot is found.
-func (f *folder) apply(r logRecord) {
+func (f *folder) apply(r stream.Record) {
 	decoded, err := record.Decode(r.Data)
 	if f.dropped > 0 {
 		f.pending = append(f.pending, r)
--- a/cmd/azurespan/publish_test.go
+++ b/cmd/azurespan/publish_test.go
@@ -18,13 +18,14 @@
 
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
+	"github.com/azurespan/azurespan/internal/link/stream"
 )
 
 // fakeLog is a log service with one stream, whose appends can fail.
 type fakeLog struct {
 	mu      sync.Mutex
 	oldest  uint64
-	records []logRecord
+	records []stream.Record
 	// onAppend is called before each append; it says how the append fails.
 	onAppend func(n int) failure
 	appends  int
@@ -56,7 +57,7 @@
 	if n := len(f.records); n > 0 {
 		next = f.records[n-1].Offset + 1
 	}
-	f.records = append(f.records, logRecord{Offset: next, Data: b})
+	f.records = append(f.records, stream.Record{Offset: next, Data: b})
 	return next
 }
 
@@ -74,7 +75,7 @@
 	f.reads++
 	from, _ := strconv.ParseUint(r.FormValue("from"), 10, 64)
 	most, _ := strconv.Atoi(r.FormValue("max"))
-	p := logPage{Oldest: max(f.oldest, 1), End: 1}
+	p := stream.Page{Oldest: max(f.oldest, 1), End: 1}
 	for _, rec := range f.records {
 		p.End = rec.Offset + 1
 		if rec.Offset >= max(from, p.Oldest) && len(p.Records) < most {
@@ -123,7 +124,7 @@
 	s := httptest.NewServer(f)
 	t.Cleanup(s.Close)
 	return &publisher{
-		log:    &httpLog{base: s.URL, client: s.Client()},
+		log:    stream.New(s.URL, s.Client()),
 		record: record.Publish{Publication: "mine", Operator: "haneul", Replaces: replaces, Config: []byte(config)},
 		pause: func(context.Context, time.Duration) error {
 			if pauses--; pauses < 0 {
--- a/internal/node/follow/append.go
+++ b/internal/node/follow/append.go
@@ -31,11 +31,18 @@
 			return f.await(ctx, first)
 		}
 		var se *stream.Error
-		if !errors.As(err, &se) || !se.Ambiguous || ctx.Err() != nil {
+		if !errors.As(err, &se) || ctx.Err() != nil {
+			return ledger.Outcome{}, unavailable(err)
+		}
+		switch {
+		case se.Kind == stream.RateLimited:
+			sleep(ctx, max(se.RetryAfter, f.set.Retry))
+		case se.Ambiguous:
+			event.AppendAmbiguous.Log("record", record.TypeOf(r), "err", err)
+			sleep(ctx, f.set.Retry)
+		default:
 			return ledger.Outcome{}, unavailable(err)
 		}
-		event.AppendAmbiguous.Log("record", record.TypeOf(r), "err", err)
-		sleep(ctx, f.set.Retry)
 	}
 }
 
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -139,12 +140,20 @@
 
 // Run follows the stream until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	limit := pageMax
 	for ctx.Err() == nil {
 		from, wait := f.next()
-		page, err := f.log.Read(ctx, Stream, from, pageMax, wait)
+		page, err := f.log.Read(ctx, Stream, from, limit, wait)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if n := pageLimit(limit, err); n < limit {
+			limit = n
+			continue
+		}
+		if err == nil {
+			limit = pageMax
+		}
 		f.setLogUp(err == nil, err)
 		if err == nil && page.Oldest > from {
 			err = f.restart(ctx, page)
@@ -165,6 +174,16 @@
 	return nil
 }
 
+// pageLimit returns the number of records to read next. A page with large
+// records can exceed the client's bound on answers; fewer records then fit.
+func pageLimit(limit int, err error) int {
+	var se *stream.Error
+	if errors.As(err, &se) && se.Kind == stream.BadAnswer && limit > 1 {
+		return limit / 2
+	}
+	return limit
+}
+
 // next returns the offset to read from and how long a read may wait: not at
 // all until the end of the stream has been reached once.
 func (f *Follower) next() (from uint64, wait time.Duration) {
