owner, broker, claim: close races of resignation, crash evidence, resend

Cause: (1) an order could start between the check of the ownership and the acknowledgement of its loss; (2) an order could start while a resignation was being appended; (3) a daemon cut off from an engine took the cut for a crash and made innocent requests suspects; (4) a resend right after the answer met key-in-progress, because the answer was recorded after it was sent (seen in the demo); (5) the grants of an ended engine process blocked other upstreams; (6) with port 0 a new process does not prove that the earlier one has ended. Ruled out: a lock around log calls, which would stop all loads in an outage. Change: orders count as in flight before the check; a resigning upstream takes no orders; a crash needs a refused connection or another incarnation; Done waits up to 500 ms for its record; grants of refused engines are released; earlier processes are acknowledged only with a fixed peer port.

--- a/internal/node/broker/answer.go
+++ b/internal/node/broker/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
@@ -165,10 +166,10 @@
 	r, err := a.b.eng.Report(c, address)
 	cancel()
 	now := time.Now()
-	if err == nil && (a.incarnation == "" || incarnation(r) == a.incarnation) {
-		return false
-	}
-	if ctx.Err() != nil {
+	// An engine that can't be reached may only be cut off. It has crashed if
+	// nothing listens on its address or another process does.
+	crashed := errors.Is(err, syscall.ECONNREFUSED) || err == nil && a.incarnation != "" && incarnation(r) != a.incarnation
+	if !crashed {
 		return false
 	}
 	b, fp := a.b, fingerprint(&a.r)
--- a/internal/node/claim/claim.go
+++ b/internal/node/claim/claim.go
@@ -55,6 +55,8 @@
 	// reportFor bounds how long the end of a call is reported; after that the
 	// key's outcome stays unknown.
 	reportFor = 30 * time.Second
+	// doneWait bounds how long an answer is held until it is recorded.
+	doneWait = 500 * time.Millisecond
 )
 
 // New returns a Client of the daemon self.
@@ -157,17 +159,27 @@
 	return a, ok
 }
 
-// Done records the answer of a run, in the background. If it can't be recorded
-// within 30 s, the outcome stays unknown to a caller that sends the call again.
+// Done records the answer of a run. It waits up to 500 ms, so that a caller
+// which sends the call again after its answer gets the same one; the record is
+// tried for 30 s in the background. After that the outcome stays unknown to a
+// caller that sends the call again.
 func (c *Client) Done(call flow.Call, answer flow.Answer) {
 	a, ok := c.take(call.ID)
 	if !ok {
 		return
 	}
 	args := keeper.DoneArgs{Key: a.Key, ID: a.ID, Answer: claims.Store(answer.Status, answer.ContentType, answer.Body)}
+	done := make(chan struct{})
 	c.background(func(ctx context.Context) error {
+		defer close(done)
 		return c.tell(ctx, a.Key, "Done", args, func() error { return c.own.Done(ctx, time.Now(), args) })
 	})
+	t := time.NewTimer(doneWait)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	}
 }
 
 // Withdraw gives back the claim of a call that did not run, in the background.
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -105,6 +105,7 @@
 	eng := engine.New(nil)
 	d.owner = owner.New(now, owner.Settings{
 		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
+		SoleProcess: fixedPort(s.Daemon.PeerAddress),
 	}, d.follow, eng, d.gossip, newPacer(), newIdle(d.follow), observer{d})
 	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain}, d.follow, d.gossip, d.client, d.owner)
 	d.keeper = keeper.New(keeper.Settings{
@@ -148,6 +149,12 @@
 	return nil
 }
 
+// fixedPort reports whether the system does not choose the port.
+func fixedPort(address string) bool {
+	_, port, err := net.SplitHostPort(address)
+	return err == nil && port != "0"
+}
+
 // Addresses returns where d listens.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{Caller: d.callers.Addr().String(), Peer: d.peers.Addr().String(), Admin: d.admin.Addr().String()}
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -276,6 +276,9 @@
 	// The order is sent even if the replica seems unloaded, because a report
 	// may not show yet what a former owner loaded.
 	err := o.order(ctx, k, engine.Order{Kind: engine.Unload, Model: k.Model, Version: k.Version})
+	if err != nil && o.noProcess(k.Upstream) {
+		err = nil
+	}
 	now := time.Now()
 	o.mu.Lock()
 	rep.hidden = false
@@ -298,6 +301,14 @@
 	return o.release(ctx, k)
 }
 
+// noProcess reports whether no engine process listens on the upstream's
+// address. A process that starts there later has nothing loaded.
+func (o *Owner) noProcess(upstream string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.unit(upstream).refused >= o.set.DeadAfter
+}
+
 // release withdraws the grant of an unloaded replica.
 func (o *Owner) release(ctx context.Context, k ledger.Key) error {
 	epoch, _, ok := o.owned(k.Upstream)
@@ -325,22 +336,27 @@
 // is sent again under the same identifier, which joins the first one, until
 // ctx ends, because its effect must be known before the grant moves.
 func (o *Owner) order(ctx context.Context, k ledger.Key, od engine.Order) error {
-	epoch, d, ok := o.owned(k.Upstream)
-	if !ok {
-		return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
-	}
+	// The order counts as in flight before the ownership is checked. Otherwise
+	// the loss could be acknowledged between the check and the order.
 	o.mu.Lock()
 	u := o.unit(k.Upstream)
-	u.sequence++
 	u.inFlight++
-	od.Fencing, od.Sequence = epoch, u.sequence
-	od.ID = fmt.Sprintf("%s-%d-%d", o.set.Self, epoch, u.sequence)
+	resigning := u.resigning
 	o.mu.Unlock()
 	defer func() {
 		o.mu.Lock()
 		u.inFlight--
 		o.mu.Unlock()
 	}()
+	epoch, d, ok := o.owned(k.Upstream)
+	if !ok || resigning {
+		return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
+	}
+	o.mu.Lock()
+	u.sequence++
+	od.Fencing, od.Sequence = epoch, u.sequence
+	od.ID = fmt.Sprintf("%s-%d-%d", o.set.Self, epoch, u.sequence)
+	o.mu.Unlock()
 	event.OrderSent.Log("upstream", k.Upstream, "kind", string(od.Kind), "model", k.Model, "version", k.Version, "adapter", od.Adapter, "epoch", epoch, "sequence", od.Sequence)
 	for {
 		err := o.eng.Order(ctx, d.Address, od)
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -62,6 +62,9 @@
 		DeadAfter int
 		// LoadTimeout bounds one load order; default 5 min.
 		LoadTimeout time.Duration
+		// SoleProcess states that the peer address has a fixed port, so that an
+		// earlier process on this host has ended once this one listens.
+		SoleProcess bool
 		// Settle is the time after start before ownership is taken from a
 		// daemon that was never heard of; default 5 s.
 		Settle time.Duration
@@ -114,6 +117,13 @@
 		report   engine.Report
 		failures int
 		status   member.Status
+		// refused counts polls in a row whose connection was refused: no
+		// engine process listens there.
+		refused int
+		// resigning is set from the decision to give up the ownership until
+		// the control stream shows it. No order is sent meanwhile, because
+		// the record may take effect at any time.
+		resigning bool
 		// misplaced is since when another daemon is assigned.
 		misplaced time.Time
 		busy      bool
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
@@ -58,6 +59,10 @@
 	o.mu.Lock()
 	u := o.unit(d.Name)
 	if err != nil {
+		u.refused++
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			u.refused = 0
+		}
 		if u.failures++; u.failures < o.set.DeadAfter {
 			o.mu.Unlock()
 			return
@@ -81,7 +86,7 @@
 // an order that ended less than ReportLag ago, unless the engine restarted.
 func (o *Owner) merge(now time.Time, u *unit, r engine.Report) {
 	restarted := u.report.Incarnation != r.Incarnation
-	u.failures = 0
+	u.failures, u.refused = 0, 0
 	u.status = member.Alive
 	if r.Leaving {
 		u.status = member.Leaving
@@ -91,6 +96,10 @@
 		k := ledger.Key{Upstream: u.name, Model: m.Model, Version: m.Version}
 		rep := u.replica(now, k)
 		seen[k] = true
+		if rep.streams = m.Streams; rep.streams > 0 {
+			rep.idleSince = now
+			o.idle.Used(now, k)
+		}
 		if !restarted && now.Sub(rep.changed) < o.set.ReportLag {
 			continue
 		}
@@ -109,10 +118,6 @@
 				delete(rep.adapters, a)
 			}
 		}
-		if rep.streams = m.Streams; rep.streams > 0 {
-			rep.idleSince = now
-			o.idle.Used(now, k)
-		}
 	}
 	for k, rep := range u.replicas {
 		if !seen[k] && (restarted || now.Sub(rep.changed) >= o.set.ReportLag) {
@@ -182,11 +187,17 @@
 	o.ctl.View(func(l *ledger.Ledger) {
 		for _, u := range o.units {
 			own, ok := l.Owner(u.name)
-			if !ok || own.Daemon != o.set.Self || own.Resigned || u.busy || u.status == member.Dead {
+			if !ok || own.Daemon != o.set.Self || own.Resigned || u.busy {
+				continue
+			}
+			noProcess := u.refused >= o.set.DeadAfter
+			if u.status == member.Dead && !noProcess {
 				continue
 			}
 			for _, k := range l.GrantsOf(nil, u.name) {
-				surplus := l.Surplus(k)
+				// What an ended process had loaded is gone, and another
+				// upstream may need the grant.
+				surplus := noProcess || l.Surplus(k)
 				m := l.Config().Model(k.Model)
 				rep := u.replicas[k]
 				idle := rep != nil && rep.loaded && rep.streams == 0 && u.loads[k] == nil
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -20,7 +20,6 @@
 type plan struct {
 	record   record.Record
 	upstream string
-	resign   bool
 }
 
 // roster is what is known about the daemons at one time. It is taken before
@@ -108,11 +107,12 @@
 	}
 	mine := has && own.Daemon == o.set.Self && !own.Resigned
 	assigned := ros.assigned(d)
+	u.resigning = u.resigning && mine
 	switch {
-	case mine && (o.leaving || o.handOver(now, u, assigned)):
+	case mine && (o.leaving || u.resigning || o.handOver(now, u, assigned)):
 		if u.inFlight == 0 {
-			u.misplaced = time.Time{}
-			out = append(out, plan{upstream: d.Name, resign: true, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: o.set.Self, Epoch: own.Epoch}})
+			u.misplaced, u.resigning = time.Time{}, true
+			out = append(out, plan{upstream: d.Name, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: o.set.Self, Epoch: own.Epoch}})
 		}
 	case mine || o.leaving || assigned != o.set.Self:
 	case !has || own.Resigned, o.replaced(own.Daemon), o.gone(now, own.Daemon, ros):
@@ -134,10 +134,10 @@
 }
 
 // replaced reports whether daemon is an earlier process on this host. This
-// process listens on the host's peer address, so the earlier one has ended and
-// sends no more orders.
+// process listens on the host's fixed peer address, so the earlier one has
+// ended and sends no more orders.
 func (o *Owner) replaced(daemon string) bool {
-	return daemon != o.set.Self && ledger.HostOf(daemon) == ledger.HostOf(o.set.Self)
+	return o.set.SoleProcess && daemon != o.set.Self && ledger.HostOf(daemon) == ledger.HostOf(o.set.Self)
 }
 
 // gone reports whether an owner counts as dead. A daemon that was never heard
