--- a/internal/core/claims/query.go
+++ b/internal/core/claims/query.go
@@ -69,3 +69,17 @@
 		return Unknown{ID: e.id}
 	}
 }
+
+// Holds returns Accepted if the claim id holds k without an answer,
+// AlreadyDone if it holds k with one, and NotHolder otherwise.
+func (f *Fold) Holds(k Key, id ID) Reason {
+	e, ok := f.keys[k]
+	switch {
+	case !ok || e.id != id:
+		return NotHolder
+	case e.done != nil:
+		return AlreadyDone
+	default:
+		return Accepted
+	}
+}
