--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -16,10 +16,10 @@
 	DefaultPollWait      = 10 * time.Second
 	DefaultAppendTimeout = 5 * time.Second
 	DefaultBatch         = 256
-	DefaultBackoffMin    = 20 * time.Millisecond
-	DefaultBackoffMax    = time.Second
-	DefaultRetakeMin     = time.Second
-	DefaultRetakeMax     = 30 * time.Second
+	DefaultBackoffLow    = 20 * time.Millisecond
+	DefaultBackoffHigh   = time.Second
+	DefaultRetakeLow     = time.Second
+	DefaultRetakeHigh    = 30 * time.Second
 )
 
 type (
@@ -34,13 +34,13 @@
 		AppendTimeout time.Duration
 		// Batch is the largest number of records in one log record.
 		Batch int
-		// BackoffMin and BackoffMax bound the pause after a failed log
+		// BackoffLow and BackoffHigh bound the pause after a failed log
 		// call, which doubles and has jitter.
-		BackoffMin, BackoffMax time.Duration
-		// RetakeMin and RetakeMax bound the pause before a partition that
+		BackoffLow, BackoffHigh time.Duration
+		// RetakeLow and RetakeHigh bound the pause before a partition that
 		// another daemon took is taken again; it doubles at each loss until
 		// the assignment changes.
-		RetakeMin, RetakeMax time.Duration
+		RetakeLow, RetakeHigh time.Duration
 	}
 
 	// Keeper owns claims partitions. Its methods are safe for concurrent
@@ -73,17 +73,17 @@
 	if s.Batch <= 0 {
 		s.Batch = DefaultBatch
 	}
-	if s.BackoffMin <= 0 {
-		s.BackoffMin = DefaultBackoffMin
+	if s.BackoffLow <= 0 {
+		s.BackoffLow = DefaultBackoffLow
 	}
-	if s.BackoffMax <= 0 {
-		s.BackoffMax = DefaultBackoffMax
+	if s.BackoffHigh <= 0 {
+		s.BackoffHigh = DefaultBackoffHigh
 	}
-	if s.RetakeMin <= 0 {
-		s.RetakeMin = DefaultRetakeMin
+	if s.RetakeLow <= 0 {
+		s.RetakeLow = DefaultRetakeLow
 	}
-	if s.RetakeMax <= 0 {
-		s.RetakeMax = DefaultRetakeMax
+	if s.RetakeHigh <= 0 {
+		s.RetakeHigh = DefaultRetakeHigh
 	}
 	return &Keeper{set: s, log: log, random: random}
 }
--- a/internal/node/keeper/log.go
+++ b/internal/node/keeper/log.go
@@ -12,10 +12,10 @@
 		// the log time. A *NotAppended error states that no record took
 		// effect; after any other error they may have, or may later.
 		Append(ctx context.Context, stream string, data ...[]byte) (first uint64, timeMS int64, err error)
-		// Read returns at most max records from offset from on. If there is
+		// Read returns at most limit records from offset from on. If there is
 		// none it waits up to wait. If from was dropped, the page starts at
 		// the oldest retained record.
-		Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (Page, error)
+		Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error)
 	}
 
 	// Page is the answer to a Read.
--- a/internal/node/keeper/part.go
+++ b/internal/node/keeper/part.go
@@ -251,7 +251,7 @@
 	r := c.record.(claims.Claim)
 	p.refused[r.ID] = struct{}{}
 	event.ClaimAbandoned.Log("stream", p.stream, "key", r.Key, "claim", r.ID, "daemon", c.daemon)
-	_ = (&call{record: claims.Withdraw{Key: r.Key, ID: r.ID}, done: make(chan struct{})})
+	p.enqueue(&call{record: claims.Withdraw{Key: r.Key, ID: r.ID}, done: make(chan struct{})})
 }
 
 // report queues a done record.
