gate: queue by class before busy replicas

Cause: requests went to engines however long their queues were; nothing was refused for its deadline until it had waited, and background requests filled the engines' queues. Ruled out: leaving it to the engines' priorities, which can't refuse early. Change: a queue (package admit) before the replicas of each model; another replica is requested only if the backlog justifies it (place.Justified).

--- a/internal/node/broker/answer.go
+++ b/internal/node/broker/answer.go
@@ -24,6 +24,8 @@
 	r      flow.Request
 	began  time.Time
 	stream flow.Stream
+	// entered tells the queue that the request has been sent or given up.
+	entered func()
 
 	upstream    string
 	address     string
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,8 +16,10 @@
 	"github.com/azurespan/azurespan/internal/link/engine"
 	"github.com/azurespan/azurespan/internal/link/rest"
 	"github.com/azurespan/azurespan/internal/node/flow"
+	"github.com/azurespan/azurespan/internal/node/gate"
 	"github.com/azurespan/azurespan/internal/node/owner"
 	"github.com/azurespan/azurespan/internal/node/waker"
+	"github.com/azurespan/azurespan/internal/rule/admit"
 	"github.com/azurespan/azurespan/internal/rule/retry"
 	"github.com/azurespan/azurespan/internal/rule/route"
 )
@@ -63,6 +66,8 @@
 	Observer interface {
 		// Decided records a decision about a request.
 		Decided(now time.Time, request, model, what, upstream, why string)
+		// Queued records how long a request waited for a free sequence.
+		Queued(class declare.Class, wait time.Duration)
 		// Cold records that a request waited for a load.
 		Cold(class declare.Class, wait time.Duration)
 	}
@@ -80,6 +85,9 @@
 		// QuarantineFor is the time that a request which crashes upstreams
 		// is refused; default 10 min.
 		QuarantineFor time.Duration
+		// Queue bounds the requests that wait for a free sequence; default
+		// 1,024.
+		Queue int
 	}
 
 	// Broker serves requests. It is safe for concurrent use.
@@ -102,6 +110,7 @@
 		budget   *retry.Budget
 		// running counts the crash suspects on each upstream.
 		running map[string]int
+		gate    *gate.Gate
 		// growing holds the models for which another replica is requested.
 		growing  map[string]bool
 		version  uint64
@@ -120,7 +129,7 @@
 	if s.MaxAnswerBytes == 0 {
 		s.MaxAnswerBytes = 4 << 20
 	}
-	return &Broker{
+	b := &Broker{
 		set: s, ctl: ctl, facts: f, waker: w, eng: e, claims: c, obs: obs, http: rest.Client(hc),
 		policy: retry.New(retry.Policy{}), rng: rng,
 		models:   route.New(route.Settings{FailureDomain: s.FailureDomain}),
@@ -129,6 +138,20 @@
 		budget:   retry.NewBudget(0.2, 10, 100),
 		running:  map[string]int{}, growing: map[string]bool{}, declared: map[string]bool{},
 	}
+	b.gate = gate.New(admit.Settings{Length: s.Queue}, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())), b.capacity)
+	return b
+}
+
+// Run serves the queue until ctx ends.
+func (b *Broker) Run(ctx context.Context) error { return b.gate.Run(ctx) }
+
+// capacity returns what serves a model, given as model@version.
+func (b *Broker) capacity(_ time.Time, model string) gate.Capacity {
+	name, version, _ := strings.Cut(model, "@")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sequences, free, replicas := b.models.Capacity(name, version)
+	return gate.Capacity{Sequences: sequences, Free: free, Loaded: replicas > 0}
 }
 
 // Config returns the configuration in force, nil before the first.
--- a/internal/node/broker/complete.go
+++ b/internal/node/broker/complete.go
@@ -9,12 +9,15 @@
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/engine"
 	"github.com/azurespan/azurespan/internal/node/flow"
+	"github.com/azurespan/azurespan/internal/node/gate"
 	"github.com/azurespan/azurespan/internal/node/owner"
 	"github.com/azurespan/azurespan/internal/node/waker"
+	"github.com/azurespan/azurespan/internal/rule/place"
 	"github.com/azurespan/azurespan/internal/rule/route"
 )
 
@@ -23,6 +26,10 @@
 	// up to waitMax.
 	waitBase = 100 * time.Millisecond
 	waitMax  = 2 * time.Second
+	// growService and growLoad are the service and load times assumed for the
+	// question whether another replica is worthwhile.
+	growService = 4 * time.Second
+	growLoad    = 3 * time.Second
 	// logRetry is the retry delay given while the log is down.
 	logRetry = 10 * time.Second
 	// elsewhereRetry is the retry delay for a replica in a failure domain
@@ -48,12 +55,37 @@
 	b.budget.Request()
 	b.mu.Unlock()
 	a := &answer{b: b, r: r, began: now}
+	if err := a.enter(ctx); err != nil {
+		return nil, a.refuse(err)
+	}
+	defer a.entered()
 	if err := a.open(ctx); err != nil {
 		return nil, err
 	}
 	return a, nil
 }
 
+// enter waits for a free sequence if all replicas are busy, and asks for
+// another replica if that is worthwhile.
+func (a *answer) enter(ctx context.Context) error {
+	b, now := a.b, time.Now()
+	ctx, cancel := context.WithDeadline(ctx, a.r.Deadline)
+	defer cancel()
+	if c := b.capacity(now, a.lane()); c.Loaded && c.Free <= 0 {
+		b.grow(&a.r, c)
+	}
+	sent, err := b.gate.Enter(ctx, now, gate.Request{Model: a.lane(), Class: a.r.Class, Deadline: a.r.Deadline})
+	if err != nil {
+		return err
+	}
+	a.entered = sent
+	b.obs.Queued(a.r.Class, time.Since(now))
+	return nil
+}
+
+// lane is the queue in which the request waits.
+func (a *answer) lane() string { return a.r.Model + "@" + a.r.Version }
+
 // open finds a replica for the rest of the answer and opens the stream there.
 func (a *answer) open(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, a.r.Deadline)
@@ -167,8 +199,6 @@
 		b.obs.Cold(r.Class, time.Since(now))
 		b.obs.Decided(time.Now(), r.ID, r.Model, "woken", up, string(c.Reason))
 		c = route.Choice{Upstream: up, Reason: "woken", AdapterLoad: r.Adapter != ""}
-	} else if c.Free <= 0 {
-		b.grow(r)
 	}
 	event.Routed.Log("request", r.ID, "model", r.Model, "version", r.Version, "adapter", r.Adapter, "upstream", c.Upstream,
 		"class", string(r.Class), "reason", string(c.Reason), "wait", c.Wait.String(), "free", c.Free,
@@ -207,6 +237,9 @@
 		b.running[upstream]++
 	}
 	b.mu.Unlock()
+	if a.entered != nil {
+		a.entered()
+	}
 	s, err := b.eng.Open(ctx, upstream, d.Address, a.r)
 	if err != nil {
 		a.left(upstream, false)
@@ -249,12 +282,13 @@
 // left records that the request no longer runs on an upstream.
 func (a *answer) left(upstream string, finished bool) {
 	b, now := a.b, time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	var latency, service time.Duration
 	if finished {
 		latency, service = a.firstAt.Sub(a.sentAt), now.Sub(a.sentAt)
 	}
+	defer func() { b.gate.Done(now, a.lane(), service) }()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.models.Done(now, upstream, a.r.Model, a.r.Version, latency, service)
 	if a.suspect {
 		if b.running[upstream]--; b.running[upstream] <= 0 {
@@ -263,9 +297,23 @@
 	}
 }
 
-// grow asks for another replica in the background, because those loaded have
-// no free sequence.
-func (b *Broker) grow(r *flow.Request) {
+// grow asks for another replica in the background if the waiting requests
+// justify one.
+func (b *Broker) grow(r *flow.Request, c gate.Capacity) {
+	x := b.Config()
+	m := x.Model(r.Model)
+	if m == nil {
+		return
+	}
+	granted := 0
+	b.ctl.View(func(l *ledger.Ledger) { granted = l.Replicas(r.Model) })
+	justified := place.Justified(place.Backlog{
+		Waiting: b.gate.Waiting(r.Model+"@"+r.Version) + c.Sequences + 1, Service: growService, Sequences: max(c.Sequences/max(granted, 1), 1),
+		Load: growLoad, Limit: m.Replicas, ColdStartWeight: x.Deployment.ColdStartWeight,
+	})
+	if justified <= granted {
+		return
+	}
 	b.mu.Lock()
 	busy := b.growing[r.Model]
 	b.growing[r.Model] = true
@@ -273,13 +321,14 @@
 	if busy {
 		return
 	}
+	q := waker.Request{Model: r.Model, Version: r.Version, Class: r.Class, Deadline: r.Deadline, Extra: true}
 	go func() {
-		ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+		ctx, cancel := context.WithDeadline(context.Background(), q.Deadline)
 		defer cancel()
 		// A refusal means that the loaded replicas have to do.
-		_, _ = b.waker.Wake(ctx, waker.Request{Model: r.Model, Version: r.Version, Class: r.Class, Deadline: r.Deadline, Extra: true})
+		_, _ = b.waker.Wake(ctx, q)
 		b.mu.Lock()
-		delete(b.growing, r.Model)
+		delete(b.growing, q.Model)
 		b.mu.Unlock()
 	}()
 }
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -112,7 +112,7 @@
 		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
 	}, claimsLog{log}, crand.Reader)
 	d.claims = claim.New(d.name, d.keeper, d.gossip, d.client)
-	d.broker = broker.New(broker.Settings{FailureDomain: s.Daemon.FailureDomain, QuarantineFor: s.Timing.Quarantine},
+	d.broker = broker.New(broker.Settings{FailureDomain: s.Daemon.FailureDomain, QuarantineFor: s.Timing.Quarantine, Queue: s.Limits.Queue},
 		d.follow, d.gossip, d.waker, eng, d.claims, nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), observer{d})
 	d.front, err = front.New(front.Settings{
 		Secret: secret, MaxBodyBytes: s.Limits.Body, MaxHeaderBytes: int(s.Limits.Headers),
@@ -177,6 +177,7 @@
 	tree.Add("owner", d.owner.Run)
 	tree.Add("keeper", d.keeper.Serve)
 	tree.Add("duties", d.duties)
+	tree.Add("queue", d.broker.Run)
 	tree.Add("callers", func(context.Context) error { return serveHTTP(d.front.Serve(d.callers)) })
 	tree.Add("admin", func(context.Context) error { return serveHTTP(d.adminSrv.Serve(d.admin)) })
 	a := d.Addresses()
--- a/internal/node/daemon/observer.go
+++ b/internal/node/daemon/observer.go
@@ -64,6 +64,11 @@
 	o.d.trail.Add(now, audit.Decision{Kind: what, Model: k.Model, Upstream: k.Upstream, Why: why})
 }
 
+// Queued implements broker.Observer.
+func (o observer) Queued(class declare.Class, wait time.Duration) {
+	o.d.metrics.QueueSeconds.WithLabelValues(string(class)).Observe(wait.Seconds())
+}
+
 // Cold implements broker.Observer.
 func (o observer) Cold(_ declare.Class, wait time.Duration) {
 	o.d.metrics.ColdStartSeconds.Observe(wait.Seconds())
--- /dev/null
+++ b/internal/node/gate/gate_test.go
@@ -0,0 +1,99 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/rule/admit"
+)
+
+func start(t *testing.T, s admit.Settings, free *atomic.Int64) *Gate {
+	t.Helper()
+	g := New(s, rand.New(rand.NewPCG(1, 1)), func(time.Time, string) Capacity {
+		return Capacity{Sequences: 4, Free: int(free.Load()), Loaded: true}
+	})
+	go func() { _ = g.Run(t.Context()) }()
+	return g
+}
+
+// TestOrder guards against background requests that go before urgent ones,
+// and against more requests let through than there are free sequences.
+func TestOrder(t *testing.T) {
+	var free atomic.Int64
+	g := start(t, admit.Settings{}, &free)
+	type entry struct {
+		class declare.Class
+		sent  func()
+	}
+	entered := make(chan entry)
+	for i := range 6 {
+		class := declare.Background
+		if i >= 3 {
+			class = declare.Urgent
+		}
+		go func() {
+			sent, err := g.Enter(t.Context(), time.Now(), Request{Model: "m", Class: class, Deadline: time.Now().Add(10 * time.Minute)})
+			if err != nil {
+				t.Error(err)
+			}
+			entered <- entry{class, sent}
+		}()
+	}
+	for g.Waiting("m") < 6 {
+		time.Sleep(time.Millisecond)
+	}
+	free.Store(1)
+	for i := range 6 {
+		e := <-entered
+		want := declare.Urgent
+		if i >= 3 {
+			want = declare.Background
+		}
+		must.Eq(t, want, e.class)
+		// The request that was let through counts until it is sent.
+		g.step(time.Now())
+		select {
+		case <-entered:
+			t.Fatal("two requests were let through for one free sequence")
+		default:
+		}
+		e.sent()
+		e.sent()
+	}
+	must.MapEmpty(t, g.granted)
+	must.MapEmpty(t, g.waiters)
+}
+
+// TestRefusals guards against a request that waits past its deadline, is
+// forgotten when its caller leaves, or waits although it can't be met.
+func TestRefusals(t *testing.T) {
+	var free atomic.Int64
+	g := start(t, admit.Settings{Length: 4, Service: time.Second}, &free)
+	kind := func(ctx context.Context, wait time.Duration) fault.Kind {
+		_, err := g.Enter(ctx, time.Now(), Request{Model: "m", Class: declare.Urgent, Deadline: time.Now().Add(wait)})
+		return fault.Of(err).Kind
+	}
+	must.Eq(t, fault.DeadlineUnreachable, kind(t.Context(), 100*time.Millisecond))
+	must.Eq(t, fault.DeadlinePassed, kind(t.Context(), 400*time.Millisecond))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan fault.Kind, 3)
+	for range cap(done) {
+		go func() { done <- kind(ctx, time.Hour) }()
+	}
+	for g.Waiting("m") < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	must.Eq(t, fault.QueueFull, kind(t.Context(), time.Hour))
+	cancel()
+	for range cap(done) {
+		must.Eq(t, fault.DeadlinePassed, <-done)
+	}
+	must.Eq(t, 0, g.Waiting("m"))
+}
--- a/internal/rule/admit/queue.go
+++ b/internal/rule/admit/queue.go
@@ -115,6 +115,16 @@
 	return l.urgent.Len(), l.background.Len()
 }
 
+// Models appends the models for which requests wait to dst and returns it.
+func (q *Queue) Models(dst []string) []string {
+	for m, l := range q.lanes {
+		if l.urgent.Len()+l.background.Len() > 0 {
+			dst = append(dst, m)
+		}
+	}
+	return dst
+}
+
 // Observe records the whole time that a request for model ran.
 func (q *Queue) Observe(model string, service time.Duration) {
 	l := q.lane(model)
--- a/internal/rule/route/table.go
+++ b/internal/rule/route/table.go
@@ -285,6 +285,25 @@
 	return 0, 0
 }
 
+// Capacity returns the sequences of the usable replicas of a model version and
+// how many of them are free. Sequences that an upstream shares between several
+// models count for each of them. replicas is the number of usable replicas.
+func (t *Table) Capacity(name, version string) (sequences, free, replicas int) {
+	m := t.models[name]
+	if m == nil {
+		return 0, 0, 0
+	}
+	for _, p := range m.replicas {
+		if p.gone || p.version != version || p.up.health >= Leaving {
+			continue
+		}
+		replicas++
+		sequences += p.up.sequences
+		free += max(p.up.sequences-p.up.outstanding, 0)
+	}
+	return sequences, free, replicas
+}
+
 func (t *Table) upstream(name string) *upstream {
 	u := t.upstreams[name]
 	if u == nil {
