broker: tests of failing engines, crashing requests and single runs

Cause: the broker had run only in the demo. Ruled out: fakes of engines; the stand-ins run in the test's process and keep their own records. Change: tests for each fault of an engine's stream, a killed engine, resumption, a crashing request, refusals, and non-idempotent calls.

--- /dev/null
+++ b/internal/node/broker/broker_test.go
@@ -0,0 +1,229 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/node/flow"
+	"github.com/azurespan/azurespan/standin/engine/engsv"
+	"github.com/azurespan/azurespan/standin/service/servsv"
+)
+
+// read returns the text of a stream; after is called with each token's index.
+func read(t *testing.T, s flow.Stream, after func(i int64)) (string, error) {
+	t.Helper()
+	defer s.Close()
+	text := ""
+	for next := int64(0); ; next++ {
+		tok, err := s.Next(t.Context())
+		if errors.Is(err, io.EOF) {
+			return text, nil
+		}
+		if err != nil {
+			return text, err
+		}
+		must.Eq(t, next, tok.Index)
+		text += tok.Text
+		if after != nil {
+			after(tok.Index)
+		}
+	}
+}
+
+func want(prompt string, n int64) string {
+	x := engsv.Text{Model: "m", Version: "v1", Prompt: "user: " + prompt + "\n", Tokens: n}
+	return x.Join(0, n)
+}
+
+// TestFaultyEngine guards against an answer with a gap, a token twice, or
+// tokens of another request, whatever the engine sends.
+func TestFaultyEngine(t *testing.T) {
+	for _, mode := range []string{"", "garbage", "half", "cut", "foreign-id", "duplicate", "skip"} {
+		t.Run(mode, func(t *testing.T) {
+			s := newSite(t, 2)
+			for _, e := range s.engines {
+				e.SetFaults(engsv.Faults{Mode: mode, Times: 1})
+			}
+			a, err := s.broker.Complete(t.Context(), chat("r1", "figs", 40))
+			must.NoError(t, err)
+			text, err := read(t, a, nil)
+			must.NoError(t, err)
+			must.Eq(t, want("figs", 40), text)
+		})
+	}
+}
+
+// TestEngineDies guards against an answer that is cut when its engine dies
+// although another replica can continue it.
+func TestEngineDies(t *testing.T) {
+	s := newSite(t, 2)
+	a, err := s.broker.Complete(t.Context(), chat("r1", "figs", 200))
+	must.NoError(t, err)
+	first := a.Upstream()
+	text, err := read(t, a, func(i int64) {
+		if i == 20 {
+			s.engines[first].Kill()
+		}
+	})
+	must.NoError(t, err)
+	must.Eq(t, want("figs", 200), text)
+	must.NotEq(t, first, a.Upstream())
+}
+
+// TestResume guards against a resumed answer that does not begin at the exact
+// place, or that is looked for only on the engine of the last event.
+func TestResume(t *testing.T) {
+	s := newSite(t, 2)
+	a, err := s.broker.Complete(t.Context(), chat("r1", "figs", 50))
+	must.NoError(t, err)
+	_, err = read(t, a, nil)
+	must.NoError(t, err)
+	for name := range s.engines {
+		b, err := s.broker.Resume(t.Context(), "r1", name, 30)
+		must.NoError(t, err)
+		tok, err := b.Next(t.Context())
+		must.NoError(t, err)
+		must.Eq(t, int64(30), tok.Index)
+		must.NoError(t, b.Close())
+	}
+	_, err = s.broker.Resume(t.Context(), "unknown", "e0", 0)
+	must.Eq(t, fault.UnknownStream, fault.Of(err).Kind)
+}
+
+// TestPoison guards against a request that goes on crashing engines, and
+// against blaming one that ran beside it.
+func TestPoison(t *testing.T) {
+	s := newSite(t, 4)
+	for _, e := range s.engines {
+		e.SetFaults(engsv.Faults{Poison: "POISON"})
+	}
+	bad := chat("bad", "POISON", 10)
+	a, err := s.broker.Complete(t.Context(), bad)
+	if err == nil {
+		_, err = read(t, a, nil)
+	}
+	var f *fault.Fault
+	must.True(t, errors.As(err, &f))
+	must.Eq(t, fault.RequestQuarantined, f.Kind)
+	must.Eq(t, fault.RunYes, f.Run)
+	must.Positive(t, f.RetryAfter)
+	crashes := 0
+	for _, e := range s.engines {
+		for _, r := range e.Records().Entries {
+			if r.Kind == "crash" {
+				crashes++
+			}
+		}
+	}
+	must.Eq(t, 2, crashes)
+	bad.ID = "again"
+	_, err = s.broker.Complete(t.Context(), bad)
+	must.Eq(t, fault.RequestQuarantined, fault.Of(err).Kind)
+	a, err = s.broker.Complete(t.Context(), chat("good", "figs", 10))
+	must.NoError(t, err)
+	text, err := read(t, a, nil)
+	must.NoError(t, err)
+	must.Eq(t, want("figs", 10), text)
+}
+
+// TestRefusals guards against a request that waits past its deadline and
+// against a refusal that is held back although waiting can't help.
+func TestRefusals(t *testing.T) {
+	s := newSite(t, 1)
+	r := chat("r1", "figs", 1)
+	r.Model = "x"
+	_, err := s.broker.Complete(t.Context(), r)
+	must.Eq(t, fault.UnknownModel, fault.Of(err).Kind)
+
+	r = chat("r2", "figs", 1)
+	r.Deadline = time.Now().Add(-time.Second)
+	_, err = s.broker.Complete(t.Context(), r)
+	must.Eq(t, fault.DeadlinePassed, fault.Of(err).Kind)
+
+	s.wake = fault.New(fault.ReplicaElsewhere, "elsewhere")
+	_, err = s.broker.Complete(t.Context(), chat("r3", "figs", 1))
+	must.Eq(t, fault.ReplicaElsewhere, fault.Of(err).Kind)
+	must.Eq(t, fault.RunNo, fault.Of(err).Run)
+	must.Positive(t, fault.Of(err).RetryAfter)
+
+	s.wake = fault.New(fault.NoCapacity, "full")
+	r = chat("r4", "figs", 1)
+	r.Deadline = time.Now().Add(300 * time.Millisecond)
+	_, err = s.broker.Complete(t.Context(), r)
+	must.Eq(t, fault.DeadlinePassed, fault.Of(err).Kind)
+	must.Eq(t, fault.RunNo, fault.Of(err).Run)
+}
+
+func booking(key string) flow.Call {
+	return flow.Call{
+		ID: ulid.Make().String(), Service: "desk", Method: "POST", Path: "/bookings", ContentType: "application/json",
+		Body: []byte("{}"), Class: declare.Urgent, Deadline: time.Now().Add(10 * time.Second), Key: key,
+	}
+}
+
+func runs(v *servsv.Server) (n int) {
+	for _, e := range v.Entries() {
+		if e.Kind == "run" {
+			n++
+		}
+	}
+	return n
+}
+
+// TestNonIdempotent guards against a second run, a withdrawn claim of a call
+// that may have run, and a call without a claim.
+func TestNonIdempotent(t *testing.T) {
+	s := newSite(t, 1)
+	v := s.services["desk-1"]
+	ctx := t.Context()
+	_, err := s.broker.Invoke(ctx, booking(""))
+	must.Eq(t, fault.KeyRequired, fault.Of(err).Kind)
+
+	s.claims.refuse = fault.New(fault.LogUnavailable, "down")
+	_, err = s.broker.Invoke(ctx, booking("k"))
+	must.Eq(t, fault.LogUnavailable, fault.Of(err).Kind)
+	must.Eq(t, 0, runs(v))
+	s.claims.refuse = nil
+
+	a, err := s.broker.Invoke(ctx, booking("k"))
+	must.NoError(t, err)
+	must.Eq(t, 201, a.Status)
+	must.Eq(t, 1, s.claims.done)
+
+	v.SetFaults(servsv.Faults{DropAfter: 1})
+	_, err = s.broker.Invoke(ctx, booking("k2"))
+	must.Eq(t, fault.OutcomeUnknown, fault.Of(err).Kind)
+	must.Eq(t, fault.RunUnknown, fault.Of(err).Run)
+	must.Eq(t, 2, runs(v))
+	must.Eq(t, 0, s.claims.withdrawn)
+
+	v.Kill()
+	_, err = s.broker.Invoke(ctx, booking("k3"))
+	must.Eq(t, fault.UpstreamUnavailable, fault.Of(err).Kind)
+	must.Eq(t, fault.RunNo, fault.Of(err).Run)
+	must.Eq(t, 1, s.claims.withdrawn)
+
+	c := booking("k4")
+	c.Path = "/other"
+	_, err = s.broker.Invoke(ctx, c)
+	must.Eq(t, fault.UnknownService, fault.Of(err).Kind)
+}
+
+// TestCallerLeaves guards against a request that goes on after its caller has
+// closed the connection while it waits.
+func TestCallerLeaves(t *testing.T) {
+	s := newSite(t, 1)
+	s.wake = fault.New(fault.NoCapacity, "full")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := s.broker.Complete(ctx, chat("r1", "figs", 1))
+	must.Error(t, err)
+}
