owner: keep assignments while daemons and configuration stay; benchmarks

Ruled out: looking less often, which delays takeovers. Change: the assignment is computed anew only if the live daemons or the configuration change.

--- /dev/null
+++ b/internal/core/ledger/bench_test.go
@@ -0,0 +1,144 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/core/record"
+)
+
+// large returns a configuration with n upstreams, n*260/600 models and n*3
+// adapters, the proportions of the target.
+func large(n int) *declare.Deployment {
+	d := &declare.Deployment{
+		Name: "bench", FailureDomains: []string{"a"},
+		Services: []declare.Service{{Name: "s", Kind: declare.ModelService}},
+	}
+	for i := range n {
+		d.Upstreams = append(d.Upstreams, declare.Upstream{
+			Name: fmt.Sprintf("engine-%04d", i), Service: "s", FailureDomain: "a",
+			Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1), MemoryBytes: 320 << 30, Accelerators: 4,
+		})
+	}
+	for i := range max(n*260/600, 1) {
+		d.Models = append(d.Models, declare.Model{
+			Name: fmt.Sprintf("model-%04d", i), Services: []string{"s"}, Version: "v1",
+			Versions: []declare.Version{{Name: "v1", WeightBytes: 30 << 30}}, KVBytes: 10 << 30, AdapterSlots: 8, Replicas: 8,
+		})
+		for j := range 7 {
+			d.Adapters = append(d.Adapters, declare.Adapter{Name: fmt.Sprintf("adapter-%04d-%d", i, j), Model: d.Models[i].Name, Bytes: 100 << 20})
+		}
+	}
+	return d
+}
+
+// filled returns a ledger at size n with an owner for each upstream and about
+// three grants on each.
+func filled(tb testing.TB, n int) (*Ledger, uint64, []byte) {
+	tb.Helper()
+	d := large(n)
+	var b bytes.Buffer
+	must.NoError(tb, d.Encode(&b))
+	l := New()
+	must.Eq(tb, Accepted, l.Apply(1, record.Publish{Config: b.Bytes()}).Reason)
+	off := uint64(2)
+	for i, u := range d.Upstreams {
+		l.Apply(off, record.TakeOwnership{Upstream: u.Name, Daemon: fmt.Sprintf("host-%d/1", i%320)})
+		epoch := off
+		off++
+		for j := range 3 {
+			l.Apply(off, record.Grant{Upstream: u.Name, Epoch: epoch, Model: d.Models[(i*3+j)%len(d.Models)].Name, Version: "v1"})
+			off++
+		}
+	}
+	return l, off, b.Bytes()
+}
+
+var sizes = []int{75, 150, 300, 600, 1200}
+
+// BenchmarkGrant measures a grant and its release.
+func BenchmarkGrant(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			l, off, _ := filled(b, n)
+			u := l.index.Deployment.Upstreams[0].Name
+			o, _ := l.Owner(u)
+			model := l.index.Deployment.Models[len(l.index.Deployment.Models)-1].Name
+			for b.Loop() {
+				at := off
+				l.Apply(off, record.Grant{Upstream: u, Epoch: o.Epoch, Model: model, Version: "v1"})
+				l.Apply(off+1, record.Release{Upstream: u, Epoch: o.Epoch, Model: model, Version: "v1", GrantedAt: at})
+				off += 2
+			}
+		})
+	}
+}
+
+// BenchmarkPublish measures taking a configuration, and reports its size in
+// the log.
+func BenchmarkPublish(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			l, off, raw := filled(b, n)
+			enc, err := record.Encode(record.Publish{Config: raw})
+			must.NoError(b, err)
+			for b.Loop() {
+				r, err := record.Decode(enc)
+				must.NoError(b, err)
+				p := r.(record.Publish)
+				p.Replaces = l.Version()
+				l.Apply(off, p)
+				off++
+			}
+			b.ReportMetric(float64(len(enc)), "record-bytes")
+		})
+	}
+}
+
+// BenchmarkSnapshot measures writing and restoring the state, and reports its
+// size in the log and in memory.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			l, _, _ := filled(b, n)
+			s, err := l.Snapshot()
+			must.NoError(b, err)
+			enc, err := record.Encode(record.Snapshot{State: s})
+			must.NoError(b, err)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			held, err := Restore(s)
+			must.NoError(b, err)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			heap := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+			runtime.KeepAlive(held)
+			for b.Loop() {
+				if _, err := Restore(s); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(enc)), "record-bytes")
+			b.ReportMetric(heap, "heap-bytes")
+		})
+	}
+}
+
+// BenchmarkHolders measures finding the replicas of a model.
+func BenchmarkHolders(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			l, _, _ := filled(b, n)
+			var dst []Key
+			for b.Loop() {
+				dst = l.Holders(dst[:0], "model-0001")
+			}
+		})
+	}
+}
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -92,6 +92,9 @@
 		mu      sync.Mutex
 		units   map[string]*unit
 		leaving bool
+		// assigned holds the assignment of each upstream, see assignments.
+		assigned    map[string]string
+		assignedFor assignmentKey
 		// adapterLocks holds a channel for each replica whose adapters are
 		// being changed.
 		adapterLocks map[ledger.Key]chan struct{}
@@ -129,6 +132,9 @@
 		busy      bool
 	}
 
+	// assignmentKey names the input that assignments were computed from.
+	assignmentKey struct{ daemons, version uint64 }
+
 	replica struct {
 		loaded    bool
 		hidden    bool
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -22,7 +22,10 @@
 func (o *Owner) watched() []*declare.Upstream {
 	var out []*declare.Upstream
 	ros := o.roster()
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.ctl.View(func(l *ledger.Ledger) {
+		assigned := o.assignments(ros, l)
 		ups := l.Config().Deployment.Upstreams
 		for i := range ups {
 			d := &ups[i]
@@ -30,7 +33,7 @@
 				continue
 			}
 			own, ok := l.Owner(d.Name)
-			if ok && own.Daemon == o.set.Self || ros.assigned(d) == o.set.Self {
+			if ok && own.Daemon == o.set.Self || assigned[d.Name] == o.set.Self {
 				out = append(out, d)
 			}
 		}
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -45,6 +45,17 @@
 	return r
 }
 
+// signature changes with the set of live daemons.
+func (r roster) signature() uint64 {
+	var sum uint64
+	for domain, names := range r.live {
+		for _, n := range names {
+			sum ^= hrw.Score(domain, n)
+		}
+	}
+	return sum
+}
+
 // assigned returns the daemon that should own an upstream: the first by
 // rendezvous hash among the live daemons of its failure domain, or among all
 // live daemons if that has none.
@@ -55,6 +66,22 @@
 	return hrw.First(u.Name, r.live[""])
 }
 
+// assignments returns the assigned daemon of each upstream. It keeps the
+// result while neither the live daemons nor the configuration change, because
+// hashing all upstreams over all daemons twice a second costs more than all
+// other work of an Owner; o.mu is held.
+func (o *Owner) assignments(r roster, l *ledger.Ledger) map[string]string {
+	key := assignmentKey{daemons: r.signature(), version: l.Version()}
+	if o.assigned == nil || o.assignedFor != key {
+		ups := l.Config().Deployment.Upstreams
+		o.assigned, o.assignedFor = make(map[string]string, len(ups)), key
+		for i := range ups {
+			o.assigned[ups[i].Name] = r.assigned(&ups[i])
+		}
+	}
+	return o.assigned
+}
+
 // reconcile takes, hands over and acknowledges ownerships.
 func (o *Owner) reconcile(ctx context.Context, now time.Time) {
 	_, ready, logUp := o.ctl.Status()
@@ -82,20 +109,21 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ctl.View(func(l *ledger.Ledger) {
+		assigned := o.assignments(ros, l)
 		ups := l.Config().Deployment.Upstreams
 		for i := range ups {
 			d := &ups[i]
 			if s := l.Config().Service(d.Service); s == nil || s.Kind != declare.ModelService {
 				continue
 			}
-			out = append(out, o.planFor(now, l, d, ros)...)
+			out = append(out, o.planFor(now, l, d, ros, assigned[d.Name])...)
 		}
 	})
 	return out
 }
 
 // planFor decides about one upstream; o.mu is held.
-func (o *Owner) planFor(now time.Time, l *ledger.Ledger, d *declare.Upstream, ros roster) []plan {
+func (o *Owner) planFor(now time.Time, l *ledger.Ledger, d *declare.Upstream, ros roster, assigned string) []plan {
 	var out []plan
 	own, has := l.Owner(d.Name)
 	u := o.unit(d.Name)
@@ -106,7 +134,6 @@
 		}
 	}
 	mine := has && own.Daemon == o.set.Self && !own.Resigned
-	assigned := ros.assigned(d)
 	u.resigning = u.resigning && mine
 	switch {
 	case mine && (o.leaving || u.resigning || o.handOver(now, u, assigned)):
