--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -64,6 +64,9 @@
 	return n, err
 }
 
+// Conn returns c with its bytes counted by t.
+func (t *Traffic) Conn(c net.Conn) net.Conn { return &countedConn{Conn: c, t: t} }
+
 // NewClient returns a Client. tlsConf may be nil.
 func NewClient(secret []byte, tlsConf *tls.Config, t *Traffic) *Client {
 	return &Client{secret: secret, tls: tlsConf, timeout: DialTimeout, traffic: t, conns: map[string]*rpc.Client{}}
@@ -144,7 +147,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	cl = rpc.NewClient(&countedConn{Conn: conn, t: c.traffic})
+	cl = rpc.NewClient(c.traffic.Conn(conn))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.conns[address]; other != nil {
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -89,6 +89,6 @@
 		_ = c.Close()
 	}()
 	if ctx.Err() == nil {
-		s.rpc.ServeConn(&countedConn{Conn: c, t: s.traffic})
+		s.rpc.ServeConn(s.traffic.Conn(c))
 	}
 }
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -69,6 +69,14 @@
 	Addresses struct{ Caller, Peer, Admin string }
 )
 
+const (
+	// controlDial bounds connecting to the platform or an engine.
+	controlDial = 2 * time.Second
+	// controlIdle keeps a connection for each claims stream and for the
+	// control stream, which are read at the same time.
+	controlIdle = 80
+)
+
 // New binds the listeners and assembles a Daemon. It fails if an address can't
 // be bound.
 func New(now time.Time, s *setup.Settings) (*Daemon, error) {
@@ -88,9 +96,10 @@
 	if callerTLS != nil {
 		d.callers = wrapTLS(d.callers, callerTLS)
 	}
-	log := stream.New(s.Platform.LogAddress, nil)
+	control := d.controlClient()
+	log := stream.New(s.Platform.LogAddress, control)
 	log.Timeout = s.Timing.LogTimeout
-	d.hosts = hosts.New(s.Platform.HostsAddress, nil)
+	d.hosts = hosts.New(s.Platform.HostsAddress, control)
 	d.client = peer.NewClient(secret, peerTLS, d.traffic)
 	if d.server, err = peer.NewServer(secret, peerTLS, &service{d: d}, d.traffic); err != nil {
 		return nil, err
@@ -102,11 +111,11 @@
 	}, member.Settings{SuspectAfter: s.Timing.SuspectAfter}, gossip.Settings{
 		Interval: s.Timing.GossipInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.client, rng, d.applied.Load, d.onFacts)
-	eng := engine.New(nil)
+	eng, orders := engine.New(nil), engine.New(control)
 	d.owner = owner.New(now, owner.Settings{
 		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
 		SoleProcess: fixedPort(s.Daemon.PeerAddress),
-	}, d.follow, eng, d.gossip, newPacer(), newIdle(d.follow), observer{d})
+	}, d.follow, orders, d.gossip, newPacer(), newIdle(d.follow), observer{d})
 	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain}, d.follow, d.gossip, d.client, d.owner)
 	d.keeper = keeper.New(keeper.Settings{
 		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
@@ -149,6 +158,23 @@
 	return nil
 }
 
+// controlClient returns the HTTP client for the log, the host list and the
+// engines' orders and reports, whose bytes count as control traffic.
+func (d *Daemon) controlClient() *http.Client {
+	dialer := net.Dialer{Timeout: controlDial}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return d.traffic.Conn(c), nil
+		},
+		MaxIdleConnsPerHost: controlIdle,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
 // fixedPort reports whether the system does not choose the port.
 func fixedPort(address string) bool {
 	_, port, err := net.SplitHostPort(address)
