link: tests of the clients against the stand-ins

Cause: each failure of an outside system must reach the caller with the right type; an error that reads as the end of an answer would cut it silently. Ruled out: handlers written for each test, which would repeat the protocol; they are used only for answers that the stand-ins can't give.

--- /dev/null
+++ b/internal/link/engine/client_test.go
@@ -0,0 +1,435 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/node/flow"
+	"github.com/azurespan/azurespan/standin/engine/engsv"
+)
+
+const upstream = "u1"
+
+// bench is an engine with model m@1 loaded, and a client.
+type bench struct {
+	*testing.T
+	s   *engsv.Server
+	c   *Client
+	ctx context.Context
+}
+
+func newBench(t *testing.T, cfg engsv.Config) *bench {
+	t.Helper()
+	cfg.MemoryBytes = 100
+	s, err := engsv.Start("", cfg)
+	must.NoError(t, err)
+	t.Cleanup(s.Kill)
+	b := &bench{t, s, New(nil), context.Background()}
+	must.NoError(t, b.order(Order{ID: "1", Fencing: 5, Kind: Load, Model: "m", Version: "1", MemoryBytes: 60, AdapterBytes: 20}))
+	return b
+}
+
+func (b *bench) order(o Order) error { return b.c.Order(b.ctx, b.s.Address(), o) }
+
+func (b *bench) report() Report {
+	r, err := b.c.Report(b.ctx, b.s.Address())
+	must.NoError(b, err)
+	return r
+}
+
+// until waits for a condition on the engine's report.
+func (b *bench) until(cond func(Report) bool) {
+	b.Helper()
+	must.Wait(b, wait.InitialSuccess(wait.BoolFunc(func() bool { return cond(b.report()) }), wait.Timeout(30*time.Second), wait.Gap(time.Millisecond)))
+}
+
+func request(id string) flow.Request {
+	return flow.Request{
+		ID: id, Model: "m", Version: "1", Class: declare.Urgent, PrefixHash: 7,
+		Body: json.RawMessage(`{"model":"x","Version":"9","messages":[{"role":"user","content":"Which rack for ` + id + `?"}]}`),
+	}
+}
+
+// endless is a request that runs until it is cancelled.
+func endless(id string, class declare.Class) flow.Request {
+	r := request(id)
+	r.Class = class
+	r.Body = json.RawMessage(`{"max_tokens":100000,"ignore_eos":true,"messages":[{"role":"user","content":"` + id + `"}]}`)
+	return r
+}
+
+func (b *bench) open(r flow.Request) flow.Stream {
+	b.Helper()
+	st, err := b.c.Open(b.ctx, upstream, b.s.Address(), r)
+	must.NoError(b, err)
+	b.Cleanup(func() { st.Close() })
+	return st
+}
+
+// drain reads a stream to its end and returns its text, the index of the next
+// token, and the error, nil after a complete answer.
+func (b *bench) drain(st flow.Stream, from int64) (string, int64, error) {
+	var text strings.Builder
+	finish := ""
+	for {
+		tok, err := st.Next(b.ctx)
+		if errors.Is(err, io.EOF) {
+			must.NotEq(b, "", finish)
+			return text.String(), from, nil
+		}
+		if err != nil {
+			return text.String(), from, err
+		}
+		must.Eq(b, from, tok.Index)
+		text.WriteString(tok.Text)
+		from, finish = from+1, tok.Finish
+	}
+}
+
+func expect(t testing.TB, r flow.Request) *engsv.Text {
+	x, err := engsv.Expect(r.Model, r.Version, r.Adapter, r.Body)
+	must.NoError(t, err)
+	return x
+}
+
+func kindOf(t testing.TB, err error) Kind {
+	t.Helper()
+	var e *Error
+	must.True(t, errors.As(err, &e), must.Sprintf("%v", err))
+	return e.Kind
+}
+
+// TestOrders guards against an order that is carried out although its
+// fencing number or sequence is old or memory does not suffice.
+func TestOrders(t *testing.T) {
+	b := newBench(t, engsv.Config{})
+	load := Order{Kind: Load, Model: "n", Version: "1", MemoryBytes: 40}
+	adapter := Order{Kind: LoadAdapter, Model: "m", Version: "1", Adapter: "a", MemoryBytes: 20}
+	for i, s := range []struct {
+		o       Order
+		fencing uint64
+		seq     uint64
+		memory  int64
+		want    Kind
+	}{
+		{load, 4, 9, 40, StaleFencing},
+		{load, 5, 1, 41, NoMemory},
+		{load, 5, 2, 40, ""},
+		{load, 5, 1, 40, StaleSequence},
+		{load, 6, 1, 40, ""},
+		{load, 5, 3, 40, StaleFencing},
+		{adapter, 6, 2, 20, ""},
+		{Order{Kind: LoadAdapter, Model: "m", Version: "1", Adapter: "b"}, 6, 3, 1, NoMemory},
+		{Order{Kind: LoadAdapter, Model: "x", Version: "1", Adapter: "b"}, 6, 3, 1, NotLoaded},
+		{Order{Kind: UnloadAdapter, Model: "m", Version: "1", Adapter: "a"}, 6, 4, 0, ""},
+		{Order{Kind: Unload, Model: "n", Version: "1"}, 6, 5, 0, ""},
+		{Order{Kind: SetRole, Role: "prefill"}, 6, 6, 0, ""},
+		{Order{Kind: "dance"}, 6, 7, 0, BadRequest},
+	} {
+		s.o.ID, s.o.Fencing, s.o.Sequence, s.o.MemoryBytes = string(rune('a'+i)), s.fencing, s.seq, s.memory
+		err := b.order(s.o)
+		if s.want == "" {
+			must.NoError(t, err, must.Sprintf("step %d", i))
+			continue
+		}
+		must.Eq(t, s.want, kindOf(t, err), must.Sprintf("step %d", i))
+		var e *Error
+		must.True(t, errors.As(err, &e) && e.Reached && !e.MayHaveRun())
+	}
+	r := b.report()
+	must.Eq(t, "prefill", r.Role)
+	must.Eq(t, uint64(6), r.Fencing)
+	must.Eq(t, []Replica{{Model: "m", Version: "1", State: Ready, MemoryBytes: 60, Adapters: []string{}}}, r.Replicas)
+	must.Eq(t, Remote, r.Tier("q", "1"))
+	must.Eq(t, InMemory, r.Tier("n", "1"))
+	must.Eq(t, int64(100), b.s.Records().PeakBytes)
+}
+
+// TestAnswer guards against an answer that is not whole or not the one to the
+// caller's own request, and against a body that selects another model.
+func TestAnswer(t *testing.T) {
+	b := newBench(t, engsv.Config{})
+	must.NoError(t, b.order(Order{ID: "2", Fencing: 5, Kind: LoadAdapter, Model: "m", Version: "1", Adapter: "a", MemoryBytes: 5}))
+	for _, adapter := range []string{"", "a"} {
+		r := request("r" + adapter)
+		r.Adapter = adapter
+		x := expect(t, r)
+		st := b.open(r)
+		must.Eq(t, upstream, st.Upstream())
+		text, n, err := b.drain(st, 0)
+		must.NoError(t, err)
+		must.Eq(t, x.Join(0, x.Tokens), text)
+		// A continuation elsewhere starts after the prefix.
+		r.ID += "2"
+		r.Prefix, r.PrefixTokens = x.Join(0, n-3), n-3
+		text, _, err = b.drain(b.open(r), n-3)
+		must.NoError(t, err)
+		must.Eq(t, x.Join(n-3, n), text)
+	}
+	for _, e := range b.s.Records().Entries {
+		must.NotEq(t, "prefix-mismatch", e.Kind)
+	}
+	for name, change := range map[string]func(*flow.Request){
+		"model": func(r *flow.Request) { r.Model = "n" }, "version": func(r *flow.Request) { r.Version = "2" },
+		"adapter": func(r *flow.Request) { r.Adapter = "b" },
+	} {
+		r := request("unknown")
+		change(&r)
+		_, err := b.c.Open(b.ctx, upstream, b.s.Address(), r)
+		must.Eq(t, NotLoaded, kindOf(t, err), must.Sprint(name))
+	}
+	bad := request("bad")
+	for _, body := range []string{``, `null`, `[]`, `{"messages":[]}`} {
+		bad.Body = json.RawMessage(body)
+		_, err := b.c.Open(b.ctx, upstream, b.s.Address(), bad)
+		must.Eq(t, BadRequest, kindOf(t, err))
+	}
+}
+
+// TestStreamFaults guards against passing on an answer that is garbled, cut
+// or another request's: each fault is either repaired or a typed error, and
+// the rest of the answer can be resumed.
+func TestStreamFaults(t *testing.T) {
+	b := newBench(t, engsv.Config{})
+	for mode, want := range map[string]Kind{
+		"garbage": Garbage, "half": Truncated, "cut": Unreachable, "foreign-id": Foreign, "skip": Gap, "duplicate": "",
+	} {
+		r := request(mode)
+		x := expect(t, r)
+		b.s.SetFaults(engsv.Faults{Mode: mode, Times: 1})
+		text, n, err := b.drain(b.open(r), 0)
+		if want != "" {
+			must.Eq(t, want, kindOf(t, err), must.Sprint(mode))
+			var e *Error
+			must.True(t, errors.As(err, &e) && e.MayHaveRun())
+			must.False(t, errors.Is(err, io.EOF), must.Sprint(mode))
+			must.Eq(t, n, e.Token, must.Sprint(mode))
+			must.Eq(t, x.Tokens/2, n, must.Sprint(mode))
+			st, err := b.c.Resume(b.ctx, upstream, b.s.Address(), r.ID, n)
+			must.NoError(t, err)
+			rest, _, err := b.drain(st, n)
+			must.NoError(t, err, must.Sprint(mode))
+			must.NoError(t, st.Close())
+			text += rest
+		}
+		must.Eq(t, x.Join(0, x.Tokens), text, must.Sprint(mode))
+	}
+	runs := 0
+	for _, e := range b.s.Records().Entries {
+		if e.Kind == "run" {
+			runs++
+		}
+	}
+	must.Eq(t, 6, runs)
+}
+
+// TestCrash guards against an engine's death that looks like an end of the
+// answer, and against state that survives it, except for the fencing number.
+func TestCrash(t *testing.T) {
+	b := newBench(t, engsv.Config{Poison: "arsenic"})
+	before := b.report().Incarnation
+	st := b.open(endless("victim", declare.Urgent))
+	_, err := st.Next(b.ctx)
+	must.NoError(t, err)
+	poison := request("arsenic")
+	pst, err := b.c.Open(b.ctx, upstream, b.s.Address(), poison)
+	if err == nil {
+		// The engine may die after it has accepted the request.
+		_, err = pst.Next(b.ctx)
+		must.NoError(t, pst.Close())
+	}
+	must.Eq(t, Unreachable, kindOf(t, err))
+	_, _, err = b.drain(st, 1)
+	must.Eq(t, Unreachable, kindOf(t, err))
+	r := b.report()
+	must.Greater(t, before, r.Incarnation)
+	must.SliceEmpty(t, r.Replicas)
+	must.Eq(t, Kind("stale-fencing"), kindOf(t, b.order(Order{ID: "3", Fencing: 4, Kind: Load, Model: "m", Version: "1"})))
+	_, err = b.c.Resume(b.ctx, upstream, b.s.Address(), "victim", 1)
+	must.Eq(t, UnknownStream, kindOf(t, err))
+	b.s.Kill()
+	_, err = b.c.Report(b.ctx, b.s.Address())
+	must.Eq(t, Unreachable, kindOf(t, err))
+	must.NoError(t, b.s.Restart())
+	must.Greater(t, r.Incarnation, b.report().Incarnation)
+}
+
+// TestLeaving guards against new work on an engine that is leaving, and
+// against cutting what runs there.
+func TestLeaving(t *testing.T) {
+	b := newBench(t, engsv.Config{})
+	r := request("before")
+	st := b.open(r)
+	b.s.SetFaults(engsv.Faults{Leaving: true})
+	_, err := b.c.Open(b.ctx, upstream, b.s.Address(), request("after"))
+	must.Eq(t, Leaving, kindOf(t, err))
+	must.Eq(t, Leaving, kindOf(t, b.order(Order{ID: "2", Fencing: 5, Kind: Load, Model: "n", Version: "1"})))
+	must.True(t, b.report().Leaving)
+	text, _, err := b.drain(st, 0)
+	must.NoError(t, err)
+	x := expect(t, r)
+	must.Eq(t, x.Join(0, x.Tokens), text)
+}
+
+// TestDrain guards against an unload that cuts running streams or admits new
+// ones.
+func TestDrain(t *testing.T) {
+	b := newBench(t, engsv.Config{})
+	b.open(endless("long", declare.Urgent))
+	b.until(func(r Report) bool { return r.Running == 1 })
+	unload := Order{ID: "2", Fencing: 5, Kind: Unload, Model: "m", Version: "1"}
+	must.Eq(t, Busy, kindOf(t, b.order(unload)))
+	unload.ID, unload.Drain = "3", true
+	done := make(chan error, 1)
+	go func() { done <- b.order(unload) }()
+	b.until(func(r Report) bool { return r.Replica("m", "1").State == Draining })
+	_, err := b.c.Open(b.ctx, upstream, b.s.Address(), request("late"))
+	must.Eq(t, NotLoaded, kindOf(t, err))
+	must.NoError(t, b.c.Cancel(b.ctx, b.s.Address(), "long"))
+	must.NoError(t, <-done)
+	must.SliceEmpty(t, b.report().Replicas)
+	must.NoError(t, b.c.Cancel(b.ctx, b.s.Address(), "never-seen"))
+}
+
+// TestPriority guards against background requests that delay urgent ones.
+func TestPriority(t *testing.T) {
+	b := newBench(t, engsv.Config{Sequences: 1})
+	b.open(endless("first", declare.Background))
+	b.until(func(r Report) bool { return r.Running == 1 })
+	bg, urgent := request("background"), request("urgent")
+	bg.Class = declare.Background
+	st := b.open(bg)
+	b.open(urgent)
+	b.until(func(r Report) bool { return r.Queued == 2 })
+	must.NoError(t, b.c.Cancel(b.ctx, b.s.Address(), "first"))
+	_, _, err := b.drain(st, 0)
+	must.NoError(t, err)
+	var order []string
+	for _, e := range b.s.Records().Entries {
+		if e.Kind == "run" {
+			order = append(order, e.Request)
+		}
+	}
+	must.Eq(t, []string{"first", "urgent", "background"}, order)
+}
+
+// TestKV guards against losing the answer when a stream moves to another
+// engine.
+func TestKV(t *testing.T) {
+	b, other := newBench(t, engsv.Config{}), newBench(t, engsv.Config{})
+	r := request("moving")
+	st := b.open(r)
+	tok, err := st.Next(b.ctx)
+	must.NoError(t, err)
+	kv, err := b.c.ExportKV(b.ctx, b.s.Address(), r.ID)
+	must.NoError(t, err)
+	must.NoError(t, b.c.Cancel(b.ctx, b.s.Address(), r.ID))
+	must.NoError(t, b.c.ImportKV(b.ctx, other.s.Address(), r.ID, kv))
+	rest, err := b.c.Resume(b.ctx, "u2", other.s.Address(), r.ID, 1)
+	must.NoError(t, err)
+	text, _, err := b.drain(rest, 1)
+	must.NoError(t, err)
+	must.NoError(t, rest.Close())
+	x := expect(t, r)
+	must.Eq(t, x.Join(0, x.Tokens), tok.Text+text)
+	must.Eq(t, InUse, kindOf(t, b.c.ImportKV(b.ctx, other.s.Address(), r.ID, kv)))
+}
+
+// TestLag guards against reports and cache events that are not late, so that
+// callers would not be tested against old data, and against missed gaps.
+func TestLag(t *testing.T) {
+	b := newBench(t, engsv.Config{ReportLag: time.Hour, CacheLag: time.Hour})
+	must.SliceEmpty(t, b.report().Replicas)
+	ev, err := b.c.CacheEvents(b.ctx, b.s.Address(), 0)
+	must.NoError(t, err)
+	must.SliceEmpty(t, ev.Events)
+	b = newBench(t, engsv.Config{CacheGap: 2})
+	_, _, err = b.drain(b.open(request("r")), 0)
+	must.NoError(t, err)
+	// Stored in memory, on disk (lost), and the prompt's prefix.
+	ev, err = b.c.CacheEvents(b.ctx, b.s.Address(), 0)
+	must.NoError(t, err)
+	must.Eq(t, uint64(4), ev.End)
+	must.Eq(t, uint64(1), ev.Missed)
+	must.Eq(t, "7", ev.Events[1].Prefix)
+	must.Eq(t, InMemory, ev.Events[0].Tier)
+}
+
+// TestReached guards against calling a request unsent that the engine may have
+// run, and the reverse.
+func TestReached(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	l.Close()
+	_, err = New(nil).Open(context.Background(), upstream, l.Addr().String(), request("r"))
+	var e *Error
+	must.True(t, errors.As(err, &e))
+	must.False(t, e.Reached || e.MayHaveRun())
+	for name, tc := range map[string]struct {
+		handler http.HandlerFunc
+		kind    Kind
+		ran     bool
+	}{
+		"drop":         {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Unreachable, true},
+		"500":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, Refused, true},
+		"503":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, Refused, true},
+		"429":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(429) }, Refused, false},
+		"not a stream": {func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("hello\n\n")) }, Truncated, true},
+		"silent": {func(w http.ResponseWriter, r *http.Request) {
+			// The server notices that the client left only after the body.
+			io.Copy(io.Discard, r.Body)
+			w.WriteHeader(200)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}, Stalled, true},
+		"no answer": {func(_ http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}, Unreachable, true},
+	} {
+		hs := httptest.NewServer(tc.handler)
+		t.Cleanup(hs.Close)
+		c := New(nil)
+		switch name {
+		case "no answer":
+			c.Timeout = 50 * time.Millisecond
+		case "silent":
+			c.IdleTimeout = 50 * time.Millisecond
+		}
+		st, err := c.Open(context.Background(), upstream, hs.Listener.Addr().String(), request("r"))
+		if err == nil {
+			_, err = st.Next(context.Background())
+			must.NoError(t, st.Close())
+		}
+		must.Eq(t, tc.kind, kindOf(t, err), must.Sprint(name))
+		must.True(t, errors.As(err, &e))
+		must.Eq(t, tc.ran, e.MayHaveRun(), must.Sprint(name))
+	}
+}
+
+// TestNextCancelled guards against a reader that stays blocked after its
+// caller has gone.
+func TestNextCancelled(t *testing.T) {
+	b := newBench(t, engsv.Config{Sequences: 1})
+	b.open(endless("first", declare.Urgent))
+	st := b.open(request("queued"))
+	ctx, cancel := context.WithCancel(b.ctx)
+	cancel()
+	_, err := st.Next(ctx)
+	must.Eq(t, Cancelled, kindOf(t, err))
+	must.ErrorIs(t, err, context.Canceled)
+	_, again := st.Next(b.ctx)
+	must.Eq(t, err, again)
+}
--- a/internal/link/engine/stream.go
+++ b/internal/link/engine/stream.go
@@ -108,7 +108,8 @@
 		case ctx.Err() != nil:
 			err.Kind, err.Err = Cancelled, context.Cause(ctx)
 		case errors.Is(err.Err, io.EOF):
-			err.Kind = Truncated
+			// io.EOF itself would look like the end of a whole answer.
+			err.Kind, err.Err = Truncated, io.ErrUnexpectedEOF
 		}
 	}
 	s.end = err
