--- a/internal/base/event/owner.go
+++ b/internal/base/event/owner.go
@@ -56,3 +56,9 @@
 	Number: 3032, Name: "coordinator-failed", Severity: Error,
 	Meaning: "The daemon that coordinates a model's wakes did not answer; this daemon coordinates the wake itself.",
 })
+
+// Prewake belongs to wakes.
+var Prewake = register(Event{
+	Number: 3033, Name: "model-due",
+	Meaning: "A model is loaded ahead of its first request, at its wake-at time or because requests recur at this hour.",
+})
--- a/internal/core/member/fact.go
+++ b/internal/core/member/fact.go
@@ -36,8 +36,11 @@
 		// InMemory and OnDisk list checkpoints, as model@version, that an
 		// upstream's host has cached.
 		InMemory, OnDisk []string
-		// Running and Queued are the load of an upstream (Kind Load).
-		Running, Queued int
+		// Running and Queued are the load of an upstream (Kind Load), or the
+		// model loads that a daemon runs and its urgent ones that wait (Kind
+		// Loads). Background counts its other waiting loads, AdapterLoads the
+		// adapter loads of the last second.
+		Running, Queued, Background, AdapterLoads int
 		// Crashes lists the crashes of a suspect request (Kind Request).
 		Crashes []Crash
 	}
@@ -63,6 +66,7 @@
 	Upstream
 	Load
 	Request
+	Loads
 )
 
 // Statuses.
--- a/internal/core/member/set.go
+++ b/internal/core/member/set.go
@@ -297,6 +297,7 @@
 func sameContent(a, b Fact) bool {
 	if a.Status != b.Status || a.Domain != b.Domain || a.Address != b.Address ||
 		a.Incarnation != b.Incarnation || a.Running != b.Running || a.Queued != b.Queued ||
+		a.Background != b.Background || a.AdapterLoads != b.AdapterLoads ||
 		len(a.Loaded) != len(b.Loaded) || len(a.Crashes) != len(b.Crashes) ||
 		!slices.Equal(a.InMemory, b.InMemory) || !slices.Equal(a.OnDisk, b.OnDisk) {
 		return false
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -228,7 +228,7 @@
 			}
 			b.suspects.Set(e)
 			b.mu.Unlock()
-		case member.Daemon:
+		case member.Daemon, member.Loads:
 		}
 	}
 }
--- a/internal/node/daemon/admin.go
+++ b/internal/node/daemon/admin.go
@@ -112,7 +112,7 @@
 			for _, r := range f.Loaded {
 				loaded[ledger.Key{Upstream: f.Name, Model: r.Model, Version: r.Version}] = true
 			}
-		case member.Load, member.Request:
+		case member.Load, member.Loads, member.Request:
 		}
 	}
 	sort.Slice(s.Hosts, func(i, j int) bool { return s.Hosts[i].Name < s.Hosts[j].Name })
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"github.com/azurespan/azurespan/internal/node/gossip"
 	"github.com/azurespan/azurespan/internal/node/keeper"
 	"github.com/azurespan/azurespan/internal/node/owner"
+	"github.com/azurespan/azurespan/internal/node/pacing"
 	"github.com/azurespan/azurespan/internal/node/waker"
 )
 
@@ -50,6 +51,7 @@
 		follow  *follow.Follower
 		gossip  *gossip.Gossip
 		owner   *owner.Owner
+		pacing  *pacing.Pacing
 		waker   *waker.Waker
 		keeper  *keeper.Keeper
 		claims  *claim.Client
@@ -104,7 +106,7 @@
 	if d.server, err = peer.NewServer(secret, peerTLS, &service{d: d}, d.traffic); err != nil {
 		return nil, err
 	}
-	d.follow = follow.New(log, peerRecords{d}, follow.Settings{Poll: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout})
+	d.follow = follow.New(log, peerRecords{d}, follow.Settings{Poll: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout, SnapshotInterval: s.Timing.SnapshotInterval})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.gossip = gossip.New(now, member.Fact{
 		Name: d.name, Domain: s.Daemon.FailureDomain, Address: d.peers.Addr().String(),
@@ -112,10 +114,11 @@
 		Interval: s.Timing.GossipInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.client, rng, d.applied.Load, d.onFacts)
 	eng, orders := engine.New(nil), engine.New(control)
+	d.pacing = pacing.New(d.name, s.Daemon.FailureDomain, d.gossip)
 	d.owner = owner.New(now, owner.Settings{
 		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
 		SoleProcess: fixedPort(s.Daemon.PeerAddress),
-	}, d.follow, orders, d.gossip, newPacer(), newIdle(d.follow), observer{d})
+	}, d.follow, orders, d.gossip, d.pacing, observer{d})
 	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain}, d.follow, d.gossip, d.client, d.owner)
 	d.keeper = keeper.New(keeper.Settings{
 		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
@@ -204,6 +207,7 @@
 	tree.Add("keeper", d.keeper.Serve)
 	tree.Add("duties", d.duties)
 	tree.Add("queue", d.broker.Run)
+	tree.Add("pacing", d.pacing.Run)
 	tree.Add("callers", func(context.Context) error { return serveHTTP(d.front.Serve(d.callers)) })
 	tree.Add("admin", func(context.Context) error { return serveHTTP(d.adminSrv.Serve(d.admin)) })
 	a := d.Addresses()
@@ -284,6 +288,9 @@
 		applied, _, _ := d.follow.Status()
 		d.applied.Store(applied)
 		d.broker.Refresh(time.Now())
+		if x := d.broker.Config(); x != nil {
+			d.pacing.Configure(x.Deployment)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/node/daemon/duties.go
+++ b/internal/node/daemon/duties.go
@@ -7,16 +7,21 @@
 	"strings"
 	"time"
 
+	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/hrw"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/hosts"
+	"github.com/azurespan/azurespan/internal/node/audit"
+	"github.com/azurespan/azurespan/internal/node/waker"
 )
 
 const (
 	dutyInterval = time.Second
+	// prewakeTimeout bounds a load ahead of requests.
+	prewakeTimeout = 2 * time.Minute
 	// snapshotDuty is the key by which one daemon is chosen to write
 	// snapshots.
 	snapshotDuty = "snapshot"
@@ -39,7 +44,8 @@
 		d.metrics.ControlReceivedBytes.Add(float64(r - received))
 		sent, received = s, r
 		d.assign()
-		if d.follow.SnapshotDue() && hrw.First(snapshotDuty, d.gossip.Live("")) == d.name {
+		d.prewake(ctx, time.Now())
+		if d.follow.SnapshotDue(time.Now()) && hrw.First(snapshotDuty, d.gossip.Live("")) == d.name {
 			c, cancel := context.WithTimeout(ctx, 10*time.Second)
 			if err := d.follow.AppendSnapshot(c); err != nil {
 				event.SnapshotFailed.Log("err", err)
@@ -49,6 +55,47 @@
 	}
 }
 
+// prewake loads models ahead of their first request, if this daemon
+// coordinates their wakes and none is loaded.
+func (d *Daemon) prewake(ctx context.Context, now time.Time) {
+	x := d.broker.Config()
+	if x == nil {
+		return
+	}
+	live := d.gossip.Live("")
+	var mine []*declare.Model
+	for i := range x.Deployment.Models {
+		m := &x.Deployment.Models[i]
+		if hrw.First("prewake/"+m.Name, live) == d.name && !d.loaded(m.Name) {
+			mine = append(mine, m)
+		}
+	}
+	for name, why := range d.owner.Due(now, mine) {
+		event.Prewake.Log("model", name, "reason", why)
+		d.trail.Add(now, audit.Decision{Kind: "prewake", Model: name, Why: why})
+		m := x.Model(name)
+		go func() {
+			c, cancel := context.WithTimeout(ctx, prewakeTimeout)
+			defer cancel()
+			// A refusal is logged by the waker; the next request wakes it.
+			_, _ = d.waker.Wake(c, waker.Request{Model: m.Name, Version: m.Version, Class: declare.Background, Deadline: now.Add(prewakeTimeout)})
+		}()
+	}
+}
+
+// loaded reports whether a replica of the model is loaded anywhere.
+func (d *Daemon) loaded(model string) bool {
+	found := false
+	d.gossip.Do(func(m *member.Set) {
+		m.Each(member.Upstream, func(f member.Fact) {
+			for _, r := range f.Loaded {
+				found = found || r.Model == model
+			}
+		})
+	})
+	return found
+}
+
 // watchHosts reads the platform's host list: it gives addresses of peers,
 // upstreams that leave, and hosts that are gone.
 func (d *Daemon) watchHosts(ctx context.Context) error {
--- a/internal/node/daemon/observer.go
+++ b/internal/node/daemon/observer.go
@@ -1,15 +1,14 @@
 package daemon
 
 import (
-	"context"
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/node/audit"
 	"github.com/azurespan/azurespan/internal/node/broker"
-	"github.com/azurespan/azurespan/internal/node/follow"
 	"github.com/azurespan/azurespan/internal/node/owner"
+	"github.com/azurespan/azurespan/internal/node/pacing"
 )
 
 type (
@@ -21,20 +20,12 @@
 		*broker.Broker
 		d *Daemon
 	}
-
-	// pacer bounds the loads that this daemon orders at the same time.
-	pacer struct{ slots chan struct{} }
-
-	// idle unloads replicas after an idle time that grows with the
-	// deployment's weight of cold starts.
-	idle struct{ ctl *follow.Follower }
 )
 
 var (
 	_ owner.Observer  = observer{}
 	_ broker.Observer = observer{}
-	_ owner.Pacer     = (*pacer)(nil)
-	_ owner.Idle      = (*idle)(nil)
+	_ owner.Pacer     = (*pacing.Pacing)(nil)
 )
 
 // Loaded implements owner.Observer.
@@ -46,16 +37,12 @@
 
 // Unloaded implements owner.Observer.
 func (o observer) Unloaded(now time.Time, k ledger.Key, idle time.Duration) {
-	accelerators := 1
-	o.d.follow.View(func(l *ledger.Ledger) {
-		if u := l.Config().Upstream(k.Upstream); u != nil {
-			accelerators = max(u.Accelerators, 1)
-		}
-	})
-	o.d.metrics.IdleAcceleratorSeconds.Add(idle.Seconds() * float64(accelerators))
 	o.d.trail.Add(now, audit.Decision{Kind: "unloaded", Model: k.Model, Upstream: k.Upstream, Why: "idle for " + idle.Round(time.Millisecond).String()})
 }
 
+// Idle implements owner.Observer.
+func (o observer) Idle(d time.Duration) { o.d.metrics.IdleAcceleratorSeconds.Add(d.Seconds()) }
+
 // Placed implements owner.Observer.
 func (o observer) Placed(now time.Time, what string, k ledger.Key, why string) {
 	if why == "" {
@@ -87,37 +74,3 @@
 	}
 	return missing
 }
-
-func newPacer() *pacer {
-	return &pacer{slots: make(chan struct{}, declare.DefaultStoreLoadsAtOnce)}
-}
-
-// Acquire implements owner.Pacer.
-func (p *pacer) Acquire(ctx context.Context, _ declare.Class) (func(), error) {
-	select {
-	case p.slots <- struct{}{}:
-		return func() { <-p.slots }, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func newIdle(f *follow.Follower) *idle { return &idle{ctl: f} }
-
-// Unload implements owner.Idle.
-func (i *idle) Unload(now time.Time, m *declare.Model, _ ledger.Key, since time.Time) bool {
-	var weight float64
-	replicas := 0
-	i.ctl.View(func(l *ledger.Ledger) {
-		weight = l.Config().Deployment.ColdStartWeight
-		replicas = l.Replicas(m.Name)
-	})
-	if m.MinReplicas > 0 && replicas <= m.MinReplicas {
-		return false
-	}
-	keep := 30*time.Second + time.Duration(weight*float64(10*time.Minute))
-	return now.Sub(since) > keep
-}
-
-// Used implements owner.Idle.
-func (i *idle) Used(time.Time, ledger.Key) {}
--- a/internal/node/follow/append.go
+++ b/internal/node/follow/append.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/ledger"
@@ -64,12 +65,15 @@
 	}
 }
 
-// SnapshotDue reports whether enough records have come since the last
-// snapshot in the stream.
-func (f *Follower) SnapshotDue() bool {
+// SnapshotDue reports whether a snapshot should be appended at now: enough
+// records have come since the last one, or there are any and it is old. Without
+// the second rule a quiet stream would lose its only snapshot to retention.
+func (f *Follower) SnapshotDue(now time.Time) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	return f.ready && f.led.Applied() >= f.lastSnap+snapshotEvery
+	behind := f.led.Applied() > f.lastSnap
+	old := now.Sub(time.UnixMilli(f.snapTimeMS)) >= f.set.SnapshotInterval
+	return f.ready && behind && (f.led.Applied() >= f.lastSnap+snapshotEvery || old)
 }
 
 // AppendSnapshot writes the fold to the stream.
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -40,6 +40,10 @@
 		PeerPoll time.Duration
 		// AppendTimeout bounds one append call; default 2 s.
 		AppendTimeout time.Duration
+		// SnapshotInterval is the age of the last snapshot after which a
+		// changed stream gets a new one; default 1 h. The log's retention must
+		// be several times as long.
+		SnapshotInterval time.Duration
 	}
 
 	// Follower owns the daemon's Ledger.
@@ -55,8 +59,11 @@
 		outcomes map[uint64]ledger.Outcome
 		recent   []stream.Record
 		changed  chan struct{}
-		lastSnap uint64
-		lost     bool
+		// lastSnap is the offset up to which a snapshot covers the stream, and
+		// snapTimeMS the log time of that snapshot.
+		lastSnap   uint64
+		snapTimeMS int64
+		lost       bool
 	}
 )
 
@@ -86,6 +93,9 @@
 	if s.AppendTimeout == 0 {
 		s.AppendTimeout = 2 * time.Second
 	}
+	if s.SnapshotInterval == 0 {
+		s.SnapshotInterval = time.Hour
+	}
 	return &Follower{
 		log: l, peers: p, set: s, led: ledger.New(),
 		outcomes: map[uint64]ledger.Outcome{}, changed: make(chan struct{}),
@@ -248,7 +258,8 @@
 		f.outcomes[r.Offset] = out
 		logOutcome(out)
 		if s, ok := rec.(record.Snapshot); ok {
-			f.lastSnap = max(f.lastSnap, s.AsOf)
+			// The snapshot's own record needs no further snapshot.
+			f.lastSnap, f.snapTimeMS = max(f.lastSnap, s.AsOf, r.Offset), r.TimeMS
 		}
 	}
 	if n == 0 {
--- a/internal/node/follow/follow_test.go
+++ b/internal/node/follow/follow_test.go
@@ -209,3 +209,22 @@
 	f := start(t, l, nil)
 	until(t, f, func(applied uint64, ready bool) bool { return applied == 100 && ready })
 }
+
+// TestSnapshotDue guards against a quiet stream whose records are dropped
+// before a snapshot covers them, and against endless snapshots of snapshots.
+func TestSnapshotDue(t *testing.T) {
+	l := &memLog{}
+	f := start(t, l, nil)
+	until(t, f, func(_ uint64, ready bool) bool { return ready })
+	now := time.UnixMilli(1).Add(2 * time.Hour)
+	must.False(t, f.SnapshotDue(now))
+	_, err := f.Append(t.Context(), publish(t, 0))
+	must.NoError(t, err)
+	must.True(t, f.SnapshotDue(now))
+	must.NoError(t, f.AppendSnapshot(t.Context()))
+	must.False(t, f.SnapshotDue(now))
+	_, err = f.Append(t.Context(), publish(t, 1))
+	must.NoError(t, err)
+	must.True(t, f.SnapshotDue(now))
+	must.False(t, f.SnapshotDue(time.UnixMilli(1).Add(time.Minute)))
+}
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -169,7 +169,7 @@
 			event.DaemonStatus.Log("daemon", f.Name, "status", f.Status.String(), "failure-domain", f.Domain)
 		case member.Upstream:
 			event.UpstreamStatus.Log("upstream", f.Name, "status", f.Status.String(), "replicas", len(f.Loaded), "incarnation", f.Incarnation)
-		case member.Load, member.Request:
+		case member.Load, member.Loads, member.Request:
 		}
 	}
 	g.onChange(now, facts)
--- a/internal/node/owner/adapter.go
+++ b/internal/node/owner/adapter.go
@@ -40,6 +40,11 @@
 		}
 		o.setAdapter(k, victim, false)
 	}
+	release, err := o.pacer.Adapter(ctx)
+	if err != nil {
+		return fault.Wrap(err, fault.DeadlineUnreachable, "waiting for other adapter loads")
+	}
+	defer release()
 	err = o.order(ctx, k, engine.Order{
 		Kind: engine.LoadAdapter, Model: k.Model, Version: k.Version, Adapter: a.Name, MemoryBytes: a.Bytes, Priority: q.Class,
 	})
--- a/internal/node/owner/bench_test.go
+++ b/internal/node/owner/bench_test.go
@@ -49,7 +49,7 @@
 				set.Merge(now, []member.Fact{{Kind: member.Daemon, Name: fmt.Sprintf("host-%d/1", i), Domain: d.FailureDomains[i%8], Status: member.Alive, Counter: 1}})
 			}
 			f := &facts{set: set}
-			o := New(now, Settings{Self: "host-0/1", FailureDomain: "domain-0"}, c, noEngines{}, f, nothing{}, nothing{}, nothing{})
+			o := New(now, Settings{Self: "host-0/1", FailureDomain: "domain-0"}, c, noEngines{}, f, nothing{}, nothing{})
 			o.reconcile(context.Background(), now)
 			for b.Loop() {
 				o.reconcile(context.Background(), now)
--- a/internal/node/owner/fake_test.go
+++ b/internal/node/owner/fake_test.go
@@ -124,17 +124,17 @@
 	fn(f.set)
 }
 
-func (nothing) Acquire(context.Context, declare.Class) (func(), error) { return func() {}, nil }
-func (nothing) Loaded(time.Time, ledger.Key, time.Duration)            {}
-func (nothing) Unloaded(time.Time, ledger.Key, time.Duration)          {}
-func (nothing) Placed(time.Time, string, ledger.Key, string)           {}
-func (nothing) Used(time.Time, ledger.Key)                             {}
-func (nothing) Unload(_ time.Time, _ *declare.Model, _ ledger.Key, since time.Time) bool {
-	return false
+func (nothing) Acquire(context.Context, declare.Class, time.Time, int64) (func(bool), error) {
+	return func(bool) {}, nil
 }
+func (nothing) Adapter(context.Context) (func(), error)       { return func() {}, nil }
+func (nothing) Loaded(time.Time, ledger.Key, time.Duration)   {}
+func (nothing) Unloaded(time.Time, ledger.Key, time.Duration) {}
+func (nothing) Idle(time.Duration)                            {}
+func (nothing) Placed(time.Time, string, ledger.Key, string)  {}
 
 // fixture returns a control stream with one engine u that ignores fencing,
-// with room for two replicas, and models m and n with one replica, o with two.
+// with room for two replicas, and models m, n and o with one replica each.
 func fixture(t *testing.T) (*control, *engines) {
 	t.Helper()
 	d := &declare.Deployment{
@@ -164,7 +164,7 @@
 	for _, l := range live {
 		set.Merge(now, []member.Fact{{Kind: member.Daemon, Name: l, Domain: "a", Status: member.Alive, Counter: 1}})
 	}
-	return New(now, Settings{Self: name, FailureDomain: "a", ReportInterval: time.Millisecond}, c, e, &facts{set: set}, nothing{}, nothing{}, nothing{})
+	return New(now, Settings{Self: name, FailureDomain: "a", ReportInterval: time.Millisecond}, c, e, &facts{set: set}, nothing{}, nothing{})
 }
 
 func request(model string) Request {
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -90,7 +90,6 @@
 		event.LoadFailed.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "err", err)
 	} else {
 		event.Loaded.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "seconds", now.Sub(began).Seconds())
-		o.idle.Used(now, k)
 		o.obs.Loaded(now, k, now.Sub(began))
 		var d *declare.Upstream
 		o.ctl.View(func(l *ledger.Ledger) { d = l.Config().Upstream(k.Upstream) })
@@ -106,11 +105,6 @@
 	if err := o.ensureGrant(ctx, k, q); err != nil {
 		return err
 	}
-	release, err := o.pacer.Acquire(ctx, q.Class)
-	if err != nil {
-		return fault.Wrap(err, fault.DeadlineUnreachable, "waiting for the weight store")
-	}
-	defer release()
 	var bytes, adapters int64
 	o.ctl.View(func(l *ledger.Ledger) {
 		bytes, _ = l.Config().ReplicaBytes(k.Model, k.Version)
@@ -122,10 +116,27 @@
 			}
 		}
 	})
-	return o.order(ctx, k, engine.Order{
+	od := engine.Order{
 		Kind: engine.Load, Model: k.Model, Version: k.Version,
 		MemoryBytes: bytes, AdapterBytes: adapters, Priority: q.Class,
-	})
+	}
+	if o.tier(k) != engine.Remote {
+		return o.order(ctx, k, od)
+	}
+	release, err := o.pacer.Acquire(ctx, q.Class, q.Deadline, bytes)
+	if err != nil {
+		return fault.Wrap(err, fault.DeadlineUnreachable, "waiting for the weight store")
+	}
+	err = o.order(ctx, k, od)
+	release(err == nil)
+	return err
+}
+
+// tier returns where the checkpoint for a replica lies, as last reported.
+func (o *Owner) tier(k ledger.Key) engine.Tier {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.unit(k.Upstream).report.Tier(k.Model, k.Version)
 }
 
 // ensureGrant returns once the control stream holds a grant for k under this
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -10,6 +10,7 @@
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/engine"
+	"github.com/azurespan/azurespan/internal/rule/idle"
 	"github.com/azurespan/azurespan/internal/rule/place"
 )
 
@@ -37,8 +38,11 @@
 
 	// Pacer limits the loads that run at the same time.
 	Pacer interface {
-		// Acquire waits for a share of the weight store's limit.
-		Acquire(ctx context.Context, class declare.Class) (release func(), err error)
+		// Acquire waits for a share of the weight store's limit. release is
+		// called at the end of the load, with ok false for a failed one.
+		Acquire(ctx context.Context, class declare.Class, deadline time.Time, bytes int64) (release func(ok bool), err error)
+		// Adapter waits for a share of the adapter loads.
+		Adapter(ctx context.Context) (release func(), err error)
 	}
 
 	// Observer hears of loads and unloads, for metrics and decision records.
@@ -46,6 +50,9 @@
 		Loaded(now time.Time, k ledger.Key, took time.Duration)
 		Unloaded(now time.Time, k ledger.Key, idle time.Duration)
 		Placed(now time.Time, what string, k ledger.Key, why string)
+		// Idle counts the time that accelerators held loaded replicas without
+		// a request, summed over accelerators.
+		Idle(d time.Duration)
 	}
 
 	// Settings of an Owner. Zero fields stand for the defaults.
@@ -83,7 +90,7 @@
 		eng     Engines
 		facts   Facts
 		pacer   Pacer
-		idle    Idle
+		idle    *idle.Keeper
 		obs     Observer
 		chooser *place.Chooser
 		choose  sync.Mutex
@@ -95,20 +102,12 @@
 		// assigned holds the assignment of each upstream, see assignments.
 		assigned    map[string]string
 		assignedFor assignmentKey
+		countedAt   time.Time
 		// adapterLocks holds a channel for each replica whose adapters are
 		// being changed.
 		adapterLocks map[ledger.Key]chan struct{}
 	}
 
-	// Idle decides which loaded replicas to unload.
-	Idle interface {
-		// Unload reports whether a replica that is idle since the given time
-		// is unloaded at now.
-		Unload(now time.Time, m *declare.Model, k ledger.Key, idleSince time.Time) bool
-		// Used records that the replica had requests at now.
-		Used(now time.Time, k ledger.Key)
-	}
-
 	// unit is an upstream that this daemon owns or watches.
 	unit struct {
 		name     string
@@ -151,7 +150,7 @@
 )
 
 // New returns an Owner; Run does the work.
-func New(now time.Time, s Settings, ctl Control, eng Engines, f Facts, p Pacer, idle Idle, obs Observer) *Owner {
+func New(now time.Time, s Settings, ctl Control, eng Engines, f Facts, p Pacer, obs Observer) *Owner {
 	def := func(d *time.Duration, v time.Duration) {
 		if *d == 0 {
 			*d = v
@@ -167,7 +166,7 @@
 		s.DeadAfter = 3
 	}
 	return &Owner{
-		set: s, ctl: ctl, eng: eng, facts: f, pacer: p, idle: idle, obs: obs,
+		set: s, ctl: ctl, eng: eng, facts: f, pacer: p, obs: obs, idle: idle.New(idle.Settings{}),
 		chooser: place.New(place.Settings{}), started: now, units: map[string]*unit{},
 		adapterLocks: map[ledger.Key]chan struct{}{},
 	}
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -44,7 +44,9 @@
 // poll reads the reports of all watched engines at the same time.
 func (o *Owner) poll(ctx context.Context, now time.Time) {
 	var wg sync.WaitGroup
-	for _, d := range o.watched() {
+	watched := o.watched()
+	defer o.countIdle(now, watched)
+	for _, d := range watched {
 		wg.Go(func() {
 			c, cancel := context.WithTimeout(ctx, o.set.ReportTimeout)
 			defer cancel()
@@ -57,6 +59,32 @@
 	wg.Wait()
 }
 
+// countIdle adds the time since the last poll for each owned engine that has
+// replicas loaded and runs nothing.
+func (o *Owner) countIdle(now time.Time, watched []*declare.Upstream) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	since := now.Sub(o.countedAt)
+	first := o.countedAt.IsZero()
+	o.countedAt = now
+	if first {
+		return
+	}
+	for _, d := range watched {
+		u := o.unit(d.Name)
+		loaded, streams := 0, 0
+		for _, rep := range u.replicas {
+			if rep.loaded {
+				loaded++
+				streams += rep.streams
+			}
+		}
+		if loaded > 0 && streams == 0 && u.status < member.Dead {
+			o.obs.Idle(since * time.Duration(max(d.Accelerators, 1)))
+		}
+	}
+}
+
 // take records the result of one poll and tells the peers what changed.
 func (o *Owner) take(now time.Time, d *declare.Upstream, r engine.Report, err error) {
 	o.mu.Lock()
@@ -101,7 +129,6 @@
 		seen[k] = true
 		if rep.streams = m.Streams; rep.streams > 0 {
 			rep.idleSince = now
-			o.idle.Used(now, k)
 		}
 		if !restarted && now.Sub(rep.changed) < o.set.ReportLag {
 			continue
@@ -177,54 +204,3 @@
 	o.mu.Unlock()
 	o.facts.Report(now, facts...)
 }
-
-// unloadIdle unloads replicas that the idle policy gives up, and removes
-// grants that the configuration no longer allows.
-func (o *Owner) unloadIdle(ctx context.Context, now time.Time) {
-	type job struct {
-		k       ledger.Key
-		surplus bool
-	}
-	var jobs []job
-	o.mu.Lock()
-	o.ctl.View(func(l *ledger.Ledger) {
-		for _, u := range o.units {
-			own, ok := l.Owner(u.name)
-			if !ok || own.Daemon != o.set.Self || own.Resigned || u.busy {
-				continue
-			}
-			noProcess := u.refused >= o.set.DeadAfter
-			if u.status == member.Dead && !noProcess {
-				continue
-			}
-			for _, k := range l.GrantsOf(nil, u.name) {
-				// What an ended process had loaded is gone, and another
-				// upstream may need the grant.
-				surplus := noProcess || l.Surplus(k)
-				m := l.Config().Model(k.Model)
-				rep := u.replicas[k]
-				idle := rep != nil && rep.loaded && rep.streams == 0 && u.loads[k] == nil
-				old := m != nil && m.Version != k.Version && (rep == nil || rep.streams == 0)
-				if surplus || old || idle && m != nil && o.idle.Unload(now, m, k, rep.idleSince) {
-					jobs = append(jobs, job{k, surplus || old})
-				}
-			}
-		}
-	})
-	for _, j := range jobs {
-		o.units[j.k.Upstream].busy = true
-	}
-	o.mu.Unlock()
-	for _, j := range jobs {
-		go func() {
-			err := o.evict(ctx, j.k, j.surplus)
-			o.mu.Lock()
-			o.units[j.k.Upstream].busy = false
-			o.mu.Unlock()
-			var be *engine.Error
-			if err != nil && !errors.As(err, &be) {
-				event.UnloadFailed.Log("upstream", j.k.Upstream, "model", j.k.Model, "version", j.k.Version, "err", err)
-			}
-		}()
-	}
-}
--- /dev/null
+++ b/internal/node/pacing/pacing.go
@@ -0,0 +1,192 @@
+package pacing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/core/member"
+	"github.com/azurespan/azurespan/internal/rule/pacer"
+)
+
+type (
+	// Facts is the part of the gossip that a Pacing needs.
+	Facts interface {
+		Report(now time.Time, facts ...member.Fact)
+		Do(func(m *member.Set))
+	}
+
+	// Pacing is safe for concurrent use.
+	Pacing struct {
+		self, domain string
+		facts        Facts
+
+		mu      sync.Mutex
+		pacer   *pacer.Pacer
+		next    uint64
+		waiters map[uint64]chan struct{}
+	}
+)
+
+const (
+	// tick is the interval at which waiting loads are looked at.
+	tick = 25 * time.Millisecond
+	// hearEvery is the number of ticks between looks at the peers' news.
+	hearEvery = 40
+	// adapterPause is the pause before an adapter load tries for a place
+	// again; a load takes a handful of milliseconds.
+	adapterPause = 2 * time.Millisecond
+)
+
+// New returns a Pacing of the daemon self, with default limits until Configure.
+func New(self, domain string, f Facts) *Pacing {
+	p := &Pacing{self: self, domain: domain, facts: f, waiters: map[uint64]chan struct{}{}}
+	p.pacer = pacer.New(pacer.Settings{Owner: self, FailureDomain: domain, FailureDomains: []string{domain}})
+	return p
+}
+
+// Configure takes the limits and failure domains of a configuration. Loads
+// that wait or run are taken along.
+func (p *Pacing) Configure(d *declare.Deployment) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pacer.Configure(d.FailureDomains, d.Limits)
+}
+
+// Acquire waits for a place among the loads from the weight store. The caller
+// calls release at the end of the load, with ok false for a failed one.
+func (p *Pacing) Acquire(ctx context.Context, class declare.Class, deadline time.Time, bytes int64) (release func(ok bool), err error) {
+	p.mu.Lock()
+	p.next++
+	id := p.next
+	ready := make(chan struct{})
+	p.waiters[id] = ready
+	p.pacer.Want(pacer.Load{ID: id, Class: class, Deadline: deadline, Bytes: bytes})
+	p.start(time.Now())
+	p.mu.Unlock()
+	p.tell(time.Now())
+	select {
+	case <-ready:
+	case <-ctx.Done():
+		p.mu.Lock()
+		waited := p.pacer.Withdraw(id)
+		delete(p.waiters, id)
+		p.mu.Unlock()
+		if waited {
+			return nil, ctx.Err()
+		}
+	}
+	return func(ok bool) {
+		now := time.Now()
+		p.mu.Lock()
+		p.pacer.Ended(now, id, ok)
+		p.start(now)
+		p.mu.Unlock()
+		p.tell(now)
+	}, nil
+}
+
+// start lets loads begin that have a place; p.mu is held.
+func (p *Pacing) start(now time.Time) {
+	for {
+		l, ok := p.pacer.Next(now)
+		if !ok {
+			return
+		}
+		if w := p.waiters[l.ID]; w != nil {
+			close(w)
+			delete(p.waiters, l.ID)
+		}
+	}
+}
+
+// Adapter waits for a place among the adapter loads.
+func (p *Pacing) Adapter(ctx context.Context) (release func(), err error) {
+	for {
+		p.mu.Lock()
+		ok := p.pacer.StartAdapter(time.Now())
+		p.mu.Unlock()
+		if ok {
+			return func() {
+				p.mu.Lock()
+				p.pacer.EndAdapter()
+				p.mu.Unlock()
+			}, nil
+		}
+		t := time.NewTimer(adapterPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil, ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+// Run starts waiting loads as places become free, until ctx ends.
+func (p *Pacing) Run(ctx context.Context) error {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		now := time.Now()
+		if n%hearEvery == 0 {
+			p.hear(now)
+		}
+		p.mu.Lock()
+		waiting := len(p.waiters)
+		if waiting > 0 {
+			p.start(now)
+		}
+		changed := waiting != len(p.waiters)
+		p.mu.Unlock()
+		if changed {
+			p.tell(now)
+		}
+	}
+}
+
+// hear takes the peers' facts over. A fact stays true until its daemon reports
+// another one or dies, so it is heard anew each time.
+func (p *Pacing) hear(now time.Time) {
+	var owners []pacer.Owner
+	var progress []pacer.Progress
+	p.facts.Do(func(m *member.Set) {
+		m.Each(member.Daemon, func(f member.Fact) {
+			if f.Status < member.Dead {
+				owners = append(owners, pacer.Owner{Name: f.Name, FailureDomain: f.Domain})
+			}
+		})
+		m.Each(member.Loads, func(f member.Fact) {
+			progress = append(progress, pacer.Progress{
+				Owner: f.Name, Loads: f.Running, Urgent: f.Queued, Background: f.Background, Adapters: f.AdapterLoads,
+			})
+		})
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pacer.SetOwners(owners)
+	for _, o := range owners {
+		p.pacer.Heard(now, o.FailureDomain)
+	}
+	for _, g := range progress {
+		p.pacer.Hear(now, g)
+	}
+}
+
+// tell reports what this daemon loads. The number of adapter loads is left out
+// unless loads change anyway, since it would change with each request.
+func (p *Pacing) tell(now time.Time) {
+	p.mu.Lock()
+	g := p.pacer.Progress(now)
+	p.mu.Unlock()
+	p.facts.Report(now, member.Fact{
+		Kind: member.Loads, Name: p.self, Domain: p.domain, Status: member.Alive,
+		Running: g.Loads, Queued: g.Urgent, Background: g.Background, AdapterLoads: g.Adapters,
+	})
+}
--- a/internal/rule/idle/keeper.go
+++ b/internal/rule/idle/keeper.go
@@ -106,6 +106,9 @@
 	return &Keeper{s: s, models: map[string]*history{}}
 }
 
+// SetWeight replaces the cold-start weight.
+func (k *Keeper) SetWeight(w float64) { k.s.ColdStartWeight = w }
+
 // Busy records that requests for model occupy n replicas from now on: 0 if
 // none runs or waits.
 func (k *Keeper) Busy(now time.Time, model string, n int) {
--- a/internal/rule/pacer/pacer.go
+++ b/internal/rule/pacer/pacer.go
@@ -1,6 +1,7 @@
 package pacer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
@@ -137,6 +138,18 @@
 	}
 }
 
+// Configure replaces the failure domains and the limits. Zero limits stand for
+// their defaults.
+func (p *Pacer) Configure(failureDomains []string, l declare.Limits) {
+	n := New(Settings{Limits: l})
+	p.s.FailureDomains = append([]string(nil), failureDomains...)
+	slices.Sort(p.s.FailureDomains)
+	if p.s.Limits != n.s.Limits {
+		p.s.Limits = n.s.Limits
+		p.speed = newSpeed(p.s)
+	}
+}
+
 // SetOwners replaces the owners that are live in the deployment.
 func (p *Pacer) SetOwners(owners []Owner) {
 	clear(p.owners)
