daemon: daemons of a failure domain take turns in reading the host list

Ruled out: a longer interval alone, which only moves the size at which it breaks. Change: one daemon of each failure domain reads the list in each interval.

--- a/internal/node/daemon/duties.go
+++ b/internal/node/daemon/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -97,12 +98,23 @@
 }
 
 // watchHosts reads the platform's host list: it gives addresses of peers,
-// upstreams that leave, and hosts that are gone.
+// upstreams that leave, and hosts that are gone. The list holds all hosts, so
+// the daemons of a failure domain take turns in reading it and tell the others
+// what matters: if 320 daemons each read 920 entries every 2 s, that alone
+// takes more than ten times the 3 KB/s for control.
 func (d *Daemon) watchHosts(ctx context.Context) error {
 	tick := time.NewTicker(d.set.Timing.HostsInterval)
 	defer tick.Stop()
 	failing := false
-	for {
+	for first := true; ; first = false {
+		if !first && !d.hostsTurn(time.Now()) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-tick.C:
+				continue
+			}
+		}
 		list, err := d.hosts.List(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -121,6 +133,13 @@
 	}
 }
 
+// hostsTurn reports whether this daemon reads the host list in the present
+// interval.
+func (d *Daemon) hostsTurn(now time.Time) bool {
+	slot := now.UnixNano() / int64(d.set.Timing.HostsInterval)
+	return hrw.First("hosts/"+strconv.FormatInt(slot, 10), d.gossip.Live(d.set.Daemon.FailureDomain)) == d.name
+}
+
 func (d *Daemon) takeHosts(ctx context.Context, now time.Time, list hosts.List) {
 	var seeds, gone []string
 	for _, h := range list.Hosts {
