--- a/internal/link/engine/fuzz_test.go
+++ b/internal/link/engine/fuzz_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -192,3 +193,21 @@
 	_, err = newSSEReader(&chunkReader{append(bytes.Repeat([]byte(": comment\n\n"), maxEvent), "data: a\n\n"...), 1000}).next()
 	must.NoError(t, err)
 }
+
+// BenchmarkNext measures the cost of checking one token.
+func BenchmarkNext(b *testing.B) {
+	one := `{"id":"r","object":"chat.completion.chunk","model":"m","choices":[{"index":0,"delta":{"content":"plaque "},"finish_reason":null}]}`
+	var in bytes.Buffer
+	for i := range b.N {
+		fmt.Fprintf(&in, "id: %d\ndata: %s\n\n", i, one)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := newStream(io.NopCloser(&in), cancel, upstream, "a", "r", 0, time.Hour)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, err := s.Next(ctx); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/standin/platform/platsv/store.go
+++ b/standin/platform/platsv/store.go
@@ -28,6 +28,11 @@
 // storeStep is the step in which the speed of a load is adjusted.
 const storeStep = 2 * time.Millisecond
 
+// speed returns the share of its full speed at which each load runs.
+func (p *pool) speed(slowdown float64) float64 {
+	return min(1, float64(p.atOnce)/float64(p.running)) / slowdown
+}
+
 // postLoad answers when the load is done. A caller that leaves ends it.
 func (s *Server) postLoad(w http.ResponseWriter, r *http.Request) {
 	var l load
@@ -52,7 +57,7 @@
 		time.Sleep(storeStep)
 		now := time.Now()
 		s.mu.Lock()
-		speed := min(1, float64(p.atOnce)/float64(p.running)) / or(s.faults.StoreSlowdown, 1)
+		speed := p.speed(or(s.faults.StoreSlowdown, 1))
 		s.mu.Unlock()
 		work -= now.Sub(last).Seconds() * speed
 		last = now
