front: wait for readers before cutting them, and answer every refusal

Cause: repeated tests found four faults. A burst that the engine delivers faster than the connection takes it was cut as a slow reader's. The answer to a connection over the limit came before its request, which clients report as a broken connection. A body that arrived late was answered with an empty 200, because net/http cancels the request's context on a read failure. A panic in a stream ended the process. Ruled out: no limit on the wait (a caller could hold an engine's stream), and a larger buffer (memory). Change: a full buffer stops reading the stream and must be half taken within 2 s; the limiting listener reads before it refuses; a caller that is gone gets an aborted connection; a panic in a stream breaks only that answer off; long answers are written in pieces with a deadline each.

--- a/internal/node/front/chat.go
+++ b/internal/node/front/chat.go
@@ -59,7 +59,7 @@
 	h.Set("Cache-Control", "no-cache")
 	// Intermediaries such as nginx would otherwise hold events back.
 	h.Set("X-Accel-Buffering", "no")
-	x.pump = newPump(x.front.s.StreamBufferBytes)
+	x.pump = newPump(x.front.s.StreamBufferBytes, x.front.s.ReaderPatience)
 	go x.run(x.ctx, x.pump, a, c)
 	return x.pump
 }
--- a/internal/node/front/exchange.go
+++ b/internal/node/front/exchange.go
@@ -121,13 +121,22 @@
 	return time.Second + time.Duration(x.id[15])*2*time.Second/256
 }
 
-// refuse answers with a problem document if the answer has not begun.
+// refuse answers with a problem document; the answer has not begun. It aborts
+// the connection of a caller that is gone: net/http would otherwise send an
+// empty answer with status 200, which a caller that only closed its sending
+// side would take for a whole one.
 func (x *exchange) refuse(err error) {
-	f := faultOf(x.ctx, err)
 	if x.callerGone() {
 		x.outcome = metric.OutcomeCallerGone
-		return
+		panic(http.ErrAbortHandler)
 	}
+	x.reject(err)
+}
+
+// reject is refuse for a caller that has not sent its whole request. net/http
+// cancels the context of such a caller too, but it still waits for an answer.
+func (x *exchange) reject(err error) {
+	f := faultOf(x.ctx, err)
 	x.outcome = metric.OutcomeRefused
 	x.front.s.Metrics.Refusals.WithLabelValues(string(f.Kind)).Inc()
 	if f.Kind == fault.Internal {
@@ -156,7 +165,7 @@
 		x.outcome = metric.OutcomeBroken
 		panic(http.ErrAbortHandler)
 	}
-	x.refuse(fault.New(fault.Internal, "a component of the daemon failed").WithRun(fault.RunUnknown))
+	x.refuse(errPanic)
 }
 
 // finish releases what x holds. It waits for the pump, so that nothing of x
@@ -166,6 +175,7 @@
 		x.cancel(errFinished)
 	}
 	if x.pump != nil {
+		x.pump.end(errFinished)
 		<-x.pump.ended
 	}
 	m := x.front.s.Metrics
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -76,8 +76,8 @@
 		Handler:           f,
 		ReadHeaderTimeout: s.HeaderTimeout,
 		IdleTimeout:       s.IdleTimeout,
-		// net/http adds 4 KiB of its own to this bound.
-		MaxHeaderBytes: s.MaxHeaderBytes,
+		// net/http reads 4 KiB more than this bound.
+		MaxHeaderBytes: max(s.MaxHeaderBytes-4<<10, 1),
 		ErrorLog:       errorLog(),
 	}
 	return f, nil
@@ -113,7 +113,7 @@
 	defer x.onPanic()
 	r = r.WithContext(x.bind(r.Context()))
 	if err := x.read(rw, r); err != nil {
-		x.refuse(err)
+		x.reject(err)
 		return
 	}
 	if rest, ok := strings.CutPrefix(r.URL.EscapedPath(), servicePrefix); ok {
--- a/internal/node/front/listen.go
+++ b/internal/node/front/listen.go
@@ -65,9 +65,10 @@
 	}
 }
 
-// refuse answers c with a refusal. It reads what the caller sends meanwhile,
-// because closing with unread data would reset the connection and lose the
-// answer.
+// refuse answers the request on c with a refusal. It waits for the request to
+// begin, because clients take an answer without a request for a broken
+// connection, and it reads on afterwards, because closing with unread data
+// would reset the connection and lose the answer.
 func (l *limited) refuse(c net.Conn) {
 	select {
 	case l.refusing <- struct{}{}:
@@ -79,13 +80,16 @@
 		defer func() { <-l.refusing }()
 		defer func() { _ = c.Close() }()
 		_ = c.SetDeadline(time.Now().Add(refuseTimeout))
+		b := make([]byte, 4<<10)
+		if _, err := c.Read(b); err != nil {
+			return
+		}
 		if _, err := c.Write([]byte(connectionRefusal)); err != nil {
 			return
 		}
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.CloseWrite()
 		}
-		b := make([]byte, 4<<10)
 		for range 16 {
 			if _, err := c.Read(b); err != nil {
 				return
@@ -101,6 +105,15 @@
 	return err
 }
 
+// CloseWrite closes the sending side, which net/http does before it closes a
+// connection with unread data, so that the caller still gets the answer.
+func (c *limitedConn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 // errorLog returns a logger that turns the lines of net/http into events.
 func errorLog() *log.Logger { return log.New(logWriter{}, "", 0) }
 
--- a/internal/node/front/pump.go
+++ b/internal/node/front/pump.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -18,7 +19,8 @@
 	// which Read takes all that is there at once. One write to the caller
 	// thus carries every token that has arrived since the last one.
 	pump struct {
-		limit int
+		limit    int
+		patience time.Duration
 		// ended is closed when the pump has released the stream.
 		ended chan struct{}
 
@@ -39,16 +41,19 @@
 )
 
 var (
-	// errSlowReader ends a stream whose reader leaves the buffer full.
+	// errSlowReader ends a stream whose reader leaves the buffer full for
+	// longer than the patience.
 	errSlowReader = errors.New("the caller reads too slowly")
 	// errBrokenOff ends a stream after its error event.
 	errBrokenOff = errors.New("the answer broke off")
+	// errPanic is answered as internal.
+	errPanic = fault.New(fault.Internal, "a component of the daemon failed").WithRun(fault.RunUnknown)
 
 	_ io.Reader = (*pump)(nil)
 )
 
-func newPump(limit int) *pump {
-	p := &pump{limit: limit, ended: make(chan struct{})}
+func newPump(limit int, patience time.Duration) *pump {
+	p := &pump{limit: limit, patience: patience, ended: make(chan struct{})}
 	p.cond.L = &p.mu
 	return p
 }
@@ -64,32 +69,40 @@
 		return 0, p.err
 	}
 	n := copy(b, p.buf[p.off:])
+	p.cond.Broadcast()
 	if p.off += n; p.off == len(p.buf) {
 		p.buf, p.off = p.buf[:0], 0
 	}
 	return n, nil
 }
 
-// put lets add append to the buffer. It fails with errSlowReader if the
-// buffer then holds more than its limit, unless it was empty before: a single
-// event always passes.
+// put lets add append to the buffer. When the buffer is over its limit, it
+// waits until the reader has taken half; the stream is not read meanwhile, so
+// no more is held. A reader who doesn't take that much within the patience is
+// too slow, which ends p with errSlowReader. Cutting at once would be wrong: a
+// resumed answer can come from the engine faster than any network takes it.
 func (p *pump) put(add func([]byte) []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before := len(p.buf) - p.off
+	if p.err != nil {
+		return p.err
+	}
 	if p.off > 0 && p.off >= len(p.buf)/2 {
 		// The unread rest is moved to the front, so that a reader who is
 		// always a little late doesn't make the buffer grow for ever.
 		p.buf, p.off = p.buf[:copy(p.buf, p.buf[p.off:])], 0
 	}
 	p.buf = add(p.buf)
-	if before > 0 && len(p.buf)-p.off > p.limit {
-		p.err = errSlowReader
-		p.cond.Signal()
-		return errSlowReader
+	p.cond.Broadcast()
+	if len(p.buf)-p.off <= p.limit {
+		return nil
+	}
+	t := time.AfterFunc(p.patience, func() { p.end(errSlowReader) })
+	defer t.Stop()
+	for len(p.buf)-p.off > p.limit/2 && p.err == nil {
+		p.cond.Wait()
 	}
-	p.cond.Signal()
-	return nil
+	return p.err
 }
 
 // end states why no more events follow. The first reason stays.
@@ -99,7 +112,7 @@
 	if p.err == nil {
 		p.err = err
 	}
-	p.cond.Signal()
+	p.cond.Broadcast()
 }
 
 // accept reports whether t is the next token. It drops a repeated one; a gap
@@ -118,6 +131,7 @@
 // run fills p from the answer a until it ends.
 func (x *exchange) run(ctx context.Context, p *pump, a *answer, c *chunker) {
 	defer close(p.ended)
+	defer x.onPumpPanic(p)
 	defer func() { _ = a.stream.Close() }() // nothing can be done about a failure
 	if a.ended {
 		x.put(p, appendDone)
@@ -147,11 +161,20 @@
 	}
 }
 
-// put adds an event to p. If the buffer is full it cuts the connection, on
-// which a write may be blocked, and reports false.
+// onPumpPanic breaks the answer off when the stream panics. Without it the
+// panic of one stream would end the process with all others.
+func (x *exchange) onPumpPanic(p *pump) {
+	if v := recover(); v != nil {
+		event.CallerPanic.Log("request", x.id, "panic", v, "stack", string(debug.Stack()))
+		x.breakOff(p, errPanic)
+	}
+}
+
+// put adds an event to p and reports whether p takes more. It cuts the
+// connection of a slow reader, on which a write may be blocked.
 func (x *exchange) put(p *pump, add func([]byte) []byte) bool {
 	err := p.put(add)
-	if err != nil {
+	if errors.Is(err, errSlowReader) {
 		x.w.cutOff(err)
 		event.CallerSlowReader.Log("request", x.id, "buffer-bytes", p.limit)
 	}
--- a/internal/node/front/reply.go
+++ b/internal/node/front/reply.go
@@ -21,6 +21,10 @@
 	cut error
 }
 
+// pieceBytes is written under one deadline. A caller must take that much
+// within the timeout, whatever the length of the answer.
+const pieceBytes = 64 << 10
+
 func newReplyWriter(rw http.ResponseWriter, timeout time.Duration) *replyWriter {
 	return &replyWriter{ResponseWriter: rw, ctl: http.NewResponseController(rw), timeout: timeout}
 }
@@ -32,17 +36,23 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// Write sends b. It fails when the caller does not take b in time, or after
-// cutOff.
+// Write sends b in pieces. It fails when the caller does not take a piece in
+// time, or after cutOff.
 func (w *replyWriter) Write(b []byte) (int, error) {
-	if err := w.extend(); err != nil {
-		return 0, err
-	}
-	n, err := w.ResponseWriter.Write(b)
-	if err == nil && w.stream {
-		err = w.ctl.Flush()
+	sent := 0
+	for {
+		if err := w.extend(); err != nil {
+			return sent, err
+		}
+		n, err := w.ResponseWriter.Write(b[sent:min(sent+pieceBytes, len(b))])
+		if err == nil && w.stream {
+			err = w.ctl.Flush()
+		}
+		sent += n
+		if err != nil || sent == len(b) {
+			return sent, err
+		}
 	}
-	return n, err
 }
 
 // Unwrap gives http.ResponseController access to the connection.
--- a/internal/node/front/settings.go
+++ b/internal/node/front/settings.go
@@ -23,6 +23,9 @@
 	MaxConnections int
 	// StreamBufferBytes bounds what is held for a slow reader of a stream.
 	StreamBufferBytes int
+	// ReaderPatience bounds the time in which the reader of a stream must
+	// take half of a full buffer; then its connection is closed.
+	ReaderPatience time.Duration
 	// MaxAnswerBytes bounds the text of an answer that is not streamed.
 	MaxAnswerBytes int
 	// HeaderTimeout bounds the time to receive the request line and headers.
@@ -54,6 +57,7 @@
 	DefaultMaxStreams        = 4096
 	DefaultMaxConnections    = 8192
 	DefaultStreamBufferBytes = 256 << 10
+	DefaultReaderPatience    = 2 * time.Second
 	DefaultMaxAnswerBytes    = 8 << 20
 	DefaultHeaderTimeout     = 5 * time.Second
 	DefaultBodyTimeout       = 30 * time.Second
@@ -69,6 +73,7 @@
 	orDefault(&s.MaxStreams, DefaultMaxStreams)
 	orDefault(&s.MaxConnections, DefaultMaxConnections)
 	orDefault(&s.StreamBufferBytes, DefaultStreamBufferBytes)
+	orDefault(&s.ReaderPatience, DefaultReaderPatience)
 	orDefault(&s.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	orDefault(&s.HeaderTimeout, DefaultHeaderTimeout)
 	orDefault(&s.BodyTimeout, DefaultBodyTimeout)
