daemon, gate, pacing: cache events, no idle wake-ups, cross-domain interval

Cause: gate and pacing woke 90 times a second without work; the settings for cache events and for exchanges across failure domains had no effect. Ruled out: longer ticks, which delay waiting requests. Change: both loops sleep until something waits; cache events of watched engines correct the local prefix hints; the interval comes from the settings.

--- a/internal/base/setup/field.go
+++ b/internal/base/setup/field.go
@@ -74,7 +74,7 @@
 	timing("cross-domain-interval", 4*time.Second, 50*time.Millisecond, time.Minute, "Time between exchanges of facts with a peer of another failure domain; not below gossip-interval.", func(t *Timing) *time.Duration { return &t.CrossDomainInterval }),
 	timing("suspect-after", 3*time.Second, 200*time.Millisecond, time.Minute, "Silence after which a peer is suspected; above gossip-interval and report-interval.", func(t *Timing) *time.Duration { return &t.SuspectAfter }),
 	timing("report-interval", time.Second, 50*time.Millisecond, 10*time.Second, "Time between two reads of an engine's report by its owner.", func(t *Timing) *time.Duration { return &t.ReportInterval }),
-	timing("cache-events-interval", time.Second, 50*time.Millisecond, time.Minute, "Time between two reads of an engine's cache events.", func(t *Timing) *time.Duration { return &t.CacheEventsInterval }),
+	timing("cache-events-interval", 5*time.Second, 50*time.Millisecond, time.Minute, "Time between two reads of an engine's cache events.", func(t *Timing) *time.Duration { return &t.CacheEventsInterval }),
 	timing("hosts-interval", 2*time.Second, 100*time.Millisecond, time.Minute, "Time between two reads of the host list.", func(t *Timing) *time.Duration { return &t.HostsInterval }),
 	timing("log-poll-wait", 20*time.Second, 100*time.Millisecond, 5*time.Minute, "Time that a read of the log waits for new records.", func(t *Timing) *time.Duration { return &t.LogPollWait }),
 	timing("log-timeout", 5*time.Second, 100*time.Millisecond, time.Minute, "Time limit of a call of the log service, in addition to log-poll-wait.", func(t *Timing) *time.Duration { return &t.LogTimeout }),
--- a/internal/node/broker/resume.go
+++ b/internal/node/broker/resume.go
@@ -61,3 +61,21 @@
 	}
 	return nil, fault.New(fault.UnknownStream, "no engine keeps this answer; send the request again").WithRun(fault.RunYes)
 }
+
+// CacheEvent takes over that an engine has stored or evicted a prompt prefix.
+func (b *Broker) CacheEvent(upstream string, prefix uint64, stored bool, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if stored {
+		b.models.CacheStored(upstream, prefix, at)
+		return
+	}
+	b.models.CacheEvicted(upstream, prefix)
+}
+
+// CacheGap takes over that cache events of an engine were missed.
+func (b *Broker) CacheGap(upstream string, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.models.CacheGap(upstream, at)
+}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -51,6 +51,7 @@
 		follow  *follow.Follower
 		gossip  *gossip.Gossip
 		owner   *owner.Owner
+		orders  *engine.Client
 		pacing  *pacing.Pacing
 		waker   *waker.Waker
 		keeper  *keeper.Keeper
@@ -111,14 +112,15 @@
 	d.gossip = gossip.New(now, member.Fact{
 		Name: d.name, Domain: s.Daemon.FailureDomain, Address: d.peers.Addr().String(),
 	}, member.Settings{SuspectAfter: s.Timing.SuspectAfter}, gossip.Settings{
-		Interval: s.Timing.GossipInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
+		Interval: s.Timing.GossipInterval, CrossInterval: s.Timing.CrossDomainInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.client, rng, d.applied.Load, d.onFacts)
-	eng, orders := engine.New(nil), engine.New(control)
+	eng := engine.New(nil)
+	d.orders = engine.New(control)
 	d.pacing = pacing.New(d.name, s.Daemon.FailureDomain, d.gossip)
 	d.owner = owner.New(now, owner.Settings{
 		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
 		SoleProcess: fixedPort(s.Daemon.PeerAddress),
-	}, d.follow, orders, d.gossip, d.pacing, observer{d})
+	}, d.follow, d.orders, d.gossip, d.pacing, observer{d})
 	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain}, d.follow, d.gossip, d.client, d.owner)
 	d.keeper = keeper.New(keeper.Settings{
 		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
@@ -208,6 +210,7 @@
 	tree.Add("duties", d.duties)
 	tree.Add("queue", d.broker.Run)
 	tree.Add("pacing", d.pacing.Run)
+	tree.Add("cache-events", d.watchCache)
 	tree.Add("callers", func(context.Context) error { return serveHTTP(d.front.Serve(d.callers)) })
 	tree.Add("admin", func(context.Context) error { return serveHTTP(d.adminSrv.Serve(d.admin)) })
 	a := d.Addresses()
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -40,6 +40,8 @@
 		// granted counts requests that were let through and have not been
 		// sent yet, which the replicas' load does not show.
 		granted map[string]int
+		// filled wakes Run after a request began to wait.
+		filled chan struct{}
 	}
 )
 
@@ -52,7 +54,7 @@
 func New(s admit.Settings, rng *rand.Rand, probe func(now time.Time, model string) Capacity) *Gate {
 	return &Gate{
 		probe: probe, queue: admit.New(s), rng: rng,
-		waiters: map[uint64]chan error{}, granted: map[string]int{},
+		waiters: map[uint64]chan error{}, granted: map[string]int{}, filled: make(chan struct{}, 1),
 	}
 }
 
@@ -79,6 +81,10 @@
 	g.waiters[id] = ready
 	g.mu.Unlock()
 	select {
+	case g.filled <- struct{}{}:
+	default:
+	}
+	select {
 	case err := <-ready:
 		if err != nil {
 			return nil, err
@@ -164,13 +170,20 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
-			g.step(time.Now())
+		case <-g.filled:
+		}
+		for g.step(time.Now()) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-t.C:
+			}
 		}
 	}
 }
 
-func (g *Gate) step(now time.Time) {
+// step reports whether requests were waiting.
+func (g *Gate) step(now time.Time) bool {
 	g.mu.Lock()
 	models := g.queue.Models(nil)
 	for _, it := range g.queue.Expire(now, nil) {
@@ -181,6 +194,7 @@
 	for _, m := range models {
 		g.pump(now, m)
 	}
+	return len(models) > 0
 }
 
 func expired() *fault.Fault {
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -34,6 +34,9 @@
 	Settings struct {
 		// Interval between exchanges; default 1 s.
 		Interval time.Duration
+		// CrossInterval between exchanges with another failure domain;
+		// default 4 s.
+		CrossInterval time.Duration
 		// Timeout of one exchange; default 1 s.
 		Timeout time.Duration
 		// MaxBytes bounds the facts in one exchange; default 700.
@@ -62,9 +65,6 @@
 )
 
 const (
-	// crossEvery is the number of intervals between exchanges with another
-	// failure domain.
-	crossEvery = 4
 	// digestEvery is the number of intervals between digests, which cost
 	// 512 bytes each.
 	digestEvery = 8
@@ -73,6 +73,8 @@
 	seedEvery = 5
 	// kickGap is the least time between exchanges caused by changes.
 	kickGap = 100 * time.Millisecond
+	// kicked is a round number at which neither a digest nor seeds are due.
+	kicked = 1
 )
 
 // New returns a Gossip for the daemon described by self. applied returns its
@@ -83,6 +85,9 @@
 	if s.Interval == 0 {
 		s.Interval = time.Second
 	}
+	if s.CrossInterval == 0 {
+		s.CrossInterval = 4 * time.Second
+	}
 	if s.Timeout == 0 {
 		s.Timeout = time.Second
 	}
@@ -252,7 +257,7 @@
 		case <-g.kick:
 			time.Sleep(kickGap)
 			n--
-			g.round(ctx, time.Now(), crossEvery)
+			g.round(ctx, time.Now(), kicked*g.crossEvery())
 		}
 		g.tick(time.Now())
 	}
@@ -274,6 +279,12 @@
 	wg.Wait()
 }
 
+// crossEvery is the number of intervals between exchanges with another failure
+// domain.
+func (g *Gossip) crossEvery() int {
+	return max(int(g.set.CrossInterval/g.set.Interval), 1)
+}
+
 type target struct{ name, domain, address string }
 
 // targets picks the peers for interval n.
@@ -305,7 +316,7 @@
 	}
 	pick(own)
 	// A daemon that is alone in its failure domain hears nothing there.
-	if n%crossEvery == 0 || len(own) == 0 {
+	if n%g.crossEvery() == 0 || len(own) == 0 {
 		pick(other)
 	}
 	if n%seedEvery == 0 {
--- a/internal/node/owner/bench_test.go
+++ b/internal/node/owner/bench_test.go
@@ -53,7 +53,7 @@
 			o.reconcile(context.Background(), now)
 			for b.Loop() {
 				o.reconcile(context.Background(), now)
-				o.watched()
+				o.Watched()
 			}
 		})
 	}
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -17,9 +17,9 @@
 	"github.com/azurespan/azurespan/internal/link/engine"
 )
 
-// watched returns the engines that this daemon polls: those it owns and those
+// Watched returns the engines that this daemon polls: those it owns and those
 // assigned to it.
-func (o *Owner) watched() []*declare.Upstream {
+func (o *Owner) Watched() []*declare.Upstream {
 	var out []*declare.Upstream
 	ros := o.roster()
 	o.mu.Lock()
@@ -44,7 +44,7 @@
 // poll reads the reports of all watched engines at the same time.
 func (o *Owner) poll(ctx context.Context, now time.Time) {
 	var wg sync.WaitGroup
-	watched := o.watched()
+	watched := o.Watched()
 	defer o.countIdle(now, watched)
 	for _, d := range watched {
 		wg.Go(func() {
--- a/internal/node/pacing/pacing.go
+++ b/internal/node/pacing/pacing.go
@@ -26,14 +26,16 @@
 		pacer   *pacer.Pacer
 		next    uint64
 		waiters map[uint64]chan struct{}
+		// filled wakes Run after a load began to wait.
+		filled chan struct{}
 	}
 )
 
 const (
 	// tick is the interval at which waiting loads are looked at.
 	tick = 25 * time.Millisecond
-	// hearEvery is the number of ticks between looks at the peers' news.
-	hearEvery = 40
+	// hearInterval is the time between looks at the peers' news.
+	hearInterval = time.Second
 	// adapterPause is the pause before an adapter load tries for a place
 	// again; a load takes a handful of milliseconds.
 	adapterPause = 2 * time.Millisecond
@@ -41,7 +43,7 @@
 
 // New returns a Pacing of the daemon self, with default limits until Configure.
 func New(self, domain string, f Facts) *Pacing {
-	p := &Pacing{self: self, domain: domain, facts: f, waiters: map[uint64]chan struct{}{}}
+	p := &Pacing{self: self, domain: domain, facts: f, waiters: map[uint64]chan struct{}{}, filled: make(chan struct{}, 1)}
 	p.pacer = pacer.New(pacer.Settings{Owner: self, FailureDomain: domain, FailureDomains: []string{domain}})
 	return p
 }
@@ -65,6 +67,10 @@
 	p.pacer.Want(pacer.Load{ID: id, Class: class, Deadline: deadline, Bytes: bytes})
 	p.start(time.Now())
 	p.mu.Unlock()
+	select {
+	case p.filled <- struct{}{}:
+	default:
+	}
 	p.tell(time.Now())
 	select {
 	case <-ready:
@@ -126,31 +132,45 @@
 
 // Run starts waiting loads as places become free, until ctx ends.
 func (p *Pacing) Run(ctx context.Context) error {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for n := 0; ; n++ {
+	hear := time.NewTicker(hearInterval)
+	defer hear.Stop()
+	var t *time.Ticker
+	var due <-chan time.Time
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
-		}
-		now := time.Now()
-		if n%hearEvery == 0 {
-			p.hear(now)
-		}
-		p.mu.Lock()
-		waiting := len(p.waiters)
-		if waiting > 0 {
-			p.start(now)
-		}
-		changed := waiting != len(p.waiters)
-		p.mu.Unlock()
-		if changed {
-			p.tell(now)
+		case <-hear.C:
+			p.hear(time.Now())
+		case <-p.filled:
+			if t == nil {
+				t = time.NewTicker(tick)
+				due = t.C
+			}
+		case <-due:
+			if !p.step(time.Now()) {
+				t.Stop()
+				t, due = nil, nil
+			}
 		}
 	}
 }
 
+// step starts the loads that have a place, and reports whether some wait.
+func (p *Pacing) step(now time.Time) bool {
+	p.mu.Lock()
+	before := len(p.waiters)
+	if before > 0 {
+		p.start(now)
+	}
+	after := len(p.waiters)
+	p.mu.Unlock()
+	if after != before {
+		p.tell(now)
+	}
+	return after > 0
+}
+
 // hear takes the peers' facts over. A fact stays true until its daemon reports
 // another one or dies, so it is heard anew each time.
 func (p *Pacing) hear(now time.Time) {
