examples: the cold-start weights that make measure uses

Cause: the examples had 0.25 and 0.8, the measurement 0.1 and 0.95. Ruled out: measuring other weights than those the users would publish. Change: the examples take the measured ones.

--- a/examples/cooperative/deployment.go
+++ b/examples/cooperative/deployment.go
@@ -49,7 +49,7 @@
 func deployment() *declare.Deployment {
 	d := &declare.Deployment{
 		Name:            "fig-tray-growers",
-		ColdStartWeight: 0.25,
+		ColdStartWeight: 0.1,
 		FailureDomains:  failureDomains,
 		Limits: declare.Limits{
 			StoreLoadsPerSecond: 4,
--- a/examples/kawabata/deployment.go
+++ b/examples/kawabata/deployment.go
@@ -51,7 +51,7 @@
 func deployment() *declare.Deployment {
 	d := &declare.Deployment{
 		Name:            "kawabata-benchworks",
-		ColdStartWeight: 0.8,
+		ColdStartWeight: 0.95,
 		FailureDomains:  failureDomains,
 		Limits: declare.Limits{
 			StoreLoadsPerSecond: 4,
