hrw, owner, gossip: even shares of engines, bounded contacts

Cause: plain rendezvous hashing gave some daemons four times the mean number of engines to poll, and a random peer of any failure domain meant a connection to every daemon; cmd/scale printed up to 5,179 B/s for one daemon at 32 daemons. Ruled out: slower polls, which delay the news of leaving and dead engines. Change: rendezvous hashing with bounded loads for the assignment; two contacts in each other failure domain; control traffic is counted by source.

--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -26,10 +26,16 @@
 
 type (
 	// sample is what a daemon's metrics say at one time.
-	sample struct{ sent, received, cpu, memory float64 }
+	sample struct {
+		bytes       map[string]float64 // control traffic by source
+		cpu, memory float64
+	}
 
 	// spent is the mean and the maximum over daemons.
-	spent struct{ bytesMean, bytesMax, cpuMean, cpuMax, memoryMean, memoryMax float64 }
+	spent struct {
+		bytesMean, bytesMax, cpuMean, cpuMax, memoryMean, memoryMax float64
+		sources                                                     map[string]float64
+	}
 )
 
 const (
@@ -47,7 +53,7 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	fmt.Println("daemons engines  control-B/s mean   max  cpu-% mean    max  rss-MB mean   max")
+	fmt.Println("daemons engines  control-B/s mean   max    log  hosts engines  peers  cpu-% mean    max  rss-MB mean   max")
 	for _, f := range strings.Split(*sizes, ",") {
 		n, err := strconv.Atoi(f)
 		if err != nil || n < 1 || n > 128 {
@@ -59,7 +65,8 @@
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
-		fmt.Printf("%7d %7d  %16.0f %5.0f  %10.3f %6.3f  %11.1f %5.1f\n", n, engines(n), s.bytesMean, s.bytesMax, s.cpuMean, s.cpuMax, s.memoryMean, s.memoryMax)
+		fmt.Printf("%7d %7d  %16.0f %5.0f  %5.0f  %5.0f   %5.0f  %5.0f  %10.3f %6.3f  %11.1f %5.1f\n", n, engines(n), s.bytesMean, s.bytesMax,
+			s.sources["log"], s.sources["hosts"], s.sources["engines"], s.sources["peers"], s.cpuMean, s.cpuMax, s.memoryMean, s.memoryMax)
 	}
 }
 
@@ -113,9 +120,14 @@
 }
 
 func summarise(before, after []sample, d time.Duration) spent {
-	var r spent
+	r := spent{sources: map[string]float64{}}
 	for i := range after {
-		b := (after[i].sent + after[i].received - before[i].sent - before[i].received) / d.Seconds()
+		var b float64
+		for source, n := range after[i].bytes {
+			rate := (n - before[i].bytes[source]) / d.Seconds()
+			r.sources[source] += rate / float64(len(after))
+			b += rate
+		}
 		c := 100 * (after[i].cpu - before[i].cpu) / d.Seconds()
 		m := after[i].memory / 1e6
 		r.bytesMean += b / float64(len(after))
@@ -165,23 +177,27 @@
 
 // scrape reads a daemon's metrics.
 func scrape(url string) (sample, error) {
-	var s sample
+	s := sample{bytes: map[string]float64{}}
 	resp, err := http.Get(url)
 	if err != nil {
 		return s, err
 	}
 	defer resp.Body.Close()
-	fields := map[string]*float64{
-		"azurespan_control_sent_bytes_total": &s.sent, "azurespan_control_received_bytes_total": &s.received,
-		"process_cpu_seconds_total": &s.cpu, "process_resident_memory_bytes": &s.memory,
-	}
 	sc := bufio.NewScanner(resp.Body)
 	for sc.Scan() {
 		name, value, _ := strings.Cut(sc.Text(), " ")
-		if to := fields[name]; to != nil {
-			if *to, err = strconv.ParseFloat(value, 64); err != nil {
-				return s, err
-			}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue // a comment
+		}
+		switch {
+		case strings.HasPrefix(name, "azurespan_control_"):
+			source, _, _ := strings.Cut(name[strings.Index(name, `"`)+1:], `"`)
+			s.bytes[source] += n
+		case name == "process_cpu_seconds_total":
+			s.cpu = n
+		case name == "process_resident_memory_bytes":
+			s.memory = n
 		}
 	}
 	return s, sc.Err()
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -25,9 +25,10 @@
 	// IdleAcceleratorSeconds is the time accelerators hold a loaded model
 	// without a request, summed over accelerators.
 	IdleAcceleratorSeconds prometheus.Counter
-	// ControlSentBytes and ControlReceivedBytes are control traffic.
-	ControlSentBytes     prometheus.Counter
-	ControlReceivedBytes prometheus.Counter
+	// ControlSentBytes and ControlReceivedBytes are control traffic by source
+	// (see Sources).
+	ControlSentBytes     *prometheus.CounterVec
+	ControlReceivedBytes *prometheus.CounterVec
 	// Streams is the number of streams in progress.
 	Streams prometheus.Gauge
 	// Loads counts finished loads by outcome, ok or failed.
@@ -53,6 +54,17 @@
 	OutcomeCallerGone = "caller-gone"
 )
 
+// Values of the label source of the control traffic.
+const (
+	SourceLog     = "log"
+	SourceHosts   = "hosts"
+	SourceEngines = "engines"
+	SourcePeers   = "peers"
+)
+
+// Sources lists the values of the label source.
+var Sources = []string{SourceLog, SourceHosts, SourceEngines, SourcePeers}
+
 // Outcomes lists the values of the label outcome of RequestSeconds.
 var Outcomes = []string{OutcomeOK, OutcomeRefused, OutcomeBroken, OutcomeSlowReader, OutcomeCallerGone}
 
@@ -80,12 +92,17 @@
 		Refusals:               b.counterVec("azurespan_refusals_total", "Refused requests by fault kind.", "reason"),
 		ColdStartSeconds:       b.histogram("azurespan_cold_start_seconds", "Time from a request for an idle model to the end of the load that serves it.", loadBuckets),
 		IdleAcceleratorSeconds: b.counter("azurespan_idle_accelerator_seconds_total", "Time that accelerators hold a loaded model without a request, summed over accelerators."),
-		ControlSentBytes:       b.counter("azurespan_control_sent_bytes_total", "Control traffic sent: log service, host list, engine orders and reports, other daemons."),
-		ControlReceivedBytes:   b.counter("azurespan_control_received_bytes_total", "Control traffic received."),
+		ControlSentBytes:       b.counterVec("azurespan_control_sent_bytes_total", "Control traffic sent by source (log, hosts, engines, peers).", "source"),
+		ControlReceivedBytes:   b.counterVec("azurespan_control_received_bytes_total", "Control traffic received by source.", "source"),
 		Streams:                b.gauge("azurespan_streams_in_progress", "Answers in progress, streamed or whole."),
 		Loads:                  b.counterVec("azurespan_loads_total", "Finished loads by outcome (ok, failed).", "outcome"),
 		LoadSeconds:            b.histogram("azurespan_load_seconds", "Duration of successful loads.", loadBuckets),
 	}
+	// A counter that exists from the start shows its first increase.
+	for _, source := range Sources {
+		m.ControlSentBytes.WithLabelValues(source)
+		m.ControlReceivedBytes.WithLabelValues(source)
+	}
 	if reg != nil {
 		reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	}
--- a/internal/core/hrw/hrw_test.go
+++ b/internal/core/hrw/hrw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -25,3 +26,26 @@
 	}
 	must.Eq(t, "", First("k", nil))
 }
+
+// TestSpread guards against a name with more than its share, and against an
+// assignment that depends on the order of the names.
+func TestSpread(t *testing.T) {
+	var keys []string
+	for i := range 75 {
+		keys = append(keys, fmt.Sprintf("engine-%02d", i))
+	}
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	got := Spread(keys, names)
+	count := map[string]int{}
+	for _, k := range keys {
+		count[got[k]]++
+	}
+	for _, n := range names {
+		must.LessEq(t, 10, count[n])
+	}
+	slices.Reverse(names)
+	must.Eq(t, got, Spread(keys, names))
+	must.MapEmpty(t, Spread(keys, nil))
+	must.Eq(t, First("k", names), Top(nil, "k", names, 3)[0])
+	must.Len(t, 3, Top(nil, "k", names, 3))
+}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -43,7 +43,7 @@
 	Daemon struct {
 		set     *setup.Settings
 		name    string
-		traffic *peer.Traffic
+		traffic map[string]*peer.Traffic // by source
 		metrics *metric.Metrics
 		reg     *prometheus.Registry
 		trail   *audit.Trail
@@ -85,9 +85,12 @@
 func New(now time.Time, s *setup.Settings) (*Daemon, error) {
 	d := &Daemon{
 		set: s, name: s.Daemon.Name + "/" + ulid.Make().String(),
-		traffic: new(peer.Traffic), trail: audit.New(s.Limits.Decisions), reg: prometheus.NewRegistry(),
+		traffic: map[string]*peer.Traffic{}, trail: audit.New(s.Limits.Decisions), reg: prometheus.NewRegistry(),
 	}
 	d.metrics = metric.New(d.reg)
+	for _, source := range metric.Sources {
+		d.traffic[source] = new(peer.Traffic)
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -99,12 +102,11 @@
 	if callerTLS != nil {
 		d.callers = wrapTLS(d.callers, callerTLS)
 	}
-	control := d.controlClient()
-	log := stream.New(s.Platform.LogAddress, control)
+	log := stream.New(s.Platform.LogAddress, controlClient(d.traffic[metric.SourceLog]))
 	log.Timeout = s.Timing.LogTimeout
-	d.hosts = hosts.New(s.Platform.HostsAddress, control)
-	d.client = peer.NewClient(secret, peerTLS, d.traffic)
-	if d.server, err = peer.NewServer(secret, peerTLS, &service{d: d}, d.traffic); err != nil {
+	d.hosts = hosts.New(s.Platform.HostsAddress, controlClient(d.traffic[metric.SourceHosts]))
+	d.client = peer.NewClient(secret, peerTLS, d.traffic[metric.SourcePeers])
+	if d.server, err = peer.NewServer(secret, peerTLS, &service{d: d}, d.traffic[metric.SourcePeers]); err != nil {
 		return nil, err
 	}
 	d.follow = follow.New(log, peerRecords{d}, follow.Settings{Poll: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout, SnapshotInterval: s.Timing.SnapshotInterval})
@@ -115,7 +117,7 @@
 		Interval: s.Timing.GossipInterval, CrossInterval: s.Timing.CrossDomainInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.client, rng, d.applied.Load, d.onFacts)
 	eng := engine.New(nil)
-	d.orders = engine.New(control)
+	d.orders = engine.New(controlClient(d.traffic[metric.SourceEngines]))
 	d.pacing = pacing.New(d.name, s.Daemon.FailureDomain, d.gossip)
 	d.owner = owner.New(now, owner.Settings{
 		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
@@ -163,9 +165,8 @@
 	return nil
 }
 
-// controlClient returns the HTTP client for the log, the host list and the
-// engines' orders and reports, whose bytes count as control traffic.
-func (d *Daemon) controlClient() *http.Client {
+// controlClient returns an HTTP client whose bytes t counts.
+func controlClient(t *peer.Traffic) *http.Client {
 	dialer := net.Dialer{Timeout: controlDial}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -173,7 +174,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return d.traffic.Conn(c), nil
+			return t.Conn(c), nil
 		},
 		MaxIdleConnsPerHost: controlIdle,
 		IdleConnTimeout:     time.Minute,
--- a/internal/node/daemon/duties.go
+++ b/internal/node/daemon/duties.go
@@ -33,17 +33,19 @@
 func (d *Daemon) duties(ctx context.Context) error {
 	tick := time.NewTicker(dutyInterval)
 	defer tick.Stop()
-	var sent, received uint64
+	counted := map[string][2]uint64{}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 		}
-		s, r := d.traffic.Sent.Load(), d.traffic.Received.Load()
-		d.metrics.ControlSentBytes.Add(float64(s - sent))
-		d.metrics.ControlReceivedBytes.Add(float64(r - received))
-		sent, received = s, r
+		for source, t := range d.traffic {
+			at := [2]uint64{t.Sent.Load(), t.Received.Load()}
+			d.metrics.ControlSentBytes.WithLabelValues(source).Add(float64(at[0] - counted[source][0]))
+			d.metrics.ControlReceivedBytes.WithLabelValues(source).Add(float64(at[1] - counted[source][1]))
+			counted[source] = at
+		}
 		d.assign()
 		d.prewake(ctx, time.Now())
 		if d.follow.SnapshotDue(time.Now()) && hrw.First(snapshotDuty, d.gossip.Live("")) == d.name {
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sort"
 	"sync"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/hrw"
 	"github.com/azurespan/azurespan/internal/core/member"
 )
 
@@ -71,6 +73,10 @@
 	// seedEvery is the number of intervals between attempts to reach seeds
 	// and daemons believed dead.
 	seedEvery = 5
+	// contactsPerDomain bounds the daemons of each other failure domain that
+	// this one exchanges news with. Without a bound it would keep a connection
+	// to each daemon of the deployment.
+	contactsPerDomain = 2
 	// kickGap is the least time between exchanges caused by changes.
 	kickGap = 100 * time.Millisecond
 	// kicked is a round number at which neither a digest nor seeds are due.
@@ -292,7 +298,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	self := g.facts.Self()
-	var own, other, dead []target
+	var own, dead []target
+	other := map[string][]string{} // names by failure domain
+	byName := map[string]target{}
 	known := map[string]bool{}
 	g.facts.Each(member.Daemon, func(f member.Fact) {
 		t := target{f.Name, f.Domain, f.Address}
@@ -304,10 +312,18 @@
 			own = append(own, t)
 			known[f.Address] = true
 		default:
-			other = append(other, t)
+			other[f.Domain] = append(other[f.Domain], f.Name)
+			byName[f.Name] = t
 			known[f.Address] = true
 		}
 	})
+	var contacts []target
+	for _, names := range other {
+		for _, n := range hrw.Top(nil, self.Name, names, contactsPerDomain) {
+			contacts = append(contacts, byName[n])
+		}
+	}
+	sort.Slice(contacts, func(i, j int) bool { return contacts[i].name < contacts[j].name })
 	var out []target
 	pick := func(list []target) {
 		if len(list) > 0 {
@@ -317,7 +333,7 @@
 	pick(own)
 	// A daemon that is alone in its failure domain hears nothing there.
 	if n%g.crossEvery() == 0 || len(own) == 0 {
-		pick(other)
+		pick(contacts)
 	}
 	if n%seedEvery == 0 {
 		pick(dead)
@@ -328,7 +344,7 @@
 			}
 		}
 		pick(seeds)
-		if len(own)+len(other) == 0 {
+		if len(own)+len(contacts) == 0 {
 			out = append(out, seeds...)
 		}
 	}
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
@@ -56,27 +58,30 @@
 	return sum
 }
 
-// assigned returns the daemon that should own an upstream: the first by
-// rendezvous hash among the live daemons of its failure domain, or among all
-// live daemons if that has none.
-func (r roster) assigned(u *declare.Upstream) string {
-	if own := r.live[u.FailureDomain]; len(own) > 0 {
-		return hrw.First(u.Name, own)
-	}
-	return hrw.First(u.Name, r.live[""])
-}
-
-// assignments returns the assigned daemon of each upstream. It keeps the
-// result while neither the live daemons nor the configuration change, because
+// assignments returns the assigned daemon of each upstream: the live daemons of
+// its failure domain share the upstreams evenly by rendezvous hash, and all live
+// daemons those of a domain without any. An even share keeps each daemon's
+// polls of engines within its control traffic. It keeps the result while neither the live daemons nor the configuration change, because
 // hashing all upstreams over all daemons twice a second costs more than all
 // other work of an Owner; o.mu is held.
 func (o *Owner) assignments(r roster, l *ledger.Ledger) map[string]string {
 	key := assignmentKey{daemons: r.signature(), version: l.Version()}
 	if o.assigned == nil || o.assignedFor != key {
-		ups := l.Config().Deployment.Upstreams
-		o.assigned, o.assignedFor = make(map[string]string, len(ups)), key
-		for i := range ups {
-			o.assigned[ups[i].Name] = r.assigned(&ups[i])
+		o.assigned, o.assignedFor = map[string]string{}, key
+		byDomain := map[string][]string{}
+		for i := range l.Config().Deployment.Upstreams {
+			u := &l.Config().Deployment.Upstreams[i]
+			if s := l.Config().Service(u.Service); s != nil && s.Kind == declare.ModelService {
+				byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], u.Name)
+			}
+		}
+		for domain, ups := range byDomain {
+			live := r.live[domain]
+			if len(live) == 0 {
+				live = r.live[""]
+			}
+			sort.Strings(ups)
+			maps.Copy(o.assigned, hrw.Spread(ups, live))
 		}
 	}
 	return o.assigned
