front: state run for resumptions, time only classified requests

Cause: a refused resumption said "run: no" although its event id proves that the request ran; lists of models and bad requests were timed as urgent; the wait for a resumption was counted as a first token. Ruled out: a separate label for other requests (they have no target). Change: every refusal of a verified resumption states run yes; requests without a class are only counted as refusals; the write deadline is no longer cleared by hand, because net/http does that (removing the call changed no test). Tests of the outcomes, half-closed callers, drain followed by Close, connections over the limit and oversized bodies without a length.

--- a/internal/node/front/answer.go
+++ b/internal/node/front/answer.go
@@ -34,6 +34,9 @@
 	a.first, err = a.next(ctx)
 	switch {
 	case err == nil:
+		if from > 0 {
+			return a, nil // the wait for a resumption is no first token
+		}
 		x.front.s.Metrics.FirstTokenSeconds.WithLabelValues(string(x.class)).Observe(x.front.since(x.received))
 		return a, nil
 	case from > 0 && errors.Is(err, io.EOF):
--- a/internal/node/front/exchange.go
+++ b/internal/node/front/exchange.go
@@ -26,7 +26,8 @@
 		received time.Time
 		w        *replyWriter
 		// body is the caller's body as received.
-		body    []byte
+		body []byte
+		// class is empty until it is known; only then is the exchange timed.
 		class   declare.Class
 		outcome string
 		cancel  context.CancelCauseFunc
@@ -47,7 +48,6 @@
 		front:    f,
 		received: now,
 		w:        newReplyWriter(rw, f.s.WriteTimeout),
-		class:    declare.Urgent,
 		outcome:  metric.OutcomeOK,
 	}
 	x.id = ulid.MustNew(ulid.Timestamp(now), f.s.Entropy)
@@ -74,8 +74,6 @@
 		rw.Header().Set("Connection", "close")
 		return tooLarge(s.MaxBodyBytes)
 	}
-	// The connection's write deadline may be left over from the stream before.
-	x.w.reset()
 	// Recorders in tests support no deadlines, which is no failure.
 	_ = x.w.ctl.SetReadDeadline(time.Now().Add(s.BodyTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, s.MaxBodyBytes))
@@ -183,5 +181,8 @@
 		<-x.front.slots
 		m.Streams.Dec()
 	}
+	if x.class == "" {
+		return
+	}
 	m.RequestSeconds.WithLabelValues(string(x.class), x.outcome).Observe(x.front.since(x.received))
 }
--- a/internal/node/front/input_test.go
+++ b/internal/node/front/input_test.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -85,6 +87,14 @@
 	t.Run("oversized body", func(t *testing.T) {
 		must.Eq(t, 413, problem(t, post(t, base, user(`,"user":"`+strings.Repeat("x", 3000)+`"`))).Status)
 	})
+	t.Run("oversized body without a length", func(t *testing.T) {
+		c := dial(t, base, "POST /v1/chat/completions HTTP/1.1\r\nHost: front\r\nTransfer-Encoding: chunked\r\n\r\n")
+		_, err := fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", 200_000, strings.Repeat("x", 200_000))
+		must.NoError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		must.NoError(t, err)
+		must.Eq(t, 413, problem(t, res).Status)
+	})
 	t.Run("two classes", func(t *testing.T) {
 		p := problem(t, post(t, base, user(""), HeaderClass, "urgent", HeaderClass, "background"))
 		must.Eq(t, HeaderClass, p.Field.Value)
--- a/internal/node/front/limits_test.go
+++ b/internal/node/front/limits_test.go
@@ -71,13 +71,15 @@
 func TestSlowReader(t *testing.T) {
 	s := &endless{fakeStream: newFakeStream(flow.Token{}), gate: make(chan struct{})}
 	b := &fakeBackend{complete: func(context.Context, flow.Request) (flow.Stream, error) { return s, nil }}
-	_, base := serve(t, Settings{WriteTimeout: time.Hour, ReaderPatience: time.Millisecond}, b)
+	f, base := serve(t, Settings{WriteTimeout: time.Hour, ReaderPatience: time.Millisecond}, b)
 	res := post(t, base, chatBody)
 	d := sse.NewDecoder(res.Body, 0, 0, "", nil)
 	_, err := d.Decode()
 	must.NoError(t, err)
 	close(s.gate)
 	<-s.closed
+	f.Drain()
+	must.NoError(t, f.Wait(t.Context()))
 	var last sse.Event
 	for err == nil {
 		if e, eerr := d.Decode(); eerr == nil {
@@ -163,8 +165,13 @@
 		_, base := serve(t, Settings{}, b)
 		c := dial(t, base, rawPost(chatBody))
 		<-began
-		must.NoError(t, c.Close())
+		// A caller that closes only its sending side must not take the end of
+		// the connection for an empty answer.
+		must.NoError(t, c.(*net.TCPConn).CloseWrite())
 		<-ended
+		rest, err := io.ReadAll(c)
+		must.NoError(t, err)
+		must.Eq(t, "", string(rest))
 	})
 }
 
@@ -213,7 +220,8 @@
 			}()
 			<-streams
 			f.Drain()
-			res := post(t, base, chatBody)
+			res, err := http.ReadResponse(bufio.NewReader(dial(t, base, rawPost(chatBody))), nil)
+			must.NoError(t, err)
 			must.True(t, res.Close)
 			must.NotEq(t, "", res.Header.Get("Retry-After"))
 			must.Eq(t, typePrefix+"draining", problem(t, res).Type)
@@ -222,6 +230,7 @@
 			must.ErrorIs(t, f.Wait(gone), context.Canceled)
 			go func() { next <- struct{}{}; next <- struct{}{} }()
 			must.NoError(t, f.Wait(t.Context()))
+			must.NoError(t, f.Close())
 			got := <-answer
 			must.StrContains(t, got, `ready.`)
 			must.StrHasSuffix(t, "<nil>", got)
@@ -248,11 +257,14 @@
 	p := problem(t, send(t, "GET", base+"/v1/models", ""))
 	must.Eq(t, typePrefix+"queue-full", p.Type)
 	must.Eq(t, oas.ProblemRunNo, p.Run)
+	silent, err := io.ReadAll(dial(t, base, ""))
+	must.NoError(t, err)
+	must.Eq(t, "", string(silent), must.Sprint("a client takes an answer before its request for a broken connection"))
 	must.NoError(t, idle.Close())
 
 	next <- struct{}{}
 	next <- struct{}{}
-	_, err := events(t, first)
+	_, err = events(t, first)
 	must.NoError(t, err)
 	<-held.closed
 	// The end of the first answer is sent after its slot is freed.
--- a/internal/node/front/problem.go
+++ b/internal/node/front/problem.go
@@ -15,6 +15,7 @@
 	"github.com/ogen-go/ogen/validate"
 
 	"github.com/azurespan/azurespan/internal/api/oas"
+	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/base/metric"
 )
@@ -192,6 +193,9 @@
 		if x.outcome == metric.OutcomeOK {
 			x.outcome = x.brokenOutcome(err)
 		}
+		if x.outcome == metric.OutcomeSlowReader {
+			event.CallerSlowReader.Log("request", x.id, "err", err)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	x.refuse(err)
--- a/internal/node/front/pump.go
+++ b/internal/node/front/pump.go
@@ -176,7 +176,6 @@
 	err := p.put(add)
 	if errors.Is(err, errSlowReader) {
 		x.w.cutOff(err)
-		event.CallerSlowReader.Log("request", x.id, "buffer-bytes", p.limit)
 	}
 	return err == nil
 }
--- a/internal/node/front/refusal.go
+++ b/internal/node/front/refusal.go
@@ -77,7 +77,7 @@
 | type | ` + "`urn:azurespan:refusal:<kind>`" + `; ` + "`about:blank`" + ` for a path (404) or a method (405) that does not exist |
 | title, status, detail | as in RFC 9457 |
 | instance | ` + "`urn:azurespan:request:<request identifier>`" + ` |
-| run | whether an upstream ran the request: no, yes or unknown; "no" is a promise |
+| run | whether an upstream ran the request: no, yes or unknown; "no" is a promise. For a resumption it speaks of the original request |
 | field | the invalid header, parameter or body field, if there is one |
 | error | message, type and code (the kind), in the form that OpenAI clients read |
 
--- a/internal/node/front/reply.go
+++ b/internal/node/front/reply.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// replyWriter writes an answer with a deadline for each write. It flushes each
-// write of an event stream.
+// replyWriter writes an answer with a deadline for each write, which net/http
+// clears before the connection's next request. It flushes each write of an
+// event stream.
 type replyWriter struct {
 	http.ResponseWriter
 	ctl     *http.ResponseController
@@ -69,8 +70,6 @@
 	return nil
 }
 
-func (w *replyWriter) reset() { _ = w.ctl.SetWriteDeadline(time.Time{}) }
-
 // cutOff makes the write in progress, if any, and all later ones fail. It may
 // be called while another goroutine writes.
 func (w *replyWriter) cutOff(err error) {
--- a/internal/node/front/resume.go
+++ b/internal/node/front/resume.go
@@ -27,18 +27,25 @@
 	if p.request != params.RequestID {
 		return nil, badField("request-id", "differs from the request of the event id")
 	}
+	from := p.index + 1
+	a, err := f.resume(ctx, x, p, from)
+	if err != nil {
+		// The event id proves that the request ran.
+		return nil, ranFault(faultOf(ctx, err))
+	}
+	return &oas.ResumeStreamOK{Data: x.start(a, newChunker(f.signer, p.request, "", createdOf(p.request), from))}, nil
+}
+
+func (f *Front) resume(ctx context.Context, x *exchange, p place, from int64) (*answer, error) {
+	// The class of the request is not part of its event ids.
+	x.class = declare.Urgent
 	if err := x.takeSlot(); err != nil {
 		return nil, err
 	}
-	from := p.index + 1
 	deadline := x.received.Add(declare.DefaultUrgentDeadline)
-	a, err := x.begin(ctx, deadline, from, func() (flow.Stream, error) {
+	return x.begin(ctx, deadline, from, func() (flow.Stream, error) {
 		return f.backend.Resume(ctx, p.request, p.upstream, from)
 	})
-	if err != nil {
-		return nil, err
-	}
-	return &oas.ResumeStreamOK{Data: x.start(a, newChunker(f.signer, p.request, "", createdOf(p.request), from))}, nil
 }
 
 // createdOf returns the Unix time of a request identifier in seconds, which is
--- a/internal/node/front/stream_test.go
+++ b/internal/node/front/stream_test.go
@@ -9,10 +9,12 @@
 	"testing"
 
 	"github.com/ogen-go/ogen/sse"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
 
 	"github.com/azurespan/azurespan/internal/api/oas"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/node/flow"
 )
 
@@ -79,6 +81,13 @@
 	_, err = events(t, send(t, "GET", base+"/v1/streams/"+id+"?after="+es[1].ID, ""))
 	must.NoError(t, err)
 
+	b.resume = func(context.Context, string, string, int64) (flow.Stream, error) {
+		return nil, fault.New(fault.UnknownStream, "engine-1 has no such stream")
+	}
+	gone := problem(t, send(t, "GET", base+"/v1/streams/"+id, "", "Last-Event-ID", es[1].ID))
+	must.Eq(t, 404, gone.Status)
+	must.Eq(t, oas.ProblemRunYes, gone.Run)
+
 	forged := strings.Replace(es[1].ID, ".1.", ".2.", 1)
 	for _, bad := range []string{forged, es[1].ID + "x", "", id + ".engine-1.1", strings.Repeat(".", 600)} {
 		must.Eq(t, "Last-Event-ID", problem(t, send(t, "GET", base+"/v1/streams/"+id, "", "Last-Event-ID", bad)).Field.Value)
@@ -141,3 +150,43 @@
 	must.Eq(t, 503, p.Status)
 	must.Eq(t, oas.ProblemRunNo, p.Run)
 }
+
+// TestOutcomes guards against requests that are counted under another outcome
+// or class, and against a gauge of streams that does not fall.
+func TestOutcomes(t *testing.T) {
+	reg := prometheus.NewRegistry()
+	b := &fakeBackend{}
+	_, base := serve(t, Settings{Metrics: metric.New(reg)}, b)
+	_, err := events(t, post(t, base, chatBody, HeaderClass, "urgent"))
+	must.NoError(t, err)
+	problem(t, post(t, base, strings.Replace(chatBody, "fig-7b", "plum", 1)))
+	b.complete = func(context.Context, flow.Request) (flow.Stream, error) {
+		return newFakeStream(tokens("Fig ", "trays")[:1]...), nil
+	}
+	_, err = events(t, post(t, base, chatBody))
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	families, err := reg.Gather()
+	must.NoError(t, err)
+	got := map[string]float64{}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			name := f.GetName()
+			for _, l := range m.GetLabel() {
+				name += " " + l.GetValue()
+			}
+			got[name] = float64(m.GetHistogram().GetSampleCount()) + m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	for name, want := range map[string]float64{
+		"azurespan_request_duration_seconds urgent ok":         1,
+		"azurespan_request_duration_seconds urgent refused":    1,
+		"azurespan_request_duration_seconds background broken": 1,
+		"azurespan_first_token_seconds urgent":                 1,
+		"azurespan_token_interval_seconds":                     2,
+		"azurespan_refusals_total unknown-model":               1,
+		"azurespan_refusals_total upstream-invalid":            1,
+		"azurespan_streams_in_progress":                        0,
+	} {
+		must.Eq(t, want, got[name], must.Sprint(name))
+	}
+}
