check: exhaustive search of the core protocol

The control ledger and the claims fold decide the transitions; engines, owners, keepers, claimants and operators are specified in loads, keys and confs. The search is breadth first over hashed states, so a counterexample is a shortest run.

Found while writing the specification: on an engine that ignores fencing, a former owner can load a model after the new owner's confirmed unload and then acknowledge its loss; the release was then accepted although the model was loaded. An unload therefore counts only if it was ordered after every acknowledgement was read (fault stale-unload). Further rules that the search needs, each shown by a fault: a release needs an order under the current epoch even if the model is not loaded; a checking engine must compare sequence numbers and keep its numbers over a restart; no load after the release was appended.

ledger: Clone, which the search uses for each new record.

--- /dev/null
+++ b/internal/check/loads/case.go
@@ -0,0 +1,46 @@
+package loads
+
+import "github.com/azurespan/azurespan/internal/check/search"
+
+// Properties returns what is checked in every state.
+func Properties() []string { return []string{replicaLimit, memoryLimit} }
+
+// Cases returns the searches of this package. In "checking" both upstreams
+// check fencing, in "mixed" upstream 0 ignores it, in "ignoring" both do.
+func Cases() []search.Case {
+	checking, mixed, ignoring := [2]bool{}, [2]bool{true, false}, [2]bool{true, true}
+	small := Bounds{Daemons: 2, Takes: 1, Grants: 2, Releases: 1, Orders: 3}
+	alone := small
+	alone.Takes = 0
+	with := func(b Bounds, f func(*Bounds)) Bounds {
+		f(&b)
+		return b
+	}
+	acks := with(small, func(b *Bounds) { b.Acks = 1 })
+	var out []search.Case
+	add := func(name string, b Bounds, ignores [2]bool, f Fault, short bool) {
+		out = append(out, search.Case{Name: "loads, " + name, Fault: string(f), Short: short, Run: func(limit int) search.Result {
+			return search.Run(New(b, ignores, f), limit)
+		}})
+	}
+	add("mixed, no acknowledgement", small, mixed, NoFault, true)
+	add("checking, acknowledgement", acks, checking, NoFault, false)
+	add("mixed, acknowledgement", acks, mixed, NoFault, false)
+	add("ignoring, acknowledgement", acks, ignoring, NoFault, false)
+	add("mixed, order given up", with(acks, func(b *Bounds) { b.GivenUp = 1 }), mixed, NoFault, false)
+	add("mixed, delayed append", with(small, func(b *Bounds) { b.Delayed = 1 }), mixed, NoFault, false)
+	add("mixed, crash of a daemon", with(small, func(b *Bounds) { b.Crashes = 1 }), mixed, NoFault, false)
+	add("checking, restart of an engine", with(small, func(b *Bounds) { b.Restarts = 1 }), checking, NoFault, false)
+	add("mixed, three daemons", with(small, func(b *Bounds) { b.Daemons = 3; b.Grants = 1; b.Orders = 2 }), mixed, NoFault, false)
+
+	add("checking", small, checking, UncheckedFencing, true)
+	add("checking, order given up", with(alone, func(b *Bounds) { b.GivenUp = 1 }), checking, UncheckedSequence, true)
+	add("checking, restart of an engine", with(small, func(b *Bounds) { b.Restarts = 1 }), checking, ForgottenFencing, true)
+	add("checking, one owner", with(alone, func(b *Bounds) { b.Orders = 2 }), checking, EarlyRelease, true)
+	add("checking", with(small, func(b *Bounds) { b.Orders = 2 }), checking, ReportedRelease, true)
+	add("mixed", small, mixed, TrustedFormer, true)
+	add("mixed, acknowledgement", acks, mixed, EarlyAcknowledge, true)
+	add("mixed, acknowledgement", acks, mixed, StaleUnload, true)
+	add("checking, one owner", alone, checking, LoadAfterRelease, true)
+	return out
+}
--- /dev/null
+++ b/internal/check/search/search_test.go
@@ -0,0 +1,41 @@
+package search
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// counters is two counters that count up to 3; the sum bad violates.
+type counters struct{ bad int }
+
+func (counters) Start() [2]int { return [2]int{} }
+
+func (counters) Next(s [2]int, emit func(Label, [2]int)) {
+	for i := range s {
+		if n := s; s[i] < 3 {
+			n[i]++
+			emit(Label{uint8(i)}, n)
+		}
+	}
+}
+
+func (c counters) Check(s [2]int) string {
+	if s[0]+s[1] == c.bad {
+		return "sum"
+	}
+	return ""
+}
+
+func (counters) Describe(s [2]int, l Label) string { return fmt.Sprint(s, l[0]) }
+
+// TestRun guards against states that are missed, and against a counterexample
+// that is not the shortest or can't be followed.
+func TestRun(t *testing.T) {
+	must.Eq(t, Result{States: 16, Steps: 24, Depth: 6, Complete: true}, Run(counters{bad: -1}, 100))
+	r := Run(counters{bad: 2}, 100)
+	must.Eq(t, []string{"[0 0] 0", "[1 0] 0"}, r.Violation.Steps)
+	must.False(t, Run(counters{bad: -1}, 5).Complete)
+	must.Eq(t, "sum", Walk(counters{bad: 4}, 10, func(int) int { return 0 }).Property)
+}
--- a/internal/core/ledger/snapshot.go
+++ b/internal/core/ledger/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/azurespan/azurespan/declare"
@@ -84,3 +86,20 @@
 	}
 	return l, nil
 }
+
+// Clone returns an independent copy of l. It shares the configuration, which
+// is immutable.
+func (l *Ledger) Clone() *Ledger {
+	c := *l
+	c.owners = maps.Clone(l.owners)
+	c.replicas = maps.Clone(l.replicas)
+	c.formers = make(map[string][]Former, len(l.formers))
+	for u, fs := range l.formers {
+		c.formers[u] = slices.Clone(fs)
+	}
+	c.grants = make(map[string]map[Key]Grant, len(l.grants))
+	for u, gs := range l.grants {
+		c.grants[u] = maps.Clone(gs)
+	}
+	return &c
+}
