--- a/internal/core/record/codec.go
+++ b/internal/core/record/codec.go
@@ -58,15 +58,28 @@
 	}
 }
 
-// Encode returns r as bytes for the log.
-func Encode(r Record) ([]byte, error) {
+// Text returns r as JSON, the form that Encode compresses.
+func Text(r Record) ([]byte, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
 		return nil, &CodecError{Detail: "encode", Cause: err}
 	}
+	b, err := json.Marshal(envelope{Type: TypeOf(r), Body: body})
+	if err != nil {
+		return nil, &CodecError{Detail: "encode", Cause: err}
+	}
+	return b, nil
+}
+
+// Encode returns r as bytes for the log.
+func Encode(r Record) ([]byte, error) {
+	text, err := Text(r)
+	if err != nil {
+		return nil, err
+	}
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
-	if err := json.NewEncoder(z).Encode(envelope{Type: TypeOf(r), Body: body}); err != nil {
+	if _, err := z.Write(text); err != nil {
 		return nil, &CodecError{Detail: "compress", Cause: err}
 	}
 	if err := z.Close(); err != nil {
@@ -89,6 +102,12 @@
 	if len(text) > MaxBytes {
 		return nil, &CodecError{Detail: fmt.Sprintf("larger than %d bytes", MaxBytes)}
 	}
+	return Parse(text)
+}
+
+// Parse returns the record in the JSON that Text returned. It fails with a
+// *CodecError like Decode.
+func Parse(text []byte) (Record, error) {
 	var e envelope
 	if err := json.Unmarshal(text, &e); err != nil {
 		return nil, &CodecError{Detail: "parse", Cause: err}
