--- a/cmd/azurespan/command_test.go
+++ b/cmd/azurespan/command_test.go
@@ -49,7 +49,9 @@
 		{exitRefused, "check --settings absent.ini --config absent.json"},
 		{exitRefused, "serve --settings absent.ini"},
 		{exitRefused, "status --settings absent.ini"},
-		{exitInternal, "replay --trace x"},
+		{exitRefused, "replay --trace absent.jsonl"},
+		{exitRefused, "replay --trace ../../examples/kawabata/azurespan.ini"},
+		{exitOK, "replay --trace ../../internal/check/trace/testdata/i1-replicas.jsonl"},
 	} {
 		code, out, errs := invoke(t, strings.Fields(c.args)...)
 		must.Eq(t, c.want, code, must.Sprintf("%s\n%s\n%s", c.args, out, errs))
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -113,6 +113,14 @@
 		name     string
 		replicas map[ledger.Key]*replica
 		loads    map[ledger.Key]*load
+		// evicting holds a channel for each replica that is being unloaded.
+		evicting map[ledger.Key]chan struct{}
+		// releases holds the offsets of grants whose release was appended and
+		// has not been read back.
+		releases map[ledger.Key]uint64
+		// unsure holds the loads that were given up without an answer, with
+		// the engine's incarnation at that time.
+		unsure map[ledger.Key]int64
 		// inFlight counts orders that have no answer yet.
 		inFlight int
 		sequence uint64
@@ -196,7 +204,10 @@
 func (o *Owner) unit(name string) *unit {
 	u := o.units[name]
 	if u == nil {
-		u = &unit{name: name, replicas: map[ledger.Key]*replica{}, loads: map[ledger.Key]*load{}, status: member.Alive}
+		u = &unit{
+			name: name, replicas: map[ledger.Key]*replica{}, loads: map[ledger.Key]*load{}, status: member.Alive,
+			evicting: map[ledger.Key]chan struct{}{}, releases: map[ledger.Key]uint64{}, unsure: map[ledger.Key]int64{},
+		}
 		o.units[name] = u
 	}
 	return u
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -124,7 +124,8 @@
 	c.before = func(r record.Record) {
 		if _, ok := r.(record.AcknowledgeLoss); ok {
 			c.before = nil
-			must.Eq(t, fault.NotOwner, kindOf(o.order(t.Context(), ledger.Key{Upstream: "u", Model: "m", Version: "v1"}, engine.Order{Kind: engine.Load})))
+			_, err := o.order(t.Context(), ledger.Key{Upstream: "u", Model: "m", Version: "v1"}, engine.Order{Kind: engine.Load})
+			must.Eq(t, fault.NotOwner, kindOf(err))
 		}
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -122,6 +122,7 @@
 func (o *Owner) merge(now time.Time, u *unit, r engine.Report) {
 	restarted := u.report.Incarnation != r.Incarnation
 	u.failures, u.refused = 0, 0
+	u.settle(r)
 	u.status = member.Alive
 	if r.Leaving {
 		u.status = member.Leaving
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -133,7 +133,7 @@
 	own, has := l.Owner(d.Name)
 	u := o.unit(d.Name)
 	for _, f := range l.FormersOf(d.Name) {
-		mine := f.Daemon == o.set.Self && u.inFlight == 0
+		mine := f.Daemon == o.set.Self && u.quiet()
 		if mine || o.replaced(f.Daemon) {
 			out = append(out, plan{upstream: d.Name, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: f.Daemon, Epoch: f.Epoch}})
 		}
@@ -142,7 +142,7 @@
 	u.resigning = u.resigning && mine
 	switch {
 	case mine && (o.leaving || u.resigning || o.handOver(now, u, assigned)):
-		if u.inFlight == 0 {
+		if u.quiet() {
 			u.misplaced, u.resigning = time.Time{}, true
 			out = append(out, plan{upstream: d.Name, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: o.set.Self, Epoch: own.Epoch}})
 		}
@@ -153,6 +153,10 @@
 	return out
 }
 
+// quiet reports whether no order of this daemon is in flight or may still be
+// executed, so that the loss of ownership can be acknowledged; o.mu is held.
+func (u *unit) quiet() bool { return u.inFlight == 0 && len(u.unsure) == 0 }
+
 // handOver reports whether another daemon has been assigned for long enough.
 func (o *Owner) handOver(now time.Time, u *unit, assigned string) bool {
 	if assigned == o.set.Self || assigned == "" {
