--- a/internal/base/setup/field.go
+++ b/internal/base/setup/field.go
@@ -43,6 +43,13 @@
 		}},
 	listen("caller-address", "Listener for callers.", func(s *Settings) *string { return &s.Daemon.CallerAddress }),
 	listen("peer-address", "Listener for other daemons, which call it at this address.", func(s *Settings) *string { return &s.Daemon.PeerAddress }),
+	{section: "daemon", key: "advertise-address", allowed: allowedDial,
+		meaning: "Address at which other daemons call this one, if it differs from peer-address, as behind address translation.",
+		set: func(s *Settings, v string) (ProblemKind, string) {
+			_, kind, detail := parseDial(v)
+			s.Daemon.AdvertiseAddress = v
+			return kind, detail
+		}},
 	listen("admin-address", "Listener for metrics, health and status.", func(s *Settings) *string { return &s.Daemon.AdminAddress }),
 	{section: "peers", key: "addresses", allowed: "peer addresses (IP number and port) separated by commas, up to 1024",
 		meaning: "Peer addresses of daemons to contact first. The daemon's own address is skipped, so all hosts can share one list.",
--- a/internal/base/setup/parse.go
+++ b/internal/base/setup/parse.go
@@ -148,18 +148,20 @@
 	}
 }
 
-// skipSelf drops the daemon's own peer address from the peers, so that all
-// hosts can share one list.
+// skipSelf drops the daemon's own addresses from the peers, so that all hosts
+// can share one list.
 func (p *parser) skipSelf() {
 	s := &p.settings
-	own, err := netip.ParseAddrPort(s.Daemon.PeerAddress)
-	if err != nil {
-		return
+	for _, text := range []string{s.Daemon.PeerAddress, s.Daemon.AdvertiseAddress} {
+		own, err := netip.ParseAddrPort(text)
+		if err != nil {
+			continue
+		}
+		s.Peers.Addresses = slices.DeleteFunc(s.Peers.Addresses, func(v string) bool {
+			a, err := netip.ParseAddrPort(v)
+			return err == nil && a == own
+		})
 	}
-	s.Peers.Addresses = slices.DeleteFunc(s.Peers.Addresses, func(v string) bool {
-		a, err := netip.ParseAddrPort(v)
-		return err == nil && a == own
-	})
 }
 
 func (p *parser) files(prefix, certificate, key, ca string) {
--- a/internal/base/setup/settings.go
+++ b/internal/base/setup/settings.go
@@ -24,6 +24,9 @@
 		// CallerAddress, PeerAddress and AdminAddress are IP numbers with a
 		// port; port 0 lets the system choose one.
 		CallerAddress, PeerAddress, AdminAddress string
+		// AdvertiseAddress is where peers call the daemon if that differs
+		// from where it listens; else empty.
+		AdvertiseAddress string
 	}
 
 	// Peers names daemons to contact first.
--- a/internal/base/setup/setup_test.go
+++ b/internal/base/setup/setup_test.go
@@ -43,8 +43,9 @@
 
 // TestEverySetting guards against a key whose value is checked and then lost.
 func TestEverySetting(t *testing.T) {
-	s, err := setup.Parse("a.ini", []byte(minimal+`[peers]
-addresses = 10.0.0.1:7, [::1]:7
+	text := strings.Replace(minimal, "[platform]", "advertise-address = 10.0.0.9:7\n[platform]", 1)
+	s, err := setup.Parse("a.ini", []byte(text+`[peers]
+addresses = 10.0.0.1:7, 10.0.0.9:7, [::1]:7
 [limits]
 body = 2 MiB
 headers = 2048B
@@ -60,6 +61,7 @@
 `))
 	must.NoError(t, err)
 	must.Eq(t, []string{"10.0.0.1:7", "[::1]:7"}, s.Peers.Addresses)
+	must.Eq(t, "10.0.0.9:7", s.Daemon.AdvertiseAddress)
 	must.Eq(t, 2<<20, s.Limits.Body)
 	must.Eq(t, 2048, s.Limits.Headers)
 	must.Eq(t, 90*time.Second, s.Limits.IdleTimeout)
@@ -115,6 +117,7 @@
 		"caller-address = 127.0.0.1:0":    "caller-address = localhost:0",
 		"peer-address = 127.0.0.1:0":      "peer-address = 0.0.0.0:5",
 		"admin-address = [::1]:0":         "admin-address =",
+		"name = entry-1.example\n":        "advertise-address = 10.0.0.9:0\nname = entry-1.example\n",
 		"log-address = 127.0.0.1:70":      "log-address = ftp://127.0.0.1:70",
 		"hosts-address = http://[::1]:71": "hosts-address = http://host:71",
 		"shared-secret = 0123456789":      "shared-secret = 01",
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -98,7 +98,7 @@
 	d.follow = follow.New(log, peerRecords{d}, follow.Settings{Poll: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.gossip = gossip.New(now, member.Fact{
-		Name: d.name, Domain: s.Daemon.FailureDomain, Address: d.peers.Addr().String(),
+		Name: d.name, Domain: s.Daemon.FailureDomain, Address: d.advertised(),
 	}, member.Settings{SuspectAfter: s.Timing.SuspectAfter}, gossip.Settings{
 		Interval: s.Timing.GossipInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.client, rng, d.applied.Load, d.onFacts)
@@ -153,6 +153,14 @@
 	return Addresses{Caller: d.callers.Addr().String(), Peer: d.peers.Addr().String(), Admin: d.admin.Addr().String()}
 }
 
+// advertised returns the address at which peers call d.
+func (d *Daemon) advertised() string {
+	if a := d.set.Daemon.AdvertiseAddress; a != "" {
+		return a
+	}
+	return d.peers.Addr().String()
+}
+
 // Name returns the daemon's name, which is unique to the process.
 func (d *Daemon) Name() string { return d.name }
 
