--- a/internal/node/keeper/follow.go
+++ b/internal/node/keeper/follow.go
@@ -38,7 +38,7 @@
 }
 
 func (p *part) follow(ctx context.Context) {
-	pause := p.k.set.BackoffMin
+	pause := p.k.set.BackoffLow
 	for ctx.Err() == nil {
 		if _, err := p.poll(ctx, p.k.set.PollWait); err != nil {
 			if ctx.Err() != nil {
@@ -46,10 +46,10 @@
 			}
 			p.unreadable(err)
 			p.k.sleep(ctx, pause)
-			pause = min(2*pause, p.k.set.BackoffMax)
+			pause = min(2*pause, p.k.set.BackoffHigh)
 			continue
 		}
-		pause = p.k.set.BackoffMin
+		pause = p.k.set.BackoffLow
 		p.mu.Lock()
 		stop := !p.assigned && !p.mine()
 		p.mu.Unlock()
@@ -169,7 +169,7 @@
 		return
 	}
 	if wasMine {
-		p.retake = min(max(2*p.retake, p.k.set.RetakeMin), p.k.set.RetakeMax)
+		p.retake = min(max(2*p.retake, p.k.set.RetakeLow), p.k.set.RetakeHigh)
 		event.PartitionLost.Log("stream", p.stream, "epoch", p.fold.Owner().Epoch, "owner", r.Daemon)
 	}
 	// Any claim under the old epoch that is not read yet is void, so no
--- a/internal/node/keeper/memlog_test.go
+++ b/internal/node/keeper/memlog_test.go
@@ -145,7 +145,7 @@
 	return off, at, nil
 }
 
-func (l *memLink) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (Page, error) {
+func (l *memLink) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
@@ -159,7 +159,7 @@
 		s := l.stream(stream)
 		p := Page{Oldest: s.oldest, End: s.oldest + uint64(len(s.records))}
 		for _, e := range s.records {
-			if e.Offset >= from && len(p.Records) < max {
+			if e.Offset >= from && len(p.Records) < limit {
 				p.Records = append(p.Records, e)
 			}
 		}
--- a/internal/node/keeper/write.go
+++ b/internal/node/keeper/write.go
@@ -9,17 +9,17 @@
 
 // write takes ownership when it is due and appends what is queued.
 func (p *part) write(ctx context.Context) {
-	pause := p.k.set.BackoffMin
+	pause := p.k.set.BackoffLow
 	for ctx.Err() == nil {
 		again, err := p.step(ctx)
 		switch {
 		case err != nil:
 			p.k.sleep(ctx, pause)
-			pause = min(2*pause, p.k.set.BackoffMax)
+			pause = min(2*pause, p.k.set.BackoffHigh)
 		case again:
-			pause = p.k.set.BackoffMin
+			pause = p.k.set.BackoffLow
 		default:
-			pause = p.k.set.BackoffMin
+			pause = p.k.set.BackoffLow
 			select {
 			case <-p.wake:
 			case <-ctx.Done():
@@ -66,7 +66,7 @@
 			return false, nil
 		}
 		p.unreadable(readErr)
-		p.k.sleep(ctx, p.k.set.BackoffMin)
+		p.k.sleep(ctx, p.k.set.BackoffLow)
 	}
 	p.again(calls)
 	return true, err
