faults: run failure scenarios with real daemons and an independent checker

Cause: nothing showed that the invariants I1 to I9 hold when processes die, pause, or are cut off from each other and from the platform.

Ruled out: engines as separate processes, whose records of what ran would be lost when they are killed; /proc/net/tcp to find the source of a connection, which took 36 ms to read with 10,000 closed connections and let the daemons suspect each other.

An engine's stand-in records work that it refuses while it leaves.

--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -25,7 +25,6 @@
 		began  time.Time
 		site   *fleet.Site
 		caller *fleet.Caller
-		config string
 	}
 
 	step struct {
--- /dev/null
+++ b/internal/check/faults/list.go
@@ -0,0 +1,24 @@
+package faults
+
+// Scenarios returns all scenarios in the order in which they run.
+func Scenarios() []Scenario {
+	var out []Scenario
+	out = append(out, daemonScenarios()...)
+	out = append(out, networkScenarios()...)
+	out = append(out, logScenarios()...)
+	out = append(out, operatorScenarios()...)
+	out = append(out, upstreamScenarios()...)
+	return out
+}
+
+// Short returns the scenarios of the Go test.
+func Short() []Scenario {
+	var out []Scenario
+	for _, s := range Scenarios() {
+		switch s.Name {
+		case "kill-daemon-streams", "burst", "sigterm-one-by-one":
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/internal/check/fleet/caller.go
+++ b/internal/check/fleet/caller.go
@@ -58,11 +58,13 @@
 
 	// Reply is the answer of a plain service.
 	Reply struct {
-		Status   int
-		Body     string
-		Replayed bool
-		Problem  Problem
-		Err      error
+		Status int
+		// RequestID is the identifier that the daemon gave to the call.
+		RequestID string
+		Body      string
+		Replayed  bool
+		Problem   Problem
+		Err       error
 	}
 )
 
@@ -70,13 +72,57 @@
 // after each event with the number so far; the stream is left if it returns
 // false.
 func (c *Caller) Stream(ctx context.Context, d *Proc, q Chat, onEvent func(int) bool) Answer {
-	body, _ := json.Marshal(map[string]any{
-		"model": q.Model, "stream": true, "max_tokens": q.MaxTokens, "ignore_eos": true,
+	req, err := q.request(ctx, d, true)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	return c.read(req, Answer{}, onEvent)
+}
+
+// Whole sends a chat completion whose answer comes in one piece.
+func (c *Caller) Whole(ctx context.Context, d *Proc, q Chat) Answer {
+	req, err := q.request(ctx, d, false)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer resp.Body.Close()
+	a := Answer{Status: resp.StatusCode, RequestID: resp.Header.Get("X-Request-Id")}
+	if resp.StatusCode != http.StatusOK {
+		a.Problem, a.Err = problem(resp)
+		return a
+	}
+	var out struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	if a.Err = json.NewDecoder(resp.Body).Decode(&out); a.Err == nil && len(out.Choices) == 1 {
+		a.Text, a.Done = out.Choices[0].Message.Content, true
+		a.Events = strings.Count(a.Text, " ")
+	}
+	return a
+}
+
+// Body returns the body of the request.
+func (q *Chat) Body(stream bool) []byte {
+	// A map of strings, numbers and truth values always has an encoding.
+	b, _ := json.Marshal(map[string]any{
+		"model": q.Model, "stream": stream, "max_tokens": q.MaxTokens, "ignore_eos": true,
 		"messages": []map[string]string{{"role": "user", "content": q.Prompt}},
 	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Line["caller"]+"/v1/chat/completions", bytes.NewReader(body))
+	return b
+}
+
+func (q *Chat) request(ctx context.Context, d *Proc, stream bool) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Line["caller"]+"/v1/chat/completions", bytes.NewReader(q.Body(stream)))
 	if err != nil {
-		return Answer{Err: err}
+		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	if q.Class != "" {
@@ -85,7 +131,7 @@
 	if q.Deadline > 0 {
 		req.Header.Set("Azurespan-Deadline", strconv.FormatInt(q.Deadline.Milliseconds(), 10))
 	}
-	return c.read(req, Answer{}, onEvent)
+	return req, nil
 }
 
 // Resume continues an answer through a daemon, from its last event on.
@@ -110,6 +156,9 @@
 	}
 	defer resp.Body.Close()
 	a.Status = resp.StatusCode
+	if a.RequestID == "" {
+		a.RequestID = resp.Header.Get("X-Request-Id")
+	}
 	if resp.StatusCode != http.StatusOK {
 		a.Problem, a.Err = problem(resp)
 		return a
@@ -204,7 +253,7 @@
 		return Reply{Err: err}
 	}
 	defer resp.Body.Close()
-	r := Reply{Status: resp.StatusCode, Replayed: resp.Header.Get("Idempotency-Replayed") != ""}
+	r := Reply{Status: resp.StatusCode, RequestID: resp.Header.Get("X-Request-Id"), Replayed: resp.Header.Get("Idempotency-Replayed") != ""}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "application/problem+json") {
 		r.Problem, r.Err = problem(resp)
 		return r
@@ -230,3 +279,7 @@
 
 // Kind returns the last part of the refusal's type.
 func (p Problem) Kind() string { return p.Type[strings.LastIndex(p.Type, ":")+1:] }
+
+// ResumeDeadline is the time in which a daemon begins or refuses a resumed
+// answer, which has no deadline of its own.
+const ResumeDeadline = 30 * time.Second
--- /dev/null
+++ b/internal/check/fleet/daemon.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Daemon describes a daemon to run. It listens on ports that the system
+// chooses.
+type Daemon struct {
+	Host, Domain string
+	// Platform is the base URL of the log service and the host list.
+	Platform string
+	// Hosts is the base URL of the host list if it is another one.
+	Hosts string
+	// Seeds are peer addresses to contact first.
+	Seeds []string
+	// Advertise is where peers call the daemon; empty for where it listens.
+	Advertise string
+	// Timing holds lines for the section [timing].
+	Timing []string
+}
+
+// Run writes the settings of a daemon and starts it.
+func (f *Fleet) Run(ctx context.Context, d Daemon) (*Proc, error) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[daemon]\nname = %s\nfailure-domain = %s\ncaller-address = 127.0.0.1:0\npeer-address = 127.0.0.1:0\nadmin-address = 127.0.0.1:0\n", d.Host, d.Domain)
+	if d.Advertise != "" {
+		fmt.Fprintf(&b, "advertise-address = %s\n", d.Advertise)
+	}
+	if len(d.Seeds) > 0 {
+		fmt.Fprintf(&b, "[peers]\naddresses = %s\n", strings.Join(d.Seeds, ", "))
+	}
+	log, hosts := strings.TrimPrefix(d.Platform, "http://"), strings.TrimPrefix(d.Hosts, "http://")
+	if hosts == "" {
+		hosts = log
+	}
+	fmt.Fprintf(&b, "[platform]\nlog-address = %s\nhosts-address = %s\n[secret]\nshared-secret = %s\n[timing]\n%s\n",
+		log, hosts, Secret, strings.Join(d.Timing, "\n"))
+	path := filepath.Join(f.dir, d.Host+".ini")
+	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+		return nil, err
+	}
+	return f.Start(ctx, d.Host, "azurespan", "serve", "--settings", path)
+}
--- a/internal/check/fleet/site.go
+++ b/internal/check/fleet/site.go
@@ -100,21 +100,11 @@
 
 // StartDaemonAt is StartDaemon with another address of the platform.
 func (s *Site) StartDaemonAt(ctx context.Context, host, domain, platform string) (*Proc, error) {
-	var seeds []string
-	for _, d := range s.Daemons {
-		seeds = append(seeds, d.Line["peer"])
-	}
-	text := fmt.Sprintf("[daemon]\nname = %s\nfailure-domain = %s\ncaller-address = 127.0.0.1:0\npeer-address = 127.0.0.1:0\nadmin-address = 127.0.0.1:0\n", host, domain)
-	if len(seeds) > 0 {
-		text += "[peers]\naddresses = " + strings.Join(seeds, ", ") + "\n"
-	}
-	address := strings.TrimPrefix(platform, "http://")
-	text += fmt.Sprintf("[platform]\nlog-address = %s\nhosts-address = %s\n[secret]\nshared-secret = %s\n[timing]\n%s\n", address, address, Secret, strings.Join(s.Timing, "\n"))
-	path := filepath.Join(s.Dir(), host+".ini")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		return nil, err
+	d := Daemon{Host: host, Domain: domain, Platform: platform, Timing: s.Timing}
+	for _, p := range s.Daemons {
+		d.Seeds = append(d.Seeds, p.Line["peer"])
 	}
-	p, err := s.Start(ctx, host, "azurespan", "serve", "--settings", path)
+	p, err := s.Run(ctx, d)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/check/relay/relay.go
+++ b/internal/check/relay/relay.go
@@ -23,8 +23,10 @@
 
 	// Relay accepts connections for one target.
 	Relay struct {
-		net    *Net
-		name   string
+		net  *Net
+		name string
+		// from is the only node that uses the relay, empty if many do.
+		from   string
 		l      net.Listener
 		mu     sync.Mutex
 		target string
@@ -56,14 +58,15 @@
 	n.pids[name] = pid
 }
 
-// Listen starts a relay for the node name on a free loopback port. It accepts
-// connections at once and forwards them after Target.
-func (n *Net) Listen(name string) (*Relay, error) {
+// Listen starts a relay for the node name on a free loopback port. Connections
+// are forwarded to the address that Target sets. If only one node uses the
+// relay, from names it; else from is empty.
+func (n *Net) Listen(name, from string) (*Relay, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{net: n, name: name, l: l, conns: map[net.Conn]struct{}{}}
+	r := &Relay{net: n, name: name, from: from, l: l, conns: map[net.Conn]struct{}{}}
 	n.mu.Lock()
 	n.relays = append(n.relays, r)
 	n.mu.Unlock()
@@ -197,7 +200,10 @@
 		return
 	}
 	defer r.drop(in)
-	source := r.net.source(in.RemoteAddr())
+	source := r.from
+	if source == "" {
+		source = r.net.source(in)
+	}
 	stop := make(chan struct{})
 	if !r.net.pass(source, r.name, stop) {
 		return
--- a/internal/check/relay/relay_test.go
+++ b/internal/check/relay/relay_test.go
@@ -21,7 +21,7 @@
 	n := relay.New()
 	defer n.Close()
 	n.Node("self", os.Getpid())
-	r, err := n.Listen("server")
+	r, err := n.Listen("server", "")
 	must.NoError(t, err)
 	r.Target(l.Addr().String())
 	c, err := net.Dial("tcp", r.Address())
--- a/internal/check/relay/source.go
+++ b/internal/check/relay/source.go
@@ -1,23 +1,21 @@
 package relay
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"os"
-	"strings"
 	"time"
 )
 
 // Outside is the node of a connection that no known process opened.
 const Outside = "outside"
 
-// source returns the node that opened the connection with the given remote
-// address. It looks a few times, because a socket shows up in the system's
-// table a moment after the connection is accepted.
-func (n *Net) source(a net.Addr) string {
-	t, ok := a.(*net.TCPAddr)
-	if !ok {
+// source returns the node that opened an accepted connection. It looks a few
+// times, because a process may not have its socket in its table yet.
+func (n *Net) source(c net.Conn) string {
+	far, ok1 := c.RemoteAddr().(*net.TCPAddr)
+	near, ok2 := c.LocalAddr().(*net.TCPAddr)
+	if !ok1 || !ok2 {
 		return Outside
 	}
 	n.mu.Lock()
@@ -27,7 +25,7 @@
 	}
 	n.mu.Unlock()
 	for range 3 {
-		if inode := inodeOf(t.Port); inode != "" {
+		if inode := inodeOf(far, near); inode != 0 {
 			for name, pid := range pids {
 				if holds(pid, inode) {
 					return name
@@ -39,33 +37,15 @@
 	return Outside
 }
 
-// inodeOf returns the inode of the loopback socket with the given local port.
-func inodeOf(port int) string {
-	f, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	defer f.Close()
-	local := fmt.Sprintf("0100007F:%04X", port)
-	sc := bufio.NewScanner(f)
-	for sc.Scan() {
-		fields := strings.Fields(sc.Text())
-		if len(fields) > 9 && fields[1] == local && fields[9] != "0" {
-			return fields[9]
-		}
-	}
-	return ""
-}
-
 // holds reports whether a process has the socket open.
-func holds(pid int, inode string) bool {
-	dir := fmt.Sprintf("/proc/%d/fd", pid)
+func holds(pid int, inode uint32) bool {
+	dir, want := fmt.Sprintf("/proc/%d/fd", pid), fmt.Sprintf("socket:[%d]", inode)
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return false
 	}
 	for _, e := range entries {
-		if at, err := os.Readlink(dir + "/" + e.Name()); err == nil && at == "socket:["+inode+"]" {
+		if at, err := os.Readlink(dir + "/" + e.Name()); err == nil && at == want {
 			return true
 		}
 	}
--- a/standin/engine/engsv/server.go
+++ b/standin/engine/engsv/server.go
@@ -257,6 +257,7 @@
 func (s *Server) begin(w http.ResponseWriter, work bool) *state {
 	s.mu.Lock()
 	if work && s.faults.Leaving {
+		s.note(Entry{Kind: "leaving-refused"})
 		s.mu.Unlock()
 		w.Header().Set(leavingHeader, "true")
 		serve.Refuse(w, http.StatusServiceUnavailable, "leaving", "the engine is leaving")
