--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"github.com/azurespan/azurespan/internal/node/gossip"
 	"github.com/azurespan/azurespan/internal/node/keeper"
 	"github.com/azurespan/azurespan/internal/node/owner"
+	"github.com/azurespan/azurespan/internal/node/pacing"
 	"github.com/azurespan/azurespan/internal/node/waker"
 )
 
@@ -50,6 +51,7 @@
 		follow  *follow.Follower
 		gossip  *gossip.Gossip
 		owner   *owner.Owner
+		pacing  *pacing.Pacing
 		waker   *waker.Waker
 		keeper  *keeper.Keeper
 		claims  *claim.Client
@@ -69,6 +71,14 @@
 	Addresses struct{ Caller, Peer, Admin string }
 )
 
+const (
+	// controlDial bounds connecting to the platform or an engine.
+	controlDial = 2 * time.Second
+	// controlIdle keeps a connection for each claims stream and for the
+	// control stream, which are read at the same time.
+	controlIdle = 80
+)
+
 // New binds the listeners and assembles a Daemon. It fails if an address can't
 // be bound.
 func New(now time.Time, s *setup.Settings) (*Daemon, error) {
@@ -88,31 +98,33 @@
 	if callerTLS != nil {
 		d.callers = wrapTLS(d.callers, callerTLS)
 	}
-	log := stream.New(s.Platform.LogAddress, nil)
+	control := d.controlClient()
+	log := stream.New(s.Platform.LogAddress, control)
 	log.Timeout = s.Timing.LogTimeout
-	d.hosts = hosts.New(s.Platform.HostsAddress, nil)
+	d.hosts = hosts.New(s.Platform.HostsAddress, control)
 	d.client = peer.NewClient(secret, peerTLS, d.traffic)
 	if d.server, err = peer.NewServer(secret, peerTLS, &service{d: d}, d.traffic); err != nil {
 		return nil, err
 	}
-	d.follow = follow.New(log, peerRecords{d}, follow.Settings{Poll: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout})
+	d.follow = follow.New(log, peerRecords{d}, follow.Settings{Poll: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout, SnapshotInterval: s.Timing.SnapshotInterval})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.gossip = gossip.New(now, member.Fact{
 		Name: d.name, Domain: s.Daemon.FailureDomain, Address: d.advertised(),
 	}, member.Settings{SuspectAfter: s.Timing.SuspectAfter}, gossip.Settings{
 		Interval: s.Timing.GossipInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.client, rng, d.applied.Load, d.onFacts)
-	eng := engine.New(nil)
+	eng, orders := engine.New(nil), engine.New(control)
+	d.pacing = pacing.New(d.name, s.Daemon.FailureDomain, d.gossip)
 	d.owner = owner.New(now, owner.Settings{
 		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
 		SoleProcess: fixedPort(s.Daemon.PeerAddress),
-	}, d.follow, eng, d.gossip, newPacer(), newIdle(d.follow), observer{d})
+	}, d.follow, orders, d.gossip, d.pacing, observer{d})
 	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain}, d.follow, d.gossip, d.client, d.owner)
 	d.keeper = keeper.New(keeper.Settings{
 		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
 	}, claimsLog{log}, crand.Reader)
 	d.claims = claim.New(d.name, d.keeper, d.gossip, d.client)
-	d.broker = broker.New(broker.Settings{FailureDomain: s.Daemon.FailureDomain, QuarantineFor: s.Timing.Quarantine},
+	d.broker = broker.New(broker.Settings{FailureDomain: s.Daemon.FailureDomain, QuarantineFor: s.Timing.Quarantine, Queue: s.Limits.Queue},
 		d.follow, d.gossip, d.waker, eng, d.claims, nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), observer{d})
 	d.front, err = front.New(front.Settings{
 		Secret: secret, MaxBodyBytes: s.Limits.Body, MaxHeaderBytes: int(s.Limits.Headers),
@@ -149,6 +161,23 @@
 	return nil
 }
 
+// controlClient returns the HTTP client for the log, the host list and the
+// engines' orders and reports, whose bytes count as control traffic.
+func (d *Daemon) controlClient() *http.Client {
+	dialer := net.Dialer{Timeout: controlDial}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return d.traffic.Conn(c), nil
+		},
+		MaxIdleConnsPerHost: controlIdle,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
 // fixedPort reports whether the system does not choose the port.
 func fixedPort(address string) bool {
 	_, port, err := net.SplitHostPort(address)
@@ -185,6 +214,8 @@
 	tree.Add("owner", d.owner.Run)
 	tree.Add("keeper", d.keeper.Serve)
 	tree.Add("duties", d.duties)
+	tree.Add("queue", d.broker.Run)
+	tree.Add("pacing", d.pacing.Run)
 	tree.Add("callers", func(context.Context) error { return serveHTTP(d.front.Serve(d.callers)) })
 	tree.Add("admin", func(context.Context) error { return serveHTTP(d.adminSrv.Serve(d.admin)) })
 	a := d.Addresses()
@@ -265,6 +296,9 @@
 		applied, _, _ := d.follow.Status()
 		d.applied.Store(applied)
 		d.broker.Refresh(time.Now())
+		if x := d.broker.Config(); x != nil {
+			d.pacing.Configure(x.Deployment)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/node/daemon/duties.go
+++ b/internal/node/daemon/duties.go
@@ -4,19 +4,25 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/hrw"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/hosts"
+	"github.com/azurespan/azurespan/internal/node/audit"
+	"github.com/azurespan/azurespan/internal/node/waker"
 )
 
 const (
 	dutyInterval = time.Second
+	// prewakeTimeout bounds a load ahead of requests.
+	prewakeTimeout = 2 * time.Minute
 	// snapshotDuty is the key by which one daemon is chosen to write
 	// snapshots.
 	snapshotDuty = "snapshot"
@@ -39,7 +45,8 @@
 		d.metrics.ControlReceivedBytes.Add(float64(r - received))
 		sent, received = s, r
 		d.assign()
-		if d.follow.SnapshotDue() && hrw.First(snapshotDuty, d.gossip.Live("")) == d.name {
+		d.prewake(ctx, time.Now())
+		if d.follow.SnapshotDue(time.Now()) && hrw.First(snapshotDuty, d.gossip.Live("")) == d.name {
 			c, cancel := context.WithTimeout(ctx, 10*time.Second)
 			if err := d.follow.AppendSnapshot(c); err != nil {
 				event.SnapshotFailed.Log("err", err)
@@ -49,13 +56,65 @@
 	}
 }
 
+// prewake loads models ahead of their first request, if this daemon
+// coordinates their wakes and none is loaded.
+func (d *Daemon) prewake(ctx context.Context, now time.Time) {
+	x := d.broker.Config()
+	if x == nil {
+		return
+	}
+	live := d.gossip.Live("")
+	var mine []*declare.Model
+	for i := range x.Deployment.Models {
+		m := &x.Deployment.Models[i]
+		if hrw.First("prewake/"+m.Name, live) == d.name && !d.loaded(m.Name) {
+			mine = append(mine, m)
+		}
+	}
+	for name, why := range d.owner.Due(now, mine) {
+		event.Prewake.Log("model", name, "reason", why)
+		d.trail.Add(now, audit.Decision{Kind: "prewake", Model: name, Why: why})
+		m := x.Model(name)
+		go func() {
+			c, cancel := context.WithTimeout(ctx, prewakeTimeout)
+			defer cancel()
+			// A refusal is logged by the waker; the next request wakes it.
+			_, _ = d.waker.Wake(c, waker.Request{Model: m.Name, Version: m.Version, Class: declare.Background, Deadline: now.Add(prewakeTimeout)})
+		}()
+	}
+}
+
+// loaded reports whether a replica of the model is loaded anywhere.
+func (d *Daemon) loaded(model string) bool {
+	found := false
+	d.gossip.Do(func(m *member.Set) {
+		m.Each(member.Upstream, func(f member.Fact) {
+			for _, r := range f.Loaded {
+				found = found || r.Model == model
+			}
+		})
+	})
+	return found
+}
+
 // watchHosts reads the platform's host list: it gives addresses of peers,
-// upstreams that leave, and hosts that are gone.
+// upstreams that leave, and hosts that are gone. The list holds all hosts, so
+// the daemons of a failure domain take turns in reading it and tell the others
+// what matters: if 320 daemons each read 920 entries every 2 s, that alone
+// takes more than ten times the 3 KB/s for control.
 func (d *Daemon) watchHosts(ctx context.Context) error {
 	tick := time.NewTicker(d.set.Timing.HostsInterval)
 	defer tick.Stop()
 	failing := false
-	for {
+	for first := true; ; first = false {
+		if !first && !d.hostsTurn(time.Now()) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-tick.C:
+				continue
+			}
+		}
 		list, err := d.hosts.List(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -74,6 +133,13 @@
 	}
 }
 
+// hostsTurn reports whether this daemon reads the host list in the present
+// interval.
+func (d *Daemon) hostsTurn(now time.Time) bool {
+	slot := now.UnixNano() / int64(d.set.Timing.HostsInterval)
+	return hrw.First("hosts/"+strconv.FormatInt(slot, 10), d.gossip.Live(d.set.Daemon.FailureDomain)) == d.name
+}
+
 func (d *Daemon) takeHosts(ctx context.Context, now time.Time, list hosts.List) {
 	var seeds, gone []string
 	for _, h := range list.Hosts {
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -90,7 +90,6 @@
 		event.LoadFailed.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "err", err)
 	} else {
 		event.Loaded.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "seconds", now.Sub(began).Seconds())
-		o.idle.Used(now, k)
 		o.obs.Loaded(now, k, now.Sub(began))
 		var d *declare.Upstream
 		o.ctl.View(func(l *ledger.Ledger) { d = l.Config().Upstream(k.Upstream) })
@@ -106,11 +105,6 @@
 	if err := o.ensureGrant(ctx, k, q); err != nil {
 		return err
 	}
-	release, err := o.pacer.Acquire(ctx, q.Class)
-	if err != nil {
-		return fault.Wrap(err, fault.DeadlineUnreachable, "waiting for the weight store")
-	}
-	defer release()
 	var bytes, adapters int64
 	o.ctl.View(func(l *ledger.Ledger) {
 		bytes, _ = l.Config().ReplicaBytes(k.Model, k.Version)
@@ -122,10 +116,27 @@
 			}
 		}
 	})
-	return o.order(ctx, k, engine.Order{
+	od := engine.Order{
 		Kind: engine.Load, Model: k.Model, Version: k.Version,
 		MemoryBytes: bytes, AdapterBytes: adapters, Priority: q.Class,
-	})
+	}
+	if o.tier(k) != engine.Remote {
+		return o.order(ctx, k, od)
+	}
+	release, err := o.pacer.Acquire(ctx, q.Class, q.Deadline, bytes)
+	if err != nil {
+		return fault.Wrap(err, fault.DeadlineUnreachable, "waiting for the weight store")
+	}
+	err = o.order(ctx, k, od)
+	release(err == nil)
+	return err
+}
+
+// tier returns where the checkpoint for a replica lies, as last reported.
+func (o *Owner) tier(k ledger.Key) engine.Tier {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.unit(k.Upstream).report.Tier(k.Model, k.Version)
 }
 
 // ensureGrant returns once the control stream holds a grant for k under this
@@ -133,6 +144,7 @@
 // version stands in the way.
 func (o *Owner) ensureGrant(ctx context.Context, k ledger.Key, q Request) error {
 	var last ledger.Outcome
+	var busy error
 	for range grantAttempts {
 		epoch, d, ok := o.owned(k.Upstream)
 		if !ok {
@@ -145,17 +157,24 @@
 		if err != nil {
 			return err
 		}
-		for _, v := range victims {
-			if err := o.evict(ctx, v, true); err != nil {
-				return fault.Wrap(err, fault.NoCapacity, "%s can't be unloaded from %s", v.Model, v.Upstream)
+		if err = o.evictAll(ctx, victims); err != nil {
+			if fault.Of(err).Kind == fault.NoCapacity {
+				// A victim turned out to be busy; the next round knows.
+				busy = err
+				continue
 			}
+			return err
 		}
+		busy = nil
 		last, err = o.ctl.Append(ctx, record.Grant{Upstream: k.Upstream, Epoch: epoch, Model: k.Model, Version: k.Version})
 		if err != nil {
 			return err
 		}
 		o.obs.Placed(time.Now(), "grant", k, string(last.Reason))
 	}
+	if busy != nil {
+		return busy
+	}
 	switch last.Reason {
 	case ledger.ReplicaLimit:
 		return fault.New(fault.ReplicaElsewhere, "%s", last.Detail)
@@ -166,6 +185,16 @@
 	}
 }
 
+// evictAll unloads and releases replicas until one fails.
+func (o *Owner) evictAll(ctx context.Context, victims []ledger.Key) error {
+	for _, v := range victims {
+		if err := o.evict(ctx, v, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // room reports whether k is granted already, and otherwise what to evict.
 func (o *Owner) room(now time.Time, k ledger.Key, q Request, d *declare.Upstream) (granted bool, victims []ledger.Key, err error) {
 	_, _, logUp := o.ctl.Status()
@@ -282,6 +311,11 @@
 	now := time.Now()
 	o.mu.Lock()
 	rep.hidden = false
+	var f *fault.Fault
+	if errors.As(err, &f) && f.Kind == fault.NoCapacity {
+		// The engine knows of streams that its last report does not show.
+		rep.streams, rep.idleSince = max(rep.streams, 1), now
+	}
 	if err == nil {
 		rep.loaded, rep.changed = false, now
 		clear(rep.adapters)
