--- a/internal/check/faults/induce.go
+++ b/internal/check/faults/induce.go
@@ -53,6 +53,7 @@
 	w.history.Stops = append(w.history.Stops, verify.Stop{Daemon: n.Name, From: time.Now()})
 	w.mu.Unlock()
 	n.Kill()
+	n.relay.Down()
 	w.hide(n, true)
 	w.induce("kill %s", n.Name)
 }
@@ -84,6 +85,7 @@
 	w.hide(n, true)
 	w.induce("SIGTERM %s", n.Name)
 	code, err := n.Wait(15 * time.Second)
+	n.relay.Down()
 	w.must(err == nil && code == 0, "%s ended with code %d after SIGTERM: %v", n.Name, code, err)
 }
 
@@ -161,17 +163,26 @@
 
 // crash ends an engine; it listens again after the given time.
 func (w *World) crash(name string, after time.Duration) {
-	w.engines[name].Kill()
+	w.end(name)
 	w.induce("kill %s", name)
 	go func() {
 		w.sleep(after)
-		// Another process may hold the port for a moment.
+		// Another process may hold a port for a moment.
 		for w.ctx.Err() == nil && w.engines[name].Restart() != nil {
 			w.sleep(50 * time.Millisecond)
 		}
+		for w.ctx.Err() == nil && w.relays[name].Up() != nil {
+			w.sleep(50 * time.Millisecond)
+		}
 	}()
 }
 
+// end ends an engine; its host refuses connections from then on.
+func (w *World) end(name string) {
+	w.relays[name].Down()
+	w.engines[name].Kill()
+}
+
 // holder returns the name of an engine that has the model loaded by its own
 // records, empty if none has.
 func (w *World) holder(model string) string {
--- a/internal/check/relay/relay_test.go
+++ b/internal/check/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,3 +53,15 @@
 	must.Eq(t, "up", string(b[:2]))
 	must.Positive(t, n.Held())
 }
+
+// TestDown guards against a relay that hides the end of its target's process:
+// callers tell a refused connection from a cut network.
+func TestDown(t *testing.T) {
+	n := relay.New()
+	defer n.Close()
+	r, err := n.Listen("server", "caller")
+	must.NoError(t, err)
+	r.Down()
+	_, err = net.Dial("tcp", r.Address())
+	must.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
