owner: keep an engine leaving that others know to leave

Cause: an engine that leaves by the host list, or by a refused request, was alive again after the owner's next poll, because its report does not say that it leaves.

Ruled out: reading the host list in the owner; the daemons of a failure domain take turns in reading it, so the owner often is not the reader.

Change: a report of the same process that does not say "leaving" undoes what the peers know only if an earlier report said so.

Conclusion: an entry of the host list that goes back from leaving to live is not taken back before the engine restarts.

--- a/internal/check/faults/upstream.go
+++ b/internal/check/faults/upstream.go
@@ -133,7 +133,7 @@
 		w.sleep(300 * time.Millisecond)
 		h := w.holder(trio)
 		w.leave(h)
-		w.platform.SetHost(platsv.Host{Name: h, State: "leaving"})
+		w.platform.SetHost(platsv.Host{Name: h, Address: "127.0.0.1", FailureDomain: "east", State: "leaving"})
 		w.induce("%s leaves by the host list", h)
 		w.sleep(5500 * time.Millisecond)
 	})
@@ -161,7 +161,7 @@
 	w.during(w.mix(8), 0.95, func() {
 		w.sleep(300 * time.Millisecond)
 		h := w.holder(solo)
-		w.platform.SetHost(platsv.Host{Name: h, State: "gone"})
+		w.platform.SetHost(platsv.Host{Name: h, Address: "127.0.0.1", State: "gone"})
 		w.end(h)
 		w.induce("%s is reclaimed", h)
 		p := chat(nil, solo, "after the host is gone")
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/engine"
 )
@@ -160,3 +161,27 @@
 		must.Eq(t, tc.left, replicas(c))
 	}
 }
+
+// TestLeavingByOthers guards against an owner whose next poll undoes what the
+// host list or a refused request said about an engine that leaves, and against
+// one that never takes an engine back which no longer leaves.
+func TestLeavingByOthers(t *testing.T) {
+	c, e := fixture(t)
+	o := newOwner(c, e, "h1/1")
+	o.reconcile(t.Context(), time.Now())
+	status := func(r engine.Report) (s member.Status) {
+		o.take(time.Now(), o.watched()[0], r, nil)
+		o.facts.Do(func(m *member.Set) {
+			f, _ := m.Get(member.Key{Kind: member.Upstream, Name: "u"})
+			s = f.Status
+		})
+		return s
+	}
+	must.Eq(t, member.Alive, status(engine.Report{Incarnation: 1}))
+	o.facts.Report(time.Now(), member.Fact{Kind: member.Upstream, Name: "u", Domain: "a", Incarnation: "1", Status: member.Leaving})
+	must.Eq(t, member.Leaving, status(engine.Report{Incarnation: 1}))
+	must.Eq(t, member.Leaving, status(engine.Report{Incarnation: 1, Leaving: true}))
+	must.Eq(t, member.Alive, status(engine.Report{Incarnation: 1}))
+	o.facts.Report(time.Now(), member.Fact{Kind: member.Upstream, Name: "u", Domain: "a", Incarnation: "1", Status: member.Leaving})
+	must.Eq(t, member.Alive, status(engine.Report{Incarnation: 2}))
+}
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -87,6 +87,8 @@
 
 // take records the result of one poll and tells the peers what changed.
 func (o *Owner) take(now time.Time, d *declare.Upstream, r engine.Report, err error) {
+	var known member.Fact
+	o.facts.Do(func(m *member.Set) { known, _ = m.Get(member.Key{Kind: member.Upstream, Name: d.Name}) })
 	o.mu.Lock()
 	u := o.unit(d.Name)
 	if err != nil {
@@ -106,7 +108,7 @@
 			rep.loaded = false
 		}
 	} else {
-		o.merge(now, u, r)
+		o.merge(now, u, r, known)
 	}
 	facts := o.factsOf(u, d)
 	o.mu.Unlock()
@@ -115,11 +117,15 @@
 
 // merge applies a report; o.mu is held. A report is late, so it does not undo
 // an order that ended less than ReportLag ago, unless the engine restarted.
-func (o *Owner) merge(now time.Time, u *unit, r engine.Report) {
+// known is what the peers know: that an engine leaves may come from the host
+// list or from a refused request, and a report of the same process that does
+// not say so does not undo it. Only a report that said so before does.
+func (o *Owner) merge(now time.Time, u *unit, r engine.Report, known member.Fact) {
 	restarted := u.report.Incarnation != r.Incarnation
 	u.failures, u.refused = 0, 0
 	u.status = member.Alive
-	if r.Leaving {
+	sticky := known.Status == member.Leaving && known.Incarnation == fmt.Sprint(r.Incarnation) && !u.report.Leaving
+	if r.Leaving || sticky {
 		u.status = member.Leaving
 	}
 	seen := map[ledger.Key]bool{}
