owner: release the grants of an engine that leaves

Cause: an engine that leaves kept its grants, so a model with a replica limit of one was refused everywhere (replica-elsewhere) until the engine ended.

Ruled out: waiting for the host list to say that the host is gone, which can take as long as the engine's last stream.

Change: an owner unloads the replicas without streams of an engine that leaves and releases their grants.

The new test fails without the change.

Conclusion: a model moves away from a leaving engine after its last stream there, within one poll.

--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -185,3 +185,22 @@
 	o.facts.Report(time.Now(), member.Fact{Kind: member.Upstream, Name: "u", Domain: "a", Incarnation: "1", Status: member.Leaving})
 	must.Eq(t, member.Alive, status(engine.Report{Incarnation: 2}))
 }
+
+// TestLeavingGrants guards against a model with one replica that can't be
+// served anywhere because an engine that leaves keeps its grant, and against
+// an unload under a stream in progress.
+func TestLeavingGrants(t *testing.T) {
+	c, e := fixture(t)
+	o := newOwner(c, e, "h1/1")
+	o.reconcile(t.Context(), time.Now())
+	must.NoError(t, o.Load(t.Context(), request("m")))
+	d := o.watched()[0]
+	busy := engine.Report{Incarnation: 1, Leaving: true, Replicas: []engine.Replica{{Model: "m", Version: "v1", State: engine.Ready, Streams: 1}}}
+	o.take(time.Now(), d, busy, nil)
+	must.SliceEmpty(t, o.unloadings(time.Now()))
+	busy.Replicas[0].Streams = 0
+	o.take(time.Now(), d, busy, nil)
+	got := o.unloadings(time.Now())
+	must.Len(t, 1, got)
+	must.True(t, got[0].release)
+}
--- a/internal/node/owner/unload.go
+++ b/internal/node/owner/unload.go
@@ -87,6 +87,9 @@
 	case rep != nil && rep.streams > 0:
 		o.idle.Busy(now, k.Model, rep.streams)
 		return unloading{}, false
+	case u.status == member.Leaving:
+		// It gets no new work, and another upstream may need the grant.
+		return unloading{k, true, "the engine is leaving"}, true
 	case m == nil || l.Surplus(k):
 		return unloading{k, true, "the configuration does not allow it any more"}, true
 	case m.Version != k.Version:
