broker: treat a plain service's refusal while it leaves as not run

Cause: the refusal of a leaving plain service (503 with X-Upstream-Leaving) was passed on as its answer.

Ruled out: trying the service again after some time, which is new work on an upstream that is leaving.

Conclusion: plain services leave as engines do.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -246,6 +246,12 @@
 		return
 	}
 	d := x.Upstream(name)
+	if s := x.Service(d.Service); s != nil && s.Kind == declare.PlainService {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.services.SetHealth(name, health(up.Status))
+		return
+	}
 	r := route.Report{
 		Upstream: name, FailureDomain: d.FailureDomain, Incarnation: up.Incarnation,
 		At: now.Add(-b.set.ReportLag), Sequences: sequences(d), Running: load.Running, Queued: load.Queued,
--- a/internal/node/broker/broker_test.go
+++ b/internal/node/broker/broker_test.go
@@ -9,9 +9,11 @@
 
 	"github.com/oklog/ulid/v2"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/node/flow"
 	"github.com/azurespan/azurespan/standin/engine/engsv"
 	"github.com/azurespan/azurespan/standin/service/servsv"
@@ -227,3 +229,35 @@
 	_, err := s.broker.Complete(ctx, chat("r1", "figs", 1))
 	must.Error(t, err)
 }
+
+// TestServiceLeaves guards against a booking that is lost because a leaving
+// service's refusal is kept as its answer, against further calls of that
+// service, and against one that is never called again after its restart.
+func TestServiceLeaves(t *testing.T) {
+	s := newSite(t, 1)
+	v := s.services["desk-1"]
+	v.SetFaults(servsv.Faults{Leaving: true})
+	_, err := s.broker.Invoke(t.Context(), booking("k"))
+	must.Eq(t, fault.RunNo, fault.Of(err).Run)
+	must.Eq(t, 0, s.claims.done)
+	must.Eq(t, 1, s.claims.withdrawn)
+	before := len(v.Entries())
+	_, err = s.broker.Invoke(t.Context(), booking("k"))
+	must.Error(t, err)
+	must.Len(t, before, v.Entries())
+
+	v.Kill()
+	alive := func() (ok bool) {
+		s.Do(func(m *member.Set) {
+			f, _ := m.Get(member.Key{Kind: member.Upstream, Name: "desk-1"})
+			ok = f.Status == member.Alive
+		})
+		return ok
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(alive), wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+	v.SetFaults(servsv.Faults{})
+	must.NoError(t, v.Restart())
+	a, err := s.broker.Invoke(t.Context(), booking("k"))
+	must.NoError(t, err)
+	must.Eq(t, 201, a.Status)
+}
--- a/internal/node/broker/invoke.go
+++ b/internal/node/broker/invoke.go
@@ -169,6 +169,13 @@
 	b.mu.Unlock()
 	reply, err := rc.Do(ctx, b.http)
 	now := time.Now()
+	if err == nil && leaving(&reply) {
+		b.mu.Lock()
+		b.services.Done(now, d.Name, c.Service, "", 0, 0)
+		b.mu.Unlock()
+		b.serviceLeaving(now, d)
+		return flow.Answer{}, &rest.Error{Err: errLeaving}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err != nil {
