broker: run crash suspects of one daemon apart from each other

Cause: whether a suspect may run on an upstream was asked before a wake and without regard to suspects that were on their way there. After a crash all suspects met again on the restarted engine, crashed it together, and innocent requests were refused as request-quarantined.

Ruled out: excluding upstreams in the waker, which does not know of suspects.

Change: a suspect is counted on an upstream in the same step that checks that no other one runs there; otherwise it waits as for a busy upstream.

--- a/internal/node/broker/broker_test.go
+++ b/internal/node/broker/broker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -136,6 +137,57 @@
 	must.Eq(t, want("figs", 10), text)
 }
 
+// TestSuspectsApart guards against requests that ran beside a poisonous one
+// and are run beside it again after the crash, which crashes the engine more
+// often and puts them in quarantine.
+func TestSuspectsApart(t *testing.T) {
+	s := newSite(t, 1)
+	e := s.engines["e0"]
+	const n = 5
+	type result struct {
+		text string
+		err  error
+	}
+	got := make(chan result, n)
+	running := make(chan struct{}, n)
+	for i := range n {
+		go func() {
+			a, err := s.broker.Complete(t.Context(), chat(fmt.Sprint("good", i), "figs", 600))
+			if err != nil {
+				got <- result{"", err}
+				return
+			}
+			text, err := read(t, a, func(i int64) {
+				if i == 0 {
+					running <- struct{}{}
+				}
+			})
+			got <- result{text, err}
+		}()
+	}
+	for range n {
+		<-running
+	}
+	e.SetFaults(engsv.Faults{Poison: "POISON"})
+	a, err := s.broker.Complete(t.Context(), chat("bad", "POISON", 10))
+	if err == nil {
+		_, err = read(t, a, nil)
+	}
+	must.Eq(t, fault.RequestQuarantined, fault.Of(err).Kind)
+	for range n {
+		r := <-got
+		must.NoError(t, r.err)
+		must.Eq(t, want("figs", 600), r.text)
+	}
+	crashes := 0
+	for _, r := range e.Records().Entries {
+		if r.Kind == "crash" {
+			crashes++
+		}
+	}
+	must.Eq(t, 2, crashes)
+}
+
 // TestRefusals guards against a request that waits past its deadline and
 // against a refusal that is held back although waiting can't help.
 func TestRefusals(t *testing.T) {
--- a/internal/node/broker/complete.go
+++ b/internal/node/broker/complete.go
@@ -232,6 +232,12 @@
 	a.incarnation = b.incarnation(upstream)
 	now := time.Now()
 	b.mu.Lock()
+	// The choice of the upstream is some time ago, and a wake may have taken
+	// it, so whether another suspect runs there is decided here.
+	if a.suspect && b.running[upstream] > 0 {
+		b.mu.Unlock()
+		return fault.New(fault.NoCapacity, "another crash suspect runs on %s", upstream)
+	}
 	b.models.Sent(now, upstream, a.r.PrefixHash)
 	if a.suspect {
 		b.running[upstream]++
