--- a/internal/check/faults/induce.go
+++ b/internal/check/faults/induce.go
@@ -207,6 +207,20 @@
 	return ""
 }
 
+// lastAt returns the engine on which a load of the model ended last. Its grant
+// stays there when the model is unloaded because it is idle.
+func (w *World) lastAt(model string) (name string) {
+	var at int64
+	for n, e := range w.engines {
+		for _, x := range e.Records().Entries {
+			if x.Kind == "load-end" && x.Model == model && x.TimeUS > at {
+				at, name = x.TimeUS, n
+			}
+		}
+	}
+	return name
+}
+
 // loads counts the loads of a model that began.
 func (w *World) loads(model string) (n int) {
 	for _, e := range w.engines {
