front: refuse an answer that is not whole at its deadline

Cause: the deadline was watched until the first token only.

Ruled out: a shorter limit for silent engine streams (15 s), which would still not follow the request's deadline.

Change: the deadline plus the grace also bounds the time until an answer that is not streamed is complete; the refusal is deadline-passed, run yes.

The new test hangs without the change.

Conclusion: a streamed answer that has begun has no deadline, as documented.

--- a/internal/node/front/answer.go
+++ b/internal/node/front/answer.go
@@ -24,7 +24,7 @@
 // begin opens a stream and waits for its first token, until the deadline plus
 // the grace. from is the index of the first token.
 func (x *exchange) begin(ctx context.Context, deadline time.Time, from int64, open func() (flow.Stream, error)) (*answer, error) {
-	stop := x.guard(deadline)
+	stop := x.guard(deadline, errNotBegun)
 	defer stop()
 	s, err := open()
 	if err != nil {
@@ -85,12 +85,18 @@
 	return err
 }
 
-// guard cancels x when the Backend has neither answered nor refused by the
-// deadline plus the grace. stop ends the guard.
-func (x *exchange) guard(deadline time.Time) (stop func()) {
+var (
+	// errNotBegun is the refusal of a request without an answer.
+	errNotBegun = fault.New(fault.DeadlinePassed, "no answer began before the deadline").WithRun(fault.RunUnknown)
+	// errNotWhole is the refusal of a request whose answer is not streamed
+	// and has begun, so that the caller has seen nothing of it.
+	errNotWhole = fault.New(fault.DeadlinePassed, "the answer was not complete before the deadline").WithRun(fault.RunYes)
+)
+
+// guard cancels x with cause when it is not done by the deadline plus the
+// grace. stop ends the guard.
+func (x *exchange) guard(deadline time.Time, cause *fault.Fault) (stop func()) {
 	f := x.front
-	t := time.AfterFunc(remaining(deadline, f.s.Now())+f.s.DeadlineGrace, func() {
-		x.cancel(fault.New(fault.DeadlinePassed, "no answer began before the deadline").WithRun(fault.RunUnknown))
-	})
+	t := time.AfterFunc(remaining(deadline, f.s.Now())+f.s.DeadlineGrace, func() { x.cancel(cause) })
 	return func() { t.Stop() }
 }
--- a/internal/node/front/chat.go
+++ b/internal/node/front/chat.go
@@ -37,7 +37,9 @@
 			Data: x.start(a, newChunker(f.signer, r.ID, req.Model, created, 0)),
 		}, nil
 	}
+	stop := x.guard(r.Deadline, errNotWhole)
 	text, finish, err := a.collect(ctx, f.s.MaxAnswerBytes)
+	stop()
 	if err != nil {
 		return nil, ranFault(faultOf(ctx, err))
 	}
--- a/internal/node/front/limits_test.go
+++ b/internal/node/front/limits_test.go
@@ -293,6 +293,31 @@
 	must.Eq(t, "error", es[len(es)-1].Type)
 }
 
+// TestHungAnswer guards against an answer that is not streamed, has begun and
+// never ends, so that its caller waits past the deadline.
+func TestHungAnswer(t *testing.T) {
+	b := &fakeBackend{complete: func(context.Context, flow.Request) (flow.Stream, error) {
+		return &hanging{newFakeStream(tokens("Fig ", "x")[:1]...)}, nil
+	}}
+	_, base := serve(t, Settings{DeadlineGrace: time.Millisecond}, b)
+	whole := strings.Replace(chatBody, `"stream":true`, `"stream":false`, 1)
+	p := problem(t, post(t, base, whole, HeaderDeadline, "500"))
+	must.Eq(t, typePrefix+"deadline-passed", p.Type)
+	must.Eq(t, oas.ProblemRunYes, p.Run)
+}
+
+// hanging waits for the end of the request after its tokens.
+type hanging struct{ *fakeStream }
+
+func (s *hanging) Next(ctx context.Context) (flow.Token, error) {
+	t, err := s.fakeStream.Next(ctx)
+	if err != nil {
+		<-ctx.Done()
+		return flow.Token{}, ctx.Err()
+	}
+	return t, nil
+}
+
 // panicking panics after its tokens.
 type panicking struct{ *fakeStream }
 
--- a/internal/node/front/refusal.go
+++ b/internal/node/front/refusal.go
@@ -28,7 +28,7 @@
 	{fault.UnknownService, "Unknown service", "no", "The configuration has no such service, or the service has no such call.", "Correct the path or the method."},
 	{fault.UnknownStream, "Unknown stream", "yes, unknown", "The answer can't be resumed: its upstream no longer has it.", "Send the original request again."},
 	{fault.Unauthorized, "Unauthorized", "no", "The call needs the deployment's secret.", "Send the secret."},
-	{fault.DeadlinePassed, "Deadline passed", "no, yes, unknown", "The deadline passed before the answer began.", "Send the request again with a later deadline; for a call that must not run twice, with the same key."},
+	{fault.DeadlinePassed, "Deadline passed", "no, yes, unknown", "The deadline passed before the answer began or, if it is not streamed, before it was complete.", "Send the request again with a later deadline; for a call that must not run twice, with the same key."},
 	{fault.DeadlineUnreachable, "Deadline unreachable", "no", "The request can't be served before its deadline.", "Retry after the given time, or with a later deadline."},
 	{fault.QueueFull, "Queue full", "no", "The daemon holds as many requests, streams or connections as it may.", "Retry after the given time, best at another daemon."},
 	{fault.ReplicaElsewhere, "Replica elsewhere", "no", "The only replicas of the model are in failure domains that can't be reached now.", "Retry after the given time, best in another failure domain."},
--- a/internal/node/front/service.go
+++ b/internal/node/front/service.go
@@ -20,7 +20,7 @@
 		x.refuse(err)
 		return
 	}
-	stop := x.guard(c.Deadline)
+	stop := x.guard(c.Deadline, errNotBegun)
 	a, err := f.backend.Invoke(x.ctx, c)
 	stop()
 	if err != nil {
