faults: add pairs of failures; load the models of a scenario together

Cause: failures come two at once, and scenarios took up to 17 s, most of it for loads one after another before the faults.

Ruled out: a faster weight store everywhere, since orders have to be in flight when a daemon is paused.

--- a/internal/check/faults/daemons.go
+++ b/internal/check/faults/daemons.go
@@ -88,21 +88,22 @@
 		ask := func(n, from, to int) {
 			for m := from; m <= to; m++ {
 				p := chat(w.node(n), coldName(m), "asked around the pause")
-				p.Attempts = 2
+				p.Deadline = 3500 * time.Millisecond
 				wg.Go(func() { w.driver.Do(w.ctx, w.rng(uint64(40*n+m)), p) })
 			}
 		}
 		ask(2, 1, 4)
 		w.sleep(600 * time.Millisecond)
 		resume := w.pause(w.node(2))
-		w.sleep(3 * time.Second)
+		w.sleep(2800 * time.Millisecond)
 		ask(3, 3, 7)
 		ask(1, 5, cold)
-		w.sleep(time.Second)
+		w.sleep(1200 * time.Millisecond)
 		resume()
 		ask(2, 1, 3)
 		wg.Wait()
 	})
+	w.must(w.tookOver("east"), "no other daemon took over an engine of the paused owner")
 	w.probe(5*time.Second, solo, trio)
 	return nil
 }
--- a/internal/check/faults/induce.go
+++ b/internal/check/faults/induce.go
@@ -163,6 +163,10 @@
 
 // crash ends an engine; it listens again after the given time.
 func (w *World) crash(name string, after time.Duration) {
+	if w.engines[name] == nil {
+		w.must(false, "there is no engine to kill")
+		return
+	}
 	w.end(name)
 	w.induce("kill %s", name)
 	go func() {
@@ -183,30 +187,6 @@
 	w.engines[name].Kill()
 }
 
-// holder returns the name of an engine that has the model loaded by its own
-// records, empty if none has.
-func (w *World) holder(model string) string {
-	for _, u := range w.site.Deployment.Upstreams {
-		e := w.engines[u.Name]
-		if e == nil {
-			continue
-		}
-		loaded := false
-		for _, x := range e.Records().Entries {
-			switch {
-			case x.Kind == "load-end" && x.Model == model:
-				loaded = true
-			case x.Kind == "unload" && x.Model == model, x.Kind == "crash":
-				loaded = false
-			}
-		}
-		if loaded {
-			return u.Name
-		}
-	}
-	return ""
-}
-
 // lastAt returns the engine on which a load of the model ended last. Its grant
 // stays there when the model is unloaded because it is idle.
 func (w *World) lastAt(model string) (name string) {
@@ -248,6 +228,23 @@
 	return n
 }
 
+// tookOver reports whether an engine of a failure domain was sent orders under
+// several fencing numbers.
+func (w *World) tookOver(domain string) bool {
+	for n := 1; n <= enginesPerDomain; n++ {
+		numbers := map[uint64]bool{}
+		for _, x := range w.engines[engineName(domain, n)].Records().Entries {
+			if x.Order != "" {
+				numbers[x.Fencing] = true
+			}
+		}
+		if len(numbers) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // leave notes that an upstream begins to leave.
 func (w *World) leave(name string) {
 	w.mu.Lock()
--- a/internal/check/faults/list.go
+++ b/internal/check/faults/list.go
@@ -8,6 +8,7 @@
 	out = append(out, logScenarios()...)
 	out = append(out, operatorScenarios()...)
 	out = append(out, upstreamScenarios()...)
+	out = append(out, pairScenarios()...)
 	return out
 }
 
--- a/internal/check/faults/log.go
+++ b/internal/check/faults/log.go
@@ -61,7 +61,7 @@
 			w.must(got.Answered, "a look-up at %s in the outage: %s", w.node(n).Name, got.Refusal)
 		}
 		// The crash leaves the grants, within which the models can be loaded.
-		h := w.holder(coldName(1))
+		h := w.lastAt(coldName(1))
 		w.crash(h, 500*time.Millisecond)
 		p := chat(w.node(1), coldName(1), "wake within a grant")
 		p.Attempts = 3
--- a/internal/check/faults/upstream.go
+++ b/internal/check/faults/upstream.go
@@ -108,9 +108,9 @@
 			})
 		}
 		w.sleep(time.Second)
-		w.crash(w.holder(trio), time.Second)
+		w.crash(w.lastAt(trio), time.Second)
 		w.sleep(1500 * time.Millisecond)
-		w.crash(w.holder(solo), 300*time.Millisecond)
+		w.crash(w.lastAt(solo), 300*time.Millisecond)
 		wg.Wait()
 	})
 	w.probe(5*time.Second, solo, trio)
@@ -120,7 +120,7 @@
 func engineLeaving(w *World) error {
 	w.during(w.mix(10), 0.98, func() {
 		w.sleep(300 * time.Millisecond)
-		h := w.holder(solo)
+		h := w.lastAt(solo)
 		w.leave(h)
 		w.engineFaults(h, "leaves", func(f *engsv.Faults) { f.Leaving = true })
 		w.sleep(5500 * time.Millisecond)
@@ -131,7 +131,7 @@
 func hostLeaving(w *World) error {
 	w.during(w.mix(10), 0.98, func() {
 		w.sleep(300 * time.Millisecond)
-		h := w.holder(trio)
+		h := w.lastAt(trio)
 		w.leave(h)
 		w.platform.SetHost(platsv.Host{Name: h, Address: "127.0.0.1", FailureDomain: "east", State: "leaving"})
 		w.induce("%s leaves by the host list", h)
@@ -160,7 +160,7 @@
 func engineReclaimed(w *World) error {
 	w.during(w.mix(8), 0.95, func() {
 		w.sleep(300 * time.Millisecond)
-		h := w.holder(solo)
+		h := w.lastAt(solo)
 		w.platform.SetHost(platsv.Host{Name: h, Address: "127.0.0.1", State: "gone"})
 		w.end(h)
 		w.induce("%s is reclaimed", h)
--- a/internal/check/faults/world.go
+++ b/internal/check/faults/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -238,17 +239,23 @@
 	})
 }
 
-// settled waits until a model can be loaded through some daemon, so that each
-// scenario starts with owners for all upstreams.
+// settled waits until the models of the background load are loaded, so that
+// each scenario starts with owners for all upstreams.
 func (w *World) settled() error {
-	rng := rand.New(rand.NewPCG(w.Seed, 99))
-	for _, m := range []string{solo, pair, trio} {
-		p := load.Plan{Kind: verify.Stream, Model: m, Prompt: "warm up", Tokens: 8, Attempts: 20}
-		if got := w.driver.Do(w.ctx, rng, p); !got.Answered {
-			return &lack{fmt.Sprintf("%s was not served before the faults: %s", m, got.Refusal)}
-		}
+	models := []string{solo, pair, trio}
+	errs := make([]error, len(models))
+	var wg sync.WaitGroup
+	for i, m := range models {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(w.Seed, 90+uint64(i)))
+			p := load.Plan{Kind: verify.Stream, Model: m, Prompt: "warm up", Tokens: 8, Attempts: 20}
+			if got := w.driver.Do(w.ctx, rng, p); !got.Answered {
+				errs[i] = &lack{fmt.Sprintf("%s was not served before the faults: %s", m, got.Refusal)}
+			}
+		})
 	}
-	return nil
+	wg.Wait()
+	return errors.Join(errs...)
 }
 
 // until polls cond, and fails with text after limit.
