faults: keep daemons of other scenarios out; end processes after a panic

Cause: a panic in a scenario left its daemons running. They reached daemons of later scenarios on ports that were used again, since all had the same secret, and their news made the later ones wrong.

Ruled out: ports that are never used again; the system chooses them.

Change: each scenario has a secret of its own; a panic in a scenario is a lack of progress and its processes are ended; cut-domain-all asks until the cut-off side knows.

--- a/internal/check/faults/network.go
+++ b/internal/check/faults/network.go
@@ -60,9 +60,11 @@
 	return nil
 }
 
-// cutKnown is the time after which a failure domain that is cut off from
-// everything knows it, with the short intervals of the scenarios.
-const cutKnown = 5500 * time.Millisecond
+// cutKnown is the time in which a failure domain that is cut off from
+// everything finds the upstreams on the other side dead, with the short
+// intervals of the scenarios: suspicion of three daemons in turn, then three
+// failed polls of a second each, which took 5.3 s and 8.1 s in two runs.
+const cutKnown = 11 * time.Second
 
 // cutFromAll separates east, and asks on both sides for models with a replica
 // limit of one that are loaded on one side or nowhere.
@@ -88,23 +90,30 @@
 		w.cut("east", "south")
 		w.cutPlatform("east", "log")
 		w.cutPlatform("east", "hosts")
-		// A request on its way into the cut can only end with run unknown. The
-		// daemons need this long to find the other side's upstreams dead:
-		// suspicion of three daemons in turn, then three failed polls.
-		w.sleep(cutKnown)
+		began := time.Now()
+		w.sleep(3 * time.Second)
 		for _, m := range []string{solo, coldName(1), coldName(2)} {
-			east := inEast(m)
-			for _, side := range []struct {
-				n    *node
-				here bool
-			}{{w.node(2), east}, {w.node(3), !east}} {
-				p := chat(side.n, m, "during the cut")
-				p.Deadline = 1500 * time.Millisecond
-				got := w.ask(p)
-				if side.here {
-					w.must(got.Answered, "%s was not served at %s on the side of its replica: %s", m, side.n.Name, got.Refusal)
-				} else {
-					w.must(!got.Answered && got.Run == "no", "%s at %s, without its replica: answered %v, %s, run %q", m, side.n.Name, got.Answered, got.Refusal, got.Run)
+			here, there := w.node(3), w.node(2)
+			if inEast(m) {
+				here, there = there, here
+			}
+			p := chat(here, m, "on the side of the replica")
+			p.Deadline = 1500 * time.Millisecond
+			got := w.ask(p)
+			w.must(got.Answered, "%s was not served at %s on the side of its replica: %s", m, here.Name, got.Refusal)
+			// A request on its way into the cut can only end with run unknown,
+			// until the daemon knows that the other side can't be reached.
+			for {
+				p = chat(there, m, "on the other side")
+				p.Deadline = 600 * time.Millisecond
+				got = w.ask(p)
+				w.must(!got.Answered, "%s was served at %s, which can't reach its replica", m, there.Name)
+				if got.Answered || got.Run == "no" {
+					break
+				}
+				if time.Since(began) > cutKnown {
+					w.must(false, "%s at %s %v after the cut: %s, run %q", m, there.Name, cutKnown, got.Refusal, got.Run)
+					break
 				}
 			}
 		}
--- a/internal/check/faults/run.go
+++ b/internal/check/faults/run.go
@@ -6,6 +6,7 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -87,7 +88,7 @@
 	}
 	w, err := start(ctx, o.Bin, dir, o.Seed, s.Tuning)
 	if err == nil {
-		err = s.Run(w)
+		err = guarded(s, w)
 	}
 	if err != nil {
 		row.Lacks = append(row.Lacks, err.Error())
@@ -103,6 +104,17 @@
 	return row
 }
 
+// guarded runs a scenario and returns its panic as an error, so that its
+// processes are ended.
+func guarded(s *Scenario, w *World) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = &lack{fmt.Sprintf("panic: %v\n%s", v, debug.Stack())}
+		}
+	}()
+	return s.Run(w)
+}
+
 // OK reports whether the row has neither violations nor lacks.
 func (r *Row) OK() bool { return len(r.Violations) == 0 && len(r.Lacks) == 0 }
 
--- a/internal/check/faults/world.go
+++ b/internal/check/faults/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -21,8 +22,11 @@
 type (
 	// World is what one scenario runs in.
 	World struct {
-		ctx      context.Context
-		Seed     uint64
+		ctx  context.Context
+		Seed uint64
+		// secret keeps daemons of other scenarios out, which may have had the
+		// same ports.
+		secret   string
 		site     *fleet.Site
 		net      *relay.Net
 		platform *platsv.Server
@@ -94,7 +98,7 @@
 		t.HostLag = 200 * time.Millisecond
 	}
 	w := &World{
-		ctx: ctx, Seed: seed, net: relay.New(), engines: map[string]*engsv.Server{}, desks: map[string]*servsv.Server{}, relays: map[string]*relay.Relay{},
+		ctx: ctx, Seed: seed, secret: crand.Text(), net: relay.New(), engines: map[string]*engsv.Server{}, desks: map[string]*servsv.Server{}, relays: map[string]*relay.Relay{},
 		site: &fleet.Site{Fleet: fleet.New(bin, dir), Deployment: deployment(), Timing: timing},
 	}
 	w.driver = load.New(w.callable)
@@ -186,7 +190,7 @@
 	}
 	d := fleet.Daemon{
 		Host: host, Domain: domain, Platform: "http://" + log.Address(), Hosts: "http://" + hosts.Address(),
-		Advertise: r.Address(), Timing: timing,
+		Advertise: r.Address(), Timing: timing, Secret: w.secret,
 	}
 	w.mu.Lock()
 	for _, n := range w.nodes {
--- a/internal/check/fleet/daemon.go
+++ b/internal/check/fleet/daemon.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -22,6 +23,10 @@
 	Advertise string
 	// Timing holds lines for the section [timing].
 	Timing []string
+	// Secret is the shared secret; empty for the one of all sites. Daemons
+	// with the same secret talk to each other if one gets a port that the
+	// other had.
+	Secret string
 }
 
 // Run writes the settings of a daemon and starts it.
@@ -39,7 +44,7 @@
 		hosts = log
 	}
 	fmt.Fprintf(&b, "[platform]\nlog-address = %s\nhosts-address = %s\n[secret]\nshared-secret = %s\n[timing]\n%s\n",
-		log, hosts, Secret, strings.Join(d.Timing, "\n"))
+		log, hosts, cmp.Or(d.Secret, Secret), strings.Join(d.Timing, "\n"))
 	path := filepath.Join(f.dir, d.Host+".ini")
 	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
 		return nil, err
