load, path: open-loop load and the cost of a daemon in the path

There was no way to put a known load on a running deployment, and no figure for what a daemon adds to a streamed answer.

internal/check/load sends seeded open-loop traffic, checks each answer (token indices, request identifier, finish reason, end mark and, on request, the text) and measures first token times and token gaps. A closed loop was ruled out, because it slows down with its target and hides an overload. Request identifiers don't follow from the seed: the engine answers a known identifier with the earlier run, which made a second run with the same seed look faster.

--- /dev/null
+++ b/cmd/path/parts.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/check/load"
+)
+
+type (
+	// report is printed as JSON. A ratio is daemon over direct.
+	report struct {
+		PairP50  float64 `json:"pair-first-token-p50-ratio"`
+		PairP95  float64 `json:"pair-first-token-p95-ratio"`
+		OpenP50  float64 `json:"open-first-token-p50-ratio"`
+		OpenP95  float64 `json:"open-first-token-p95-ratio"`
+		OpenRate float64 `json:"open-token-rate-ratio"`
+		// Best is the step with the most tokens a second through the daemon.
+		Best step `json:"saturation"`
+		// BestDirect is the same for the engine alone.
+		BestDirect step `json:"saturation-direct"`
+	}
+
+	// step is one height of the load.
+	step struct {
+		Rate         float64 `json:"requests-per-second"`
+		Tokens       float64 `json:"tokens-per-second"`
+		MicrosPerTok float64 `json:"processor-us-per-token"`
+		Cores        float64 `json:"processor-cores"`
+		FirstP95     float64 `json:"first-token-p95-ms"`
+		HeldBack     int     `json:"held-back"`
+		Unanswered   int     `json:"unanswered"`
+	}
+)
+
+const (
+	model   = "tray-8b"
+	version = "v1"
+
+	// latencyRate is the engine's token rate over all sequences, and
+	// latencyPrompt makes its prefill last 200 ms: the stand-in charges one
+	// token of work for 40 bytes of a prompt that is not cached.
+	latencyRate   = 3200
+	latencyPrompt = 200 * latencyRate * 40 / 1000
+	// answerTokens is the length of the answers; at the target 630,000 tokens
+	// a second and 1,800 requests a second make 350.
+	answerTokens = 350
+	// shareTokens and shareRequests are what one of 320 daemons carries at the
+	// target's peak.
+	shareTokens   = 630_000.0 / 320
+	shareRequests = 1_800.0 / 320
+)
+
+// plan returns traffic for the daemon or, if direct, for the engine.
+func (b *bench) plan(direct bool, seed uint64) load.Plan {
+	p := load.Plan{
+		Targets: []string{b.daemon.Line["caller"]}, Models: []load.Model{{Name: model, Base: model, Version: version}},
+		Duration: time.Duration(b.seconds * float64(time.Second)), Concurrency: 2048, Tokens: answerTokens,
+		Deadline: time.Minute, Seed: seed, Check: true, Rate: 1,
+	}
+	if direct {
+		p.Targets, p.Engine, p.Salt = []string{b.site.Upstreams["engine-1"].Line["address"]}, true, 1
+	}
+	return p
+}
+
+// latency compares the first token times at a prefill of 200 ms.
+func latency(ctx context.Context, b *bench, out *report) error {
+	var pairs, open [2][]time.Duration
+	var clients [2]*http.Client
+	for i := range clients {
+		clients[i] = &http.Client{Transport: &http.Transport{}}
+	}
+	for n := range b.pairs {
+		for k := range 2 {
+			// Which of both goes first changes, in case the first is slower.
+			i := (n + k) % 2
+			p := b.plan(i == 0, b.seed)
+			p.PromptBytes, p.Tokens = latencyPrompt, 16
+			d, err := load.One(ctx, clients[i], p, n)
+			if err != nil {
+				return err
+			}
+			pairs[i] = append(pairs[i], d)
+		}
+	}
+	var rates [2]float64
+	for n := range b.rounds {
+		for k := range 2 {
+			i := (n + k) % 2
+			p := b.plan(i == 0, b.seed+uint64(n))
+			// 2.5 requests a second of 80 tokens, with 640 for the prefill, use
+			// 1,800 of the engine's 3,200 tokens a second.
+			p.PromptBytes, p.Tokens, p.Rate = latencyPrompt, 80, 2.5
+			r, err := send(ctx, p)
+			if err != nil {
+				return err
+			}
+			open[i] = append(open[i], r.Firsts...)
+			rates[i] += r.TokensPerSecond / float64(b.rounds)
+		}
+	}
+	for i := range 2 {
+		slices.Sort(pairs[i])
+		slices.Sort(open[i])
+	}
+	out.PairP50, out.PairP95 = ratio(pairs, 0.5), ratio(pairs, 0.95)
+	out.OpenP50, out.OpenP95 = ratio(open, 0.5), ratio(open, 0.95)
+	out.OpenRate = rates[1] / rates[0]
+	fmt.Println("first token, ms               direct  daemon   ratio")
+	for _, x := range []struct {
+		name  string
+		times [2][]time.Duration
+		q     float64
+	}{
+		{"single requests, p50", pairs, 0.5}, {"single requests, p95", pairs, 0.95},
+		{"2.5 requests a second, p50", open, 0.5}, {"2.5 requests a second, p95", open, 0.95},
+	} {
+		fmt.Printf("%-28s %7.1f %7.1f  %6.3f   (%d and %d)\n", x.name, load.Quantile(x.times[0], x.q), load.Quantile(x.times[1], x.q),
+			ratio(x.times, x.q), len(x.times[0]), len(x.times[1]))
+	}
+	fmt.Printf("%-28s %7.0f %7.0f  %6.3f\n", "tokens a second", rates[0], rates[1], out.OpenRate)
+	return nil
+}
+
+func ratio(t [2][]time.Duration, q float64) float64 {
+	return load.Quantile(t[1], q) / load.Quantile(t[0], q)
+}
+
+// send runs p; wrong or broken answers are an error.
+func send(ctx context.Context, p load.Plan) (*load.Result, error) {
+	r, err := load.Run(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	if r.Failed() {
+		return nil, fmt.Errorf("answers were wrong or broken: %v", r.Errors)
+	}
+	return r, nil
+}
+
+// saturation doubles the load until the daemon carries hardly more than before,
+// with the same load for the engine alone before each step.
+func saturation(ctx context.Context, b *bench, out *report) error {
+	fmt.Printf("share of one of 320 daemons: %.1f requests and %.0f tokens a second\n", shareRequests, shareTokens)
+	fmt.Println("requests/s   direct tokens/s  daemon tokens/s  ratio  daemon us/token  cores  p95 ms  held back  unanswered")
+	rate := shareRequests
+	for n := range b.steps {
+		var steps [2]step
+		for i := range 2 {
+			var err error
+			if steps[i], err = b.step(ctx, i == 0, rate, b.seed+100+uint64(n)); err != nil {
+				return err
+			}
+		}
+		d, e := steps[1], steps[0]
+		fmt.Printf("%10.1f  %16.0f %16.0f  %5.3f  %15.1f  %5.2f  %6.1f  %9d  %10d\n", rate, e.Tokens, d.Tokens, d.Tokens/e.Tokens,
+			d.MicrosPerTok, d.Cores, d.FirstP95, d.HeldBack, d.Unanswered)
+		if e.Tokens > out.BestDirect.Tokens {
+			out.BestDirect = e
+		}
+		grown := d.Tokens > 1.1*out.Best.Tokens
+		if d.Tokens > out.Best.Tokens {
+			out.Best = d
+		}
+		if !grown {
+			break
+		}
+		rate *= 2
+	}
+	return nil
+}
+
+// step sends one height of the load and reads the daemon's processor time.
+func (b *bench) step(ctx context.Context, direct bool, rate float64, seed uint64) (step, error) {
+	before, err := b.cpu()
+	if err != nil {
+		return step{}, err
+	}
+	p := b.plan(direct, seed)
+	p.Rate = rate
+	r, err := send(ctx, p)
+	if err != nil {
+		return step{}, err
+	}
+	after, err := b.cpu()
+	s := step{
+		Rate: rate, Tokens: r.TokensPerSecond, FirstP95: r.FirstToken.P95, HeldBack: r.HeldBack, Unanswered: r.Requests - r.Answered,
+		MicrosPerTok: (after - before) * 1e6 / float64(max(r.Tokens, 1)), Cores: (after - before) / r.Seconds,
+	}
+	return s, err
+}
+
+// cpu returns the daemon's processor time in seconds.
+func (b *bench) cpu() (float64, error) {
+	resp, err := http.Get("http://" + b.daemon.Line["admin"] + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		if name, value, _ := strings.Cut(sc.Text(), " "); name == "process_cpu_seconds_total" {
+			return strconv.ParseFloat(value, 64)
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return 0, err
+	}
+	return 0, fmt.Errorf("the daemon's metrics have no process_cpu_seconds_total")
+}
--- /dev/null
+++ b/internal/check/load/request.go
@@ -0,0 +1,71 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/oklog/ulid/v2"
+)
+
+// request is one request to be sent.
+type request struct {
+	target string
+	model  Model
+	id     string
+	body   []byte
+}
+
+// filler makes up the rest of a prompt. Its words say nothing that the
+// stand-ins react to.
+const filler = "which rack of figs is dry enough to be turned before the rain comes "
+
+// request returns the n-th request of p. Prompts differ in their first bytes,
+// so that no engine has their prefix cached.
+func (p *Plan) request(n int, rng *rand.Rand) request {
+	m := p.Models[rng.IntN(len(p.Models))]
+	prompt := fmt.Sprintf("%016x %08d ", rng.Uint64()^p.Salt, n)
+	prompt += strings.Repeat(filler, p.PromptBytes/len(filler)+1)[:p.PromptBytes-len(prompt)]
+	in := map[string]any{
+		"model": m.Name, "stream": true, "max_tokens": p.Tokens, "ignore_eos": true,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	}
+	if p.Engine {
+		in["model"], in["version"] = m.Base, m.Version
+		if m.Adapter != "" {
+			in["adapter"] = m.Adapter
+		}
+	}
+	body, _ := json.Marshal(in) // strings and numbers can always be encoded
+	return request{
+		target: p.Targets[n%len(p.Targets)], model: m, body: body,
+		// An engine answers an identifier that it knows with the earlier run,
+		// so the identifiers of two runs differ whatever their seeds are.
+		id: ulid.Make().String(),
+	}
+}
+
+// http returns the HTTP request of r.
+func (p *Plan) http(ctx context.Context, r *request) (*http.Request, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.target+"/v1/chat/completions", bytes.NewReader(r.body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody net/http sends no request again by itself, which would
+	// hide a broken connection.
+	q.GetBody = nil
+	q.Header.Set("Content-Type", "application/json")
+	if p.Engine {
+		q.Header.Set("X-Request-Id", r.id)
+		q.Header.Set("X-Priority", string(p.Class))
+		return q, nil
+	}
+	q.Header.Set("Azurespan-Class", string(p.Class))
+	q.Header.Set("Azurespan-Deadline", strconv.FormatInt(p.Deadline.Milliseconds(), 10))
+	return q, nil
+}
