engine: keep the watch of the context between tokens

The watch is now set up once for a context. It breaks the stream only while a read waits under that context, so the end of a context whose call has returned still has no effect; TestNextContexts guards this. The idle timer runs around the reads of the body, not around each token. The data of an event lies in memory that the reader uses again. Comparing the contexts themselves was ruled out, because a context of a type that can't be compared would panic; their Done channels are compared.

--- a/internal/link/engine/sse.go
+++ b/internal/link/engine/sse.go
@@ -12,7 +12,8 @@
 	sseEvent struct {
 		// id is empty if the event has none; it is not carried over from the
 		// event before.
-		id   string
+		id string
+		// data is valid until the next call of next.
 		data []byte
 	}
 
@@ -20,6 +21,8 @@
 	sseReader struct {
 		br *bufio.Reader
 		n  int
+		// data is the memory of the last event's data.
+		data []byte
 	}
 )
 
@@ -51,6 +54,7 @@
 		}
 		if len(line) == 0 {
 			if hasData {
+				r.data = ev.data
 				return ev, nil
 			}
 			ev = sseEvent{}
@@ -69,6 +73,8 @@
 		case "data":
 			if hasData {
 				ev.data = append(ev.data, '\n')
+			} else {
+				ev.data = r.data[:0]
 			}
 			ev.data = append(ev.data, value...)
 			hasData = true
--- a/internal/link/engine/stream.go
+++ b/internal/link/engine/stream.go
@@ -24,12 +24,26 @@
 		idle                  time.Duration
 		timer                 *time.Timer
 		stalled               atomic.Bool
+		// ctx is that of the call of Next in progress.
+		ctx context.Context
+		// watch breaks the stream when the context of Next ends. It is kept
+		// between calls with the same context, because setting it up costs
+		// as much as checking a token.
+		watch atomic.Pointer[watch]
+		// reading is watch while Read waits, else nil.
+		reading atomic.Pointer[watch]
 		// next is the index of the next token.
 		next     int64
 		repeated int64
 		// end is the error that all further calls of Next return.
 		end error
 	}
+
+	// watch is the wait for the end of one context.
+	watch struct {
+		done <-chan struct{}
+		stop func() bool
+	}
 )
 
 // doneData marks the end of an answer.
@@ -43,21 +57,50 @@
 		s.stalled.Store(true)
 		cancel()
 	})
-	// The timer runs only while Next waits: a slow reader is no stall.
 	s.timer.Stop()
 	s.events = newSSEReader(s)
 	return s
 }
 
-// Read passes bytes of the answer on and restarts the idle timer.
+// Read reads bytes of the answer. The idle timer runs and the end of the
+// context counts only while it waits: a slow reader is no stall.
 func (s *stream) Read(b []byte) (int, error) {
-	n, err := s.body.Read(b)
-	if n > 0 {
-		s.timer.Reset(s.idle)
+	w := s.watched()
+	s.reading.Store(w)
+	if s.ctx.Err() != nil {
+		// The watch may have seen the end before reading was set.
+		s.cancel()
 	}
+	s.timer.Reset(s.idle)
+	n, err := s.body.Read(b)
+	s.timer.Stop()
+	s.reading.Store(nil)
 	return n, err
 }
 
+// watched returns the watch of s.ctx, nil for a context that never ends.
+func (s *stream) watched() *watch {
+	done, w := s.ctx.Done(), s.watch.Load()
+	if w != nil && w.done == done {
+		return w
+	}
+	if w != nil {
+		w.stop()
+	}
+	if done == nil {
+		s.watch.Store(nil)
+		return nil
+	}
+	w = &watch{done: done}
+	w.stop = context.AfterFunc(s.ctx, func() {
+		if s.reading.Load() == w {
+			s.cancel()
+		}
+	})
+	s.watch.Store(w)
+	return w
+}
+
 // Upstream returns the name of the engine.
 func (s *stream) Upstream() string { return s.upstream }
 
@@ -66,6 +109,9 @@
 func (s *stream) Close() error {
 	s.cancel()
 	s.timer.Stop()
+	if w := s.watch.Load(); w != nil {
+		w.stop()
+	}
 	return s.body.Close()
 }
 
@@ -76,11 +122,8 @@
 	if s.end != nil {
 		return flow.Token{}, s.end
 	}
-	stop := context.AfterFunc(ctx, s.cancel)
-	s.timer.Reset(s.idle)
+	s.ctx = ctx
 	t, err := s.read()
-	s.timer.Stop()
-	stop()
 	if err == nil {
 		if t.Finish != "" {
 			s.end = io.EOF
