front: sign the event ids of an answer with one keyed hash

The chunker of an answer now keeps the keyed hash and resets it for each id, which keeps the hashed key blocks. The signature is the same. Signing once an answer, with the index outside the signature, was ruled out: a caller could then forge the place from which an answer is resumed.

--- a/internal/node/front/chunk.go
+++ b/internal/node/front/chunk.go
@@ -9,7 +9,7 @@
 
 // chunker encodes the tokens of one answer as server-sent events.
 type chunker struct {
-	signer  signer
+	signing *signing
 	request string
 	// head is the part of a chunk before its delta, the same for all tokens.
 	head []byte
@@ -28,13 +28,13 @@
 	w.RawStr(`,"model":`)
 	w.Str(model)
 	w.RawStr(`,"choices":[{"index":0,"delta":{`)
-	return &chunker{signer: s, request: request, head: w.Buf, role: from == 0}
+	return &chunker{signing: s.start(), request: request, head: w.Buf, role: from == 0}
 }
 
 // append appends the event of t, which upstream produced.
 func (c *chunker) append(dst []byte, t flow.Token, upstream string) []byte {
 	dst = append(dst, "id: "...)
-	dst = c.signer.append(dst, place{c.request, upstream, t.Index})
+	dst = c.signing.append(dst, place{c.request, upstream, t.Index})
 	dst = append(dst, '\n')
 	dst = append(dst, c.head...)
 	w := jx.Writer{Buf: dst}
--- a/internal/node/front/place.go
+++ b/internal/node/front/place.go
@@ -4,6 +4,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"hash"
 	"strconv"
 	"strings"
 
@@ -20,6 +21,13 @@
 	// signer makes and checks event ids. An event id is
 	// <request-id>.<upstream>.<token index>.<signature>.
 	signer struct{ key []byte }
+
+	// signing makes the event ids of one answer. It keeps the keyed hash,
+	// whose setup costs more than a signature. It serves one goroutine.
+	signing struct {
+		mac hash.Hash
+		out [sha256.Size]byte
+	}
 )
 
 const (
@@ -34,19 +42,27 @@
 	signatureScope = "azurespan-event-id\n"
 )
 
+var scope = []byte(signatureScope)
+
 func newSigner(secret []byte) signer {
 	return signer{key: append([]byte(nil), secret...)}
 }
 
+// start returns what signs the event ids of one answer.
+func (s signer) start() *signing { return &signing{mac: hmac.New(sha256.New, s.key)} }
+
+// append appends the event id of p to dst.
+func (s signer) append(dst []byte, p place) []byte { return s.start().append(dst, p) }
+
 // append appends the event id of p to dst.
-func (s signer) append(dst []byte, p place) []byte {
+func (g *signing) append(dst []byte, p place) []byte {
 	start := len(dst)
 	dst = append(dst, p.request...)
 	dst = append(dst, '.')
 	dst = append(dst, p.upstream...)
 	dst = append(dst, '.')
 	dst = strconv.AppendInt(dst, p.index, 10)
-	sum := s.sum(dst[start:])
+	sum := g.sum(dst[start:])
 	dst = append(dst, '.')
 	return base64.RawURLEncoding.AppendEncode(dst, sum)
 }
@@ -61,7 +77,7 @@
 		return place{}, badField(fieldEventID, "is not an event id of this deployment")
 	}
 	got, err := base64.RawURLEncoding.Strict().DecodeString(text[i+1:])
-	if err != nil || !hmac.Equal(got, s.sum([]byte(text[:i]))) {
+	if err != nil || !hmac.Equal(got, s.start().sum([]byte(text[:i]))) {
 		return place{}, badField(fieldEventID, "has no valid signature of this deployment")
 	}
 	// The signature covers the text, so the checks below fail only for a text
@@ -82,9 +98,10 @@
 	return place{request: body[:k], upstream: body[k+1 : j], index: n}, nil
 }
 
-func (s signer) sum(b []byte) []byte {
-	h := hmac.New(sha256.New, s.key)
-	h.Write([]byte(signatureScope))
-	h.Write(b)
-	return h.Sum(nil)[:signatureBytes]
+// sum returns the signature of b, which is valid until the next call.
+func (g *signing) sum(b []byte) []byte {
+	g.mac.Reset()
+	g.mac.Write(scope)
+	g.mac.Write(b)
+	return g.mac.Sum(g.out[:0])[:signatureBytes]
 }
