path: the share of one daemon with the target's token gap

The stand-in hands out tokens every 2 ms, so at a high rate several tokens travel in one packet and a token looks cheap.

--- a/cmd/path/main.go
+++ b/cmd/path/main.go
@@ -7,9 +7,9 @@
 //	path -bin DIR [-pairs 100] [-rounds 4] [-seconds 4] [-steps 8] [-seed 1]
 //
 // It prints the ratios of the first token times (pairs of single requests, and
-// open-loop traffic), the ratio of the token rates, and the most tokens a
-// second that the daemon carries with its processor time for a token. It exits
-// with 1 if an answer was wrong.
+// open-loop traffic), the ratio of the token rates, the processor time for a
+// token at the share of one daemon, and the most tokens a second that the
+// daemon carries. It exits with 1 if an answer was wrong.
 package main
 
 import (
@@ -78,6 +78,7 @@
 		do     func(context.Context, *bench, *report) error
 	}{
 		{engineSize{tokensPerSecond: latencyRate, sequences: 64}, latency},
+		{engineSize{tokensPerSecond: shareTokens, sequences: shareStreams}, share},
 		{engineSize{tokensPerSecond: 400_000, sequences: 2048}, saturation},
 	} {
 		if err := with(ctx, o, part.engine, func(b *bench) error { return part.do(ctx, b, &out) }); err != nil {
--- a/cmd/path/parts.go
+++ b/cmd/path/parts.go
@@ -21,6 +21,9 @@
 		OpenP50  float64 `json:"open-first-token-p50-ratio"`
 		OpenP95  float64 `json:"open-first-token-p95-ratio"`
 		OpenRate float64 `json:"open-token-rate-ratio"`
+		// Share is the load of one daemon at the target, with the token gap of
+		// the target: each token is read and written by itself.
+		Share step `json:"share"`
 		// Best is the step with the most tokens a second through the daemon.
 		Best step `json:"saturation"`
 		// BestDirect is the same for the engine alone.
@@ -55,6 +58,8 @@
 	// target's peak.
 	shareTokens   = 630_000.0 / 320
 	shareRequests = 1_800.0 / 320
+	// shareStreams in progress have 79 ms between tokens at shareTokens.
+	shareStreams = 155
 )
 
 // plan returns traffic for the daemon or, if direct, for the engine.
@@ -145,6 +150,34 @@
 	return r, nil
 }
 
+// share sends the token rate of one daemon at the target over as many streams
+// as make the target's token gap, directly and through the daemon.
+func share(ctx context.Context, b *bench, out *report) error {
+	var tokens [2]float64
+	for i := range 2 {
+		before, err := b.cpu()
+		if err != nil {
+			return err
+		}
+		p := b.plan(i == 0, b.seed+50)
+		// The streams begin within 2 s and last about 8 s.
+		p.Rate, p.Requests, p.Duration, p.Tokens = shareStreams/2, shareStreams, 10*time.Second, 100
+		r, err := send(ctx, p)
+		if err != nil {
+			return err
+		}
+		after, err := b.cpu()
+		if err != nil {
+			return err
+		}
+		tokens[i] = r.TokensPerSecond
+		out.Share = newStep(p.Rate, r, after-before)
+		fmt.Printf("share, %-7s %3d streams: %6.0f tokens a second, gap p50 %.1f and p95 %.1f ms\n", [2]string{"direct", "daemon"}[i], r.Answered, r.TokensPerSecond, r.TokenGap.P50, r.TokenGap.P95)
+	}
+	fmt.Printf("share: ratio of the token rates %.3f, %.1f us of the daemon's processor time a token, %.3f cores\n", tokens[1]/tokens[0], out.Share.MicrosPerTok, out.Share.Cores)
+	return nil
+}
+
 // saturation doubles the load until the daemon carries hardly more than before,
 // with the same load for the engine alone before each step.
 func saturation(ctx context.Context, b *bench, out *report) error {
@@ -190,11 +223,15 @@
 		return step{}, err
 	}
 	after, err := b.cpu()
-	s := step{
+	return newStep(rate, r, after-before), err
+}
+
+// newStep returns the figures of r, in which the daemon took cpu seconds.
+func newStep(rate float64, r *load.Result, cpu float64) step {
+	return step{
 		Rate: rate, Tokens: r.TokensPerSecond, FirstP95: r.FirstToken.P95, HeldBack: r.HeldBack, Unanswered: r.Requests - r.Answered,
-		MicrosPerTok: (after - before) * 1e6 / float64(max(r.Tokens, 1)), Cores: (after - before) / r.Seconds,
+		MicrosPerTok: cpu * 1e6 / float64(max(r.Tokens, 1)), Cores: cpu / r.Seconds,
 	}
-	return s, err
 }
 
 // cpu returns the daemon's processor time in seconds.
