--- a/internal/check/faults/log.go
+++ b/internal/check/faults/log.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/azurespan/azurespan/internal/check/load"
+	"github.com/azurespan/azurespan/internal/check/mixed"
 	"github.com/azurespan/azurespan/internal/check/verify"
 	"github.com/azurespan/azurespan/standin/platform/platsv"
 )
@@ -34,12 +34,12 @@
 	}
 }
 
-func booking(n *node, text string) load.Plan {
-	return load.Plan{Kind: verify.Call, Service: desk, Prompt: fmt.Sprintf(`{"for":%q}`, text), First: n.Proc}
+func booking(n *node, text string) mixed.Plan {
+	return mixed.Plan{Kind: verify.Call, Service: desk, Prompt: fmt.Sprintf(`{"for":%q}`, text), First: n.Proc}
 }
 
-func lookup(n *node) load.Plan {
-	return load.Plan{Kind: verify.Call, Service: desk, Lookup: true, First: n.Proc}
+func lookup(n *node) mixed.Plan {
+	return mixed.Plan{Kind: verify.Call, Service: desk, Lookup: true, First: n.Proc}
 }
 
 func logOutage(w *World) error {
--- a/internal/check/faults/world.go
+++ b/internal/check/faults/world.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/azurespan/azurespan/internal/check/fleet"
-	"github.com/azurespan/azurespan/internal/check/load"
+	"github.com/azurespan/azurespan/internal/check/mixed"
 	"github.com/azurespan/azurespan/internal/check/relay"
 	"github.com/azurespan/azurespan/internal/check/verify"
 	"github.com/azurespan/azurespan/standin/engine/engsv"
@@ -34,7 +34,7 @@
 		desks    map[string]*servsv.Server
 		// relays are those of the upstreams.
 		relays map[string]*relay.Relay
-		driver *load.Driver
+		driver *mixed.Driver
 
 		mu      sync.Mutex
 		nodes   []*node
@@ -101,7 +101,7 @@
 		ctx: ctx, Seed: seed, secret: crand.Text(), net: relay.New(), engines: map[string]*engsv.Server{}, desks: map[string]*servsv.Server{}, relays: map[string]*relay.Relay{},
 		site: &fleet.Site{Fleet: fleet.New(bin, dir), Deployment: deployment(), Timing: timing},
 	}
-	w.driver = load.New(w.callable)
+	w.driver = mixed.New(w.callable)
 	w.history = verify.History{
 		Limits: limits(w.site.Deployment), Targets: targets(w.site.Deployment),
 		Terminated: map[string]time.Time{}, Leaving: map[string]time.Time{},
@@ -252,7 +252,7 @@
 	for i, m := range models {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(w.Seed, 90+uint64(i)))
-			p := load.Plan{Kind: verify.Stream, Model: m, Prompt: "warm up", Tokens: 8, Attempts: 20}
+			p := mixed.Plan{Kind: verify.Stream, Model: m, Prompt: "warm up", Tokens: 8, Attempts: 20}
 			if got := w.driver.Do(w.ctx, rng, p); !got.Answered {
 				errs[i] = &lack{fmt.Sprintf("%s was not served before the faults: %s", m, got.Refusal)}
 			}
