--- a/internal/check/fleet/proc.go
+++ b/internal/check/fleet/proc.go
@@ -108,6 +108,9 @@
 	}
 }
 
+// Pid returns the identifier of the process.
+func (p *Proc) Pid() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Proc) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
