daemon, azurespan: status, explain and start-up errors for readers

Cause: status printed one line of key=value pairs for each object, null lists, a count of former owners and "unknown" for plain services; degraded left out upstreams without a usable owner, slow and suspect ones and a failing host list. explain had no placement reasons, no refusals by the caller interface, nothing under an adapter's name, and times in milliseconds out of order. Failed loads were not counted in azurespan_loads_total. A used listener address ended serve with exit code 3 and hid the next one. Ruled out: a text form for known keys only; the command and the daemon may differ in version, so any list of objects becomes a table. Conclusion: an operator sees what is degraded and why a request was refused.

--- a/cmd/azurespan/command_test.go
+++ b/cmd/azurespan/command_test.go
@@ -85,11 +85,12 @@
 			status = http.StatusUnauthorized
 		}
 		w.WriteHeader(status)
-		answer := `{"version":18446744073709551615,"ready":true,"domain":{"name":"a"},"peers":["b","c"]}`
+		answer := `{"version":18446744073709551615,"ready":true,"domain":{"name":"a"},"peers":["b","c"],"left":null,"empty":[],"degraded":["it is slow"],` +
+			`"upstreams":[{"owner":"","memory-bytes":42949672960,"name":"u1"},{"owner":"e/1","memory-bytes":1536,"name":"u2"}]}`
 		if r.URL.Path == "/admin/decisions" {
 			answer = `{"decisions":[]}`
 			if r.FormValue("request") == "r1" {
-				answer = `{"decisions":[{"why":"no room","kind":"place","time":"t1","set":["x","y"]},{"kind":"route","time":"t2"}]}`
+				answer = `{"decisions":[{"why":"no room","kind":"place","time-ms":1796354583522,"set":["x","y"]},{"kind":"route","time-ms":0}]}`
 			}
 		}
 		_, _ = w.Write([]byte(answer))
@@ -98,10 +99,11 @@
 	flags := []string{"--admin", s.URL, "--secret-file", secret}
 	code, out, _ := invoke(t, append([]string{"status"}, flags...)...)
 	must.Eq(t, exitOK, code)
-	must.Eq(t, "domain.name: a\npeers: b, c\nready: true\nversion: 18446744073709551615\n", out)
+	must.Eq(t, "degraded:\n  it is slow\ndomain.name: a\nempty: none\nleft: none\npeers: b, c\nready: true\nversion: 18446744073709551615\n"+
+		"\nupstreams:\n  name  owner  memory\n  u1    -      40GiB\n  u2    e/1    1536B\n", out)
 	code, out, _ = invoke(t, append([]string{"explain", "--request", "r1"}, flags...)...)
 	must.Eq(t, exitOK, code)
-	must.Eq(t, "decisions: time=t1 kind=place set=[x,y] why=\"no room\"\ndecisions: time=t2 kind=route\n", out)
+	must.Eq(t, "\ndecisions:\n  time                      kind   set  why\n  2026-12-04T03:23:03.522Z  place  x,y  no room\n  1970-01-01T00:00:00.000Z  route  -    -\n", out)
 	code, _, errs := invoke(t, append([]string{"explain", "--model", "m"}, flags...)...)
 	must.Eq(t, exitRefused, code)
 	must.StrContains(t, errs, "no decision")
--- a/cmd/azurespan/serve.go
+++ b/cmd/azurespan/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"io"
 	"time"
@@ -32,6 +33,11 @@
 	}
 	defer klog.Flush()
 	d, err := daemon.New(time.Now(), s)
+	var listen *daemon.ListenError
+	if errors.As(err, &listen) {
+		// Without this, a network error counts as a service out of reach.
+		return &refusedError{detail: err.Error()}
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -34,6 +34,11 @@
 	Loads *prometheus.CounterVec
 	// LoadSeconds is the duration of successful loads.
 	LoadSeconds prometheus.Histogram
+	// LogUnreachableSeconds is the time since the log service last answered,
+	// 0 while it answers.
+	LogUnreachableSeconds prometheus.Gauge
+	// ConfigurationOffset is the version of the configuration in force.
+	ConfigurationOffset prometheus.Gauge
 
 	entries []Entry
 }
@@ -85,6 +90,8 @@
 		Streams:                b.gauge("azurespan_streams_in_progress", "Answers in progress, streamed or whole."),
 		Loads:                  b.counterVec("azurespan_loads_total", "Finished loads by outcome (ok, failed).", "outcome"),
 		LoadSeconds:            b.histogram("azurespan_load_seconds", "Duration of successful loads.", loadBuckets),
+		LogUnreachableSeconds:  b.gauge("azurespan_log_unreachable_seconds", "Time for which the log service has not answered; 0 while it answers."),
+		ConfigurationOffset:    b.gauge("azurespan_configuration_offset", "Version of the configuration in force, the offset of its record; 0 before the first."),
 	}
 	if reg != nil {
 		reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/node/audit/audit.go
+++ b/internal/node/audit/audit.go
@@ -50,3 +50,12 @@
 	})
 	return out
 }
+
+// Has reports whether there is a decision of a kind about a request.
+func (t *Trail) Has(request, kind string) bool {
+	found := false
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ring.Each(func(d Decision) { found = found || d.Request == request && d.Kind == kind })
+	return found
+}
--- a/internal/node/broker/complete.go
+++ b/internal/node/broker/complete.go
@@ -203,7 +203,7 @@
 	event.Routed.Log("request", r.ID, "model", r.Model, "version", r.Version, "adapter", r.Adapter, "upstream", c.Upstream,
 		"class", string(r.Class), "reason", string(c.Reason), "wait", c.Wait.String(), "free", c.Free,
 		"crosses", c.Crosses, "prefix", c.PrefixHint, "from-token", a.next)
-	b.obs.Decided(now, r.ID, r.Model, "routed", c.Upstream, string(c.Reason))
+	b.obs.Decided(time.Now(), r.ID, r.Model, "routed", c.Upstream, string(c.Reason))
 	if c.AdapterLoad && r.Adapter != "" {
 		err := b.waker.Ensure(ctx, owner.Request{
 			Upstream: c.Upstream, Model: r.Model, Version: r.Version, Adapter: r.Adapter, Class: r.Class, Deadline: r.Deadline,
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -63,6 +63,8 @@
 		// applied mirrors the follower's offset without its lock, because the
 		// gossip reads it under its own.
 		applied atomic.Uint64
+		// hostsFailing is set while the last read of the host list failed.
+		hostsFailing atomic.Bool
 
 		callers, peers, admin net.Listener
 		adminSrv              *http.Server
@@ -121,7 +123,7 @@
 		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
 		SoleProcess: fixedPort(s.Daemon.PeerAddress),
 	}, d.follow, d.orders, d.gossip, d.pacing, observer{d})
-	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain}, d.follow, d.gossip, d.client, d.owner)
+	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain, Decided: observer{d}.Woken}, d.follow, d.gossip, d.client, d.owner)
 	d.keeper = keeper.New(keeper.Settings{
 		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
 	}, claimsLog{log}, crand.Reader)
@@ -132,6 +134,7 @@
 		Secret: secret, MaxBodyBytes: s.Limits.Body, MaxHeaderBytes: int(s.Limits.Headers),
 		MaxStreams: s.Limits.Streams, MaxConnections: s.Limits.Connections, StreamBufferBytes: int(s.Limits.StreamBuffer),
 		HeaderTimeout: s.Limits.HeaderTimeout, IdleTimeout: s.Limits.IdleTimeout, Metrics: d.metrics,
+		Refused: observer{d}.Refused,
 	}, backend{d.broker, d})
 	if err != nil {
 		return nil, err
@@ -140,29 +143,6 @@
 	return d, nil
 }
 
-// listen binds all listeners, or none.
-func (d *Daemon) listen() error {
-	for _, l := range []struct {
-		to      *net.Listener
-		address string
-	}{
-		{&d.peers, d.set.Daemon.PeerAddress},
-		{&d.callers, d.set.Daemon.CallerAddress},
-		{&d.admin, d.set.Daemon.AdminAddress},
-	} {
-		var err error
-		if *l.to, err = net.Listen("tcp", l.address); err != nil {
-			for _, o := range []net.Listener{d.peers, d.callers, d.admin} {
-				if o != nil {
-					_ = o.Close()
-				}
-			}
-			return merry.Wrap(err)
-		}
-	}
-	return nil
-}
-
 // controlClient returns the HTTP client for the log, the host list and the
 // engines' orders and reports, whose bytes count as control traffic.
 func (d *Daemon) controlClient() *http.Client {
--- a/internal/node/daemon/duties.go
+++ b/internal/node/daemon/duties.go
@@ -34,6 +34,7 @@
 	tick := time.NewTicker(dutyInterval)
 	defer tick.Stop()
 	var sent, received uint64
+	var downSince time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -44,6 +45,7 @@
 		d.metrics.ControlSentBytes.Add(float64(s - sent))
 		d.metrics.ControlReceivedBytes.Add(float64(r - received))
 		sent, received = s, r
+		downSince = d.gauges(time.Now(), downSince)
 		d.assign()
 		d.prewake(ctx, time.Now())
 		if d.follow.SnapshotDue(time.Now()) && hrw.First(snapshotDuty, d.gossip.Live("")) == d.name {
@@ -56,6 +58,21 @@
 	}
 }
 
+// gauges sets the metrics of the control stream. downSince is when the log was
+// first found unreachable, zero if it answered; the new value is returned.
+func (d *Daemon) gauges(now, downSince time.Time) time.Time {
+	d.follow.View(func(l *ledger.Ledger) { d.metrics.ConfigurationOffset.Set(float64(l.Version())) })
+	if _, _, up := d.follow.Status(); up {
+		d.metrics.LogUnreachableSeconds.Set(0)
+		return time.Time{}
+	}
+	if downSince.IsZero() {
+		downSince = now
+	}
+	d.metrics.LogUnreachableSeconds.Set(now.Sub(downSince).Seconds())
+	return downSince
+}
+
 // prewake loads models ahead of their first request, if this daemon
 // coordinates their wakes and none is loaded.
 func (d *Daemon) prewake(ctx context.Context, now time.Time) {
@@ -125,6 +142,7 @@
 			d.takeHosts(ctx, time.Now(), list)
 		}
 		failing = err != nil
+		d.hostsFailing.Store(failing)
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/node/daemon/observer.go
+++ b/internal/node/daemon/observer.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/node/audit"
 	"github.com/azurespan/azurespan/internal/node/broker"
@@ -22,6 +24,9 @@
 	}
 )
 
+// refused is the kind of decision that the broker records for a refusal.
+const refused = "refused"
+
 var (
 	_ owner.Observer  = observer{}
 	_ broker.Observer = observer{}
@@ -48,9 +53,27 @@
 	if why == "" {
 		why = "accepted"
 	}
+	if what == owner.LoadFailed {
+		o.d.metrics.Loads.WithLabelValues("failed").Inc()
+	}
 	o.d.trail.Add(now, audit.Decision{Kind: what, Model: k.Model, Upstream: k.Upstream, Why: why})
 }
 
+// Woken records a decision of the waker.
+func (o observer) Woken(now time.Time, what, model, upstream, why string) {
+	o.d.trail.Add(now, audit.Decision{Kind: what, Model: model, Upstream: upstream, Why: why})
+}
+
+// Refused records what a caller was refused before the request was routed. The
+// broker has recorded its own refusals.
+func (o observer) Refused(now time.Time, request string, f *fault.Fault) {
+	if o.d.trail.Has(request, refused) {
+		return
+	}
+	event.CallerRefused.Log("request", request, "reason", string(f.Kind), "run", string(f.Run), "detail", f.Detail)
+	o.d.trail.Add(now, audit.Decision{Kind: refused, Request: request, Why: string(f.Kind) + ": " + f.Detail})
+}
+
 // Queued implements broker.Observer.
 func (o observer) Queued(class declare.Class, wait time.Duration) {
 	o.d.metrics.QueueSeconds.WithLabelValues(string(class)).Observe(wait.Seconds())
--- a/internal/node/front/exchange.go
+++ b/internal/node/front/exchange.go
@@ -142,6 +142,9 @@
 	if f.Kind == fault.Internal {
 		event.CallerFailed.Log("request", x.id, "err", err)
 	}
+	if refused := x.front.s.Refused; refused != nil {
+		refused(x.front.s.Now(), x.id.String(), f)
+	}
 	writeProblem(x.w, problemOf(f, fieldOf(err), x.id.String()), f.RetryAfter)
 }
 
--- a/internal/node/front/health.go
+++ b/internal/node/front/health.go
@@ -18,13 +18,20 @@
 	_, _ = w.Write([]byte("ok\n")) // a probe that is gone needs no answer
 }
 
-// Readyz answers 200 when the daemon can serve new requests, else 503, with
-// what is missing.
-func (f *Front) Readyz(w http.ResponseWriter, _ *http.Request) {
+// Missing names what keeps the daemon from serving new requests; it is empty
+// when the daemon is ready.
+func (f *Front) Missing() []string {
 	missing := append([]string{}, f.backend.Ready()...)
 	if f.gate.isClosed() {
 		missing = append(missing, "draining")
 	}
+	return missing
+}
+
+// Readyz answers 200 when the daemon can serve new requests, else 503, with
+// what is missing.
+func (f *Front) Readyz(w http.ResponseWriter, _ *http.Request) {
+	missing := f.Missing()
 	w.Header().Set("Content-Type", "application/json")
 	if len(missing) > 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/front/settings.go
+++ b/internal/node/front/settings.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/base/metric"
 )
 
@@ -43,6 +44,9 @@
 	DeadlineGrace time.Duration
 	// Metrics is where the Front counts; nil means nowhere.
 	Metrics *metric.Metrics
+	// Refused, if not nil, hears of each refusal that is sent in place of an
+	// answer.
+	Refused func(now time.Time, requestID string, f *fault.Fault)
 	// Now returns the present time; nil means time.Now.
 	Now func() time.Time
 	// Entropy is the random source of request identifiers; nil means
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -27,6 +27,9 @@
 	Deadline time.Time
 }
 
+// LoadFailed is what Observer.Placed is told of a load that failed.
+const LoadFailed = "load-failed"
+
 // grantAttempts bounds how often a load looks for room, since other loads on
 // the upstream change the grants meanwhile.
 const grantAttempts = 4
@@ -88,6 +91,7 @@
 	if err != nil {
 		l.err = fault.Of(err)
 		event.LoadFailed.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "err", err)
+		o.obs.Placed(now, LoadFailed, k, l.err.Error())
 	} else {
 		event.Loaded.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "seconds", now.Sub(began).Seconds())
 		o.obs.Loaded(now, k, now.Sub(began))
--- a/internal/node/owner/unload.go
+++ b/internal/node/owner/unload.go
@@ -27,11 +27,11 @@
 func (o *Owner) unloadIdle(ctx context.Context, now time.Time) {
 	for _, j := range o.unloadings(now) {
 		go func() {
+			o.obs.Placed(now, "unload", j.k, j.why)
 			err := o.evict(ctx, j.k, j.release)
 			o.mu.Lock()
 			o.units[j.k.Upstream].busy = false
 			o.mu.Unlock()
-			o.obs.Placed(time.Now(), "unload", j.k, j.why)
 			var f *fault.Fault
 			if errors.As(err, &f) && f.Kind != fault.NoCapacity {
 				event.UnloadFailed.Log("upstream", j.k.Upstream, "model", j.k.Model, "version", j.k.Version, "err", err)
--- a/internal/node/waker/waker.go
+++ b/internal/node/waker/waker.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -66,6 +67,8 @@
 		// CallTimeout bounds a wake beyond the deadlines of the requests
 		// that wait for it; default 5 min.
 		CallTimeout time.Duration
+		// Decided, if not nil, hears of each placement decision.
+		Decided func(now time.Time, what, model, upstream, why string)
 	}
 
 	// Waker coordinates wakes.
@@ -101,6 +104,9 @@
 	if s.CallTimeout == 0 {
 		s.CallTimeout = 5 * time.Minute
 	}
+	if s.Decided == nil {
+		s.Decided = func(time.Time, string, string, string, string) {}
+	}
 	return &Waker{
 		set: s, ctl: ctl, facts: f, caller: c, loader: l,
 		chooser: place.New(place.Settings{}), calls: map[key]*call{},
@@ -172,6 +178,7 @@
 		for _, up := range w.holders(q) {
 			event.WakeStarted.Log("model", q.Model, "version", q.Version, "upstream", up, "tier", "granted",
 				"needs-grant", false, "evictions", 0, "class", string(q.Class), "extra", false)
+			w.set.Decided(time.Now(), "wake", q.Model, up, "has the grant already")
 			if last = w.order(ctx, up, q); last == nil {
 				return up, nil
 			}
@@ -188,12 +195,14 @@
 				err = refusal(d, q)
 			}
 			event.WakeRefused.Log("model", q.Model, "version", q.Version, "reason", string(d.Reason), "err", err)
+			w.set.Decided(time.Now(), "wake-refused", q.Model, "", err.Error())
 			return "", err
 		case place.Load:
 			l = d
 		}
 		event.WakeStarted.Log("model", q.Model, "version", q.Version, "upstream", l.Upstream, "tier", l.Tier.String(),
 			"needs-grant", l.NeedsGrant, "evictions", len(l.Evict), "class", string(q.Class), "extra", q.Extra)
+		w.set.Decided(time.Now(), "wake", q.Model, l.Upstream, why(l, q))
 		last = w.order(ctx, l.Upstream, q)
 		if last == nil {
 			return l.Upstream, nil
@@ -345,6 +354,21 @@
 	return c
 }
 
+// why says in words what a placement rests on.
+func why(l place.Load, q Request) string {
+	s := "checkpoint " + l.Tier.String()
+	if l.NeedsGrant {
+		s += ", new grant"
+	}
+	if n := len(l.Evict); n > 0 {
+		s += ", evicts " + strconv.Itoa(n)
+	}
+	if q.Extra {
+		s += ", all replicas are busy"
+	}
+	return s
+}
+
 func refusal(d place.Refuse, q Request) error {
 	kind := fault.NoCapacity
 	switch d.Reason {
