keeper: Take can't wait for a stopped partition

A Take that got the partition just before it was replaced fetched its change channel after the last close and waited on it for ever. The channel of a stopped partition now stays closed. A partition is also marked as assigned before it starts, and the writer is woken when records were missed.

TestAssignAgain fails without the change. TestRetention now also covers the owner that missed dropped records.

loads: cases for two releases, two takeovers with three daemons, and a crash beside a given-up order; fault foreign-release.

--- a/internal/check/loads/case.go
+++ b/internal/check/loads/case.go
@@ -33,6 +33,10 @@
 	add("checking, restart of an engine", with(small, func(b *Bounds) { b.Restarts = 1 }), checking, NoFault, false)
 	add("mixed, three daemons", with(small, func(b *Bounds) { b.Daemons = 3; b.Grants = 1; b.Orders = 2 }), mixed, NoFault, false)
 
+	add("mixed, order given up and crash of a daemon", with(small, func(b *Bounds) { b.Crashes, b.GivenUp = 1, 1 }), mixed, NoFault, false)
+	add("checking, two releases", with(small, func(b *Bounds) { b.Releases, b.Orders = 2, 4 }), checking, NoFault, false)
+	add("mixed, three daemons, two takeovers", with(small, func(b *Bounds) { b.Daemons, b.Takes, b.Grants = 3, 2, 1 }), mixed, NoFault, false)
+
 	add("checking", small, checking, UncheckedFencing, true)
 	add("checking, order given up", with(alone, func(b *Bounds) { b.GivenUp = 1 }), checking, UncheckedSequence, true)
 	add("checking, restart of an engine", with(small, func(b *Bounds) { b.Restarts = 1 }), checking, ForgottenFencing, true)
@@ -42,5 +46,6 @@
 	add("mixed, acknowledgement", acks, mixed, EarlyAcknowledge, true)
 	add("mixed, acknowledgement", acks, mixed, StaleUnload, true)
 	add("checking, one owner", alone, checking, LoadAfterRelease, true)
+	add("checking, two releases", with(small, func(b *Bounds) { b.Releases, b.Orders = 2, 4 }), checking, ForeignRelease, true)
 	return out
 }
--- a/internal/check/loads/model.go
+++ b/internal/check/loads/model.go
@@ -47,6 +47,9 @@
 	// LoadAfterRelease: a load is ordered after the grant's release was
 	// appended, because its outcome is not read yet.
 	LoadAfterRelease Fault = "load-after-release"
+	// ForeignRelease: an owner takes a former owner's release, which is
+	// refused, for its own.
+	ForeignRelease Fault = "foreign-release"
 )
 
 // Properties.
@@ -165,7 +168,7 @@
 	case release:
 		// A former owner's release, which is refused, says nothing about
 		// the own one.
-		if o, _ := p.ledger.Owner(upNames[e.up]); o.Daemon == daemonName(d) && o.Epoch == uint64(e.epoch) {
+		if o, _ := p.ledger.Owner(upNames[e.up]); o.Daemon == daemonName(d) && o.Epoch == uint64(e.epoch) || m.fault == ForeignRelease {
 			h.posts[e.up].released &^= 1 << e.model
 		}
 	case acknowledge, gone:
--- a/internal/node/keeper/follow.go
+++ b/internal/node/keeper/follow.go
@@ -129,6 +129,7 @@
 	}
 	p.fold = claims.New(p.k.set.Limits, page.Oldest, page.End)
 	p.ownershipChanged()
+	p.signal()
 }
 
 func (p *part) apply(e Entry) {
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -261,6 +261,7 @@
 			return nil
 		}
 		p = newPart(k, n)
+		p.assigned = true
 		k.parts[n] = p
 		if k.ctx != nil {
 			k.start(p)
@@ -287,9 +288,14 @@
 		if p.isAssigned() {
 			// It was assigned again while it stopped.
 			q := newPart(k, p.number)
+			q.assigned = true
 			k.parts[p.number] = q
 			k.start(q)
-			q.setAssigned(true)
 		}
+		// A Take that still has p looks again. The channel stays closed,
+		// because such a Take may not have fetched it yet.
+		p.mu.Lock()
+		close(p.changed)
+		p.mu.Unlock()
 	}()
 }
--- a/internal/node/keeper/keeper_test.go
+++ b/internal/node/keeper/keeper_test.go
@@ -311,6 +311,7 @@
 	take(t, a, key)
 	_, err := claim(t, a, now, key, 1)
 	must.NoError(t, err)
+	link.set(func(l *memLink) { l.readDown = true })
 	now = l.advance(2*time.Hour + time.Minute)
 	l.drop()
 	a.Assign([]string{"h/2"})
@@ -325,6 +326,19 @@
 	d, err := claim(t, b, now, fresh, 1)
 	must.NoError(t, err)
 	must.Eq(t, Granted, d.State)
+	now = l.advance(2*time.Hour + time.Minute)
+	l.drop()
+	link.set(func(l *memLink) { l.readDown = false })
+	eventually(t, "the owner that missed records does not stop", func() bool {
+		_, err := claim(t, a, now, key, 1)
+		return NotOwner(err)
+	})
+	b.Assign([]string{"h/1"})
+	take(t, a, key)
+	for _, old := range []string{key, fresh} {
+		_, err = claim(t, a, now, old, 1)
+		refused(t, err, fault.KeyExpired, fault.RunUnknown)
+	}
 }
 
 // TestOwner guards against an assignment that depends on the order of the
