--- a/internal/check/loads/case.go
+++ b/internal/check/loads/case.go
@@ -39,6 +39,7 @@
 
 	add("checking", small, checking, UncheckedFencing, true)
 	add("checking, order given up", with(alone, func(b *Bounds) { b.GivenUp = 1 }), checking, UncheckedSequence, true)
+	add("ignoring, order given up", with(alone, func(b *Bounds) { b.GivenUp = 1 }), ignoring, GivenUpLoad, true)
 	add("checking, restart of an engine", with(small, func(b *Bounds) { b.Restarts = 1 }), checking, ForgottenFencing, true)
 	add("checking, one owner", with(alone, func(b *Bounds) { b.Orders = 2 }), checking, EarlyRelease, true)
 	add("checking", with(small, func(b *Bounds) { b.Orders = 2 }), checking, ReportedRelease, true)
--- a/internal/check/loads/model.go
+++ b/internal/check/loads/model.go
@@ -41,6 +41,9 @@
 	TrustedFormer Fault = "trusted-former"
 	// EarlyAcknowledge: loss is acknowledged with an order outstanding.
 	EarlyAcknowledge Fault = "early-acknowledge"
+	// GivenUpLoad: a grant on an ignoring engine is released although a load
+	// of it was given up without an answer.
+	GivenUpLoad Fault = "given-up-load"
 	// StaleUnload: an unload on an ignoring engine counts for a release
 	// although it was ordered before the former owner's acknowledgement.
 	StaleUnload Fault = "stale-unload"
@@ -269,7 +272,7 @@
 	case ReportedRelease:
 		return p.now.stage == none && s.engines[u].loaded&bit == 0
 	}
-	return p.now.stage == none && p.unloaded&bit != 0 && (p.unsure&bit == 0 || !m.ignores[u])
+	return p.now.stage == none && p.unloaded&bit != 0 && (p.unsure&bit == 0 || !m.ignores[u] || m.fault == GivenUpLoad)
 }
 
 func (m *Model) mayAcknowledge(p post) bool {
