--- a/internal/check/loads/model.go
+++ b/internal/check/loads/model.go
@@ -41,12 +41,18 @@
 	TrustedFormer Fault = "trusted-former"
 	// EarlyAcknowledge: loss is acknowledged with an order outstanding.
 	EarlyAcknowledge Fault = "early-acknowledge"
+	// GivenUpLoad: a grant on an ignoring engine is released although a load
+	// of it was given up without an answer.
+	GivenUpLoad Fault = "given-up-load"
 	// StaleUnload: an unload on an ignoring engine counts for a release
 	// although it was ordered before the former owner's acknowledgement.
 	StaleUnload Fault = "stale-unload"
 	// LoadAfterRelease: a load is ordered after the grant's release was
 	// appended, because its outcome is not read yet.
 	LoadAfterRelease Fault = "load-after-release"
+	// ForeignRelease: an owner takes a former owner's release, which is
+	// refused, for its own.
+	ForeignRelease Fault = "foreign-release"
 )
 
 // Properties.
@@ -165,7 +171,7 @@
 	case release:
 		// A former owner's release, which is refused, says nothing about
 		// the own one.
-		if o, _ := p.ledger.Owner(upNames[e.up]); o.Daemon == daemonName(d) && o.Epoch == uint64(e.epoch) {
+		if o, _ := p.ledger.Owner(upNames[e.up]); o.Daemon == daemonName(d) && o.Epoch == uint64(e.epoch) || m.fault == ForeignRelease {
 			h.posts[e.up].released &^= 1 << e.model
 		}
 	case acknowledge, gone:
@@ -267,7 +273,7 @@
 	case ReportedRelease:
 		return p.now.stage == none && s.engines[u].loaded&bit == 0
 	}
-	return p.now.stage == none && p.unloaded&bit != 0 && (p.unsure&bit == 0 || !m.ignores[u])
+	return p.now.stage == none && p.unloaded&bit != 0 && (p.unsure&bit == 0 || !m.ignores[u] || m.fault == GivenUpLoad)
 }
 
 func (m *Model) mayAcknowledge(p post) bool {
