broker, owner: the deadline bounds a whole stream; no load beyond memory

Ruled out: the front's guard alone, which ends with the first token; bounding only silent streams, since a caller's deadline is for the answer. Change: Next runs under the request's deadline and refuses with run yes, so the caller can resume; a silent stream moves after 5 s instead of 15; the default urgent deadline is 60 s, because 350 tokens take 28 s at 79 ms; a load is refused while grants exceed the upstream; the default key window is 6 h. Figures: TestStreamDeadline hangs for the engine's silence before and is refused at its deadline after; TestGrownModel loads 240 of 200 bytes before.

--- a/declare/deployment.go
+++ b/declare/deployment.go
@@ -45,8 +45,8 @@
 		// DefaultClass applies to a request that states none; default urgent.
 		DefaultClass Class `json:"default-class,omitempty"`
 		// DefaultDeadlineMS applies to a request that states none, in
-		// milliseconds from receipt; default 30,000 for urgent and 600,000
-		// for background requests.
+		// milliseconds from receipt; default 60,000 for urgent and 600,000
+		// for background requests. The deadline bounds the whole answer.
 		DefaultDeadlineMS int64 `json:"default-deadline-ms,omitempty"`
 		// Calls of a plain service, matched by method and longest path
 		// prefix. A call that matches none is refused.
@@ -135,6 +135,6 @@
 	DefaultStoreLoadsAtOnce    = 4
 	DefaultAdapterLoadsAtOnce  = 32
 	DefaultSequences           = 8
-	DefaultUrgentDeadline      = 30 * time.Second
+	DefaultUrgentDeadline      = 60 * time.Second
 	DefaultBackgroundDeadline  = 10 * time.Minute
 )
--- a/internal/base/setup/field.go
+++ b/internal/base/setup/field.go
@@ -88,7 +88,7 @@
 	timing("peer-timeout", 2*time.Second, 100*time.Millisecond, time.Minute, "Time limit of a call of a peer that does not wait for a load.", func(t *Timing) *time.Duration { return &t.PeerTimeout }),
 	timing("drain-timeout", time.Minute, time.Second, time.Hour, "Time limit of a graceful shutdown.", func(t *Timing) *time.Duration { return &t.DrainTimeout }),
 	timing("quarantine", 10*time.Minute, time.Second, 24*time.Hour, "Time for which a request that crashed two upstreams is refused.", func(t *Timing) *time.Duration { return &t.Quarantine }),
-	timing("key-window", 12*time.Hour, time.Minute, 24*time.Hour, "Largest age of an idempotency key; at most half of the log's retention.", func(t *Timing) *time.Duration { return &t.KeyWindow }),
+	timing("key-window", 6*time.Hour, time.Minute, 24*time.Hour, "Largest age of an idempotency key; at most half of the log's retention.", func(t *Timing) *time.Duration { return &t.KeyWindow }),
 	timing("snapshot-interval", time.Hour, time.Second, 24*time.Hour, "Time between two snapshots of the control stream.", func(t *Timing) *time.Duration { return &t.SnapshotInterval }),
 	file("caller-certificate", "Certificate chain of the caller listener.", func(t *TLS) *string { return &t.CallerCertificate }),
 	file("caller-key", "Private key of the caller listener.", func(t *TLS) *string { return &t.CallerKey }),
--- a/internal/base/setup/setup_test.go
+++ b/internal/base/setup/setup_test.go
@@ -35,7 +35,7 @@
 	must.Eq(t, setup.Timing{GossipInterval: time.Second, CrossDomainInterval: 4 * time.Second, SuspectAfter: 3 * time.Second,
 		ReportInterval: time.Second, CacheEventsInterval: 5 * time.Second, HostsInterval: 2 * time.Second, LogPollWait: 20 * time.Second,
 		LogTimeout: 5 * time.Second, PeerTimeout: 2 * time.Second, DrainTimeout: time.Minute, Quarantine: 10 * time.Minute,
-		KeyWindow: 12 * time.Hour, SnapshotInterval: time.Hour}, s.Timing)
+		KeyWindow: 6 * time.Hour, SnapshotInterval: time.Hour}, s.Timing)
 	must.Eq(t, setup.Platform{LogAddress: "http://127.0.0.1:70", HostsAddress: "http://[::1]:71/hosts"}, s.Platform)
 	must.Eq(t, "0123456789abcdef#x", string(s.Secret.SharedSecret))
 	must.Eq(t, "[::1]:0", s.Daemon.AdminAddress)
--- a/internal/node/broker/answer.go
+++ b/internal/node/broker/answer.go
@@ -40,6 +40,10 @@
 	suspect    bool
 	finished   bool
 	recoveries int
+	// parent is the context that Next was called with last, and ctx the same
+	// with the request's deadline. It is kept because tokens are many.
+	parent, ctx context.Context
+	stop        context.CancelFunc
 	// resumed is set for a stream that was taken up by its identifier, whose
 	// request this daemon does not have.
 	resumed bool
@@ -56,6 +60,9 @@
 // Close releases the stream. The engine goes on, so that the answer can be
 // resumed.
 func (a *answer) Close() error {
+	if a.stop != nil {
+		a.stop()
+	}
 	if a.stream == nil {
 		return nil
 	}
@@ -67,13 +74,26 @@
 	return err
 }
 
+// bound returns ctx with the request's deadline.
+func (a *answer) bound(ctx context.Context) context.Context {
+	if a.parent != ctx {
+		if a.stop != nil {
+			a.stop()
+		}
+		a.parent = ctx
+		a.ctx, a.stop = context.WithDeadline(ctx, a.r.Deadline)
+	}
+	return a.ctx
+}
+
 // Next returns the next token. It continues the answer elsewhere if the
 // engine fails, and fails with a *fault.Fault if that is not possible before
-// the deadline.
+// the deadline, which bounds the whole answer.
 func (a *answer) Next(ctx context.Context) (flow.Token, error) {
 	if a.finished {
 		return flow.Token{}, io.EOF
 	}
+	ctx = a.bound(ctx)
 	for {
 		if a.stream == nil {
 			return flow.Token{}, a.refuse(fault.New(fault.UpstreamUnavailable, "the answer is cut").WithRun(fault.RunYes))
--- a/internal/node/broker/broker_test.go
+++ b/internal/node/broker/broker_test.go
@@ -313,3 +313,21 @@
 	must.NoError(t, err)
 	must.Eq(t, 201, a.Status)
 }
+
+// TestStreamDeadline guards against a stream that hangs on a silent engine
+// after its deadline.
+func TestStreamDeadline(t *testing.T) {
+	s := newSite(t, 1)
+	r := chat("r1", "figs", 100)
+	r.Deadline = time.Now().Add(500 * time.Millisecond)
+	a, err := s.broker.Complete(t.Context(), r)
+	must.NoError(t, err)
+	text, err := read(t, a, func(i int64) {
+		if i == 3 {
+			s.engines["e0"].SetFaults(engsv.Faults{Slowdown: 1e6})
+		}
+	})
+	must.Eq(t, fault.DeadlinePassed, fault.Of(err).Kind)
+	must.Eq(t, fault.RunYes, fault.Of(err).Run)
+	must.StrHasPrefix(t, text, want("figs", 100))
+}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -75,6 +75,10 @@
 )
 
 const (
+	// engineSilence is how long an open stream may send nothing, not even the
+	// comment of a waiting one, before the answer is continued elsewhere. The
+	// target's gap between tokens is 79 ms.
+	engineSilence = 5 * time.Second
 	// controlDial bounds connecting to the platform or an engine.
 	controlDial = 2 * time.Second
 	// controlIdle keeps a connection for each claims stream and for the
@@ -119,6 +123,7 @@
 		Interval: s.Timing.GossipInterval, CrossInterval: s.Timing.CrossDomainInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.client, rng, d.applied.Load, d.onFacts)
 	eng := engine.New(nil)
+	eng.IdleTimeout = engineSilence
 	d.orders = engine.New(controlClient(d.traffic[metric.SourceEngines]))
 	d.pacing = pacing.New(d.name, s.Daemon.FailureDomain, d.gossip)
 	d.owner = owner.New(now, owner.Settings{
--- a/internal/node/owner/evict_test.go
+++ b/internal/node/owner/evict_test.go
@@ -1,12 +1,14 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
@@ -131,3 +133,25 @@
 	must.MapEmpty(t, e.loaded)
 	must.Eq(t, 0, replicas(c))
 }
+
+// TestGrownModel guards against loading a granted version whose declared size
+// has been raised beyond the upstream's memory since the grant.
+func TestGrownModel(t *testing.T) {
+	c, e := fixture(t)
+	o := newOwner(c, e, "h1/1")
+	o.reconcile(t.Context(), time.Now())
+	must.NoError(t, o.Load(t.Context(), request("m")))
+	must.NoError(t, o.evict(t.Context(), keyM, false))
+	d := *c.led.Config().Deployment
+	d.Models = append([]declare.Model(nil), d.Models...)
+	d.Models[0].Versions = []declare.Version{{Name: "v1", WeightBytes: 120}}
+	d.Upstreams = append([]declare.Upstream(nil), d.Upstreams...)
+	must.NoError(t, o.Load(t.Context(), request("n")))
+	var b bytes.Buffer
+	must.NoError(t, d.Encode(&b))
+	out, err := c.Append(t.Context(), record.Publish{Replaces: c.led.Version(), Config: b.Bytes()})
+	must.NoError(t, err)
+	must.Eq(t, ledger.Accepted, out.Reason)
+	must.Eq(t, fault.NoCapacity, kindOf(o.Load(t.Context(), request("m"))))
+	must.Eq(t, map[string]bool{"n@v1": true}, e.loaded)
+}
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -119,9 +119,12 @@
 	if err := o.ensureGrant(ctx, k, q); err != nil {
 		return err
 	}
-	var bytes, adapters int64
+	var bytes, adapters, over int64
 	o.ctl.View(func(l *ledger.Ledger) {
 		bytes, _ = l.Config().ReplicaBytes(k.Model, k.Version)
+		if u := l.Config().Upstream(k.Upstream); u != nil {
+			over = l.Reserved(k.Upstream) - u.MemoryBytes
+		}
 		if m := l.Config().Model(k.Model); m != nil {
 			for _, v := range m.Versions {
 				if v.Name == k.Version {
@@ -130,6 +133,10 @@
 			}
 		}
 	})
+	if over > 0 {
+		// A publication has raised the size of a granted version.
+		return fault.New(fault.NoCapacity, "the grants on %s exceed its memory by %d bytes", k.Upstream, over)
+	}
 	od := engine.Order{
 		Kind: engine.Load, Model: k.Model, Version: k.Version,
 		MemoryBytes: bytes, AdapterBytes: adapters, Priority: q.Class,
