broker, daemon: count a crash whose engine still listens; no restarts in a drain

Cause: on a running deployment a poison request crashed four engines before its quarantine, because the report that follows a crash met the dying process (connection reset) and the later ones were not sent. During a drain the closed caller listener counted as a failed component; the supervisor restarted it five times and went into backoff (events 7001 and 7002 in each planned stop). Status called a daemon that left on purpose degraded. The site's spare host was in another failure domain than the one it replaces. Ruled out: a crash assumed from any broken connection, which would blame requests for a network fault. Change: a broken report is repeated up to four times, 50 ms apart; a component whose server was closed waits for the end; leaving daemons are not degraded.

--- a/cmd/site/site.go
+++ b/cmd/site/site.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -114,12 +115,13 @@
 // spare one.
 func (s *site) daemon(ctx context.Context, i int) error {
 	domains := s.Deployment.FailureDomains
-	name, domain := fmt.Sprintf("entry-%d", i+1), domains[i%len(domains)]
+	// The spare host replaces the last one.
+	name, domain := fmt.Sprintf("entry-%d", i+1), domains[min(i, daemons-1)%len(domains)]
 	var peers []string
 	for j := range daemons + 1 {
 		peers = append(peers, s.address(peerPort+j))
 	}
-	platform := s.address(relayPort + i%len(domains))
+	platform := s.address(relayPort + slices.Index(domains, domain))
 	text := fmt.Sprintf(`[daemon]
 name = %s
 failure-domain = %s
--- a/internal/node/broker/answer.go
+++ b/internal/node/broker/answer.go
@@ -50,6 +50,14 @@
 // crashReportTimeout bounds the question whether an engine is still alive.
 const crashReportTimeout = time.Second
 
+// A broken report is repeated a few times within crashReportTimeout. Pauses of
+// 50 ms are longer than a process takes to close its listener after it began
+// to die.
+const (
+	crashReports     = 5
+	crashReportPause = 50 * time.Millisecond
+)
+
 // Upstream returns the engine that produces the next token.
 func (a *answer) Upstream() string { return a.upstream }
 
@@ -166,6 +174,15 @@
 func (a *answer) checkCrash(ctx context.Context, upstream, address string) bool {
 	c, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	r, err := a.b.eng.Report(c, address)
+	for range crashReports - 1 {
+		// A process that is dying breaks connections before it stops
+		// listening, so a broken report says nothing yet.
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) || c.Err() != nil {
+			break
+		}
+		sleep(c, crashReportPause)
+		r, err = a.b.eng.Report(c, address)
+	}
 	cancel()
 	now := time.Now()
 	// An engine that can't be reached may only be cut off. It has crashed if
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -191,8 +191,8 @@
 	tree.Add("queue", d.broker.Run)
 	tree.Add("pacing", d.pacing.Run)
 	tree.Add("cache-events", d.watchCache)
-	tree.Add("callers", func(context.Context) error { return serveHTTP(d.front.Serve(d.callers)) })
-	tree.Add("admin", func(context.Context) error { return serveHTTP(d.adminSrv.Serve(d.admin)) })
+	tree.Add("callers", func(ctx context.Context) error { return serveHTTP(ctx, d.front.Serve(d.callers)) })
+	tree.Add("admin", func(ctx context.Context) error { return serveHTTP(ctx, d.adminSrv.Serve(d.admin)) })
 	a := d.Addresses()
 	event.Started.Log("daemon", d.name, "failure-domain", d.set.Daemon.FailureDomain, "caller", a.Caller, "peer", a.Peer, "admin", a.Admin)
 	done := make(chan error, 1)
@@ -233,9 +233,11 @@
 	event.DrainFinished.Log("daemon", d.name)
 }
 
-// serveHTTP turns the end of a closed server into success.
-func serveHTTP(err error) error {
+// serveHTTP waits for the end of ctx after a server was closed, because the
+// supervisor starts a component that returns earlier again.
+func serveHTTP(ctx context.Context, err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		<-ctx.Done()
 		return nil
 	}
 	return merry.Wrap(err)
--- a/internal/node/daemon/daemon_test.go
+++ b/internal/node/daemon/daemon_test.go
@@ -112,6 +112,21 @@
 	must.NoError(t, <-ended)
 }
 
+// TestClosedServer guards against a drain during which the supervisor starts
+// the closed caller listener again and again.
+func TestClosedServer(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- serveHTTP(ctx, http.ErrServerClosed) }()
+	select {
+	case <-ended:
+		t.Fatal("it returned before its context ended")
+	case <-time.After(20 * time.Millisecond):
+	}
+	stop()
+	must.NoError(t, <-ended)
+}
+
 // TestListenReportsAll guards against a daemon that names one used address at
 // each attempt to start.
 func TestListenReportsAll(t *testing.T) {
@@ -134,7 +149,7 @@
 // nothing can be loaded on an upstream.
 func TestDegraded(t *testing.T) {
 	s := Status{
-		Hosts: []HostStatus{{Name: "a/1", Status: "alive"}, {Name: "b/1", Status: "dead"}},
+		Hosts: []HostStatus{{Name: "a/1", Status: "alive"}, {Name: "b/1", Status: "dead"}, {Name: "l/1", Status: "leaving"}},
 		Upstreams: []UpstreamStatus{
 			{Name: "ok", Status: "alive", Owner: "a/1"}, {Name: "plain", Status: notWatched}, {Name: "new", Status: "unknown", Owner: "a/1"},
 			{Name: "orphan", Status: "alive", Owner: "b/1"}, {Name: "left", Status: "alive", Owner: "a/1" + resigned}, {Name: "slow", Status: "slow"},
--- a/internal/node/daemon/status.go
+++ b/internal/node/daemon/status.go
@@ -158,6 +158,9 @@
 	for _, h := range s.Hosts {
 		if h.Status != member.Alive.String() {
 			unusable[h.Name] = h.Status
+		}
+		// A daemon that leaves is stopped on purpose.
+		if h.Status != member.Alive.String() && h.Status != member.Leaving.String() {
 			s.degrade("daemon %s is %s", h.Name, h.Status)
 		}
 	}
