follow, keeper: the log counts as reachable at the first answer after an outage

Cause: after an outage each follower's first read waited log-poll-wait for new records, and the log counted as unreachable until it was answered: on a running deployment 20.1 s in which wakes that need a grant, and non-idempotent calls, were refused for no reason. Ruled out: a shorter log-poll-wait, which costs reads while nothing is wrong. Change: the read after a failure does not wait. Status no longer calls a daemon degraded that was started again on its host. Figures: TestReachableAfterOutage does not end without the change. Conclusion: recovery is as fast as the retry delay.

--- a/internal/node/daemon/status.go
+++ b/internal/node/daemon/status.go
@@ -154,13 +154,20 @@
 
 // judge adds what the lists of s show to be degraded.
 func (s *Status) judge() {
-	unusable := map[string]string{}
+	unusable, replaced := map[string]string{}, map[string]bool{}
 	for _, h := range s.Hosts {
-		if h.Status != member.Alive.String() {
-			unusable[h.Name] = h.Status
+		if h.Status == member.Alive.String() {
+			replaced[ledger.HostOf(h.Name)] = true
 		}
-		// A daemon that leaves is stopped on purpose.
-		if h.Status != member.Alive.String() && h.Status != member.Leaving.String() {
+	}
+	for _, h := range s.Hosts {
+		if h.Status == member.Alive.String() {
+			continue
+		}
+		unusable[h.Name] = h.Status
+		// A daemon that leaves is stopped on purpose, and one that was started
+		// again on its host is not missed.
+		if h.Status != member.Leaving.String() && !replaced[ledger.HostOf(h.Name)] {
 			s.degrade("daemon %s is %s", h.Name, h.Status)
 		}
 	}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -195,11 +195,12 @@
 }
 
 // next returns the offset to read from and how long a read may wait: not at
-// all until the end of the stream has been reached once.
+// all until the end of the stream has been reached once, nor after a failure,
+// because the log counts as unreachable until a read is answered.
 func (f *Follower) next() (from uint64, wait time.Duration) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	if f.ready {
+	if f.ready && f.logUp {
 		wait = f.set.Poll
 	}
 	return f.led.Applied() + 1, wait
--- a/internal/node/follow/follow_test.go
+++ b/internal/node/follow/follow_test.go
@@ -24,7 +24,8 @@
 	oldest  uint64
 	down    bool
 	lose    int
-	large   int // pages with more records fail as too large
+	large   int  // pages with more records fail as too large
+	patient bool // a read that waits ends with its context
 }
 
 var errDown = &stream.Error{Kind: stream.Outage, Op: "test"}
@@ -55,6 +56,7 @@
 			p.Records = append(p.Records, r)
 		}
 	}
+	patient := m.patient
 	tooLarge := m.large > 0 && len(p.Records) > m.large
 	m.mu.Unlock()
 	switch {
@@ -62,6 +64,9 @@
 		return stream.Page{}, errDown
 	case tooLarge:
 		return stream.Page{}, &stream.Error{Kind: stream.BadAnswer, Op: "read"}
+	case len(p.Records) == 0 && wait > 0 && patient:
+		<-ctx.Done()
+		return stream.Page{}, ctx.Err()
 	case len(p.Records) == 0 && wait > 0:
 		sleep(ctx, time.Millisecond)
 	}
@@ -155,6 +160,21 @@
 	must.Eq(t, uint64(2), version(g))
 }
 
+// TestReachableAfterOutage guards against a log that counts as unreachable
+// after an outage until the first read has waited its full time.
+func TestReachableAfterOutage(t *testing.T) {
+	l := &memLog{}
+	f := start(t, l, nil)
+	logUp := func(want bool) func(uint64, bool) bool {
+		return func(uint64, bool) bool { _, _, up := f.Status(); return up == want }
+	}
+	until(t, f, func(_ uint64, ready bool) bool { return ready })
+	l.set(func() { l.down = true })
+	until(t, f, logUp(false))
+	l.set(func() { l.down, l.patient = false, true })
+	until(t, f, logUp(true))
+}
+
 // TestDroppedRecords guards against a fold that starts after the retained
 // records without a snapshot, and against one that can't start with one.
 func TestDroppedRecords(t *testing.T) {
--- a/internal/node/keeper/follow.go
+++ b/internal/node/keeper/follow.go
@@ -38,18 +38,21 @@
 }
 
 func (p *part) follow(ctx context.Context) {
-	pause := p.k.set.BackoffLow
+	pause, wait := p.k.set.BackoffLow, p.k.set.PollWait
 	for ctx.Err() == nil {
-		if _, err := p.poll(ctx, p.k.set.PollWait); err != nil {
+		if _, err := p.poll(ctx, wait); err != nil {
 			if ctx.Err() != nil {
 				return
 			}
+			// The stream counts as unreadable until a read is answered, so the
+			// next one does not wait for new records.
+			wait = 0
 			p.unreadable(err)
 			p.k.sleep(ctx, pause)
 			pause = min(2*pause, p.k.set.BackoffHigh)
 			continue
 		}
-		pause = p.k.set.BackoffLow
+		pause, wait = p.k.set.BackoffLow, p.k.set.PollWait
 		p.mu.Lock()
 		stop := !p.assigned && !p.mine()
 		p.mu.Unlock()
