poison: a crash after progress counts less

Ruled out: a higher threshold for all, which costs more engines to a request that crashes each one at once. Change: a crash after which the request had produced tokens on that engine quarantines only from the fourth on. Figures: TestProgress; TestPoison still sees 2 crashes. Conclusion: a request that crashes engines late costs 4 of them.

--- a/internal/core/member/fact.go
+++ b/internal/core/member/fact.go
@@ -51,6 +51,8 @@
 		ID string
 		// AtMS is the time in milliseconds since the Unix epoch.
 		AtMS int64
+		// Progress is set if the request had produced tokens there.
+		Progress bool
 	}
 
 	// Key identifies the subject of a fact.
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -12,6 +12,9 @@
 		// same crash by several daemons count once.
 		ID string
 		At time.Time
+		// Progress is set if the request had produced tokens on the upstream
+		// in this attempt.
+		Progress bool
 	}
 
 	// Entry is the history of one fingerprint.
@@ -35,6 +38,11 @@
 	Quarantined
 )
 
+// patience is the number of crashes after which a request is quarantined
+// although it had made progress each time. Hosts are reclaimed and engines are
+// restarted under long answers as well.
+const patience = 4
+
 // DefaultHold is the time that a quarantine lasts.
 const DefaultHold = 10 * time.Minute
 
@@ -99,7 +107,7 @@
 		return Clean, 0
 	}
 	for _, c := range e.Crashes[1:] {
-		if t.soleSuspect(e, c) {
+		if t.soleSuspect(e, c) && (!c.Progress || len(e.Crashes) >= patience) {
 			return Quarantined, left
 		}
 	}
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -34,3 +34,15 @@
 	at = at.Add(11 * time.Minute)
 	must.Eq(t, Clean, judge("bad"))
 }
+
+// TestProgress guards against quarantining a long answer whose engines ended
+// for other reasons, and against one that crashes engines late for ever.
+func TestProgress(t *testing.T) {
+	at := time.UnixMilli(0)
+	tab := New(0)
+	for i, want := range []Verdict{Suspect, Suspect, Suspect, Quarantined} {
+		tab.Observe("long", Crash{ID: string(rune('a' + i)), At: at, Progress: true})
+		got, _ := tab.Judge(at, "long")
+		must.Eq(t, want, got)
+	}
+}
--- a/internal/node/broker/answer.go
+++ b/internal/node/broker/answer.go
@@ -218,12 +218,12 @@
 		b.mu.Unlock()
 		return true
 	}
-	entry := b.suspects.Observe(fp, poison.Crash{ID: upstream + "/" + a.incarnation, At: now})
+	entry := b.suspects.Observe(fp, poison.Crash{ID: upstream + "/" + a.incarnation, At: now, Progress: a.next > a.r.PrefixTokens})
 	v, _ := b.suspects.Judge(now, fp)
 	b.mu.Unlock()
 	f := member.Fact{Kind: member.Request, Name: fp, Status: member.Suspect}
 	for _, cr := range entry.Crashes {
-		f.Crashes = append(f.Crashes, member.Crash{ID: cr.ID, AtMS: cr.At.UnixMilli()})
+		f.Crashes = append(f.Crashes, member.Crash{ID: cr.ID, AtMS: cr.At.UnixMilli(), Progress: cr.Progress})
 	}
 	b.facts.Report(now, f)
 	event.RequestSuspected.Log("request", a.r.ID, "fingerprint", fp, "upstream", upstream, "crashes", len(entry.Crashes))
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -224,7 +224,7 @@
 			b.mu.Lock()
 			e := poison.Entry{Fingerprint: f.Name}
 			for _, c := range f.Crashes {
-				e.Crashes = append(e.Crashes, poison.Crash{ID: c.ID, At: time.UnixMilli(c.AtMS)})
+				e.Crashes = append(e.Crashes, poison.Crash{ID: c.ID, At: time.UnixMilli(c.AtMS), Progress: c.Progress})
 			}
 			b.suspects.Set(e)
 			b.mu.Unlock()
