--- a/internal/node/owner/evict.go
+++ b/internal/node/owner/evict.go
@@ -82,10 +82,13 @@
 // unload orders the unload of a replica and returns the epoch of the order. The
 // order is sent even if the replica seems unloaded: a report may not show yet
 // what a former owner loaded, and an engine learns the fencing number only from
-// an order. The epoch is 0 if no engine process listens any more.
+// an order. The epoch is 0 if no engine process listens any more and no former
+// owner can order a load from a process that starts there later.
 func (o *Owner) unload(ctx context.Context, k ledger.Key) (uint64, error) {
 	epoch, err := o.order(ctx, k, engine.Order{Kind: engine.Unload, Model: k.Model, Version: k.Version})
-	if err != nil && o.noProcess(k.Upstream) {
+	formers := 0
+	o.ctl.View(func(l *ledger.Ledger) { formers = len(l.FormersOf(k.Upstream)) })
+	if err != nil && formers == 0 && o.noProcess(k.Upstream) {
 		return 0, nil
 	}
 	return epoch, err
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -141,13 +141,19 @@
 // is only out of reach.
 func TestEndedEngine(t *testing.T) {
 	for _, tc := range []struct {
-		err  error
-		left int
+		err    error
+		former bool
+		left   int
 	}{
-		{&engine.Error{Kind: engine.Unreachable, Err: context.DeadlineExceeded}, 1},
-		{&engine.Error{Kind: engine.Unreachable, Err: syscall.ECONNREFUSED}, 0},
+		{&engine.Error{Kind: engine.Unreachable, Err: context.DeadlineExceeded}, false, 1},
+		{&engine.Error{Kind: engine.Unreachable, Err: syscall.ECONNREFUSED}, false, 0},
+		// A former owner could have the next process load the model.
+		{&engine.Error{Kind: engine.Unreachable, Err: syscall.ECONNREFUSED}, true, 1},
 	} {
 		c, e := fixture(t)
+		if tc.former {
+			c.led.Apply(2, record.TakeOwnership{Upstream: "u", Daemon: "h0/1"})
+		}
 		o := newOwner(c, e, "h1/1")
 		o.reconcile(t.Context(), time.Now())
 		must.NoError(t, o.Load(t.Context(), request("m")))
