owner, broker: one crash suspect at a time begins on an upstream

Ruled out: blaming both, which quarantines an innocent request. Change: a suspect asks the upstream's owner first; another one may begin there only 5 s later.

--- a/internal/node/broker/complete.go
+++ b/internal/node/broker/complete.go
@@ -204,10 +204,14 @@
 		"class", string(r.Class), "reason", string(c.Reason), "wait", c.Wait.String(), "free", c.Free,
 		"crosses", c.Crosses, "prefix", c.PrefixHint, "from-token", a.next)
 	b.obs.Decided(time.Now(), r.ID, r.Model, "routed", c.Upstream, string(c.Reason))
-	if c.AdapterLoad && r.Adapter != "" {
-		err := b.waker.Ensure(ctx, owner.Request{
+	if c.AdapterLoad && r.Adapter != "" || a.suspect {
+		q := owner.Request{
 			Upstream: c.Upstream, Model: r.Model, Version: r.Version, Adapter: r.Adapter, Class: r.Class, Deadline: r.Deadline,
-		})
+		}
+		if a.suspect {
+			q.Suspect = fingerprint(r)
+		}
+		err := b.waker.Ensure(ctx, q)
 		if err != nil {
 			*excluded = append(*excluded, c.Upstream)
 			return err
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -25,8 +25,16 @@
 	Adapter  string
 	Class    declare.Class
 	Deadline time.Time
+	// Suspect is the fingerprint of a request that may crash the upstream,
+	// empty for other requests. The owner lets one suspect at a time begin on
+	// an upstream, whichever daemons send them, so that a crash has one cause.
+	Suspect string
 }
 
+// suspectFor is how long a suspect keeps others off its upstream. A request
+// that crashes engines does so when it begins to run.
+const suspectFor = 5 * time.Second
+
 // LoadFailed is what Observer.Placed is told of a load that failed.
 const LoadFailed = "load-failed"
 
@@ -58,6 +66,10 @@
 		o.mu.Unlock()
 		return fault.New(fault.Draining, "%s is leaving", o.set.Self)
 	}
+	if err := u.admit(time.Now(), q.Suspect); err != nil {
+		o.mu.Unlock()
+		return err
+	}
 	if rep := u.replicas[k]; rep == nil || !rep.loaded {
 		l := u.loads[k]
 		if l == nil {
@@ -83,6 +95,19 @@
 	return o.loadAdapter(ctx, k, q)
 }
 
+// admit reserves the upstream for a suspect, unless another one has begun
+// there a moment ago; o.mu is held.
+func (u *unit) admit(now time.Time, suspect string) error {
+	if suspect == "" {
+		return nil
+	}
+	if u.suspect != suspect && now.Before(u.suspectUntil) {
+		return fault.New(fault.NoCapacity, "another request that may crash %s has just begun there", u.name)
+	}
+	u.suspect, u.suspectUntil = suspect, now.Add(suspectFor)
+	return nil
+}
+
 // run carries out one load and wakes all who wait for it.
 func (o *Owner) run(ctx context.Context, u *unit, k ledger.Key, q Request, l *load) {
 	ctx, cancel := context.WithTimeout(ctx, o.set.LoadTimeout)
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -125,6 +125,10 @@
 		inFlight int
 		sequence uint64
 		report   engine.Report
+		// suspect is the crash suspect that began last, and suspectUntil the
+		// time until which no other one begins.
+		suspect      string
+		suspectUntil time.Time
 		// told is the load that peers were told last.
 		told     member.Fact
 		failures int
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -211,3 +211,20 @@
 	must.Len(t, 1, got)
 	must.True(t, got[0].release)
 }
+
+// TestSuspects guards against two crash suspects that begin on an upstream at
+// the same time, after whose crash neither can be blamed.
+func TestSuspects(t *testing.T) {
+	c, e := fixture(t)
+	o := newOwner(c, e, "h1/1")
+	o.reconcile(t.Context(), time.Now())
+	q := request("m")
+	q.Suspect = "a"
+	must.NoError(t, o.Load(t.Context(), q))
+	must.NoError(t, o.Load(t.Context(), q))
+	must.NoError(t, o.Load(t.Context(), request("m")))
+	q.Suspect = "b"
+	must.Eq(t, fault.NoCapacity, kindOf(o.Load(t.Context(), q)))
+	o.units["u"].suspectUntil = time.Now()
+	must.NoError(t, o.Load(t.Context(), q))
+}
