faults: find takeovers in the control stream

Ruled out: more orders after the pause, which only make a miss rarer.

Conclusion: no change of the product.

--- a/internal/check/faults/induce.go
+++ b/internal/check/faults/induce.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurespan/azurespan/internal/check/load"
 	"github.com/azurespan/azurespan/internal/check/verify"
+	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/standin/engine/engsv"
 	"github.com/azurespan/azurespan/standin/platform/platsv"
 )
@@ -228,17 +229,26 @@
 	return n
 }
 
-// tookOver reports whether an engine of a failure domain was sent orders under
-// several fencing numbers.
+// tookOver reports whether an upstream of a failure domain had two owners, by
+// the records that the platform accepted.
 func (w *World) tookOver(domain string) bool {
-	for n := 1; n <= enginesPerDomain; n++ {
-		numbers := map[uint64]bool{}
-		for _, x := range w.engines[engineName(domain, n)].Records().Entries {
-			if x.Order != "" {
-				numbers[x.Fencing] = true
-			}
+	owners := map[string]map[string]bool{}
+	for _, x := range w.platform.Entries() {
+		if x.Kind != "append" || x.Stream != "control" {
+			continue
+		}
+		r, err := record.Decode(x.Data)
+		t, ok := r.(record.TakeOwnership)
+		if err != nil || !ok {
+			continue
 		}
-		if len(numbers) > 1 {
+		if owners[t.Upstream] == nil {
+			owners[t.Upstream] = map[string]bool{}
+		}
+		owners[t.Upstream][t.Daemon] = true
+	}
+	for n := 1; n <= enginesPerDomain; n++ {
+		if len(owners[engineName(domain, n)]) > 1 {
 			return true
 		}
 	}
