--- a/internal/check/faults/daemons.go
+++ b/internal/check/faults/daemons.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/azurespan/azurespan/internal/check/load"
+	"github.com/azurespan/azurespan/internal/check/mixed"
 	"github.com/azurespan/azurespan/internal/check/verify"
 )
 
@@ -123,7 +123,7 @@
 func burst(w *World) error {
 	var wg sync.WaitGroup
 	for i := range 40 {
-		p := load.Plan{Kind: verify.Stream, Model: coldName(1), Prompt: "burst", Tokens: 16, First: w.node(1 + i%4).Proc, Attempts: 3}
+		p := mixed.Plan{Kind: verify.Stream, Model: coldName(1), Prompt: "burst", Tokens: 16, First: w.node(1 + i%4).Proc, Attempts: 3}
 		wg.Go(func() {
 			got := w.driver.Do(w.ctx, w.rng(uint64(i)), p)
 			w.must(got.Answered, "request %d of the burst was not answered: %s", i, got.Refusal)
--- a/internal/check/faults/induce.go
+++ b/internal/check/faults/induce.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"github.com/azurespan/azurespan/internal/check/load"
+	"github.com/azurespan/azurespan/internal/check/mixed"
 	"github.com/azurespan/azurespan/internal/check/verify"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/standin/engine/engsv"
@@ -215,7 +215,7 @@
 }
 
 // ask sends one request and returns its end.
-func (w *World) ask(p load.Plan) load.Result { return w.driver.Do(w.ctx, w.rng(7), p) }
+func (w *World) ask(p mixed.Plan) mixed.Result { return w.driver.Do(w.ctx, w.rng(7), p) }
 
 // crashes counts the crashes in the records of all engines.
 func (w *World) crashes() (n int) {
@@ -263,8 +263,8 @@
 }
 
 // chat is a short streamed chat through one daemon.
-func chat(n *node, model, prompt string) load.Plan {
-	p := load.Plan{Kind: verify.Stream, Model: model, Prompt: prompt, Tokens: 24}
+func chat(n *node, model, prompt string) mixed.Plan {
+	p := mixed.Plan{Kind: verify.Stream, Model: model, Prompt: prompt, Tokens: 24}
 	if n != nil {
 		p.First = n.Proc
 	}
@@ -278,7 +278,7 @@
 		for _, m := range models {
 			end, last := time.Now().Add(limit), ""
 			for n := 0; ; n++ {
-				q := load.Plan{Kind: verify.Stream, Model: m, Prompt: fmt.Sprintf("probe %d of %s", n, p.Name), Tokens: 12, First: p}
+				q := mixed.Plan{Kind: verify.Stream, Model: m, Prompt: fmt.Sprintf("probe %d of %s", n, p.Name), Tokens: 12, First: p}
 				got := w.ask(q)
 				if got.Answered {
 					break
@@ -295,13 +295,13 @@
 }
 
 // mix is the background load of most scenarios.
-func (w *World) mix(workers int) load.Mix {
-	return load.Mix{Models: []string{solo, pair, trio, adapter}, Service: desk, Workers: workers}
+func (w *World) mix(workers int) mixed.Mix {
+	return mixed.Mix{Models: []string{solo, pair, trio, adapter}, Service: desk, Workers: workers}
 }
 
 // during runs a background load while do runs, and requires that at least the
 // given share of its requests is answered in the end.
-func (w *World) during(m load.Mix, share float64, do func()) {
+func (w *World) during(m mixed.Mix, share float64, do func()) {
 	r := w.driver.Start(w.ctx, w.Seed, m)
 	do()
 	sent, answered := r.Stop()
--- a/internal/check/faults/network.go
+++ b/internal/check/faults/network.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/azurespan/azurespan/internal/check/load"
+	"github.com/azurespan/azurespan/internal/check/mixed"
 )
 
 func networkScenarios() []Scenario {
@@ -121,7 +121,7 @@
 		p := chat(w.node(3), coldName(7), "during the cut")
 		p.Attempts = 3
 		w.ask(p)
-		w.ask(load.Plan{Kind: p.Kind, Model: coldName(7), Prompt: "other side", Tokens: 8, First: w.node(2).Proc, Deadline: time.Second})
+		w.ask(mixed.Plan{Kind: p.Kind, Model: coldName(7), Prompt: "other side", Tokens: 8, First: w.node(2).Proc, Deadline: time.Second})
 		w.net.Heal()
 		w.sleep(time.Second)
 	})
--- a/internal/check/faults/run.go
+++ b/internal/check/faults/run.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/azurespan/azurespan/internal/check/load"
+	"github.com/azurespan/azurespan/internal/check/mixed"
 	"github.com/azurespan/azurespan/internal/check/verify"
 )
 
@@ -43,7 +43,7 @@
 	Row struct {
 		Scenario   *Scenario
 		Induced    []string
-		Count      load.Count
+		Count      mixed.Count
 		Violations []verify.Violation
 		// Lacks are expected answers that did not come.
 		Lacks []string
--- a/internal/check/load/load.go
+++ b/internal/check/mixed/load.go
@@ -1,4 +1,4 @@
-package load
+package mixed
 
 import (
 	"context"
--- a/internal/node/broker/answer.go
+++ b/internal/node/broker/answer.go
@@ -40,6 +40,10 @@
 	suspect    bool
 	finished   bool
 	recoveries int
+	// parent is the context that Next was called with last, and ctx the same
+	// with the request's deadline. It is kept because tokens are many.
+	parent, ctx context.Context
+	stop        context.CancelFunc
 	// resumed is set for a stream that was taken up by its identifier, whose
 	// request this daemon does not have.
 	resumed bool
@@ -50,12 +54,23 @@
 // crashReportTimeout bounds the question whether an engine is still alive.
 const crashReportTimeout = time.Second
 
+// A broken report is repeated a few times within crashReportTimeout. Pauses of
+// 50 ms are longer than a process takes to close its listener after it began
+// to die.
+const (
+	crashReports     = 5
+	crashReportPause = 50 * time.Millisecond
+)
+
 // Upstream returns the engine that produces the next token.
 func (a *answer) Upstream() string { return a.upstream }
 
 // Close releases the stream. The engine goes on, so that the answer can be
 // resumed.
 func (a *answer) Close() error {
+	if a.stop != nil {
+		a.stop()
+	}
 	if a.stream == nil {
 		return nil
 	}
@@ -67,13 +82,26 @@
 	return err
 }
 
+// bound returns ctx with the request's deadline.
+func (a *answer) bound(ctx context.Context) context.Context {
+	if a.parent != ctx {
+		if a.stop != nil {
+			a.stop()
+		}
+		a.parent = ctx
+		a.ctx, a.stop = context.WithDeadline(ctx, a.r.Deadline)
+	}
+	return a.ctx
+}
+
 // Next returns the next token. It continues the answer elsewhere if the
 // engine fails, and fails with a *fault.Fault if that is not possible before
-// the deadline.
+// the deadline, which bounds the whole answer.
 func (a *answer) Next(ctx context.Context) (flow.Token, error) {
 	if a.finished {
 		return flow.Token{}, io.EOF
 	}
+	ctx = a.bound(ctx)
 	for {
 		if a.stream == nil {
 			return flow.Token{}, a.refuse(fault.New(fault.UpstreamUnavailable, "the answer is cut").WithRun(fault.RunYes))
@@ -166,6 +194,15 @@
 func (a *answer) checkCrash(ctx context.Context, upstream, address string) bool {
 	c, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	r, err := a.b.eng.Report(c, address)
+	for range crashReports - 1 {
+		// A process that is dying breaks connections before it stops
+		// listening, so a broken report says nothing yet.
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) || c.Err() != nil {
+			break
+		}
+		sleep(c, crashReportPause)
+		r, err = a.b.eng.Report(c, address)
+	}
 	cancel()
 	now := time.Now()
 	// An engine that can't be reached may only be cut off. It has crashed if
@@ -181,12 +218,12 @@
 		b.mu.Unlock()
 		return true
 	}
-	entry := b.suspects.Observe(fp, poison.Crash{ID: upstream + "/" + a.incarnation, At: now})
+	entry := b.suspects.Observe(fp, poison.Crash{ID: upstream + "/" + a.incarnation, At: now, Progress: a.next > a.r.PrefixTokens})
 	v, _ := b.suspects.Judge(now, fp)
 	b.mu.Unlock()
 	f := member.Fact{Kind: member.Request, Name: fp, Status: member.Suspect}
 	for _, cr := range entry.Crashes {
-		f.Crashes = append(f.Crashes, member.Crash{ID: cr.ID, AtMS: cr.At.UnixMilli()})
+		f.Crashes = append(f.Crashes, member.Crash{ID: cr.ID, AtMS: cr.At.UnixMilli(), Progress: cr.Progress})
 	}
 	b.facts.Report(now, f)
 	event.RequestSuspected.Log("request", a.r.ID, "fingerprint", fp, "upstream", upstream, "crashes", len(entry.Crashes))
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -63,6 +63,8 @@
 		// applied mirrors the follower's offset without its lock, because the
 		// gossip reads it under its own.
 		applied atomic.Uint64
+		// hostsFailing is set while the last read of the host list failed.
+		hostsFailing atomic.Bool
 
 		callers, peers, admin net.Listener
 		adminSrv              *http.Server
@@ -73,6 +75,10 @@
 )
 
 const (
+	// engineSilence is how long an open stream may send nothing, not even the
+	// comment of a waiting one, before the answer is continued elsewhere. The
+	// target's gap between tokens is 79 ms.
+	engineSilence = 5 * time.Second
 	// controlDial bounds connecting to the platform or an engine.
 	controlDial = 2 * time.Second
 	// controlIdle keeps a connection for each claims stream and for the
@@ -117,13 +123,14 @@
 		Interval: s.Timing.GossipInterval, CrossInterval: s.Timing.CrossDomainInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.client, rng, d.applied.Load, d.onFacts)
 	eng := engine.New(nil)
+	eng.IdleTimeout = engineSilence
 	d.orders = engine.New(controlClient(d.traffic[metric.SourceEngines]))
 	d.pacing = pacing.New(d.name, s.Daemon.FailureDomain, d.gossip)
 	d.owner = owner.New(now, owner.Settings{
 		Self: d.name, FailureDomain: s.Daemon.FailureDomain, ReportInterval: s.Timing.ReportInterval,
 		SoleProcess: fixedPort(s.Daemon.PeerAddress),
 	}, d.follow, d.orders, d.gossip, d.pacing, observer{d})
-	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain}, d.follow, d.gossip, d.client, d.owner)
+	d.waker = waker.New(waker.Settings{Self: d.name, FailureDomain: s.Daemon.FailureDomain, Decided: observer{d}.Woken}, d.follow, d.gossip, d.client, d.owner)
 	d.keeper = keeper.New(keeper.Settings{
 		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
 	}, claimsLog{log}, crand.Reader)
@@ -134,6 +141,7 @@
 		Secret: secret, MaxBodyBytes: s.Limits.Body, MaxHeaderBytes: int(s.Limits.Headers),
 		MaxStreams: s.Limits.Streams, MaxConnections: s.Limits.Connections, StreamBufferBytes: int(s.Limits.StreamBuffer),
 		HeaderTimeout: s.Limits.HeaderTimeout, IdleTimeout: s.Limits.IdleTimeout, Metrics: d.metrics,
+		Refused: observer{d}.Refused,
 	}, backend{d.broker, d})
 	if err != nil {
 		return nil, err
@@ -142,29 +150,6 @@
 	return d, nil
 }
 
-// listen binds all listeners, or none.
-func (d *Daemon) listen() error {
-	for _, l := range []struct {
-		to      *net.Listener
-		address string
-	}{
-		{&d.peers, d.set.Daemon.PeerAddress},
-		{&d.callers, d.set.Daemon.CallerAddress},
-		{&d.admin, d.set.Daemon.AdminAddress},
-	} {
-		var err error
-		if *l.to, err = net.Listen("tcp", l.address); err != nil {
-			for _, o := range []net.Listener{d.peers, d.callers, d.admin} {
-				if o != nil {
-					_ = o.Close()
-				}
-			}
-			return merry.Wrap(err)
-		}
-	}
-	return nil
-}
-
 // controlClient returns an HTTP client whose bytes t counts.
 func controlClient(t *peer.Traffic) *http.Client {
 	dialer := net.Dialer{Timeout: controlDial}
@@ -220,8 +205,8 @@
 	tree.Add("queue", d.broker.Run)
 	tree.Add("pacing", d.pacing.Run)
 	tree.Add("cache-events", d.watchCache)
-	tree.Add("callers", func(context.Context) error { return serveHTTP(d.front.Serve(d.callers)) })
-	tree.Add("admin", func(context.Context) error { return serveHTTP(d.adminSrv.Serve(d.admin)) })
+	tree.Add("callers", func(ctx context.Context) error { return serveHTTP(ctx, d.front.Serve(d.callers)) })
+	tree.Add("admin", func(ctx context.Context) error { return serveHTTP(ctx, d.adminSrv.Serve(d.admin)) })
 	a := d.Addresses()
 	event.Started.Log("daemon", d.name, "failure-domain", d.set.Daemon.FailureDomain, "caller", a.Caller, "peer", a.Peer, "admin", a.Admin)
 	done := make(chan error, 1)
@@ -262,9 +247,11 @@
 	event.DrainFinished.Log("daemon", d.name)
 }
 
-// serveHTTP turns the end of a closed server into success.
-func serveHTTP(err error) error {
+// serveHTTP waits for the end of ctx after a server was closed, because the
+// supervisor starts a component that returns earlier again.
+func serveHTTP(ctx context.Context, err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		<-ctx.Done()
 		return nil
 	}
 	return merry.Wrap(err)
--- a/internal/node/owner/fake_test.go
+++ b/internal/node/owner/fake_test.go
@@ -37,6 +37,8 @@
 		err     error
 		// during is called while an order runs.
 		during func(o engine.Order)
+		// after is called after an order took effect, before its answer.
+		after func(o engine.Order)
 	}
 
 	facts struct {
@@ -84,6 +86,11 @@
 	if e.during != nil {
 		e.during(o)
 	}
+	defer func() {
+		if e.after != nil {
+			e.after(o)
+		}
+	}()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, o)
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -125,7 +125,8 @@
 	c.before = func(r record.Record) {
 		if _, ok := r.(record.AcknowledgeLoss); ok {
 			c.before = nil
-			must.Eq(t, fault.NotOwner, kindOf(o.order(t.Context(), ledger.Key{Upstream: "u", Model: "m", Version: "v1"}, engine.Order{Kind: engine.Load})))
+			_, err := o.order(t.Context(), ledger.Key{Upstream: "u", Model: "m", Version: "v1"}, engine.Order{Kind: engine.Load})
+			must.Eq(t, fault.NotOwner, kindOf(err))
 		}
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -170,7 +171,7 @@
 	o := newOwner(c, e, "h1/1")
 	o.reconcile(t.Context(), time.Now())
 	status := func(r engine.Report) (s member.Status) {
-		o.take(time.Now(), o.watched()[0], r, nil)
+		o.take(time.Now(), o.Watched()[0], r, nil)
 		o.facts.Do(func(m *member.Set) {
 			f, _ := m.Get(member.Key{Kind: member.Upstream, Name: "u"})
 			s = f.Status
@@ -194,7 +195,7 @@
 	o := newOwner(c, e, "h1/1")
 	o.reconcile(t.Context(), time.Now())
 	must.NoError(t, o.Load(t.Context(), request("m")))
-	d := o.watched()[0]
+	d := o.Watched()[0]
 	busy := engine.Report{Incarnation: 1, Leaving: true, Replicas: []engine.Replica{{Model: "m", Version: "v1", State: engine.Ready, Streams: 1}}}
 	o.take(time.Now(), d, busy, nil)
 	must.SliceEmpty(t, o.unloadings(time.Now()))
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -127,6 +127,7 @@
 func (o *Owner) merge(now time.Time, u *unit, r engine.Report, known member.Fact) {
 	restarted := u.report.Incarnation != r.Incarnation
 	u.failures, u.refused = 0, 0
+	u.settle(r)
 	u.status = member.Alive
 	sticky := known.Status == member.Leaving && known.Incarnation == fmt.Sprint(r.Incarnation) && !u.report.Leaving
 	if r.Leaving || sticky {
