route, broker: keep an upstream down after a late failure

Cause: a request that failed made its upstream suspect even if it was known to be down or leaving. A plain service that leaves became live again by an answer to an earlier call.

Ruled out: reading the facts at each failure, which the routing table is for.

Change: a failure worsens the health of an upstream only, an answer takes back a suspicion only; a crash marks an upstream as down only while the peers know of the process that crashed.

Conclusion: routing follows what is known of a cut-off upstream.

--- a/internal/node/broker/answer.go
+++ b/internal/node/broker/answer.go
@@ -178,7 +178,7 @@
 	a.left(a.upstream, false)
 	if !crashed {
 		b.mu.Lock()
-		b.models.SetHealth(a.upstream, route.Suspect)
+		b.models.Failed(a.upstream)
 		b.mu.Unlock()
 	}
 	if err := a.open(ctx); err != nil {
@@ -212,8 +212,12 @@
 		return false
 	}
 	b, fp := a.b, fingerprint(&a.r)
+	// The peers may know of the next process already.
+	current := b.incarnation(upstream) == a.incarnation
 	b.mu.Lock()
-	b.models.SetHealth(upstream, route.Down)
+	if current {
+		b.models.SetHealth(upstream, route.Down)
+	}
 	if a.resumed {
 		b.mu.Unlock()
 		return true
--- a/internal/node/broker/complete.go
+++ b/internal/node/broker/complete.go
@@ -279,7 +279,7 @@
 			a.checkCrash(ctx, upstream, d.Address)
 		}
 		b.mu.Lock()
-		b.models.SetHealth(upstream, route.Suspect)
+		b.models.Failed(upstream)
 		b.mu.Unlock()
 	}
 	return fault.Wrap(e, fault.UpstreamUnavailable, "%s did not take the request", upstream)
--- a/internal/node/broker/invoke.go
+++ b/internal/node/broker/invoke.go
@@ -180,11 +180,11 @@
 	defer b.mu.Unlock()
 	if err != nil {
 		b.services.Done(now, d.Name, c.Service, "", 0, 0)
-		b.services.SetHealth(d.Name, route.Suspect)
+		b.services.Failed(d.Name)
 		return flow.Answer{}, err
 	}
 	b.services.Done(now, d.Name, c.Service, "", now.Sub(began), now.Sub(began))
-	b.services.SetHealth(d.Name, route.Live)
+	b.services.Answered(d.Name)
 	return flow.Answer{Status: reply.Status, ContentType: reply.Header.Get("Content-Type"), Body: reply.Body}, nil
 }
 
--- a/internal/rule/route/table.go
+++ b/internal/rule/route/table.go
@@ -220,6 +220,22 @@
 // SetHealth records an upstream's health.
 func (t *Table) SetHealth(upstream string, h Health) { t.upstream(upstream).health = h }
 
+// Failed makes an upstream suspect after a request that failed there, unless
+// it is known to be leaving or down, which a late failure does not undo.
+func (t *Table) Failed(upstream string) {
+	if u := t.upstream(upstream); u.health < Suspect {
+		u.health = Suspect
+	}
+}
+
+// Answered takes back a suspicion, but nothing worse: the answer may be to a
+// request from before.
+func (t *Table) Answered(upstream string) {
+	if u := t.upstream(upstream); u.health == Suspect {
+		u.health = Live
+	}
+}
+
 // Remove forgets an upstream and its replicas.
 func (t *Table) Remove(upstream string) {
 	u := t.upstreams[upstream]
--- a/internal/rule/route/table_test.go
+++ b/internal/rule/route/table_test.go
@@ -253,3 +253,22 @@
 		})
 	}
 }
+
+// TestLateFailure guards against a failure of an older request that makes an
+// upstream eligible again which is known to be leaving or down, and against an
+// answer that does.
+func TestLateFailure(t *testing.T) {
+	for _, h := range []Health{Leaving, Down} {
+		tb := New(Settings{})
+		tb.SetHealth("u", h)
+		tb.Failed("u")
+		must.Eq(t, h, tb.upstream("u").health)
+		tb.Answered("u")
+		must.Eq(t, h, tb.upstream("u").health)
+	}
+	tb := New(Settings{})
+	tb.Failed("u")
+	must.Eq(t, Suspect, tb.upstream("u").health)
+	tb.Answered("u")
+	must.Eq(t, Live, tb.upstream("u").health)
+}
