peer: end the handshake with the call's context

Cause: the handshake with a peer had a limit of its own (3 s) and did not follow the call's context.

Ruled out: a shorter limit, which a request near its deadline still exceeds.

Change: the connection is closed when the context ends during the handshake.

Conclusion: a call of a peer ends with its context in all its parts.

--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -143,7 +143,14 @@
 	if c.tls != nil {
 		conn = tls.Client(conn, c.tls)
 	}
-	if err := authenticate(conn, c.secret, true); err != nil {
+	// A peer that is cut off takes the connection and never answers; the
+	// handshake must not outlast the call.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = authenticate(conn, c.secret, true)
+	if !stop() {
+		err = merry.Wrap(ctx.Err())
+	}
+	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -60,3 +60,26 @@
 	defer wrong.Close()
 	must.True(t, errors.As(wrong.Call(t.Context(), addr, "Echo", "hello", &out), &ce))
 }
+
+// TestHandshakeEnds guards against a call that waits for the handshake with a
+// peer that never answers after its context has ended.
+func TestHandshakeEnds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		// The first byte of the handshake shows that the dial has ended.
+		_, _ = c.Read(make([]byte, 1))
+		cancel()
+		<-t.Context().Done()
+	}()
+	c := NewClient([]byte("right"), nil, new(Traffic))
+	defer c.Close()
+	must.ErrorIs(t, c.Call(ctx, l.Addr().String(), "Echo", "hello", new(string)), context.Canceled)
+}
