--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# Targets: test, check, demo, faults, model, measure, generate.
+# Targets: test, check, demo, faults, model, measure, generate, bench, path.
 GO ?= go
 
-.PHONY: all build test check demo faults model measure generate bench
+.PHONY: all build test check demo faults model measure generate bench path
 
 all: build
 
@@ -31,3 +31,6 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+
+path: build
+	bin/path -bin bin
