--- a/cmd/site/site.go
+++ b/cmd/site/site.go
@@ -155,6 +155,10 @@
 // launch starts a program and writes its process identifier and a script that
 // starts it again.
 func (s *site) launch(ctx context.Context, name, program string, args ...string) (*fleet.Proc, error) {
+	// Logs are appended to; those of an earlier run would mislead the reader.
+	if err := os.Remove(filepath.Join(s.dir, name+".log")); err != nil && !os.IsNotExist(err) {
+		return nil, err
+	}
 	p, err := s.Start(ctx, name, program, args...)
 	if err != nil {
 		return nil, err
