azurespan, daemon: tests of used addresses and failed loads

Cause: the exit code for a used address and the count of failed loads were shown by hand only. Ruled out: nothing. Change: TestServeUsedAddress, TestFailedLoadCounts. Conclusion: the two faults can't return unseen.

--- a/cmd/azurespan/command_test.go
+++ b/cmd/azurespan/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -116,3 +117,19 @@
 	code, _, _ = invoke(t, append([]string{"status"}, flags...)...)
 	must.Eq(t, exitUnreachable, code)
 }
+
+// TestServeUsedAddress guards against an exit code that calls the log service
+// or a daemon unreachable while an address of the settings is in use.
+func TestServeUsedAddress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	settings := filepath.Join(t.TempDir(), "s.ini")
+	must.NoError(t, os.WriteFile(settings, []byte("[daemon]\nname = e\nfailure-domain = a\ncaller-address = "+l.Addr().String()+
+		"\npeer-address = 127.0.0.1:0\nadmin-address = 127.0.0.1:0\n[platform]\nlog-address = 127.0.0.1:9\nhosts-address = 127.0.0.1:9\n"+
+		"[secret]\nshared-secret = 0123456789abcdef\n"), 0o600))
+	code, out, errs := invoke(t, "serve", "--settings", settings)
+	must.Eq(t, exitRefused, code, must.Sprint(errs))
+	must.Eq(t, "", out)
+	must.StrContains(t, errs, "[daemon] caller-address: can't listen on "+l.Addr().String())
+}
--- a/internal/node/daemon/daemon_test.go
+++ b/internal/node/daemon/daemon_test.go
@@ -12,11 +12,16 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
+	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/base/setup"
+	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/stream"
+	"github.com/azurespan/azurespan/internal/node/audit"
+	"github.com/azurespan/azurespan/internal/node/owner"
 	"github.com/azurespan/azurespan/standin/platform/platsv"
 )
 
@@ -145,6 +150,19 @@
 	must.StrNotContains(t, err.Error(), "peer-address")
 }
 
+// TestFailedLoadCounts guards against a count of failed loads that stays at 0,
+// and against a failed load or a placement without a decision record.
+func TestFailedLoadCounts(t *testing.T) {
+	d := &Daemon{metrics: metric.New(nil), trail: audit.New(16)}
+	o := observer{d}
+	o.Woken(time.UnixMilli(1), "wake", "m", "u", "checkpoint remote")
+	o.Placed(time.UnixMilli(2), owner.LoadFailed, ledger.Key{Upstream: "u", Model: "m"}, "no answer")
+	must.Eq(t, 1, testutil.ToFloat64(d.metrics.Loads.WithLabelValues("failed")))
+	found := d.trail.Find("", "m")
+	must.Len(t, 2, found)
+	must.Eq(t, "no answer", found[1].Why)
+}
+
 // TestDegraded guards against a status that calls a deployment healthy while
 // nothing can be loaded on an upstream.
 func TestDegraded(t *testing.T) {
