--- a/cmd/azurespan/exit.go
+++ b/cmd/azurespan/exit.go
@@ -31,9 +31,6 @@
 		cause   error
 	}
 
-	// notImplementedError is a command that this build does not contain.
-	notImplementedError struct{ command string }
-
 	// answerError is an answer that breaks the protocol.
 	answerError struct {
 		service string
@@ -47,9 +44,6 @@
 	return fmt.Sprintf("%s is unreachable: %v", e.service, e.cause)
 }
 func (e *unreachableError) Unwrap() error { return e.cause }
-func (e *notImplementedError) Error() string {
-	return fmt.Sprintf("%s is not implemented in this build", e.command)
-}
 func (e *answerError) Error() string {
 	return fmt.Sprintf("%s gave an invalid answer: %s", e.service, e.detail)
 }
--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -4,7 +4,10 @@
 // processor time and memory of a daemon. docs/CAPACITY.md works with its
 // figures.
 //
-//	scale -bin DIR [-sizes 4,8,16,32,64] [-seconds 20]
+//	scale -bin DIR [-sizes 4,8,16,32,64] [-seconds 20] [-rate 5.6]
+//
+// With -rate, callers send that many streamed requests a second to each daemon;
+// the processor time then includes their answers.
 package main
 
 import (
@@ -12,6 +15,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -26,10 +31,16 @@
 
 type (
 	// sample is what a daemon's metrics say at one time.
-	sample struct{ sent, received, cpu, memory float64 }
+	sample struct {
+		bytes       map[string]float64 // control traffic by source
+		cpu, memory float64
+	}
 
 	// spent is the mean and the maximum over daemons.
-	spent struct{ bytesMean, bytesMax, cpuMean, cpuMax, memoryMean, memoryMax float64 }
+	spent struct {
+		bytesMean, bytesMax, cpuMean, cpuMax, memoryMean, memoryMax float64
+		sources                                                     map[string]float64
+	}
 )
 
 const (
@@ -43,30 +54,32 @@
 func main() {
 	bin := flag.String("bin", "bin", "folder of the built programs")
 	sizes := flag.String("sizes", "4,8,16,32,64", "numbers of daemons")
+	rate := flag.Float64("rate", 0, "requests a second to each daemon")
 	seconds := flag.Int("seconds", 20, "time to measure at each size")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	fmt.Println("daemons engines  control-B/s mean   max  cpu-% mean    max  rss-MB mean   max")
+	fmt.Println("daemons engines  control-B/s mean   max    log  hosts engines  peers  cpu-% mean    max  rss-MB mean   max")
 	for _, f := range strings.Split(*sizes, ",") {
 		n, err := strconv.Atoi(f)
 		if err != nil || n < 1 || n > 128 {
 			fmt.Fprintf(os.Stderr, "size %q is not a number from 1 to 128\n", f)
 			os.Exit(2)
 		}
-		s, err := measure(ctx, *bin, n, time.Duration(*seconds)*time.Second)
+		s, err := measure(ctx, *bin, n, time.Duration(*seconds)*time.Second, *rate)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
-		fmt.Printf("%7d %7d  %16.0f %5.0f  %10.3f %6.3f  %11.1f %5.1f\n", n, engines(n), s.bytesMean, s.bytesMax, s.cpuMean, s.cpuMax, s.memoryMean, s.memoryMax)
+		fmt.Printf("%7d %7d  %16.0f %5.0f  %5.0f  %5.0f   %5.0f  %5.0f  %10.3f %6.3f  %11.1f %5.1f\n", n, engines(n), s.bytesMean, s.bytesMax,
+			s.sources["log"], s.sources["hosts"], s.sources["engines"], s.sources["peers"], s.cpuMean, s.cpuMax, s.memoryMean, s.memoryMax)
 	}
 }
 
 func engines(n int) int { return int(float64(n) * enginesPerDaemon) }
 
 // measure runs n daemons and returns what they spend.
-func measure(ctx context.Context, bin string, n int, d time.Duration) (spent, error) {
+func measure(ctx context.Context, bin string, n int, d time.Duration, rate float64) (spent, error) {
 	dir, err := os.MkdirTemp("", "azurespan-scale-")
 	if err != nil {
 		return spent{}, err
@@ -94,6 +107,11 @@
 	if err := s.Publish(ctx, "scale"); err != nil {
 		return spent{}, err
 	}
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	if rate > 0 {
+		go drive(load, s, rate*float64(n))
+	}
 	// Ownership settles and rebalances within about 25 s.
 	if !sleep(ctx, 30*time.Second) {
 		return spent{}, ctx.Err()
@@ -112,10 +130,36 @@
 	return summarise(before, after, d), nil
 }
 
+// drive sends requests to random daemons and models until ctx ends. Most go to
+// a few models, as most models are idle.
+func drive(ctx context.Context, s *fleet.Site, rate float64) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	c := &fleet.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer tick.Stop()
+	models := s.Deployment.Models
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		m := models[int(float64(len(models))*math.Pow(rng.Float64(), 4))]
+		d := s.Daemons[rng.IntN(len(s.Daemons))]
+		q := fleet.Chat{Model: m.Name, Prompt: fmt.Sprint(rng.Uint64()), MaxTokens: 350, Deadline: time.Minute}
+		go c.Stream(ctx, d, q, nil)
+	}
+}
+
 func summarise(before, after []sample, d time.Duration) spent {
-	var r spent
+	r := spent{sources: map[string]float64{}}
 	for i := range after {
-		b := (after[i].sent + after[i].received - before[i].sent - before[i].received) / d.Seconds()
+		var b float64
+		for source, n := range after[i].bytes {
+			rate := (n - before[i].bytes[source]) / d.Seconds()
+			r.sources[source] += rate / float64(len(after))
+			b += rate
+		}
 		c := 100 * (after[i].cpu - before[i].cpu) / d.Seconds()
 		m := after[i].memory / 1e6
 		r.bytesMean += b / float64(len(after))
@@ -128,7 +172,7 @@
 
 // deployment returns a configuration in the proportions of the target.
 func deployment(n int) *declare.Deployment {
-	d := &declare.Deployment{Name: "scale", Services: []declare.Service{{Name: "chat", Kind: declare.ModelService}}}
+	d := &declare.Deployment{Name: "scale", ColdStartWeight: 0.9, Services: []declare.Service{{Name: "chat", Kind: declare.ModelService}}}
 	for i := range domains {
 		d.FailureDomains = append(d.FailureDomains, fmt.Sprintf("domain-%d", i))
 	}
@@ -165,23 +209,27 @@
 
 // scrape reads a daemon's metrics.
 func scrape(url string) (sample, error) {
-	var s sample
+	s := sample{bytes: map[string]float64{}}
 	resp, err := http.Get(url)
 	if err != nil {
 		return s, err
 	}
 	defer resp.Body.Close()
-	fields := map[string]*float64{
-		"azurespan_control_sent_bytes_total": &s.sent, "azurespan_control_received_bytes_total": &s.received,
-		"process_cpu_seconds_total": &s.cpu, "process_resident_memory_bytes": &s.memory,
-	}
 	sc := bufio.NewScanner(resp.Body)
 	for sc.Scan() {
 		name, value, _ := strings.Cut(sc.Text(), " ")
-		if to := fields[name]; to != nil {
-			if *to, err = strconv.ParseFloat(value, 64); err != nil {
-				return s, err
-			}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue // a comment
+		}
+		switch {
+		case strings.HasPrefix(name, "azurespan_control_"):
+			source, _, _ := strings.Cut(name[strings.Index(name, `"`)+1:], `"`)
+			s.bytes[source] += n
+		case name == "process_cpu_seconds_total":
+			s.cpu = n
+		case name == "process_resident_memory_bytes":
+			s.memory = n
 		}
 	}
 	return s, sc.Err()
--- a/internal/base/setup/field.go
+++ b/internal/base/setup/field.go
@@ -43,6 +43,13 @@
 		}},
 	listen("caller-address", "Listener for callers.", func(s *Settings) *string { return &s.Daemon.CallerAddress }),
 	listen("peer-address", "Listener for other daemons, which call it at this address.", func(s *Settings) *string { return &s.Daemon.PeerAddress }),
+	{section: "daemon", key: "advertise-address", allowed: allowedDial,
+		meaning: "Address at which other daemons call this one, if it differs from peer-address, as behind address translation.",
+		set: func(s *Settings, v string) (ProblemKind, string) {
+			_, kind, detail := parseDial(v)
+			s.Daemon.AdvertiseAddress = v
+			return kind, detail
+		}},
 	listen("admin-address", "Listener for metrics, health and status.", func(s *Settings) *string { return &s.Daemon.AdminAddress }),
 	{section: "peers", key: "addresses", allowed: "peer addresses (IP number and port) separated by commas, up to 1024",
 		meaning: "Peer addresses of daemons to contact first. The daemon's own address is skipped, so all hosts can share one list.",
@@ -81,7 +88,7 @@
 	timing("peer-timeout", 2*time.Second, 100*time.Millisecond, time.Minute, "Time limit of a call of a peer that does not wait for a load.", func(t *Timing) *time.Duration { return &t.PeerTimeout }),
 	timing("drain-timeout", time.Minute, time.Second, time.Hour, "Time limit of a graceful shutdown.", func(t *Timing) *time.Duration { return &t.DrainTimeout }),
 	timing("quarantine", 10*time.Minute, time.Second, 24*time.Hour, "Time for which a request that crashed two upstreams is refused.", func(t *Timing) *time.Duration { return &t.Quarantine }),
-	timing("key-window", 12*time.Hour, time.Minute, 24*time.Hour, "Largest age of an idempotency key; at most half of the log's retention.", func(t *Timing) *time.Duration { return &t.KeyWindow }),
+	timing("key-window", 6*time.Hour, time.Minute, 24*time.Hour, "Largest age of an idempotency key; at most half of the log's retention.", func(t *Timing) *time.Duration { return &t.KeyWindow }),
 	timing("snapshot-interval", time.Hour, time.Second, 24*time.Hour, "Time between two snapshots of the control stream.", func(t *Timing) *time.Duration { return &t.SnapshotInterval }),
 	file("caller-certificate", "Certificate chain of the caller listener.", func(t *TLS) *string { return &t.CallerCertificate }),
 	file("caller-key", "Private key of the caller listener.", func(t *TLS) *string { return &t.CallerKey }),
--- a/internal/link/engine/stream.go
+++ b/internal/link/engine/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"strconv"
@@ -19,11 +18,20 @@
 	stream struct {
 		upstream, address, id string
 		events                *sseReader
+		chunks                chunkDecoder
 		body                  io.ReadCloser
 		cancel                context.CancelFunc
 		idle                  time.Duration
 		timer                 *time.Timer
 		stalled               atomic.Bool
+		// ctx is that of the call of Next in progress.
+		ctx context.Context
+		// watch breaks the stream when the context of Next ends. It is kept
+		// between calls with the same context, because setting it up costs
+		// as much as checking a token.
+		watch atomic.Pointer[watch]
+		// reading is watch while Read waits, else nil.
+		reading atomic.Pointer[watch]
 		// next is the index of the next token.
 		next     int64
 		repeated int64
@@ -31,15 +39,10 @@
 		end error
 	}
 
-	// chunk holds the fields of a chat.completion.chunk that are used.
-	chunk struct {
-		ID      string `json:"id"`
-		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
-			Finish string `json:"finish_reason"`
-		} `json:"choices"`
+	// watch is the wait for the end of one context.
+	watch struct {
+		done <-chan struct{}
+		stop func() bool
 	}
 )
 
@@ -54,21 +57,50 @@
 		s.stalled.Store(true)
 		cancel()
 	})
-	// The timer runs only while Next waits: a slow reader is no stall.
 	s.timer.Stop()
 	s.events = newSSEReader(s)
 	return s
 }
 
-// Read passes bytes of the answer on and restarts the idle timer.
+// Read reads bytes of the answer. The idle timer runs and the end of the
+// context counts only while it waits: a slow reader is no stall.
 func (s *stream) Read(b []byte) (int, error) {
-	n, err := s.body.Read(b)
-	if n > 0 {
-		s.timer.Reset(s.idle)
+	w := s.watched()
+	s.reading.Store(w)
+	if s.ctx.Err() != nil {
+		// The watch may have seen the end before reading was set.
+		s.cancel()
 	}
+	s.timer.Reset(s.idle)
+	n, err := s.body.Read(b)
+	s.timer.Stop()
+	s.reading.Store(nil)
 	return n, err
 }
 
+// watched returns the watch of s.ctx, nil for a context that never ends.
+func (s *stream) watched() *watch {
+	done, w := s.ctx.Done(), s.watch.Load()
+	if w != nil && w.done == done {
+		return w
+	}
+	if w != nil {
+		w.stop()
+	}
+	if done == nil {
+		s.watch.Store(nil)
+		return nil
+	}
+	w = &watch{done: done}
+	w.stop = context.AfterFunc(s.ctx, func() {
+		if s.reading.Load() == w {
+			s.cancel()
+		}
+	})
+	s.watch.Store(w)
+	return w
+}
+
 // Upstream returns the name of the engine.
 func (s *stream) Upstream() string { return s.upstream }
 
@@ -77,6 +109,9 @@
 func (s *stream) Close() error {
 	s.cancel()
 	s.timer.Stop()
+	if w := s.watch.Load(); w != nil {
+		w.stop()
+	}
 	return s.body.Close()
 }
 
@@ -87,11 +122,8 @@
 	if s.end != nil {
 		return flow.Token{}, s.end
 	}
-	stop := context.AfterFunc(ctx, s.cancel)
-	s.timer.Reset(s.idle)
+	s.ctx = ctx
 	t, err := s.read()
-	s.timer.Stop()
-	stop()
 	if err == nil {
 		if t.Finish != "" {
 			s.end = io.EOF
@@ -131,19 +163,19 @@
 		if string(ev.data) == doneData {
 			return flow.Token{}, s.fail(Truncated, "the answer ended without a finish reason", nil)
 		}
-		var c chunk
-		if err := json.Unmarshal(ev.data, &c); err != nil {
+		c, err := s.chunks.decode(ev.data)
+		if err != nil {
 			return flow.Token{}, s.fail(Garbage, "", err)
 		}
-		if c.ID != s.id {
-			return flow.Token{}, s.fail(Foreign, "an event of request "+strconv.Quote(c.ID[:min(len(c.ID), maxDetail)]), nil)
+		if c.id != s.id {
+			return flow.Token{}, s.fail(Foreign, "an event of request "+strconv.Quote(c.id[:min(len(c.id), maxDetail)]), nil)
 		}
-		if ev.id == "" && len(c.Choices) == 0 {
+		if ev.id == "" && c.choices == 0 {
 			// A chunk that only states the token usage.
 			continue
 		}
 		i, err := strconv.ParseInt(ev.id, 10, 64)
-		if err != nil || i < 0 || len(c.Choices) != 1 {
+		if err != nil || i < 0 || c.choices != 1 {
 			return flow.Token{}, s.fail(Garbage, "an event without a token index or with several choices", err)
 		}
 		switch {
@@ -156,7 +188,7 @@
 			continue
 		}
 		s.next++
-		return flow.Token{Index: i, Text: c.Choices[0].Delta.Content, Finish: c.Choices[0].Finish}, nil
+		return flow.Token{Index: i, Text: c.text, Finish: c.finish}, nil
 	}
 }
 
--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -224,7 +224,7 @@
 			b.mu.Lock()
 			e := poison.Entry{Fingerprint: f.Name}
 			for _, c := range f.Crashes {
-				e.Crashes = append(e.Crashes, poison.Crash{ID: c.ID, At: time.UnixMilli(c.AtMS)})
+				e.Crashes = append(e.Crashes, poison.Crash{ID: c.ID, At: time.UnixMilli(c.AtMS), Progress: c.Progress})
 			}
 			b.suspects.Set(e)
 			b.mu.Unlock()
@@ -246,6 +246,12 @@
 		return
 	}
 	d := x.Upstream(name)
+	if s := x.Service(d.Service); s != nil && s.Kind == declare.PlainService {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.services.SetHealth(name, health(up.Status))
+		return
+	}
 	r := route.Report{
 		Upstream: name, FailureDomain: d.FailureDomain, Incarnation: up.Incarnation,
 		At: now.Add(-b.set.ReportLag), Sequences: sequences(d), Running: load.Running, Queued: load.Queued,
--- a/internal/node/broker/broker_test.go
+++ b/internal/node/broker/broker_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"time"
 
 	"github.com/oklog/ulid/v2"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/node/flow"
 	"github.com/azurespan/azurespan/standin/engine/engsv"
 	"github.com/azurespan/azurespan/standin/service/servsv"
@@ -134,6 +137,57 @@
 	must.Eq(t, want("figs", 10), text)
 }
 
+// TestSuspectsApart guards against requests that ran beside a poisonous one
+// and are run beside it again after the crash, which crashes the engine more
+// often and puts them in quarantine.
+func TestSuspectsApart(t *testing.T) {
+	s := newSite(t, 1)
+	e := s.engines["e0"]
+	const n = 5
+	type result struct {
+		text string
+		err  error
+	}
+	got := make(chan result, n)
+	running := make(chan struct{}, n)
+	for i := range n {
+		go func() {
+			a, err := s.broker.Complete(t.Context(), chat(fmt.Sprint("good", i), "figs", 600))
+			if err != nil {
+				got <- result{"", err}
+				return
+			}
+			text, err := read(t, a, func(i int64) {
+				if i == 0 {
+					running <- struct{}{}
+				}
+			})
+			got <- result{text, err}
+		}()
+	}
+	for range n {
+		<-running
+	}
+	e.SetFaults(engsv.Faults{Poison: "POISON"})
+	a, err := s.broker.Complete(t.Context(), chat("bad", "POISON", 10))
+	if err == nil {
+		_, err = read(t, a, nil)
+	}
+	must.Eq(t, fault.RequestQuarantined, fault.Of(err).Kind)
+	for range n {
+		r := <-got
+		must.NoError(t, r.err)
+		must.Eq(t, want("figs", 600), r.text)
+	}
+	crashes := 0
+	for _, r := range e.Records().Entries {
+		if r.Kind == "crash" {
+			crashes++
+		}
+	}
+	must.Eq(t, 2, crashes)
+}
+
 // TestRefusals guards against a request that waits past its deadline and
 // against a refusal that is held back although waiting can't help.
 func TestRefusals(t *testing.T) {
@@ -227,3 +281,53 @@
 	_, err := s.broker.Complete(ctx, chat("r1", "figs", 1))
 	must.Error(t, err)
 }
+
+// TestServiceLeaves guards against a booking that is lost because a leaving
+// service's refusal is kept as its answer, against further calls of that
+// service, and against one that is never called again after its restart.
+func TestServiceLeaves(t *testing.T) {
+	s := newSite(t, 1)
+	v := s.services["desk-1"]
+	v.SetFaults(servsv.Faults{Leaving: true})
+	_, err := s.broker.Invoke(t.Context(), booking("k"))
+	must.Eq(t, fault.RunNo, fault.Of(err).Run)
+	must.Eq(t, 0, s.claims.done)
+	must.Eq(t, 1, s.claims.withdrawn)
+	before := len(v.Entries())
+	_, err = s.broker.Invoke(t.Context(), booking("k"))
+	must.Error(t, err)
+	must.Len(t, before, v.Entries())
+
+	v.Kill()
+	alive := func() (ok bool) {
+		s.Do(func(m *member.Set) {
+			f, _ := m.Get(member.Key{Kind: member.Upstream, Name: "desk-1"})
+			ok = f.Status == member.Alive
+		})
+		return ok
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(alive), wait.Timeout(20*time.Second), wait.Gap(10*time.Millisecond)))
+	v.SetFaults(servsv.Faults{})
+	must.NoError(t, v.Restart())
+	a, err := s.broker.Invoke(t.Context(), booking("k"))
+	must.NoError(t, err)
+	must.Eq(t, 201, a.Status)
+}
+
+// TestStreamDeadline guards against a stream that hangs on a silent engine
+// after its deadline.
+func TestStreamDeadline(t *testing.T) {
+	s := newSite(t, 1)
+	r := chat("r1", "figs", 100)
+	r.Deadline = time.Now().Add(500 * time.Millisecond)
+	a, err := s.broker.Complete(t.Context(), r)
+	must.NoError(t, err)
+	text, err := read(t, a, func(i int64) {
+		if i == 3 {
+			s.engines["e0"].SetFaults(engsv.Faults{Slowdown: 1e6})
+		}
+	})
+	must.Eq(t, fault.DeadlinePassed, fault.Of(err).Kind)
+	must.Eq(t, fault.RunYes, fault.Of(err).Run)
+	must.StrHasPrefix(t, text, want("figs", 100))
+}
--- a/internal/node/daemon/duties.go
+++ b/internal/node/daemon/duties.go
@@ -33,7 +33,7 @@
 func (d *Daemon) duties(ctx context.Context) error {
 	tick := time.NewTicker(dutyInterval)
 	defer tick.Stop()
-	var sent, received uint64
+	counted := map[string][2]uint64{}
 	var downSince time.Time
 	for {
 		select {
@@ -41,10 +41,12 @@
 			return nil
 		case <-tick.C:
 		}
-		s, r := d.traffic.Sent.Load(), d.traffic.Received.Load()
-		d.metrics.ControlSentBytes.Add(float64(s - sent))
-		d.metrics.ControlReceivedBytes.Add(float64(r - received))
-		sent, received = s, r
+		for source, t := range d.traffic {
+			at := [2]uint64{t.Sent.Load(), t.Received.Load()}
+			d.metrics.ControlSentBytes.WithLabelValues(source).Add(float64(at[0] - counted[source][0]))
+			d.metrics.ControlReceivedBytes.WithLabelValues(source).Add(float64(at[1] - counted[source][1]))
+			counted[source] = at
+		}
 		downSince = d.gauges(time.Now(), downSince)
 		d.assign()
 		d.prewake(ctx, time.Now())
--- a/internal/node/owner/adapter.go
+++ b/internal/node/owner/adapter.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	if victim != "" {
-		if err := o.order(ctx, k, engine.Order{Kind: engine.UnloadAdapter, Model: k.Model, Version: k.Version, Adapter: victim}); err != nil {
+		if _, err := o.order(ctx, k, engine.Order{Kind: engine.UnloadAdapter, Model: k.Model, Version: k.Version, Adapter: victim}); err != nil {
 			return busyAdapter(err, victim)
 		}
 		o.setAdapter(k, victim, false)
@@ -45,7 +45,7 @@
 		return fault.Wrap(err, fault.DeadlineUnreachable, "waiting for other adapter loads")
 	}
 	defer release()
-	err = o.order(ctx, k, engine.Order{
+	_, err = o.order(ctx, k, engine.Order{
 		Kind: engine.LoadAdapter, Model: k.Model, Version: k.Version, Adapter: a.Name, MemoryBytes: a.Bytes, Priority: q.Class,
 	})
 	if err != nil {
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -44,6 +44,16 @@
 	}
 	o.mu.Lock()
 	u := o.unit(q.Upstream)
+	for u.evicting[k] != nil {
+		evicted := u.evicting[k]
+		o.mu.Unlock()
+		select {
+		case <-evicted:
+		case <-ctx.Done():
+			return fault.New(fault.DeadlineUnreachable, "%s is being unloaded from %s", q.Model, q.Upstream)
+		}
+		o.mu.Lock()
+	}
 	if o.leaving {
 		o.mu.Unlock()
 		return fault.New(fault.Draining, "%s is leaving", o.set.Self)
@@ -109,9 +119,12 @@
 	if err := o.ensureGrant(ctx, k, q); err != nil {
 		return err
 	}
-	var bytes, adapters int64
+	var bytes, adapters, over int64
 	o.ctl.View(func(l *ledger.Ledger) {
 		bytes, _ = l.Config().ReplicaBytes(k.Model, k.Version)
+		if u := l.Config().Upstream(k.Upstream); u != nil {
+			over = l.Reserved(k.Upstream) - u.MemoryBytes
+		}
 		if m := l.Config().Model(k.Model); m != nil {
 			for _, v := range m.Versions {
 				if v.Name == k.Version {
@@ -120,18 +133,30 @@
 			}
 		}
 	})
+	if over > 0 {
+		// A publication has raised the size of a granted version.
+		return fault.New(fault.NoCapacity, "the grants on %s exceed its memory by %d bytes", k.Upstream, over)
+	}
 	od := engine.Order{
 		Kind: engine.Load, Model: k.Model, Version: k.Version,
 		MemoryBytes: bytes, AdapterBytes: adapters, Priority: q.Class,
 	}
 	if o.tier(k) != engine.Remote {
-		return o.order(ctx, k, od)
+		_, err := o.order(ctx, k, od)
+		return err
 	}
 	release, err := o.pacer.Acquire(ctx, q.Class, q.Deadline, bytes)
 	if err != nil {
 		return fault.Wrap(err, fault.DeadlineUnreachable, "waiting for the weight store")
 	}
-	err = o.order(ctx, k, od)
+	// The grant may have been withdrawn while the load waited.
+	granted := false
+	o.ctl.View(func(l *ledger.Ledger) { _, granted = l.Grant(k) })
+	if !granted {
+		release(false)
+		return fault.New(fault.NotOwner, "the grant of %s on %s was withdrawn", k.Model, k.Upstream)
+	}
+	_, err = o.order(ctx, k, od)
 	release(err == nil)
 	return err
 }
@@ -155,9 +180,17 @@
 			return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
 		}
 		granted, victims, err := o.room(time.Now(), k, q, d)
-		if granted {
+		if granted && !o.releasing(k) {
 			return nil
 		}
+		if granted {
+			// A release of this grant may take effect at any time, so it is
+			// completed before the replica is granted anew.
+			if err := o.appendRelease(ctx, k); err != nil {
+				return err
+			}
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -287,93 +320,11 @@
 	return fault.New(kind, "%s@%s on %s: %s", k.Model, k.Version, k.Upstream, r.Reason)
 }
 
-// evict unloads a replica and, if release is set, withdraws its grant once
-// the unload is confirmed. A replica with streams is left alone.
-func (o *Owner) evict(ctx context.Context, k ledger.Key, release bool) error {
-	_, d, ok := o.owned(k.Upstream)
-	if !ok {
-		return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
-	}
-	o.mu.Lock()
-	u := o.unit(k.Upstream)
-	if u.loads[k] != nil {
-		o.mu.Unlock()
-		return fault.New(fault.NoCapacity, "%s is being loaded on %s", k.Model, k.Upstream)
-	}
-	rep := u.replica(time.Now(), k)
-	wasLoaded, idleSince := rep.loaded, rep.idleSince
-	rep.hidden = true
-	o.mu.Unlock()
-	o.publish(time.Now(), d)
-
-	// The order is sent even if the replica seems unloaded, because a report
-	// may not show yet what a former owner loaded.
-	err := o.order(ctx, k, engine.Order{Kind: engine.Unload, Model: k.Model, Version: k.Version})
-	if err != nil && o.noProcess(k.Upstream) {
-		err = nil
-	}
-	now := time.Now()
-	o.mu.Lock()
-	rep.hidden = false
-	var f *fault.Fault
-	if errors.As(err, &f) && f.Kind == fault.NoCapacity {
-		// The engine knows of streams that its last report does not show.
-		rep.streams, rep.idleSince = max(rep.streams, 1), now
-	}
-	if err == nil {
-		rep.loaded, rep.changed = false, now
-		clear(rep.adapters)
-	}
-	o.mu.Unlock()
-	if err != nil {
-		o.publish(now, d)
-		return err
-	}
-	if wasLoaded {
-		event.Unloaded.Log("upstream", k.Upstream, "model", k.Model, "version", k.Version, "idle-seconds", now.Sub(idleSince).Seconds(), "grant-released", release)
-		o.obs.Unloaded(now, k, now.Sub(idleSince))
-	}
-	if !release {
-		return nil
-	}
-	return o.release(ctx, k)
-}
-
-// noProcess reports whether no engine process listens on the upstream's
-// address. A process that starts there later has nothing loaded.
-func (o *Owner) noProcess(upstream string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.unit(upstream).refused >= o.set.DeadAfter
-}
-
-// release withdraws the grant of an unloaded replica.
-func (o *Owner) release(ctx context.Context, k ledger.Key) error {
-	epoch, _, ok := o.owned(k.Upstream)
-	var g ledger.Grant
-	var why ledger.Reason
-	o.ctl.View(func(l *ledger.Ledger) {
-		g, _ = l.Grant(k)
-		why = l.Releasable(k)
-	})
-	if !ok || why == ledger.NotGranted {
-		return nil
-	}
-	if why != ledger.Accepted {
-		return fault.New(fault.NoCapacity, "%s on %s: %s", k.Model, k.Upstream, why)
-	}
-	out, err := o.ctl.Append(ctx, record.Release{Upstream: k.Upstream, Epoch: epoch, Model: k.Model, Version: k.Version, GrantedAt: g.GrantedAt})
-	if err != nil {
-		return err
-	}
-	o.obs.Placed(time.Now(), "release", k, string(out.Reason))
-	return nil
-}
-
-// order sends one order under the current epoch. An order without an answer
-// is sent again under the same identifier, which joins the first one, until
-// ctx ends, because its effect must be known before the grant moves.
-func (o *Owner) order(ctx context.Context, k ledger.Key, od engine.Order) error {
+// order sends one order under the current epoch, which it returns. An order
+// without an answer is sent again under the same identifier, which joins the
+// first one, until ctx ends or the engine counts as dead. A load that is given
+// up then may still be executed, see unsure.
+func (o *Owner) order(ctx context.Context, k ledger.Key, od engine.Order) (uint64, error) {
 	// The order counts as in flight before the ownership is checked. Otherwise
 	// the loss could be acknowledged between the check and the order.
 	o.mu.Lock()
@@ -388,7 +339,7 @@
 	}()
 	epoch, d, ok := o.owned(k.Upstream)
 	if !ok || resigning {
-		return fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
+		return 0, fault.New(fault.NotOwner, "%s does not own %s", o.set.Self, k.Upstream)
 	}
 	o.mu.Lock()
 	u.sequence++
@@ -396,19 +347,36 @@
 	od.ID = fmt.Sprintf("%s-%d-%d", o.set.Self, epoch, u.sequence)
 	o.mu.Unlock()
 	event.OrderSent.Log("upstream", k.Upstream, "kind", string(od.Kind), "model", k.Model, "version", k.Version, "adapter", od.Adapter, "epoch", epoch, "sequence", od.Sequence)
+	sent := false
 	for {
 		err := o.eng.Order(ctx, d.Address, od)
+		if err == nil {
+			return epoch, nil
+		}
 		var ee *engine.Error
-		if err == nil || !errors.As(err, &ee) {
-			return err
+		if !errors.As(err, &ee) {
+			ee = &engine.Error{Kind: engine.Unreachable, Address: d.Address, Reached: true, Err: err}
 		}
-		if ee.Kind != engine.Unreachable || !ee.Reached || ctx.Err() != nil || o.isDead(k.Upstream) {
-			return orderFault(ee, k)
+		sent = sent || ee.Reached
+		if ee.Kind != engine.Unreachable || !sent || ctx.Err() != nil || o.isDead(k.Upstream) {
+			if ee.Kind == engine.Unreachable && sent && od.Kind == engine.Load {
+				o.setUnsure(k)
+			}
+			return epoch, orderFault(ee, k)
 		}
 		sleep(ctx, o.set.ReportInterval)
 	}
 }
 
+// setUnsure notes that a load of k was given up without an answer. The engine
+// may still execute it, until it reports the replica or restarts.
+func (o *Owner) setUnsure(k ledger.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	u := o.unit(k.Upstream)
+	u.unsure[k] = u.report.Incarnation
+}
+
 // isDead reports whether the engine stopped answering reports.
 func (o *Owner) isDead(upstream string) bool {
 	o.mu.Lock()
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/core/ledger"
+	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/engine"
 )
@@ -124,7 +125,8 @@
 	c.before = func(r record.Record) {
 		if _, ok := r.(record.AcknowledgeLoss); ok {
 			c.before = nil
-			must.Eq(t, fault.NotOwner, kindOf(o.order(t.Context(), ledger.Key{Upstream: "u", Model: "m", Version: "v1"}, engine.Order{Kind: engine.Load})))
+			_, err := o.order(t.Context(), ledger.Key{Upstream: "u", Model: "m", Version: "v1"}, engine.Order{Kind: engine.Load})
+			must.Eq(t, fault.NotOwner, kindOf(err))
 		}
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -139,13 +141,19 @@
 // is only out of reach.
 func TestEndedEngine(t *testing.T) {
 	for _, tc := range []struct {
-		err  error
-		left int
+		err    error
+		former bool
+		left   int
 	}{
-		{&engine.Error{Kind: engine.Unreachable, Err: context.DeadlineExceeded}, 1},
-		{&engine.Error{Kind: engine.Unreachable, Err: syscall.ECONNREFUSED}, 0},
+		{&engine.Error{Kind: engine.Unreachable, Err: context.DeadlineExceeded}, false, 1},
+		{&engine.Error{Kind: engine.Unreachable, Err: syscall.ECONNREFUSED}, false, 0},
+		// A former owner could have the next process load the model.
+		{&engine.Error{Kind: engine.Unreachable, Err: syscall.ECONNREFUSED}, true, 1},
 	} {
 		c, e := fixture(t)
+		if tc.former {
+			c.led.Apply(2, record.TakeOwnership{Upstream: "u", Daemon: "h0/1"})
+		}
 		o := newOwner(c, e, "h1/1")
 		o.reconcile(t.Context(), time.Now())
 		must.NoError(t, o.Load(t.Context(), request("m")))
@@ -160,3 +168,46 @@
 		must.Eq(t, tc.left, replicas(c))
 	}
 }
+
+// TestLeavingByOthers guards against an owner whose next poll undoes what the
+// host list or a refused request said about an engine that leaves, and against
+// one that never takes an engine back which no longer leaves.
+func TestLeavingByOthers(t *testing.T) {
+	c, e := fixture(t)
+	o := newOwner(c, e, "h1/1")
+	o.reconcile(t.Context(), time.Now())
+	status := func(r engine.Report) (s member.Status) {
+		o.take(time.Now(), o.Watched()[0], r, nil)
+		o.facts.Do(func(m *member.Set) {
+			f, _ := m.Get(member.Key{Kind: member.Upstream, Name: "u"})
+			s = f.Status
+		})
+		return s
+	}
+	must.Eq(t, member.Alive, status(engine.Report{Incarnation: 1}))
+	o.facts.Report(time.Now(), member.Fact{Kind: member.Upstream, Name: "u", Domain: "a", Incarnation: "1", Status: member.Leaving})
+	must.Eq(t, member.Leaving, status(engine.Report{Incarnation: 1}))
+	must.Eq(t, member.Leaving, status(engine.Report{Incarnation: 1, Leaving: true}))
+	must.Eq(t, member.Alive, status(engine.Report{Incarnation: 1}))
+	o.facts.Report(time.Now(), member.Fact{Kind: member.Upstream, Name: "u", Domain: "a", Incarnation: "1", Status: member.Leaving})
+	must.Eq(t, member.Alive, status(engine.Report{Incarnation: 2}))
+}
+
+// TestLeavingGrants guards against a model with one replica that can't be
+// served anywhere because an engine that leaves keeps its grant, and against
+// an unload under a stream in progress.
+func TestLeavingGrants(t *testing.T) {
+	c, e := fixture(t)
+	o := newOwner(c, e, "h1/1")
+	o.reconcile(t.Context(), time.Now())
+	must.NoError(t, o.Load(t.Context(), request("m")))
+	d := o.Watched()[0]
+	busy := engine.Report{Incarnation: 1, Leaving: true, Replicas: []engine.Replica{{Model: "m", Version: "v1", State: engine.Ready, Streams: 1}}}
+	o.take(time.Now(), d, busy, nil)
+	must.SliceEmpty(t, o.unloadings(time.Now()))
+	busy.Replicas[0].Streams = 0
+	o.take(time.Now(), d, busy, nil)
+	got := o.unloadings(time.Now())
+	must.Len(t, 1, got)
+	must.True(t, got[0].release)
+}
--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -17,6 +17,10 @@
 	"github.com/azurespan/azurespan/internal/link/engine"
 )
 
+// loadSteps is the number of steps between an idle and a full engine in which
+// its load is told.
+const loadSteps = 4
+
 // Watched returns the engines that this daemon polls: those it owns and those
 // assigned to it.
 func (o *Owner) Watched() []*declare.Upstream {
@@ -87,6 +91,8 @@
 
 // take records the result of one poll and tells the peers what changed.
 func (o *Owner) take(now time.Time, d *declare.Upstream, r engine.Report, err error) {
+	var known member.Fact
+	o.facts.Do(func(m *member.Set) { known, _ = m.Get(member.Key{Kind: member.Upstream, Name: d.Name}) })
 	o.mu.Lock()
 	u := o.unit(d.Name)
 	if err != nil {
@@ -106,7 +112,7 @@
 			rep.loaded = false
 		}
 	} else {
-		o.merge(now, u, r)
+		o.merge(now, u, r, known)
 	}
 	facts := o.factsOf(u, d)
 	o.mu.Unlock()
@@ -115,11 +121,16 @@
 
 // merge applies a report; o.mu is held. A report is late, so it does not undo
 // an order that ended less than ReportLag ago, unless the engine restarted.
-func (o *Owner) merge(now time.Time, u *unit, r engine.Report) {
+// known is what the peers know: that an engine leaves may come from the host
+// list or from a refused request, and a report of the same process that does
+// not say so does not undo it. Only a report that said so before does.
+func (o *Owner) merge(now time.Time, u *unit, r engine.Report, known member.Fact) {
 	restarted := u.report.Incarnation != r.Incarnation
 	u.failures, u.refused = 0, 0
+	u.settle(r)
 	u.status = member.Alive
-	if r.Leaving {
+	sticky := known.Status == member.Leaving && known.Incarnation == fmt.Sprint(r.Incarnation) && !u.report.Leaving
+	if r.Leaving || sticky {
 		u.status = member.Leaving
 	}
 	seen := map[ledger.Key]bool{}
@@ -190,11 +201,27 @@
 		a, b := f.Loaded[i], f.Loaded[j]
 		return a.Model < b.Model || a.Model == b.Model && a.Version < b.Version
 	})
-	load := member.Fact{
-		Kind: member.Load, Name: u.name, Domain: d.FailureDomain, Status: u.status,
-		Running: u.report.Running, Queued: u.report.Queued,
+	return []member.Fact{f, u.load(d)}
+}
+
+// load returns the load that peers are told. It changes only if the new one is
+// notably different, because at the target the load of all engines of a failure
+// domain in each second would exceed the control traffic of a daemon.
+func (u *unit) load(d *declare.Upstream) member.Fact {
+	sequences := d.Sequences
+	if sequences == 0 {
+		sequences = declare.DefaultSequences
+	}
+	old, now := u.told.Running+u.told.Queued, u.report.Running+u.report.Queued
+	notable := max(old-now, now-old) >= max(sequences/loadSteps, 1) || (old == 0) != (now == 0) ||
+		(old >= sequences) != (now >= sequences) || u.told.Status != u.status
+	if notable {
+		u.told = member.Fact{
+			Kind: member.Load, Name: u.name, Domain: d.FailureDomain, Status: u.status,
+			Running: u.report.Running, Queued: u.report.Queued,
+		}
 	}
-	return []member.Fact{f, load}
+	return u.told
 }
 
 // publish tells the peers about an upstream after an order.
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
@@ -56,27 +58,30 @@
 	return sum
 }
 
-// assigned returns the daemon that should own an upstream: the first by
-// rendezvous hash among the live daemons of its failure domain, or among all
-// live daemons if that has none.
-func (r roster) assigned(u *declare.Upstream) string {
-	if own := r.live[u.FailureDomain]; len(own) > 0 {
-		return hrw.First(u.Name, own)
-	}
-	return hrw.First(u.Name, r.live[""])
-}
-
-// assignments returns the assigned daemon of each upstream. It keeps the
-// result while neither the live daemons nor the configuration change, because
+// assignments returns the assigned daemon of each upstream: the live daemons of
+// its failure domain share the upstreams evenly by rendezvous hash, and all live
+// daemons those of a domain without any. An even share keeps each daemon's
+// polls of engines within its control traffic. It keeps the result while neither the live daemons nor the configuration change, because
 // hashing all upstreams over all daemons twice a second costs more than all
 // other work of an Owner; o.mu is held.
 func (o *Owner) assignments(r roster, l *ledger.Ledger) map[string]string {
 	key := assignmentKey{daemons: r.signature(), version: l.Version()}
 	if o.assigned == nil || o.assignedFor != key {
-		ups := l.Config().Deployment.Upstreams
-		o.assigned, o.assignedFor = make(map[string]string, len(ups)), key
-		for i := range ups {
-			o.assigned[ups[i].Name] = r.assigned(&ups[i])
+		o.assigned, o.assignedFor = map[string]string{}, key
+		byDomain := map[string][]string{}
+		for i := range l.Config().Deployment.Upstreams {
+			u := &l.Config().Deployment.Upstreams[i]
+			if s := l.Config().Service(u.Service); s != nil && s.Kind == declare.ModelService {
+				byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], u.Name)
+			}
+		}
+		for domain, ups := range byDomain {
+			live := r.live[domain]
+			if len(live) == 0 {
+				live = r.live[""]
+			}
+			sort.Strings(ups)
+			maps.Copy(o.assigned, hrw.Spread(ups, live))
 		}
 	}
 	return o.assigned
@@ -128,7 +133,7 @@
 	own, has := l.Owner(d.Name)
 	u := o.unit(d.Name)
 	for _, f := range l.FormersOf(d.Name) {
-		mine := f.Daemon == o.set.Self && u.inFlight == 0
+		mine := f.Daemon == o.set.Self && u.quiet()
 		if mine || o.replaced(f.Daemon) {
 			out = append(out, plan{upstream: d.Name, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: f.Daemon, Epoch: f.Epoch}})
 		}
@@ -137,7 +142,7 @@
 	u.resigning = u.resigning && mine
 	switch {
 	case mine && (o.leaving || u.resigning || o.handOver(now, u, assigned)):
-		if u.inFlight == 0 {
+		if u.quiet() {
 			u.misplaced, u.resigning = time.Time{}, true
 			out = append(out, plan{upstream: d.Name, record: record.AcknowledgeLoss{Upstream: d.Name, Daemon: o.set.Self, Epoch: own.Epoch}})
 		}
@@ -148,6 +153,10 @@
 	return out
 }
 
+// quiet reports whether no order of this daemon is in flight or may still be
+// executed, so that the loss of ownership can be acknowledged; o.mu is held.
+func (u *unit) quiet() bool { return u.inFlight == 0 && len(u.unsure) == 0 }
+
 // handOver reports whether another daemon has been assigned for long enough.
 func (o *Owner) handOver(now time.Time, u *unit, assigned string) bool {
 	if assigned == o.set.Self || assigned == "" {
