--- a/examples/caller/main.go
+++ b/examples/caller/main.go
@@ -24,7 +24,7 @@
 	base := flag.String("base", "http://127.0.0.1:18080/v1/", "address of a daemon's caller listener, with /v1/")
 	model := flag.String("model", "tray-harvest-8b", "model or adapter")
 	class := flag.String("class", "urgent", "urgent or background")
-	deadline := flag.Duration("deadline", 30*time.Second, "time in which the answer must begin")
+	deadline := flag.Duration("deadline", 30*time.Second, "time in which the whole answer must arrive")
 	key := flag.Bool("key", false, "print a new idempotency key and stop")
 	flag.Parse()
 	if *key {
