waker: no further load after the deadline of a wake

Cause: on a running deployment a request with a deadline of 300 ms for an idle model caused two loads of it: when the deadline ended the first order's wait, the wake excluded that upstream and ordered the next load, up to the replica limit, while the first load went on without a waiting request. Ruled out: waiting for the first load without a deadline, which would hold a wake of a stuck engine for other callers. Change: a wake ends once its deadline has passed; callers of a joined wake whose deadline is later start it again and join the load in progress. Conclusion: a short deadline costs at most one load.

--- a/internal/node/waker/waker.go
+++ b/internal/node/waker/waker.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -91,6 +90,7 @@
 
 	call struct {
 		done     chan struct{}
+		deadline time.Time
 		upstream string
 		err      error
 	}
@@ -141,23 +141,34 @@
 }
 
 // Coordinate is Wake on the coordinator itself. Calls for the same model
-// version are joined.
+// version are joined; one that ends at the deadline of its first caller is
+// continued for callers with a later one.
 func (w *Waker) Coordinate(ctx context.Context, q Request) (string, error) {
+	for {
+		c := w.join(ctx, q)
+		select {
+		case <-c.done:
+			if c.err == nil || !c.deadline.Before(q.Deadline) || fault.Of(c.err).Kind != fault.DeadlineUnreachable {
+				return c.upstream, c.err
+			}
+		case <-ctx.Done():
+			return "", fault.New(fault.DeadlineUnreachable, "the load of %s did not end in time", q.Model)
+		}
+	}
+}
+
+// join returns the call for q's model version, started if there is none.
+func (w *Waker) join(ctx context.Context, q Request) *call {
 	k := key{q.Model, q.Version, q.Extra}
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	c := w.calls[k]
 	if c == nil {
-		c = &call{done: make(chan struct{})}
+		c = &call{done: make(chan struct{}), deadline: q.Deadline}
 		w.calls[k] = c
 		go w.run(context.WithoutCancel(ctx), k, q, c)
 	}
-	w.mu.Unlock()
-	select {
-	case <-c.done:
-		return c.upstream, c.err
-	case <-ctx.Done():
-		return "", fault.New(fault.DeadlineUnreachable, "the load of %s did not end in time", q.Model)
-	}
+	return c
 }
 
 func (w *Waker) run(ctx context.Context, k key, q Request, c *call) {
@@ -182,6 +193,9 @@
 			if last = w.order(ctx, up, q); last == nil {
 				return up, nil
 			}
+			if passed(time.Now(), q) {
+				return "", last
+			}
 			excluded[up] = true
 		}
 	}
@@ -207,11 +221,18 @@
 		if last == nil {
 			return l.Upstream, nil
 		}
+		if passed(time.Now(), q) {
+			return "", last
+		}
 		excluded[l.Upstream] = true
 	}
 	return "", last
 }
 
+// passed reports whether the deadline of q has come. The load that was ordered
+// goes on without a waiting request, so another one would only take memory.
+func passed(now time.Time, q Request) bool { return !now.Before(q.Deadline) }
+
 // holders returns the upstreams that have a grant for the model version and
 // seem usable, those of the own failure domain first. The control stream tells
 // of a grant sooner than the peers' news tell of the load, so a replica that
@@ -353,34 +374,3 @@
 	}
 	return c
 }
-
-// why says in words what a placement rests on.
-func why(l place.Load, q Request) string {
-	s := "checkpoint " + l.Tier.String()
-	if l.NeedsGrant {
-		s += ", new grant"
-	}
-	if n := len(l.Evict); n > 0 {
-		s += ", evicts " + strconv.Itoa(n)
-	}
-	if q.Extra {
-		s += ", all replicas are busy"
-	}
-	return s
-}
-
-func refusal(d place.Refuse, q Request) error {
-	kind := fault.NoCapacity
-	switch d.Reason {
-	case place.ReplicaElsewhere, place.ReplicaLimit:
-		kind = fault.ReplicaElsewhere
-	case place.LogUnavailable:
-		kind = fault.LogUnavailable
-	case place.NoUpstream:
-		kind = fault.UpstreamUnavailable
-	case place.TooLate:
-		kind = fault.DeadlineUnreachable
-	case place.NoMemory:
-	}
-	return fault.New(kind, "no replica of %s@%s can be loaded: %s", q.Model, q.Version, d.Reason)
-}
