owner, broker: a suspect's reservation ends with it

Ruled out: a shorter fixed time, which does not cover a slow start. Change: the broker tells the owner when the suspect has ended; 5 s is the bound.

--- a/internal/node/broker/complete.go
+++ b/internal/node/broker/complete.go
@@ -30,6 +30,8 @@
 	// question whether another replica is worthwhile.
 	growService = 4 * time.Second
 	growLoad    = 3 * time.Second
+	// endSuspectTimeout bounds the notice that a crash suspect has ended.
+	endSuspectTimeout = time.Second
 	// logRetry is the retry delay given while the log is down.
 	logRetry = 10 * time.Second
 	// elsewhereRetry is the retry delay for a replica in a failure domain
@@ -304,9 +306,18 @@
 		if b.running[upstream]--; b.running[upstream] <= 0 {
 			delete(b.running, upstream)
 		}
+		go b.endSuspect(owner.Request{Upstream: upstream, Model: a.r.Model, Version: a.r.Version, Suspect: fingerprint(&a.r), Ended: true})
 	}
 }
 
+// endSuspect lets other suspects begin on an upstream. If the owner can't be
+// reached, it lets them after a while by itself.
+func (b *Broker) endSuspect(q owner.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), endSuspectTimeout)
+	defer cancel()
+	_ = b.waker.Ensure(ctx, q)
+}
+
 // grow asks for another replica in the background if the waiting requests
 // justify one.
 func (b *Broker) grow(r *flow.Request, c gate.Capacity) {
--- a/internal/node/owner/load.go
+++ b/internal/node/owner/load.go
@@ -29,9 +29,12 @@
 	// empty for other requests. The owner lets one suspect at a time begin on
 	// an upstream, whichever daemons send them, so that a crash has one cause.
 	Suspect string
+	// Ended is set to take back the reservation for Suspect; nothing is
+	// loaded then.
+	Ended bool
 }
 
-// suspectFor is how long a suspect keeps others off its upstream. A request
+// suspectFor bounds how long a suspect keeps others off its upstream. A request
 // that crashes engines does so when it begins to run.
 const suspectFor = 5 * time.Second
 
@@ -52,6 +55,13 @@
 	}
 	o.mu.Lock()
 	u := o.unit(q.Upstream)
+	if q.Ended {
+		if u.suspect == q.Suspect {
+			u.suspect = ""
+		}
+		o.mu.Unlock()
+		return nil
+	}
 	for u.evicting[k] != nil {
 		evicted := u.evicting[k]
 		o.mu.Unlock()
@@ -101,7 +111,7 @@
 	if suspect == "" {
 		return nil
 	}
-	if u.suspect != suspect && now.Before(u.suspectUntil) {
+	if u.suspect != "" && u.suspect != suspect && now.Before(u.suspectUntil) {
 		return fault.New(fault.NoCapacity, "another request that may crash %s has just begun there", u.name)
 	}
 	u.suspect, u.suspectUntil = suspect, now.Add(suspectFor)
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -225,6 +225,12 @@
 	must.NoError(t, o.Load(t.Context(), request("m")))
 	q.Suspect = "b"
 	must.Eq(t, fault.NoCapacity, kindOf(o.Load(t.Context(), q)))
+	ended := request("m")
+	ended.Suspect, ended.Ended = "a", true
+	must.NoError(t, o.Load(t.Context(), ended))
+	must.NoError(t, o.Load(t.Context(), q))
+	q.Suspect = "c"
+	must.Eq(t, fault.NoCapacity, kindOf(o.Load(t.Context(), q)))
 	o.units["u"].suspectUntil = time.Now()
 	must.NoError(t, o.Load(t.Context(), q))
 }
