--- a/internal/check/trace/event.go
+++ b/internal/check/trace/event.go
@@ -26,6 +26,12 @@
 	// Snapshot replaces the control state by its restored snapshot.
 	Snapshot struct{}
 
+	// Restore replaces the control state by the state of a ledger's snapshot,
+	// with which the recording of a daemon begins.
+	Restore struct {
+		State json.RawMessage `json:"state"`
+	}
+
 	// State compares the control state; fields that are absent are not
 	// compared.
 	State struct {
@@ -85,6 +91,7 @@
 var (
 	_ Event = Control{}
 	_ Event = Snapshot{}
+	_ Event = Restore{}
 	_ Event = State{}
 	_ Event = Reader{}
 	_ Event = Claims{}
@@ -93,6 +100,7 @@
 
 func (Control) event() string  { return "control" }
 func (Snapshot) event() string { return "snapshot" }
+func (Restore) event() string  { return "restore" }
 func (State) event() string    { return "state" }
 func (Reader) event() string   { return "reader" }
 func (Claims) event() string   { return "claims" }
@@ -141,6 +149,8 @@
 		return decode[Control](rest)
 	case "snapshot":
 		return decode[Snapshot](rest)
+	case "restore":
+		return decode[Restore](rest)
 	case "state":
 		return decode[State](rest)
 	case "reader":
--- a/internal/check/trace/replay.go
+++ b/internal/check/trace/replay.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	total := 0
-	for _, e := range []Event{Control{}, Snapshot{}, State{}, Reader{}, Claims{}, Query{}} {
+	for _, e := range []Event{Control{}, Restore{}, Snapshot{}, State{}, Reader{}, Claims{}, Query{}} {
 		n := counts[e.event()]
 		total += n
 		if _, err := fmt.Fprintf(w, "%-8s %d\n", e.event(), n); err != nil {
@@ -95,6 +95,13 @@
 		}
 		p.ledger = restored
 		return nil, nil
+	case Restore:
+		restored, err := ledger.Restore(e.State)
+		if err != nil {
+			return nil, err
+		}
+		p.ledger = restored
+		return nil, nil
 	case State:
 		return p.state(e), nil
 	case Reader:
--- a/internal/node/daemon/admin.go
+++ b/internal/node/daemon/admin.go
@@ -8,6 +8,8 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/azurespan/azurespan/internal/check/trace"
+
 	"github.com/azurespan/azurespan/internal/node/audit"
 )
 
@@ -32,11 +34,31 @@
 		q := r.URL.Query()
 		return d.decisions(q.Get("request"), q.Get("model"))
 	}))
+	mux.HandleFunc("GET /admin/trace", d.authorized(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/jsonl")
+		base, outcomes, err := d.follow.Recording()
+		if err == nil {
+			err = trace.Record(w, base, outcomes)
+		}
+		if err != nil {
+			// An aborted answer can't pass for a whole trace.
+			panic(http.ErrAbortHandler)
+		}
+	}))
 	return http.MaxBytesHandler(mux, 1<<16)
 }
 
 // secured answers with fn's value as JSON if the request has the secret.
 func (d *Daemon) secured(fn func(*http.Request) any) http.HandlerFunc {
+	return d.authorized(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// A write fails only if the operator's connection is gone.
+		_ = json.NewEncoder(w).Encode(fn(r))
+	})
+}
+
+// authorized calls next only for requests with the shared secret.
+func (d *Daemon) authorized(next http.HandlerFunc) http.HandlerFunc {
 	secret := string(d.set.Secret.SharedSecret)
 	return func(w http.ResponseWriter, r *http.Request) {
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -45,9 +67,7 @@
 			http.Error(w, "the shared secret is missing or wrong", http.StatusUnauthorized)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		// A write fails only if the operator's connection is gone.
-		_ = json.NewEncoder(w).Encode(fn(r))
+		next(w, r)
 	}
 }
 
--- a/internal/node/follow/append.go
+++ b/internal/node/follow/append.go
@@ -88,3 +88,18 @@
 	_, err = f.Append(ctx, record.Snapshot{AsOf: asOf, State: b})
 	return err
 }
+
+// Recording returns the fold before the retained records, as bytes, and the
+// outcomes of these records in order. Records that can't be decoded are left
+// out, as they have no effect.
+func (f *Follower) Recording() (base []byte, outcomes []ledger.Outcome, err error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	base, err = f.base.Snapshot()
+	for _, r := range f.recent {
+		if o, ok := f.outcomes[r.Offset]; ok {
+			outcomes = append(outcomes, o)
+		}
+	}
+	return base, outcomes, err
+}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -58,7 +58,9 @@
 		logUp    bool
 		outcomes map[uint64]ledger.Outcome
 		recent   []stream.Record
-		changed  chan struct{}
+		// base is the fold before the first of recent.
+		base    *ledger.Ledger
+		changed chan struct{}
 		// lastSnap is the offset up to which a snapshot covers the stream, and
 		// snapTimeMS the log time of that snapshot.
 		lastSnap   uint64
@@ -97,7 +99,7 @@
 		s.SnapshotInterval = time.Hour
 	}
 	return &Follower{
-		log: l, peers: p, set: s, led: ledger.New(),
+		log: l, peers: p, set: s, led: ledger.New(), base: ledger.New(),
 		outcomes: map[uint64]ledger.Outcome{}, changed: make(chan struct{}),
 	}
 }
@@ -269,6 +271,11 @@
 	if drop := len(f.recent) - keepRecent; drop > 0 {
 		for _, r := range f.recent[:drop] {
 			delete(f.outcomes, r.Offset)
+			if rec, err := record.Decode(r.Data); err == nil {
+				f.base.Apply(r.Offset, rec)
+			} else {
+				f.base.Skip(r.Offset)
+			}
 		}
 		f.recent = append(f.recent[:0:0], f.recent[drop:]...)
 	}
--- a/internal/node/follow/follow_test.go
+++ b/internal/node/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/check/trace"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/stream"
@@ -248,3 +250,32 @@
 	must.True(t, f.SnapshotDue(now))
 	must.False(t, f.SnapshotDue(time.UnixMilli(1).Add(time.Minute)))
 }
+
+// TestRecording guards against a recording that does not replay, from the start
+// of the stream and after older records were dropped.
+func TestRecording(t *testing.T) {
+	l := &memLog{}
+	f := start(t, l, nil)
+	replay := func() {
+		t.Helper()
+		base, outcomes, err := f.Recording()
+		must.NoError(t, err)
+		var b bytes.Buffer
+		must.NoError(t, trace.Record(&b, base, outcomes))
+		must.NoError(t, trace.Replay(&b, io.Discard))
+	}
+	_, err := f.Append(t.Context(), publish(t, 0))
+	must.NoError(t, err)
+	_, err = f.Append(t.Context(), publish(t, 0))
+	must.NoError(t, err)
+	replay()
+	b, err := record.Encode(record.HostGone{Host: "h"})
+	must.NoError(t, err)
+	for range keepRecent + 10 {
+		_, _, err := l.Append(t.Context(), Stream, b)
+		must.NoError(t, err)
+	}
+	until(t, f, func(applied uint64, _ bool) bool { return applied == keepRecent+12 })
+	must.Eq(t, uint64(13), f.Recent(0).Oldest)
+	replay()
+}
--- a/internal/node/follow/start.go
+++ b/internal/node/follow/start.go
@@ -79,7 +79,7 @@
 	}
 	f.led = l
 	f.lastSnap = l.Applied()
-	f.recent = nil
+	f.recent, f.base = nil, l.Clone()
 	f.outcomes = map[uint64]ledger.Outcome{}
 	event.SnapshotInstalled.Log("applied", l.Applied(), "version", l.Version())
 	f.notify()
