--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -73,8 +73,11 @@
 const Stream = "control"
 
 const (
-	// keepRecent bounds the records kept for peers and for waiting writers.
+	// keepRecent bounds the records kept for peers, recordings and waiting
+	// writers, and keepBytes their size: at the target a day has 890
+	// publications of 16 KB each.
 	keepRecent = 1024
+	keepBytes  = 2 << 20
 	// pageMax is the number of records read at once.
 	pageMax = 256
 	// snapshotEvery is the number of records between snapshots.
@@ -268,18 +271,33 @@
 	if n == 0 {
 		return
 	}
-	if drop := len(f.recent) - keepRecent; drop > 0 {
-		for _, r := range f.recent[:drop] {
-			delete(f.outcomes, r.Offset)
-			if rec, err := record.Decode(r.Data); err == nil {
-				f.base.Apply(r.Offset, rec)
-			} else {
-				f.base.Skip(r.Offset)
-			}
+	f.dropOld()
+	f.notify()
+}
+
+// dropOld bounds the retained records in number and size; f.mu is held.
+func (f *Follower) dropOld() {
+	size := 0
+	for _, r := range f.recent {
+		size += len(r.Data)
+	}
+	drop := 0
+	for drop < len(f.recent)-1 && (len(f.recent)-drop > keepRecent || size > keepBytes) {
+		size -= len(f.recent[drop].Data)
+		drop++
+	}
+	if drop == 0 {
+		return
+	}
+	for _, r := range f.recent[:drop] {
+		delete(f.outcomes, r.Offset)
+		if rec, err := record.Decode(r.Data); err == nil {
+			f.base.Apply(r.Offset, rec)
+		} else {
+			f.base.Skip(r.Offset)
 		}
-		f.recent = append(f.recent[:0:0], f.recent[drop:]...)
 	}
-	f.notify()
+	f.recent = append(f.recent[:0:0], f.recent[drop:]...)
 }
 
 func logOutcome(o ledger.Outcome) {
