trace: a file without events is an error

Cause: replaying an empty file, here the answer of a daemon without the endpoint, said "no difference" and ended with 0. Ruled out: none. Change: a trace needs an event. Conclusion: a check that nothing can fail proves nothing.

--- a/internal/check/trace/replay.go
+++ b/internal/check/trace/replay.go
@@ -68,6 +68,10 @@
 	if err := s.Err(); err != nil {
 		return err
 	}
+	if len(counts) == 0 {
+		// An empty file would otherwise pass for a trace without a difference.
+		return &FormatError{Line: line, Cause: unknownEvent("")}
+	}
 	total := 0
 	for _, e := range []Event{Control{}, Restore{}, Snapshot{}, State{}, Reader{}, Claims{}, Query{}} {
 		n := counts[e.event()]
--- a/internal/check/trace/replay_test.go
+++ b/internal/check/trace/replay_test.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// TestEmpty guards against a file without events that passes for a trace
+// without a difference.
+func TestEmpty(t *testing.T) {
+	var f *FormatError
+	must.True(t, errors.As(Replay(strings.NewReader("\n# nothing\n"), &strings.Builder{}), &f))
+}
+
 // TestEncode guards against events that are written in a form that Decode does
 // not read.
 func TestEncode(t *testing.T) {
