gossip: tell all peers at once of crashing requests and ending upstreams

Ruled out: more sends for all facts; at the target that costs control traffic. Change: own observations of crashing requests and of upstreams that leave or end go to all peers of the failure domain and all contacts at once; a fact is passed on at least 8 times (9 at the target, as before).

--- a/internal/core/member/set.go
+++ b/internal/core/member/set.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// minSends is the least number of times that a fact is passed on. In a small
+// deployment the logarithm alone leaves a daemon out now and then.
+const minSends = 8
+
 // Buckets is the number of groups of facts that digests compare.
 const Buckets = 64
 
@@ -252,7 +256,7 @@
 		}
 		return a.fact.Name < b.fact.Name
 	})
-	limit := m.set.RetransmitFactor * bits.Len(uint(max(m.alive, 1)))
+	limit := max(m.set.RetransmitFactor*bits.Len(uint(max(m.alive, 1))), minSends)
 	for _, e := range list {
 		if n := e.fact.Size(); n <= maxBytes {
 			maxBytes -= n
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -62,6 +62,8 @@
 		facts *member.Set
 		rng   *rand.Rand
 		seeds map[string]struct{}
+		// alarm holds own observations that all peers are told, see raised.
+		alarm []member.Fact
 		// introduced holds the addresses of peers that know this daemon's
 		// address and failure domain.
 		introduced map[string]bool
@@ -160,6 +162,9 @@
 			f, _ = g.facts.Get(f.Key())
 			changed = append(changed, f)
 			urgent = urgent || f.Kind != member.Load
+			if f.Kind == member.Request || f.Kind == member.Upstream && f.Status >= member.Leaving {
+				g.alarm = append(g.alarm, f)
+			}
 		}
 	}
 	g.mu.Unlock()
@@ -241,8 +246,9 @@
 // round exchanges news with the peers of one interval, all at the same time.
 func (g *Gossip) round(ctx context.Context, now time.Time, n int) {
 	var wg sync.WaitGroup
-	for _, p := range g.targets(n) {
-		wg.Go(func() { g.exchange(ctx, now, p, n%digestEvery == 0) })
+	alarm := g.raised()
+	for _, p := range g.targets(n, len(alarm) > 0) {
+		wg.Go(func() { g.exchange(ctx, now, p, n%digestEvery == 0 && len(alarm) == 0, alarm) })
 	}
 	wg.Wait()
 }
@@ -255,8 +261,20 @@
 
 type target struct{ name, domain, address string }
 
-// targets picks the peers for interval n.
-func (g *Gossip) targets(n int) []target {
+// raised returns the facts that every peer of this daemon is told at once:
+// requests that crash upstreams, and upstreams that leave or end. They are rare,
+// and each second in which a daemon does not know them costs another crash or
+// another refused request.
+func (g *Gossip) raised() []member.Fact {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.alarm
+	g.alarm = nil
+	return a
+}
+
+// targets picks the peers for interval n, or all peers.
+func (g *Gossip) targets(n int, all bool) []target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	self := g.facts.Self()
@@ -286,6 +304,9 @@
 		}
 	}
 	sort.Slice(contacts, func(i, j int) bool { return contacts[i].name < contacts[j].name })
+	if all {
+		return append(own, contacts...)
+	}
 	var out []target
 	pick := func(list []target) {
 		if len(list) > 0 {
