pause: one way to wait under a context

Ruled out: leaving the copies in the commands cmd/azurespan and keeper, which return the context's error and use an own random pause; they stay. Change: package pause; gossip's urgent facts carry the usual word.

--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/check/fleet"
 	"github.com/azurespan/azurespan/standin/engine/engsv"
 )
@@ -113,14 +114,14 @@
 		go drive(load, s, rate*float64(n))
 	}
 	// Ownership settles and rebalances within about 25 s.
-	if !sleep(ctx, 30*time.Second) {
+	if !pause.For(ctx, 30*time.Second) {
 		return spent{}, ctx.Err()
 	}
 	before, err := scrapeAll(s)
 	if err != nil {
 		return spent{}, err
 	}
-	if !sleep(ctx, d) {
+	if !pause.For(ctx, d) {
 		return spent{}, ctx.Err()
 	}
 	after, err := scrapeAll(s)
@@ -234,12 +235,3 @@
 	}
 	return s, sc.Err()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/check/load/run.go
+++ b/internal/check/load/run.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/azurespan/azurespan/internal/base/pause"
 )
 
 // run is a Plan in progress.
@@ -43,7 +45,7 @@
 	for n := range p.Requests {
 		at += time.Duration(rng.ExpFloat64() / p.Rate * float64(time.Second))
 		q := p.request(n, rng)
-		if at > p.Duration || !sleep(ctx, time.Until(began.Add(at))) {
+		if at > p.Duration || !pause.For(ctx, time.Until(began.Add(at))) {
 			break
 		}
 		select {
@@ -152,15 +154,3 @@
 	res.TokenGap = Percentiles{r.gap.quantile(0.5), r.gap.quantile(0.95), r.gap.quantile(0.99)}
 	return res
 }
-
-// sleep waits for d; it returns false if ctx ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(max(d, 0))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/broker/answer.go
+++ b/internal/node/broker/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/engine"
@@ -200,7 +201,7 @@
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) || c.Err() != nil {
 			break
 		}
-		sleep(c, crashReportPause)
+		pause.For(c, crashReportPause)
 		r, err = a.b.eng.Report(c, address)
 	}
 	cancel()
--- a/internal/node/broker/complete.go
+++ b/internal/node/broker/complete.go
@@ -9,6 +9,7 @@
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/flow"
@@ -109,7 +110,7 @@
 			return a.refuse(a.expired(f))
 		}
 		delay = min(2*delay, waitMax)
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 		// What failed a while ago may work by now.
 		if tries%3 == 2 {
 			excluded = excluded[:0]
@@ -220,12 +221,3 @@
 	}
 	return a.refuse(fault.New(fault.RequestQuarantined, "this request has crashed several upstreams").WithRun(fault.RunYes).WithRetry(left))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/node/broker/invoke.go
+++ b/internal/node/broker/invoke.go
@@ -10,6 +10,7 @@
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/link/rest"
 	"github.com/azurespan/azurespan/internal/node/flow"
 	"github.com/azurespan/azurespan/internal/rule/retry"
@@ -134,7 +135,7 @@
 			}
 			return flow.Answer{}, fault.Wrap(err, kind, "%s did not answer (%s)", d.Name, v.Reason).WithRun(runOf(&at))
 		case retry.Again:
-			sleep(ctx, v.After)
+			pause.For(ctx, v.After)
 		}
 	}
 }
--- a/internal/node/broker/leave.go
+++ b/internal/node/broker/leave.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/link/rest"
 	"github.com/azurespan/azurespan/internal/rule/route"
@@ -59,7 +60,7 @@
 func awaitEnd(ctx context.Context, address string) {
 	var dialer net.Dialer
 	for ctx.Err() == nil {
-		sleep(ctx, leaveProbe)
+		pause.For(ctx, leaveProbe)
 		c, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
 			_ = c.Close()
--- a/internal/node/claim/claim.go
+++ b/internal/node/claim/claim.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/claims"
 	"github.com/azurespan/azurespan/internal/link/peer"
 	"github.com/azurespan/azurespan/internal/node/flow"
@@ -93,7 +94,7 @@
 		if !unanswered && !keeper.NotOwner(err) {
 			return nil, c.refused(a, err, lost)
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, retryPause) {
 			return nil, c.refused(a, fault.New(fault.LogUnavailable, "the claim of the key could not be confirmed in time: %v", err), lost)
 		}
 		if !unanswered {
@@ -210,7 +211,7 @@
 				err = r.Refusal.Err()
 			}
 		}
-		if err == nil || !pause(ctx) {
+		if err == nil || !pause.For(ctx, retryPause) {
 			return err
 		}
 	}
@@ -239,15 +240,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// pause waits before another try; it reports false if ctx ended.
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/follow/append.go
+++ b/internal/node/follow/append.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/stream"
@@ -37,10 +38,10 @@
 		}
 		switch {
 		case se.Kind == stream.RateLimited:
-			sleep(ctx, max(se.RetryAfter, f.set.Retry))
+			pause.For(ctx, max(se.RetryAfter, f.set.Retry))
 		case se.Ambiguous:
 			event.AppendAmbiguous.Log("record", record.TypeOf(r), "err", err)
-			sleep(ctx, f.set.Retry)
+			pause.For(ctx, f.set.Retry)
 		default:
 			return ledger.Outcome{}, unavailable(err)
 		}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/stream"
@@ -178,7 +179,7 @@
 		}
 		if err != nil {
 			f.fromPeers(ctx)
-			sleep(ctx, f.set.Retry)
+			pause.For(ctx, f.set.Retry)
 			continue
 		}
 		f.apply(page.Records)
@@ -329,16 +330,6 @@
 	event.RecordRefused.Log(append(kv, "reason", string(o.Reason), "detail", o.Detail)...)
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // unavailable is the refusal for what needs the log while it is down.
 func unavailable(err error) error {
 	return fault.Wrap(err, fault.LogUnavailable, "the log service can't be reached")
--- a/internal/node/follow/follow_test.go
+++ b/internal/node/follow/follow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/check/trace"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
@@ -70,7 +71,7 @@
 		<-ctx.Done()
 		return stream.Page{}, ctx.Err()
 	case len(p.Records) == 0 && wait > 0:
-		sleep(ctx, time.Millisecond)
+		pause.For(ctx, time.Millisecond)
 	}
 	return p, nil
 }
--- a/internal/node/gossip/exchange.go
+++ b/internal/node/gossip/exchange.go
@@ -66,13 +66,13 @@
 	return false
 }
 
-func (g *Gossip) exchange(ctx context.Context, now time.Time, p target, digest bool, alarm []member.Fact) {
+func (g *Gossip) exchange(ctx context.Context, now time.Time, p target, digest bool, urgent []member.Fact) {
 	g.mu.Lock()
 	in := News{From: g.facts.Self(), Applied: g.applied()}
 	if g.introduced[p.address] {
 		in.From = brief(in.From)
 	}
-	in.Facts = g.facts.Outgoing(append(g.doubt(p.name), alarm...), p.domain, g.set.MaxBytes)
+	in.Facts = g.facts.Outgoing(append(g.doubt(p.name), urgent...), p.domain, g.set.MaxBytes)
 	if digest {
 		d := g.facts.Digest()
 		in.Digest = &d
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -62,8 +62,8 @@
 		facts *member.Set
 		rng   *rand.Rand
 		seeds map[string]struct{}
-		// alarm holds own observations that all peers are told, see raised.
-		alarm []member.Fact
+		// urgent holds own observations that all peers are told, see takeUrgent.
+		urgent []member.Fact
 		// introduced holds the addresses of peers that know this daemon's
 		// address and failure domain.
 		introduced map[string]bool
@@ -156,19 +156,19 @@
 func (g *Gossip) Report(now time.Time, facts ...member.Fact) {
 	g.mu.Lock()
 	var changed []member.Fact
-	urgent := false
+	kick := false
 	for _, f := range facts {
 		if g.facts.Report(now, f) {
 			f, _ = g.facts.Get(f.Key())
 			changed = append(changed, f)
-			urgent = urgent || f.Kind != member.Load
+			kick = kick || f.Kind != member.Load
 			if f.Kind == member.Request || f.Kind == member.Upstream && f.Status >= member.Leaving {
-				g.alarm = append(g.alarm, f)
+				g.urgent = append(g.urgent, f)
 			}
 		}
 	}
 	g.mu.Unlock()
-	g.changed(now, changed, urgent)
+	g.changed(now, changed, kick)
 }
 
 // Leave tells the peers that this daemon takes no new duties.
@@ -246,9 +246,9 @@
 // round exchanges news with the peers of one interval, all at the same time.
 func (g *Gossip) round(ctx context.Context, now time.Time, n int) {
 	var wg sync.WaitGroup
-	alarm := g.raised()
-	for _, p := range g.targets(n, len(alarm) > 0) {
-		wg.Go(func() { g.exchange(ctx, now, p, n%digestEvery == 0 && len(alarm) == 0, alarm) })
+	urgent := g.takeUrgent()
+	for _, p := range g.targets(n, len(urgent) > 0) {
+		wg.Go(func() { g.exchange(ctx, now, p, n%digestEvery == 0 && len(urgent) == 0, urgent) })
 	}
 	wg.Wait()
 }
@@ -261,15 +261,15 @@
 
 type target struct{ name, domain, address string }
 
-// raised returns the facts that every peer of this daemon is told at once:
+// takeUrgent returns the facts that every peer of this daemon is told at once:
 // requests that crash upstreams, and upstreams that leave or end. They are rare,
 // and each second in which a daemon does not know them costs another crash or
 // another refused request.
-func (g *Gossip) raised() []member.Fact {
+func (g *Gossip) takeUrgent() []member.Fact {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a := g.alarm
-	g.alarm = nil
+	a := g.urgent
+	g.urgent = nil
 	return a
 }
 
--- a/internal/node/owner/order.go
+++ b/internal/node/owner/order.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/link/engine"
@@ -57,7 +57,7 @@
 			}
 			return epoch, orderFault(ee, k)
 		}
-		sleep(ctx, o.set.ReportInterval)
+		pause.For(ctx, o.set.ReportInterval)
 	}
 }
 
@@ -88,12 +88,3 @@
 		return fault.Wrap(e, fault.UpstreamUnavailable, "%s did not carry out the order", k.Upstream)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/record"
@@ -163,6 +164,9 @@
 	}
 )
 
+// leavePause is the time between two looks at what an Owner that leaves holds.
+const leavePause = 50 * time.Millisecond
+
 // New returns an Owner; Run does the work.
 func New(now time.Time, s Settings, ctl Control, eng Engines, f Facts, p Pacer, obs Observer) *Owner {
 	def := func(d *time.Duration, v time.Duration) {
@@ -249,12 +253,7 @@
 		if o.holdsNothing() {
 			return
 		}
-		t := time.NewTimer(50 * time.Millisecond)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		pause.For(ctx, leavePause)
 		if _, _, up := o.ctl.Status(); !up {
 			return
 		}
--- a/internal/node/pacing/pacing.go
+++ b/internal/node/pacing/pacing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/rule/pacer"
 )
@@ -120,12 +121,8 @@
 				p.mu.Unlock()
 			}, nil
 		}
-		t := time.NewTimer(adapterPause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !pause.For(ctx, adapterPause) {
 			return nil, ctx.Err()
-		case <-t.C:
 		}
 	}
 }
