follow: a starting daemon takes a peer's state before a long stream

Change: with more than 512 records ahead, a daemon at the start asks a peer up to three times and falls back to the log. Conclusion: the whole stream is read only after a stop of all daemons.

--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -79,6 +79,9 @@
 	// publications of 16 KB each.
 	keepRecent = 1024
 	keepBytes  = 2 << 20
+	// longStream is the length from which a starting daemon takes the state
+	// of a peer instead of reading the stream from its start.
+	longStream = 512
 	// pageMax is the number of records read at once.
 	pageMax = 256
 	// snapshotEvery is the number of records between snapshots.
@@ -163,6 +166,9 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if err == nil && from == 1 && page.End > longStream && f.skipAhead(ctx) {
+			continue
+		}
 		if n := pageLimit(limit, err); n < limit {
 			limit = n
 			continue
--- a/internal/node/follow/follow_test.go
+++ b/internal/node/follow/follow_test.go
@@ -27,6 +27,7 @@
 	oldest  uint64
 	down    bool
 	lose    int
+	served  int  // records in all answers
 	large   int  // pages with more records fail as too large
 	patient bool // a read that waits ends with its context
 }
@@ -60,6 +61,7 @@
 		}
 	}
 	patient := m.patient
+	m.served += len(p.Records)
 	tooLarge := m.large > 0 && len(p.Records) > m.large
 	m.mu.Unlock()
 	switch {
@@ -280,3 +282,29 @@
 	must.Eq(t, uint64(13), f.Recent(0).Oldest)
 	replay()
 }
+
+// TestLongStream guards against a starting daemon that reads a long stream
+// although a peer has the state, and against one that can't start without a
+// peer.
+func TestLongStream(t *testing.T) {
+	l := &memLog{}
+	b, err := record.Encode(record.HostGone{Host: "h"})
+	must.NoError(t, err)
+	pub, err := record.Encode(publish(t, 0))
+	must.NoError(t, err)
+	_, _, err = l.Append(t.Context(), Stream, pub)
+	must.NoError(t, err)
+	for range 1000 {
+		_, _, err := l.Append(t.Context(), Stream, b)
+		must.NoError(t, err)
+	}
+	ready := func(applied uint64, ready bool) bool { return applied == 1001 && ready }
+	alone := start(t, l, nil)
+	until(t, alone, ready)
+	before := 0
+	l.set(func() { before = l.served })
+	g := start(t, l, alone)
+	until(t, g, ready)
+	l.set(func() { must.Less(t, pageMax+1, l.served-before) })
+	must.Eq(t, uint64(1), version(g))
+}
--- a/internal/node/follow/start.go
+++ b/internal/node/follow/start.go
@@ -5,11 +5,15 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/record"
 	"github.com/azurespan/azurespan/internal/link/stream"
 )
 
+// skipTries bounds how often a starting daemon asks for a peer's state.
+const skipTries = 3
+
 // restart rebuilds the fold when the stream no longer holds the next record:
 // at the start of a daemon, or after it was paused for longer than the
 // retention. It uses the newest snapshot whose following records are all
@@ -55,6 +59,28 @@
 	return nil
 }
 
+// skipAhead installs a peer's state at the start of a daemon before a long
+// stream, and reports whether it did. At the target a day of publications is
+// 14 MB in the log, and the state is 46 KB. The fold is deterministic, so the
+// peer's state is what the records would give.
+func (f *Follower) skipAhead(ctx context.Context) bool {
+	for range skipTries {
+		if state, err := f.peers.State(ctx); err == nil {
+			if err := f.install(state); err != nil {
+				event.RecordSkipped.Log("offset", 0, "err", err)
+				return false
+			}
+			applied, _, _ := f.Status()
+			return applied > 0
+		}
+		// The first exchanges with peers may not have come yet.
+		if !pause.For(ctx, f.set.Retry) {
+			return false
+		}
+	}
+	return false
+}
+
 // trim drops the records up to and including offset.
 func trim(all []stream.Record, offset uint64) []stream.Record {
 	for i, r := range all {
