owner: one loop over the engines of a configuration

Cause: three places repeated which upstreams load models. Ruled out: a field in the declaration, which would state the service's kind twice. Change: eachEngine. Conclusion: no change of behaviour.

--- a/internal/node/owner/poll.go
+++ b/internal/node/owner/poll.go
@@ -30,17 +30,12 @@
 	defer o.mu.Unlock()
 	o.ctl.View(func(l *ledger.Ledger) {
 		assigned := o.assignments(ros, l)
-		ups := l.Config().Deployment.Upstreams
-		for i := range ups {
-			d := &ups[i]
-			if s := l.Config().Service(d.Service); s == nil || s.Kind != declare.ModelService {
-				continue
-			}
+		eachEngine(l, func(d *declare.Upstream) {
 			own, ok := l.Owner(d.Name)
 			if ok && own.Daemon == o.set.Self || assigned[d.Name] == o.set.Self {
 				out = append(out, d)
 			}
-		}
+		})
 	})
 	return out
 }
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -58,6 +58,17 @@
 	return sum
 }
 
+// eachEngine calls fn for the upstreams that load models.
+func eachEngine(l *ledger.Ledger, fn func(d *declare.Upstream)) {
+	x := l.Config()
+	for i := range x.Deployment.Upstreams {
+		d := &x.Deployment.Upstreams[i]
+		if s := x.Service(d.Service); s != nil && s.Kind == declare.ModelService {
+			fn(d)
+		}
+	}
+}
+
 // assignments returns the assigned daemon of each upstream: the live daemons of
 // its failure domain share the upstreams evenly by rendezvous hash, and all live
 // daemons those of a domain without any. An even share keeps each daemon's
@@ -69,12 +80,9 @@
 	if o.assigned == nil || o.assignedFor != key {
 		o.assigned, o.assignedFor = map[string]string{}, key
 		byDomain := map[string][]string{}
-		for i := range l.Config().Deployment.Upstreams {
-			u := &l.Config().Deployment.Upstreams[i]
-			if s := l.Config().Service(u.Service); s != nil && s.Kind == declare.ModelService {
-				byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], u.Name)
-			}
-		}
+		eachEngine(l, func(u *declare.Upstream) {
+			byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], u.Name)
+		})
 		for domain, ups := range byDomain {
 			live := r.live[domain]
 			if len(live) == 0 {
@@ -115,14 +123,9 @@
 	defer o.mu.Unlock()
 	o.ctl.View(func(l *ledger.Ledger) {
 		assigned := o.assignments(ros, l)
-		ups := l.Config().Deployment.Upstreams
-		for i := range ups {
-			d := &ups[i]
-			if s := l.Config().Service(d.Service); s == nil || s.Kind != declare.ModelService {
-				continue
-			}
+		eachEngine(l, func(d *declare.Upstream) {
 			out = append(out, o.planFor(now, l, d, ros, assigned[d.Name])...)
-		}
+		})
 	})
 	return out
 }
