--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/ledger"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/record"
@@ -105,9 +107,18 @@
 
 func (s *site) Ensure(ctx context.Context, q owner.Request) error {
 	e := s.engines[q.Upstream]
-	err := s.client.Order(ctx, e.Address(), engine.Order{ID: fmt.Sprint(rand.Uint64()), Fencing: 1, Kind: engine.Load, Model: q.Model, Version: q.Version, MemoryBytes: 1})
-	if err != nil {
-		return err
+	od := engine.Order{ID: fmt.Sprint(rand.Uint64()), Fencing: 1, Kind: engine.Load, Model: q.Model, Version: q.Version, MemoryBytes: 1}
+	for {
+		err := s.client.Order(ctx, e.Address(), od)
+		if err == nil {
+			break
+		}
+		// An order that meets a crash is repeated, as the owner and the waker do.
+		var ee *engine.Error
+		if !errors.As(err, &ee) || ee.Kind != engine.Unreachable || ctx.Err() != nil {
+			return err
+		}
+		pause.For(ctx, time.Millisecond)
 	}
 	s.tell(q.Upstream)
 	return nil
