owner: keep the grants of an ended engine while the log is down

Cause: the owner counted a crashed engine as ended after three refused polls (0.45 s) and withdrew the grant. The withdrawal needs the log; without an answer it may still take effect, so the grant was barred, and each wake within it failed with log-unavailable until the log was back ("unload-failed" before the first "load-failed" in the logs of all failed runs kept).

Ruled out: a lost ownership (the owner's epoch did not change) and the placement (it found the grant). Whether a run failed depended on the crash's length against three polls.

Change: replicas whose grant has to be withdrawn too are not given up while the log is down; nobody else could be granted the memory in that time. TestEndedEngineInOutage failed before and passes.

--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -169,6 +169,29 @@
 	}
 }
 
+// TestEndedEngineInOutage guards against a release that can't be appended while
+// the log is down and bars the grant for a wake until the log is back.
+func TestEndedEngineInOutage(t *testing.T) {
+	c, e := fixture(t)
+	o := newOwner(c, e, "h1/1")
+	o.reconcile(t.Context(), time.Now())
+	must.NoError(t, o.Load(t.Context(), request("m")))
+	c.down = true
+	e.err = &engine.Error{Kind: engine.Unreachable, Err: syscall.ECONNREFUSED}
+	for range 3 {
+		o.poll(t.Context(), time.Now())
+	}
+	for range 50 {
+		o.unloadIdle(t.Context(), time.Now())
+		time.Sleep(time.Millisecond)
+	}
+	e.err = nil
+	clear(e.loaded)
+	o.poll(t.Context(), time.Now())
+	must.NoError(t, o.Load(t.Context(), request("m")))
+	must.Eq(t, map[string]bool{"m@v1": true}, e.loaded)
+}
+
 // TestLeavingByOthers guards against an owner whose next poll undoes what the
 // host list or a refused request said about an engine that leaves, and against
 // one that never takes an engine back which no longer leaves.
--- a/internal/node/owner/unload.go
+++ b/internal/node/owner/unload.go
@@ -50,6 +50,9 @@
 			}
 		})
 	})
+	// A grant can be withdrawn only in the log. A withdrawal that is tried in
+	// an outage would bar the grant, within which the model can be loaded.
+	_, _, logUp := o.ctl.Status()
 	var out []unloading
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -61,7 +64,7 @@
 				continue
 			}
 			for _, k := range l.GrantsOf(nil, u.name) {
-				if j, ok := o.unloadingOf(now, l, u, k, loaded); ok {
+				if j, ok := o.unloadingOf(now, l, u, k, loaded); ok && (logUp || !j.release) {
 					u.busy = true
 					out = append(out, j)
 					break
