entry: the holder reads the register and the configuration for all

Cause: each daemon read the whole register and waited for configurations at the log.

Ruled out: reading less often, which breaks the agreed times when the holder is lost; pushing the configuration itself, which would load the holder's link.

Change: the holder tells, in its answers to Watch, what has changed in the register since the offset that a daemon knows, and up to which offset it knows the configuration's topic, each with its age. Offsets mean the same to all, so a daemon goes on with another holder or by itself from where it is. A daemon reads a topic itself when what it believes is older than 0.6 of the time within which it must take effect, and a configuration when it hears of a new one. The list of leaving upstreams in Watch goes. The highest version among several records is put in force (a daemon that read 9 and 4 in one answer took 4: TestWholePath).

--- a/cmd/azurespan/entry.go
+++ b/cmd/azurespan/entry.go
@@ -71,7 +71,7 @@
 	set := entry.Settings{
 		Host: s.Host, FailureDomain: s.FailureDomain,
 		Callers: s.Callers, Readiness: s.Readiness, Peers: port(0), Metrics: port(1),
-		FirstStart: s.FirstStart, Grace: s.Bounds.Grace, Drain: s.Bounds.Drain, HolderPause: s.Bounds.HolderPause,
+		FirstStart: s.FirstStart, Grace: s.Bounds.Grace, Drain: s.Bounds.Drain, ConfigDeadline: s.Bounds.ConfigDeadline, HolderPause: s.Bounds.HolderPause,
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		StoreWindow: s.Bounds.StoreWindow,
 	}
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -10,6 +10,8 @@
 		ID string
 		// Born is the start of the incarnation, in Unix milliseconds.
 		Born int64
+		// Offset of its entry in the register.
+		Offset int64
 		// Service, Address (IP:port) and FailureDomain say where it is.
 		Service, Address, FailureDomain string
 		Slots                           int
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -22,13 +22,13 @@
 	must.Eq(t, Joined, r.Put(at(0), up("a", 1, false)))
 	must.Eq(t, Left, r.Put(at(1), up("a", 1, true)))
 	must.Eq(t, None, r.Put(at(2), up("a", 1, false)))
-	u, _, _ := r.Get("a")
+	u, _ := r.Get("a")
 	must.True(t, u.Leaving)
 	// A new start under the same id is another upstream, its older entries
 	// are not.
 	must.Eq(t, Joined, r.Put(at(3), up("a", 2, false)))
 	must.Eq(t, None, r.Put(at(3), up("a", 1, true)))
-	u, _, _ = r.Get("a")
+	u, _ = r.Get("a")
 	must.False(t, u.Leaving)
 }
 
@@ -42,8 +42,8 @@
 	}
 	r.Away()
 	r.Back(at(10))
-	must.Eq(t, Lapsed, r.Drop(at(10.1), "a"))
-	must.SliceEmpty(t, r.Keep(at(10.2), map[string]bool{"c": true}))
+	must.Eq(t, Lapsed, r.Drop(at(10.1), "a", 0))
+	must.SliceEmpty(t, r.Keep(at(10.2), map[string]bool{"c": true}, 0))
 	must.Eq(t, 3, r.Len())
 	must.Eq(t, Returned, r.Put(at(11), up("a", 1, false)))
 	must.SliceEmpty(t, r.Expire(at(11.9)))
@@ -56,8 +56,8 @@
 func TestRemovalWithoutOutageIsAnEnd(t *testing.T) {
 	r := New(Settings{Settle: 2 * time.Second})
 	r.Put(at(0), up("a", 1, false))
-	must.Eq(t, Left, r.Drop(at(1), "a"))
-	must.Eq(t, None, r.Drop(at(1), "a"))
+	must.Eq(t, Left, r.Drop(at(1), "a", 0))
+	must.Eq(t, None, r.Drop(at(1), "a", 0))
 	must.Eq(t, 0, r.Len())
 }
 
@@ -67,5 +67,5 @@
 	r := New(Settings{Settle: 2 * time.Second})
 	r.Put(at(0), up("a", 1, true))
 	r.Away()
-	must.Eq(t, Left, r.Drop(at(1), "a"))
+	must.Eq(t, Left, r.Drop(at(1), "a", 0))
 }
--- a/internal/node/broker/fake_test.go
+++ b/internal/node/broker/fake_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,9 +114,10 @@
 		if err == nil {
 			break
 		}
-		// An order that meets a crash is repeated, as the owner and the waker do.
+		// An order that meets a crash is repeated, as the owner and the waker
+		// do, unless no process listens any more.
 		var ee *engine.Error
-		if !errors.As(err, &ee) || ee.Kind != engine.Unreachable || ctx.Err() != nil {
+		if !errors.As(err, &ee) || ee.Kind != engine.Unreachable || errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil {
 			return err
 		}
 		pause.For(ctx, time.Millisecond)
--- /dev/null
+++ b/internal/node/entry/book.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/roster"
+	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/node/loader"
+	"github.com/azurespan/azurespan/internal/node/tie"
+)
+
+// book is what this daemon knows of the log's topics. The holder reads them and
+// tells the others what is new; these read them themselves when what they know
+// is too old, so that the log's traffic doesn't grow with the daemons.
+type book struct {
+	// drain and deadline are the times within which what the register and the
+	// configuration say must take effect.
+	drain, deadline time.Duration
+	// holds reports whether this daemon is the holder.
+	holds func() bool
+	// use hands the upstreams to those who use them.
+	use func(now time.Time, ups []fleet.Upstream)
+
+	mu sync.Mutex
+	// roster holds the register.
+	roster *roster.Roster
+	// configAsOf is the offset up to which the configuration's topic has been
+	// read here, configTold the one that the holder has told, and configAt
+	// when the configuration in force was last known to be the newest.
+	configAsOf, configTold int64
+	configAt               time.Time
+}
+
+const (
+	// holderEvery is the interval at which the holder reads the register.
+	holderEvery = 400 * time.Millisecond
+	// beliefShare is the age from which a topic is read, as a share of the
+	// time within which what it says must take effect.
+	beliefShare = 0.6
+	// configWait is how long a read of the configuration waits for a new one;
+	// a silent connection is noticed after it. The holder's reads are shorter,
+	// since the others rely on them.
+	configWait       = 2500 * time.Millisecond
+	holderConfigWait = 500 * time.Millisecond
+	// settle is the time after the log's return in which lapsed entries come
+	// back, as the platform states it.
+	settle = 2 * time.Second
+)
+
+var (
+	_ tie.Book      = (*book)(nil)
+	_ loader.Topics = (*book)(nil)
+)
+
+func newBook(drain, deadline time.Duration, holds func() bool, use func(now time.Time, ups []fleet.Upstream)) *book {
+	return &book{drain: drain, deadline: deadline, holds: holds, use: use, roster: roster.New(roster.Settings{Settle: settle})}
+}
+
+// Known returns the offsets up to which the topics are known.
+func (b *book) Known() (register, config int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.roster.AsOf(), b.configAsOf
+}
+
+// Take takes over what the holder says of the topics.
+func (b *book) Take(asked time.Time, r *hub.WatchReply) {
+	b.mu.Lock()
+	if k := r.Config; k != nil {
+		b.configTold = max(b.configTold, k.AsOf)
+		if at := asked.Add(-k.Age); k.AsOf >= b.configAsOf && b.configTold == b.configAsOf && at.After(b.configAt) {
+			b.configAt = at
+		}
+	}
+	n := r.Register
+	if n == nil {
+		b.mu.Unlock()
+		return
+	}
+	changed := false
+	b.roster.Take(asked, n, func(up fleet.Upstream, c roster.Change) {
+		changed = true
+		event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "address", up.Address,
+			"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", up.Offset, "told-as-of", n.AsOf)
+	})
+	b.mu.Unlock()
+	if changed || len(n.Put) > 0 {
+		b.publish(asked)
+	}
+}
+
+// Register returns what has changed in the register since an offset.
+func (b *book) Register(now time.Time, since int64) *roster.News {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.roster.News(now, since)
+}
+
+// Config returns how much of the configuration's topic is known.
+func (b *book) Config(now time.Time) *hub.Known {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.configAt.IsZero() {
+		return nil
+	}
+	return &hub.Known{AsOf: b.configAsOf, Age: now.Sub(b.configAt)}
+}
+
+// registerDue returns how long the next read of the register can wait.
+func (b *book) registerDue(now time.Time) time.Duration {
+	limit := time.Duration(beliefShare * float64(b.drain))
+	if b.holds() {
+		limit = holderEvery
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.roster.ReadAt().Add(limit).Sub(now)
+}
+
+// configDue returns the same for the configuration. The holder always waits for
+// the next one.
+func (b *book) configDue(now time.Time) time.Duration {
+	if b.holds() {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.configTold > b.configAsOf {
+		return 0
+	}
+	return b.configAt.Add(time.Duration(beliefShare * float64(b.deadline))).Sub(now)
+}
+
+// configWait returns how long a read of the configuration waits for a new one.
+func (b *book) configWait() time.Duration {
+	if b.holds() {
+		return holderConfigWait
+	}
+	return configWait
+}
+
+// readConfig records that the configuration's topic was read here.
+func (b *book) readConfig(now time.Time, next, end int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configAsOf = max(b.configAsOf, next)
+	if next >= end {
+		b.configAt = now
+	}
+}
+
+// ages returns when each topic was last known to be read up to its end.
+func (b *book) ages() (register, config time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.roster.ReadAt(), b.configAt
+}
+
+// loaded reports whether the register has been known once.
+func (b *book) loaded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.roster.Loaded()
+}
+
+// publish hands the upstreams to those who use them.
+func (b *book) publish(now time.Time) {
+	b.mu.Lock()
+	ups := b.roster.Append(make([]fleet.Upstream, 0, b.roster.Len()))
+	b.mu.Unlock()
+	b.use(now, ups)
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -41,6 +41,8 @@
 		Grace time.Duration
 		// Drain is the time within which a leaving upstream gets nothing.
 		Drain time.Duration
+		// ConfigDeadline is the time within which a configuration is in force.
+		ConfigDeadline time.Duration
 		// HolderPause must lie between the orders of two holders.
 		HolderPause time.Duration
 		// RetryRatio, RetryWindow and RetrySlack bound the repeated sends to
@@ -78,15 +80,12 @@
 		tie    *tie.Tie
 		reg    *prometheus.Registry
 		config *configSink
-		roster *rosterSink
+		book   *book
 
 		stopping atomic.Bool
 		ready    atomic.Bool
 		active   atomic.Int64
-		// configRead and registerRead are when the topics were last read, in
-		// Unix nanoseconds.
-		configRead, registerRead atomic.Int64
-		met                      *metric.Metrics
+		met      *metric.Metrics
 	}
 )
 
@@ -102,14 +101,6 @@
 	// pauseSlack is added to the pause between two holders for orders that
 	// are on their way.
 	pauseSlack = 400 * time.Millisecond
-	// configWait is how long a read of the configuration waits; a silent
-	// connection is noticed after it.
-	configWait = 2500 * time.Millisecond
-	// holderEvery is the interval at which the holder reads the register, and
-	// tells the others who leaves. drainShare is that of the others, as a
-	// share of the time within which a leaving upstream gets nothing more.
-	holderEvery = 400 * time.Millisecond
-	drainShare  = 0.6
 	// dialTime and idleTime tune connections to upstreams.
 	dialTime = 200 * time.Millisecond
 	idleTime = 1500 * time.Millisecond
@@ -138,6 +129,12 @@
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetryWindow: set.RetryWindow, RetrySlack: set.RetrySlack,
 	}, plat.Wire, pool, met, rng, now)
+	e.book = newBook(set.Drain, set.ConfigDeadline,
+		func() bool { _, holds := e.right.Holds(); return holds },
+		func(now time.Time, ups []fleet.Upstream) {
+			e.relay.SetUpstreams(now, ups)
+			e.loader.SetUpstreams(now, ups)
+		})
 	// The holder reaches the log through other daemons if it must; they are
 	// told by the loader.
 	desk := errand.New(plat.Holder, func() { e.loader.Announce() }, now)
@@ -145,10 +142,9 @@
 		Self: set.Host, Address: set.Peers, TTL: tenure, Renew: renewal, Margin: margin,
 		Pause: set.HolderPause + pauseSlack, Spread: spread, FirstStart: set.FirstStart,
 	}, desk, plat.Boot)
-	e.loader = loader.New(set.Host, plan.Settings{StoreWindow: set.StoreWindow}, plat.Engines, e.right, desk, met, now)
-	e.tie = tie.New(set.Host, e.right, e.relay, e.loader, e.loader.Learn, plat.Holder, e.relay.Kick, now)
+	e.loader = loader.New(set.Host, plan.Settings{StoreWindow: set.StoreWindow}, plat.Engines, e.right, desk, e.book, met, now)
+	e.tie = tie.New(set.Host, e.right, e.relay, e.book, e.loader, e.loader.Learn, plat.Holder, e.relay.Kick, now)
 	e.config = &configSink{entry: e}
-	e.roster = newRosterSink(e)
 	return e
 }
 
@@ -173,13 +169,14 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	tree := super.New("entry")
-	tree.Add("configuration", feed.New(feed.Settings{Name: "configuration", Wait: configWait, Every: func() time.Duration { return 0 }}, e.plat.Configuration, e.config, e.now).Run)
-	tree.Add("upstreams", feed.New(feed.Settings{Name: "upstreams", Every: e.upstreamEvery}, e.plat.Upstreams, e.roster, e.now).Run)
+	tree.Add("configuration", feed.New(feed.Settings{Name: "configuration", Wait: e.book.configWait, Due: e.book.configDue}, e.plat.Configuration, e.config, e.now).Run)
+	register := &rosterSink{e, e.book}
+	tree.Add("upstreams", feed.New(feed.Settings{Name: "upstreams", Due: e.book.registerDue}, e.plat.Upstreams, register, e.now).Run)
 	tree.Add("right", e.right.Run)
 	tree.Add("tie", e.tie.Run)
 	tree.Add("loader", e.loader.Run)
 	tree.Add("relay", e.relay.Run)
-	tree.Add("roster", e.roster.run)
+	tree.Add("roster", register.run)
 	tree.Add("peers", func(ctx context.Context) error { return hub.Serve(ctx, peers, e.loader, e.now) })
 	tree.Add("metrics", serveHTTP(metrics, promhttp.HandlerFor(e.reg, promhttp.HandlerOpts{})))
 	tree.Add("readiness", serveHTTP(readiness, http.HandlerFunc(e.serveReadiness)))
@@ -205,21 +202,21 @@
 
 // observe sets the ages of what the daemon believes.
 func (e *Entry) observe(now time.Time) {
-	age := func(g prometheus.Gauge, at int64) {
-		if at != 0 {
-			g.Set(now.Sub(time.Unix(0, at)).Seconds())
-		}
+	register, config := e.book.ages()
+	if !register.IsZero() {
+		e.met.RegisterAgeSeconds.Set(now.Sub(register).Seconds())
+	}
+	if !config.IsZero() {
+		e.met.ConfigAgeSeconds.Set(now.Sub(config).Seconds())
 	}
-	age(e.met.ConfigAgeSeconds, e.configRead.Load())
-	age(e.met.RegisterAgeSeconds, e.registerRead.Load())
 }
 
-// upstreamEvery returns the interval at which this daemon reads the register.
-func (e *Entry) upstreamEvery() time.Duration {
-	if _, holds := e.right.Holds(); holds || !e.relay.Heard(e.now()) {
-		return holderEvery
+// announce tells the other daemons of a read of the configuration's topic.
+func (e *Entry) announce(now time.Time, p *feed.Page) {
+	e.book.readConfig(now, p.Next, p.End)
+	if len(p.Records) > 0 {
+		e.loader.Announce()
 	}
-	return time.Duration(drainShare * float64(e.set.Drain))
 }
 
 // stop takes the daemon out of rotation and finishes what it has.
@@ -252,9 +249,9 @@
 
 // serveReadiness answers whether callers should be sent here.
 func (e *Entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	ready := !e.stopping.Load() && e.relay.Config() != nil && e.roster.loaded.Load()
+	ready := !e.stopping.Load() && e.relay.Config() != nil && e.book.loaded()
 	if e.ready.Swap(ready) != ready {
-		event.EntryReady.Log("ready", ready, "stopping", e.stopping.Load(), "configured", e.relay.Config() != nil, "upstreams", e.roster.loaded.Load())
+		event.EntryReady.Log("ready", ready, "stopping", e.stopping.Load(), "configured", e.relay.Config() != nil, "upstreams", e.book.loaded())
 	}
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
@@ -23,10 +21,8 @@
 
 	// rosterSink keeps the register of upstreams.
 	rosterSink struct {
-		entry  *Entry
-		loaded atomic.Bool
-		mu     sync.Mutex
-		roster *roster.Roster
+		entry *Entry
+		book  *book
 	}
 )
 
@@ -35,22 +31,21 @@
 	_ feed.Sink = (*rosterSink)(nil)
 )
 
-const (
-	// settle is the time after the log's return in which lapsed entries come
-	// back, as the platform states it.
-	settle = 2 * time.Second
-	// expireEvery is the interval at which missing entries are looked at.
-	expireEvery = 100 * time.Millisecond
-)
+// expireEvery is the interval at which missing entries are looked at.
+const expireEvery = 100 * time.Millisecond
 
-// Replace takes the newest records over.
-func (s *configSink) Replace(now time.Time, records []feed.Record) { s.Apply(now, records) }
+// Known returns 0: nobody else tells what the configuration is.
+func (s *configSink) Known() int64 { return 0 }
 
-// Apply puts the newest configuration among the records in force.
-func (s *configSink) Apply(now time.Time, records []feed.Record) {
-	s.entry.configRead.Store(now.UnixNano())
-	for i := len(records) - 1; i >= 0; i-- {
-		rec := records[i]
+// Replace takes the newest records over.
+func (s *configSink) Replace(now time.Time, p *feed.Page) { s.Apply(now, p) }
+
+// Apply puts the highest version among the records in force.
+func (s *configSink) Apply(now time.Time, p *feed.Page) {
+	defer s.entry.announce(now, p)
+	var newest *fleet.Config
+	offset := int64(0)
+	for _, rec := range p.Records {
 		if rec.Key != s.entry.plat.ConfigKey || len(rec.Value) == 0 {
 			continue
 		}
@@ -59,16 +54,18 @@
 			event.ConfigRejected.Log("offset", rec.Offset, "err", err)
 			continue
 		}
-		if s.loaded && cfg.Version <= s.version {
-			return
+		if newest == nil || cfg.Version > newest.Version {
+			newest, offset = cfg, rec.Offset
 		}
-		s.version, s.loaded = cfg.Version, true
-		s.entry.relay.Configure(cfg)
-		s.entry.loader.Configure(cfg)
-		s.entry.roster.publish(now)
-		event.EntryConfig.Log("version", cfg.Version, "offset", rec.Offset, "routes", len(cfg.Routes), "services", len(cfg.Services))
+	}
+	if newest == nil || s.loaded && newest.Version <= s.version {
 		return
 	}
+	s.version, s.loaded = newest.Version, true
+	s.entry.relay.Configure(newest)
+	s.entry.loader.Configure(newest)
+	s.entry.book.publish(now)
+	event.EntryConfig.Log("version", newest.Version, "offset", offset, "routes", len(newest.Routes), "services", len(newest.Services))
 }
 
 // Away does nothing: the last configuration stays in force.
@@ -77,83 +74,93 @@
 // Back does nothing.
 func (s *configSink) Back(time.Time, time.Duration) {}
 
-func newRosterSink(e *Entry) *rosterSink {
-	return &rosterSink{entry: e, roster: roster.New(roster.Settings{Settle: settle})}
+// Known returns the offset up to which the holder has told what is registered.
+func (s *rosterSink) Known() int64 {
+	register, _ := s.book.Known()
+	return register
 }
 
 // Replace takes the newest records over; what isn't among them is gone.
-func (s *rosterSink) Replace(now time.Time, records []feed.Record) {
-	s.mu.Lock()
-	ids := make(map[string]bool, len(records))
-	for _, rec := range records {
-		if len(rec.Value) > 0 {
-			ids[rec.Key] = true
-			s.put(now, rec)
+func (s *rosterSink) Replace(now time.Time, p *feed.Page) {
+	b := s.book
+	b.mu.Lock()
+	if p.Next >= b.roster.AsOf() {
+		ids := make(map[string]bool, len(p.Records))
+		for _, rec := range p.Records {
+			if len(rec.Value) > 0 {
+				ids[rec.Key] = true
+				s.put(now, rec)
+			}
 		}
+		for _, id := range b.roster.Keep(now, ids, p.Next) {
+			event.UpstreamChanged.Log("upstream", id, "change", roster.Left, "reason", "no entry")
+		}
+		b.roster.Advance(now, p.Next, true)
 	}
-	for _, id := range s.roster.Keep(now, ids) {
-		event.UpstreamChanged.Log("upstream", id, "change", roster.Left, "reason", "no entry")
-	}
-	s.mu.Unlock()
-	s.entry.registerRead.Store(now.UnixNano())
-	s.loaded.Store(true)
-	s.publish(now)
+	b.mu.Unlock()
+	b.publish(now)
+	s.entry.loader.Announce()
 }
 
-// Apply takes further records over.
-func (s *rosterSink) Apply(now time.Time, records []feed.Record) {
-	s.entry.registerRead.Store(now.UnixNano())
-	s.mu.Lock()
-	for _, rec := range records {
-		if rec.Key == "" {
+// Apply takes further records over, but for those whose effect the holder has
+// told meanwhile.
+func (s *rosterSink) Apply(now time.Time, p *feed.Page) {
+	b := s.book
+	b.mu.Lock()
+	changed := false
+	for _, rec := range p.Records {
+		if rec.Key == "" || rec.Offset < b.roster.AsOf() {
 			continue
 		}
-		if len(rec.Value) == 0 {
-			if c := s.roster.Drop(now, rec.Key); c != roster.None {
-				event.UpstreamChanged.Log("upstream", rec.Key, "change", c, "reason", "entry removed", "offset", rec.Offset)
-			}
+		if len(rec.Value) > 0 {
+			changed = s.put(now, rec) || changed
 			continue
 		}
-		s.put(now, rec)
+		if c := b.roster.Drop(now, rec.Key, rec.Offset); c != roster.None {
+			changed = true
+			event.UpstreamChanged.Log("upstream", rec.Key, "change", c, "reason", "entry removed", "offset", rec.Offset)
+		}
+	}
+	b.roster.Advance(now, p.Next, p.Next >= p.End)
+	b.mu.Unlock()
+	if len(p.Records) > 0 {
+		b.publish(now)
+	}
+	if changed {
+		s.entry.loader.Announce()
 	}
-	s.mu.Unlock()
-	s.publish(now)
 }
 
-// put takes one entry over; s.mu is held.
-func (s *rosterSink) put(now time.Time, rec feed.Record) {
+// put takes one entry over and reports whether the belief has changed; the
+// book's mu is held.
+func (s *rosterSink) put(now time.Time, rec feed.Record) bool {
 	up, err := s.entry.plat.DecodeUpstream(rec.Key, rec.Value)
 	if err != nil {
 		event.EntryIgnored.Log("upstream", rec.Key, "offset", rec.Offset, "cause", err.Error())
-		return
+		return false
 	}
-	if c := s.roster.Put(now, up); c != roster.None {
-		event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "address", up.Address,
-			"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", rec.Offset)
+	up.Offset = rec.Offset
+	c := s.book.roster.Put(now, up)
+	if c == roster.None {
+		return false
 	}
+	event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "address", up.Address,
+		"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", rec.Offset)
+	return true
 }
 
 // Away records that the register can't be read.
 func (s *rosterSink) Away(time.Time, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.Away()
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	s.book.roster.Away()
 }
 
 // Back records its return.
 func (s *rosterSink) Back(now time.Time, _ time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.Back(now)
-}
-
-// publish hands the upstreams to those who use them.
-func (s *rosterSink) publish(now time.Time) {
-	s.mu.Lock()
-	ups := s.roster.Append(make([]fleet.Upstream, 0, s.roster.Len()))
-	s.mu.Unlock()
-	s.entry.relay.SetUpstreams(now, ups)
-	s.entry.loader.SetUpstreams(now, ups)
+	s.book.mu.Lock()
+	defer s.book.mu.Unlock()
+	s.book.roster.Back(now)
 }
 
 // run drops the entries that are still missing after an outage.
@@ -168,14 +175,15 @@
 		}
 		now := s.entry.now()
 		s.entry.observe(now)
-		s.mu.Lock()
-		left := s.roster.Expire(now)
-		s.mu.Unlock()
+		s.book.mu.Lock()
+		left := s.book.roster.Expire(now)
+		s.book.mu.Unlock()
 		for _, id := range left {
 			event.UpstreamChanged.Log("upstream", id, "change", roster.Left, "reason", "missing after an outage")
 		}
 		if len(left) > 0 {
-			s.publish(now)
+			s.book.publish(now)
+			s.entry.loader.Announce()
 		}
 	}
 }
--- a/internal/node/errand/errand.go
+++ b/internal/node/errand/errand.go
@@ -18,7 +18,7 @@
 type (
 	// Topic is a topic of the log.
 	Topic interface {
-		Newest(ctx context.Context) (records []feed.Record, next int64, err error)
+		Newest(ctx context.Context) (*feed.Page, error)
 		Append(ctx context.Context, at int64, key string, value []byte) (ok bool, err error)
 	}
 
@@ -36,8 +36,7 @@
 	Result struct {
 		ID      uint64
 		OK      bool
-		Records []feed.Record
-		Next    int64
+		Page    *feed.Page
 		Problem string
 	}
 
@@ -95,14 +94,13 @@
 }
 
 // Newest returns the newest records.
-func (d *Desk) Newest(ctx context.Context) ([]feed.Record, int64, error) {
-	var records []feed.Record
-	var next int64
+func (d *Desk) Newest(ctx context.Context) (*feed.Page, error) {
+	var p *feed.Page
 	err := d.try(ctx, Job{}, func() (err error) {
-		records, next, err = d.topic.Newest(ctx)
+		p, err = d.topic.Newest(ctx)
 		return err
-	}, func(r Result) { records, next = r.Records, r.Next })
-	return records, next, err
+	}, func(r Result) { p = r.Page })
+	return p, err
 }
 
 // Append writes a record if the topic ends at offset at.
@@ -207,7 +205,7 @@
 	if j.Append {
 		r.OK, err = topic.Append(ctx, j.At, j.Key, j.Value)
 	} else {
-		r.Records, r.Next, err = topic.Newest(ctx)
+		r.Page, err = topic.Newest(ctx)
 	}
 	if err != nil {
 		r.Problem = err.Error()
--- a/internal/node/errand/errand_test.go
+++ b/internal/node/errand/errand_test.go
@@ -19,11 +19,11 @@
 
 var errCut = &feed.Refused{Status: 503}
 
-func (t *topic) Newest(context.Context) ([]feed.Record, int64, error) {
+func (t *topic) Newest(context.Context) (*feed.Page, error) {
 	if t.cut {
-		return nil, 0, errCut
+		return nil, errCut
 	}
-	return []feed.Record{{Key: "holder", Offset: t.end - 1}}, t.end, nil
+	return &feed.Page{Records: []feed.Record{{Key: "holder", Offset: t.end - 1}}, Next: t.end, End: t.end}, nil
 }
 
 func (t *topic) Append(_ context.Context, at int64, _ string, _ []byte) (bool, error) {
@@ -77,10 +77,10 @@
 	ok, err = d.Append(context.Background(), 7, "holder", []byte("x"))
 	must.NoError(t, err)
 	must.False(t, ok)
-	records, next, err := d.Newest(context.Background())
+	p, err := d.Newest(context.Background())
 	must.NoError(t, err)
-	must.Len(t, 1, records)
-	must.Eq(t, int64(8), next)
+	must.Len(t, 1, p.Records)
+	must.Eq(t, int64(8), p.Next)
 }
 
 // TestNoWay guards against an outcome that is taken for known.
--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -19,20 +19,31 @@
 		Offset int64
 	}
 
+	// Page is a part of a topic.
+	Page struct {
+		Records []Record
+		// Next is where to read on, End the offset after the newest record.
+		Next, End int64
+	}
+
 	// Source reads a topic.
 	Source interface {
-		// Newest returns the newest record of each key and where to read on.
-		Newest(ctx context.Context) (records []Record, next int64, err error)
-		// Read returns records from an offset on and where to read on.
-		Read(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
+		// Newest returns the newest record of each key.
+		Newest(ctx context.Context) (*Page, error)
+		// Read returns records from an offset on. The page may be good up to
+		// an error.
+		Read(ctx context.Context, from int64, wait time.Duration) (*Page, error)
 	}
 
 	// Sink takes what a Feed reads.
 	Sink interface {
+		// Known returns the offset up to which the sink knows the topic from
+		// elsewhere, 0 if it doesn't.
+		Known() int64
 		// Replace takes the state of all keys.
-		Replace(now time.Time, records []Record)
+		Replace(now time.Time, p *Page)
 		// Apply takes further records in their order.
-		Apply(now time.Time, records []Record)
+		Apply(now time.Time, p *Page)
 		// Away is called for each failed call, Back for the first good one
 		// after a failure.
 		Away(now time.Time, err error)
@@ -43,10 +54,10 @@
 	Settings struct {
 		// Name of the topic in logs.
 		Name string
-		// Wait is how long a read waits for records.
-		Wait time.Duration
-		// Every returns the least time between two reads.
-		Every func() time.Duration
+		// Wait returns how long a read waits for records; nil for not at all.
+		Wait func() time.Duration
+		// Due returns how long the next read can still wait at now.
+		Due func(now time.Time) time.Duration
 	}
 
 	// Feed follows one topic.
@@ -83,6 +94,9 @@
 	// return must be noticed within the time that a configuration may take.
 	firstRetry = 60 * time.Millisecond
 	lastRetry  = 600 * time.Millisecond
+	// dueCheck is the interval at which Due is asked again, since what is
+	// known from elsewhere changes.
+	dueCheck = 100 * time.Millisecond
 )
 
 // Error describes the gap.
@@ -104,7 +118,10 @@
 // Run follows the topic until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		began := f.now()
+		if due := f.set.Due(f.now()); due > 0 {
+			pause.For(ctx, min(due, dueCheck))
+			continue
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			break
@@ -115,7 +132,6 @@
 			continue
 		}
 		f.succeeded()
-		pause.For(ctx, f.set.Every()-f.now().Sub(began))
 	}
 	return ctx.Err()
 }
@@ -123,15 +139,20 @@
 // step makes one call. A deleted history is no failure.
 func (f *Feed) step(ctx context.Context) error {
 	if !f.loaded {
-		records, next, err := f.src.Newest(ctx)
+		p, err := f.src.Newest(ctx)
 		if err != nil {
 			return err
 		}
-		f.sink.Replace(f.now(), records)
-		f.next, f.loaded = next, true
+		f.sink.Replace(f.now(), p)
+		f.next, f.loaded = p.Next, true
 		return nil
 	}
-	records, next, err := f.src.Read(ctx, f.next, f.set.Wait)
+	f.next = max(f.next, f.sink.Known())
+	wait := time.Duration(0)
+	if f.set.Wait != nil {
+		wait = f.set.Wait()
+	}
+	p, err := f.src.Read(ctx, f.next, wait)
 	var gone *Gone
 	if errors.As(err, &gone) {
 		event.HistoryGone.Log("topic", f.set.Name, "from", gone.From)
@@ -140,9 +161,9 @@
 	}
 	// Whole records before a truncated one are good. An answer without
 	// records is news, too.
-	if len(records) > 0 || err == nil {
-		f.sink.Apply(f.now(), records)
-		f.next = next
+	if p != nil && (len(p.Records) > 0 || err == nil) {
+		f.sink.Apply(f.now(), p)
+		f.next = p.Next
 	}
 	return err
 }
--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -16,6 +16,7 @@
 	got   []string
 	away  int
 	back  int
+	known int64
 }
 
 type step struct {
@@ -25,12 +26,14 @@
 	records []Record
 	next    int64
 	err     error
+	// known is what the sink knows from elsewhere after the call.
+	known int64
 }
 
-func (s *script) play(newest bool, from int64) ([]Record, int64, error) {
+func (s *script) play(newest bool, from int64) (*Page, error) {
 	if len(s.steps) == 0 {
 		s.stop()
-		return nil, from, context.Canceled
+		return nil, context.Canceled
 	}
 	x := s.steps[0]
 	s.steps = s.steps[1:]
@@ -38,22 +41,25 @@
 	if !newest {
 		must.Eq(s.t, x.from, from)
 	}
-	return x.records, x.next, x.err
+	s.known = x.known
+	return &Page{Records: x.records, Next: x.next, End: x.next}, x.err
 }
 
-func (s *script) Newest(context.Context) ([]Record, int64, error) { return s.play(true, 0) }
+func (s *script) Newest(context.Context) (*Page, error) { return s.play(true, 0) }
 
-func (s *script) Read(_ context.Context, from int64, _ time.Duration) ([]Record, int64, error) {
+func (s *script) Read(_ context.Context, from int64, _ time.Duration) (*Page, error) {
 	return s.play(false, from)
 }
 
-func (s *script) Replace(_ time.Time, records []Record) {
+func (s *script) Known() int64 { return s.known }
+
+func (s *script) Replace(_ time.Time, p *Page) {
 	s.got = append(s.got, "replace")
-	s.Apply(time.Time{}, records)
+	s.Apply(time.Time{}, p)
 }
 
-func (s *script) Apply(_ time.Time, records []Record) {
-	for _, r := range records {
+func (s *script) Apply(_ time.Time, p *Page) {
+	for _, r := range p.Records {
 		s.got = append(s.got, r.Key+"="+string(r.Value))
 	}
 }
@@ -64,7 +70,7 @@
 func run(t *testing.T, steps ...step) *script {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &script{t: t, steps: steps, stop: cancel}
-	f := New(Settings{Name: "test", Every: func() time.Duration { return 0 }}, s, s, time.Now)
+	f := New(Settings{Name: "test", Due: func(time.Time) time.Duration { return 0 }}, s, s, time.Now)
 	must.ErrorIs(t, f.Run(ctx), context.Canceled)
 	return s
 }
@@ -82,6 +88,34 @@
 	must.Eq(t, []string{"replace", "a=1", "a=2", "b=3", "b="}, s.got)
 }
 
+// TestReadsOnFromWhatIsKnown guards against a daemon that reads again what
+// another one has told it, which is most of a register's traffic.
+func TestReadsOnFromWhatIsKnown(t *testing.T) {
+	s := run(t,
+		step{newest: true, next: 5, known: 900},
+		step{from: 900, records: []Record{rec("a", "2")}, next: 901, known: 700},
+		step{from: 901, next: 901})
+	must.Eq(t, []string{"replace", "a=2"}, s.got)
+}
+
+// TestWaitsWhileNotDue guards against calls to the log while another daemon
+// tells what is new, and against none once it has fallen silent.
+func TestWaitsWhileNotDue(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &script{t: t, steps: []step{{newest: true, next: 5}}, stop: cancel}
+	asked := 0
+	due := func(time.Time) time.Duration {
+		if asked++; asked < 4 {
+			must.Len(t, 1, s.steps)
+			return time.Millisecond
+		}
+		return 0
+	}
+	must.ErrorIs(t, New(Settings{Name: "test", Due: due}, s, s, time.Now).Run(ctx), context.Canceled)
+	must.Eq(t, []string{"replace"}, s.got)
+	must.Eq(t, 5, asked)
+}
+
 // TestHistoryDropped guards against a daemon that hears nothing more because the
 // records it would read have been deleted.
 func TestHistoryDropped(t *testing.T) {
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -11,6 +11,7 @@
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/poison"
+	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/errand"
 )
 
@@ -32,8 +33,9 @@
 		Host  string
 		Fence int64
 		Rev   uint64
-		// LeftRev is the revision of Left that the daemon has.
-		LeftRev uint64
+		// Register and Config are the offsets up to which the daemon knows
+		// these topics.
+		Register, Config int64
 		// Load asks for Running and Daemons.
 		Load bool
 	}
@@ -53,14 +55,22 @@
 		// StoreAtOnce is the number of loads from the weight store at once
 		// that the holder has learned, for the next holder.
 		StoreAtOnce float64
-		// Left are the upstreams that leave or have gone lately. The holder
-		// reads the register more often than the others.
-		Left    []string
-		LeftRev uint64
+		// Register is what has changed there and Config what is known of
+		// that topic, nil while the holder doesn't know.
+		Register *roster.News
+		Config   *Known
 		// Job is a call to the log that the daemon makes for the holder.
 		Job *errand.Job
 	}
 
+	// Known is how much of a topic the holder knows.
+	Known struct {
+		// AsOf is the offset up to which it is known, Age the time since that
+		// was all.
+		AsOf int64
+		Age  time.Duration
+	}
+
 	// Holder is the daemon that may order loads.
 	Holder interface {
 		// Tell takes over what a daemon tells. It fails without the right.
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/errand"
 	"github.com/azurespan/azurespan/internal/node/hub"
 )
@@ -60,14 +61,24 @@
 		if a.Host != l.host {
 			job = l.desk.Take(a.Host)
 		}
-		if len(copies) > 0 || job != nil || ctx.Err() != nil || l.leftRev != a.LeftRev {
-			defer l.mu.Unlock()
-			r := l.reply(now, a, copies, rev)
+		changed := l.changed
+		var r *hub.WatchReply
+		if len(copies) > 0 || job != nil || ctx.Err() != nil {
+			r = l.reply(now, a, copies, rev)
 			r.Job = job
-			return r, nil
 		}
-		changed := l.changed
 		l.mu.Unlock()
+		register, config := l.news(now, a)
+		fresh := register != nil && (register.Full || len(register.Put)+len(register.Gone) > 0) || config != nil && config.AsOf > a.Config
+		if r == nil && fresh {
+			l.mu.Lock()
+			r = l.reply(now, a, copies, rev)
+			l.mu.Unlock()
+		}
+		if r != nil {
+			r.Register, r.Config = register, config
+			return r, nil
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -75,6 +86,15 @@
 	}
 }
 
+// news returns what this daemon knows of the log's topics that another one
+// doesn't.
+func (l *Loader) news(now time.Time, a *hub.WatchArgs) (*roster.News, *hub.Known) {
+	if a.Host == l.host {
+		return nil, nil
+	}
+	return l.topics.Register(now, a.Register), l.topics.Config(now)
+}
+
 // Done takes the result of a call to the log over.
 func (l *Loader) Done(r errand.Result) { l.desk.Done(r) }
 
@@ -97,14 +117,11 @@
 // reply collects what a daemon is told; l.mu is held.
 func (l *Loader) reply(now time.Time, a *hub.WatchArgs, copies []fleet.Copy, rev uint64) *hub.WatchReply {
 	r := &hub.WatchReply{
-		Fence: l.fence, Rev: rev, Copies: copies, Coming: l.planner.Coming(now), LeftRev: l.leftRev, StoreAtOnce: l.planner.AtOnce(),
+		Fence: l.fence, Rev: rev, Copies: copies, Coming: l.planner.Coming(now), StoreAtOnce: l.planner.AtOnce(),
 	}
 	if a.Load {
 		r.Running, r.Daemons = l.running(now, a.Host)
 	}
-	for id := range l.left {
-		r.Left = append(r.Left, id)
-	}
 	for fp := range l.suspect {
 		e := l.crashes.Entry(fp)
 		if len(e.Crashes) == 0 {
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -11,6 +11,7 @@
 	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/poison"
+	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/errand"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/rule/plan"
@@ -38,6 +39,15 @@
 		Done(r errand.Result)
 	}
 
+	// Topics is what this daemon knows of the log's topics.
+	Topics interface {
+		// Register returns what has changed in the register since an offset,
+		// Config how much of the configuration's topic is known; nil if that
+		// isn't known well.
+		Register(now time.Time, since int64) *roster.News
+		Config(now time.Time) *hub.Known
+	}
+
 	// Loader is the state. It is safe for concurrent use.
 	Loader struct {
 		host    string
@@ -45,6 +55,7 @@
 		engines Engines
 		right   Right
 		desk    Desk
+		topics  Topics
 		met     *metric.Metrics
 		now     func() time.Time
 
@@ -60,9 +71,6 @@
 		crashes *poison.Table
 		suspect map[string]bool
 		rev     uint64
-		// left are the upstreams that leave, or when they disappeared.
-		left    map[string]time.Time
-		leftRev uint64
 		// changed is closed and replaced when there is something to tell.
 		changed chan struct{}
 		kick    chan struct{}
@@ -86,18 +94,15 @@
 	decideRest  = 6
 	// peerMemory is how long a silent daemon counts.
 	peerMemory = 2 * time.Second
-	// leftMemory is how long other daemons are told of an upstream that has
-	// disappeared: longer than they take to read the register themselves.
-	leftMemory = 5 * time.Second
 	// crashMemory is how long crashes are remembered.
 	crashMemory = time.Minute
 )
 
 // New returns a Loader of the daemon named host.
-func New(host string, set plan.Settings, e Engines, r Right, d Desk, met *metric.Metrics, now func() time.Time) *Loader {
+func New(host string, set plan.Settings, e Engines, r Right, d Desk, t Topics, met *metric.Metrics, now func() time.Time) *Loader {
 	return &Loader{
-		host: host, set: set, engines: e, right: r, desk: d, met: met, now: now,
-		daemons: map[string]*peer{}, crashes: poison.New(crashMemory), suspect: map[string]bool{}, left: map[string]time.Time{},
+		host: host, set: set, engines: e, right: r, desk: d, topics: t, met: met, now: now,
+		daemons: map[string]*peer{}, crashes: poison.New(crashMemory), suspect: map[string]bool{},
 		changed: make(chan struct{}), kick: make(chan struct{}, 1),
 	}
 }
@@ -118,7 +123,6 @@
 func (l *Loader) SetUpstreams(now time.Time, ups []fleet.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.leave(now, ups)
 	l.ups = ups
 	if l.planner != nil {
 		l.planner.Upstreams(now, ups)
@@ -126,38 +130,6 @@
 	l.wake()
 }
 
-// leave notes which upstreams leave or have disappeared; l.mu is held.
-func (l *Loader) leave(now time.Time, ups []fleet.Upstream) {
-	stay := make(map[string]bool, len(ups))
-	rev := l.leftRev
-	for _, u := range ups {
-		stay[u.ID] = true
-		_, known := l.left[u.ID]
-		switch {
-		case u.Leaving && !known:
-			l.left[u.ID] = now
-			l.leftRev++
-		case !u.Leaving && known:
-			delete(l.left, u.ID)
-			l.leftRev++
-		}
-	}
-	for _, u := range l.ups {
-		if !stay[u.ID] {
-			l.left[u.ID] = now
-			l.leftRev++
-		}
-	}
-	for id, at := range l.left {
-		if !stay[id] && now.Sub(at) > leftMemory {
-			delete(l.left, id)
-		}
-	}
-	if l.leftRev != rev {
-		l.announce()
-	}
-}
-
 // wake makes Run decide; l.mu is held.
 func (l *Loader) wake() {
 	select {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -147,7 +147,6 @@
 	if h.Running != nil {
 		r.table.SetOthers(h.Running)
 	}
-	r.table.SetLeft(h.Left)
 	clear(r.coming)
 	for _, c := range h.Coming {
 		r.coming[c.Key] = now.Add(c.In)
@@ -186,13 +185,6 @@
 	}
 }
 
-// Heard reports whether the holder has been heard lately.
-func (r *Relay) Heard(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now.Sub(r.heard) < heardFor
-}
-
 // Demand returns what to tell the holder, and starts counting anew.
 func (r *Relay) Demand(now time.Time) (d fleet.Demand, crashes []poison.Entry, cleared []string) {
 	r.mu.Lock()
--- a/internal/node/right/right.go
+++ b/internal/node/right/right.go
@@ -18,7 +18,7 @@
 type (
 	// Topic is the part of the log that holds the right.
 	Topic interface {
-		Newest(ctx context.Context) (records []feed.Record, next int64, err error)
+		Newest(ctx context.Context) (*feed.Page, error)
 		// Append writes a record if the topic ends at an offset. ok is false
 		// if it ends elsewhere.
 		Append(ctx context.Context, at int64, key string, value []byte) (ok bool, err error)
@@ -159,14 +159,14 @@
 }
 
 func (r *Right) read(ctx context.Context) {
-	records, end, err := r.topic.Newest(ctx)
+	p, err := r.topic.Newest(ctx)
 	if err != nil {
 		pause.For(ctx, jitter(retryWait))
 		return
 	}
 	var rec *lease.Record
-	offset := end
-	for _, x := range records {
+	offset := p.Next
+	for _, x := range p.Records {
 		if x.Key != recordKey {
 			continue
 		}
@@ -179,7 +179,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lease.Observe(r.now(), rec, offset, end)
+	r.lease.Observe(r.now(), rec, offset, p.Next)
 }
 
 func (r *Right) write(ctx context.Context, a lease.Write) {
--- a/internal/node/tie/tie.go
+++ b/internal/node/tie/tie.go
@@ -35,11 +35,22 @@
 		Hear(now time.Time, r *hub.WatchReply)
 	}
 
+	// Book is what the daemon knows of the log's topics.
+	Book interface {
+		// Known returns the offsets up to which the register and the
+		// configuration are known.
+		Known() (register, config int64)
+		// Take takes over what the holder says of them, which was asked at a
+		// time.
+		Take(asked time.Time, r *hub.WatchReply)
+	}
+
 	// Tie is the contact of one daemon.
 	Tie struct {
 		host  string
 		right Right
 		local Local
+		book  Book
 		self  hub.Holder
 		// learn takes over what the holder has learned of the weight store.
 		learn func(storeAtOnce float64)
@@ -50,7 +61,6 @@
 		// fence and rev are what was heard last.
 		fence int64
 		rev   uint64
-		left  uint64
 		// daemons is the number in contact with the holder; atomic, since
 		// tell and watch run side by side.
 		daemons atomic.Int64
@@ -95,8 +105,8 @@
 
 // New returns a Tie. kick wakes it when there is something urgent to tell, self
 // is this daemon's own holder side.
-func New(host string, right Right, local Local, self hub.Holder, learn func(storeAtOnce float64), topic errand.Topic, kick <-chan struct{}, now func() time.Time) *Tie {
-	return &Tie{host: host, right: right, local: local, self: self, learn: learn, topic: topic, kick: kick, now: now}
+func New(host string, right Right, local Local, book Book, self hub.Holder, learn func(storeAtOnce float64), topic errand.Topic, kick <-chan struct{}, now func() time.Time) *Tie {
+	return &Tie{host: host, right: right, local: local, book: book, self: self, learn: learn, topic: topic, kick: kick, now: now}
 }
 
 // Tell tells this daemon itself.
@@ -192,9 +202,11 @@
 	began := false
 	var loadAt time.Time
 	for {
-		a := &hub.WatchArgs{Host: t.host, Fence: t.fence, Rev: t.rev, LeftRev: t.left}
-		if now := t.now(); now.Sub(loadAt) >= loadEvery {
-			a.Load, loadAt = true, now
+		asked := t.now()
+		a := &hub.WatchArgs{Host: t.host, Fence: t.fence, Rev: t.rev}
+		a.Register, a.Config = t.book.Known()
+		if asked.Sub(loadAt) >= loadEvery {
+			a.Load, loadAt = true, asked
 		}
 		r, err := c.Watch(ctx, a)
 		if err != nil {
@@ -208,8 +220,10 @@
 			event.HolderContact.Log("address", address, "contact", true, "fence", r.Fence, "daemons", r.Daemons)
 		}
 		t.right.Touch()
-		t.fence, t.rev, t.left = r.Fence, r.Rev, r.LeftRev
+		t.fence, t.rev = r.Fence, r.Rev
 		t.learn(r.StoreAtOnce)
+		// Copies count only for upstreams that are known.
+		t.book.Take(asked, r)
 		t.local.Hear(t.now(), r)
 		if r.Job != nil {
 			go t.errand(ctx, c, r.Job)
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -15,7 +15,7 @@
 	cut := t.cutOff(now, q.Key.Service)
 	t.weighed = t.weighed[:0]
 	for _, s := range t.byName[q.Key.Service] {
-		if s.up.Leaving || s.left || tried(q.Tried, s.up.ID) {
+		if s.up.Leaving || tried(q.Tried, s.up.ID) {
 			continue
 		}
 		usable = true
--- a/internal/rule/pick/pick.go
+++ b/internal/rule/pick/pick.go
@@ -73,8 +73,9 @@
 		running map[fleet.Key]int
 		own     int
 		others  int
-		// left is set while the holder says that it leaves.
-		left bool
+		// heldAt is the offset of the register's entry that held was last
+		// compared with.
+		heldAt int64
 		// fails counts failures in a row, aside is until when it is avoided.
 		fails int
 		aside time.Time
@@ -189,10 +190,10 @@
 			t.ups[u.ID] = s
 		}
 		s.up = u
-		if !heard || s.held == nil {
+		if s.held == nil || !heard && u.Offset > s.heldAt {
 			s.hold(u.Holding.Models)
 		}
-		s.left = s.left && heard
+		s.heldAt = u.Offset
 	}
 	clear(t.byName)
 	for id, s := range t.ups {
@@ -235,18 +236,6 @@
 	}
 }
 
-// SetLeft replaces the upstreams that leave by what the holder says.
-func (t *Table) SetLeft(ids []string) {
-	for _, s := range t.ups {
-		s.left = false
-	}
-	for _, id := range ids {
-		if s := t.ups[id]; s != nil {
-			s.left = true
-		}
-	}
-}
-
 // SetDaemons takes over how many daemons choose among the same upstreams.
 func (t *Table) SetDaemons(n int) { t.daemons = max(n, 1) }
 
@@ -254,7 +243,7 @@
 // and isn't leaving.
 func (t *Table) Usable(up fleet.Upstream) bool {
 	s := t.ups[up.ID]
-	return s != nil && s.up.Born == up.Born && !s.up.Leaving && !s.left
+	return s != nil && s.up.Born == up.Born && !s.up.Leaving
 }
 
 // Running adds this daemon's requests in progress by upstream to dst.
--- a/internal/rule/pick/pick_test.go
+++ b/internal/rule/pick/pick_test.go
@@ -98,12 +98,13 @@
 }
 
 // TestLeavingGetsNothing guards against new requests to an upstream that
-// leaves, whether the register or the holder says so.
+// leaves, whether that is known from the start or comes later.
 func TestLeavingGetsNothing(t *testing.T) {
 	tab, ups := engines(3)
 	ups[0].Leaving = true
 	tab.SetUpstreams(ups, false)
-	tab.SetLeft([]string{"e1"})
+	ups[1].Leaving = true
+	tab.SetUpstreams(ups, true)
 	got := spread(t, tab, at(0), 3, query("m", ""))
 	must.Eq(t, 3, got["e2"])
 	must.False(t, tab.Usable(ups[0]))
