hub, loader: what all daemons are told alike is packed once

All daemons read the whole register at once at the start (about 2 MB each, 80 MB a second for all), timed out and began anew; contacts with the holder, which encoded the whole state for each, broke off and came back every 100 ms (1,857 new connections a second at the busiest).

Ruled out: the steady traffic (kB a second at the middle daemon was no higher than at 30 hosts) and the register's own size, which one reader takes.

Change: all copies and the whole register are packed once for those who ask within 0.3 s; failed contacts are repeated with jitter up to 0.8 s, failed reads of a whole topic up to 3 s; at the first start of a system daemons wait up to 3 s for a holder's word before they read the register themselves.

Tests without the bench: the bulk of the largest fleet fits the slowest link in the time before traffic; the first start of many daemons.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -122,6 +122,11 @@
 		Number: 8205, Name: "holder-close-failed",
 		Meaning: "The connection to the holder couldn't be closed in order.",
 	})
+	PackFailed = register(Event{
+		Number: 8207, Name: "bulk-not-packed", Severity: Error,
+		Meaning: "What all daemons are told alike couldn't be encoded; each is told by itself.",
+		Action:  "Report it with the log; control traffic is larger meanwhile.",
+	})
 	ErrandDone = register(Event{
 		Number: 8206, Name: "holder-errand",
 		Meaning: "The holder, cut off from the log, made a call to it through another daemon.",
--- a/internal/node/entry/book.go
+++ b/internal/node/entry/book.go
@@ -19,6 +19,8 @@
 	// drain and deadline are the times within which what the register and the
 	// configuration say must take effect.
 	drain, deadline time.Duration
+	// firstRead is when this daemon may read the whole register itself.
+	firstRead time.Time
 	// holds reports whether this daemon is the holder.
 	holds func() bool
 	// use hands the upstreams to those who use them.
@@ -45,6 +47,10 @@
 	// since the others rely on them.
 	configWait       = 2500 * time.Millisecond
 	holderConfigWait = 500 * time.Millisecond
+	// firstWait is how long a daemon waits for a holder's word at the first
+	// start of a system, before it reads the whole register itself. Traffic
+	// starts later than that.
+	firstWait = 3 * time.Second
 	// settle is the time after the log's return in which lapsed entries come
 	// back, as the platform states it.
 	settle = 2 * time.Second
@@ -55,8 +61,8 @@
 	_ loader.Topics = (*book)(nil)
 )
 
-func newBook(drain, deadline time.Duration, holds func() bool, use func(now time.Time, ups []fleet.Upstream)) *book {
-	return &book{drain: drain, deadline: deadline, holds: holds, use: use, roster: roster.New(roster.Settings{Settle: settle})}
+func newBook(drain, deadline time.Duration, firstRead time.Time, holds func() bool, use func(now time.Time, ups []fleet.Upstream)) *book {
+	return &book{drain: drain, deadline: deadline, firstRead: firstRead, holds: holds, use: use, roster: roster.New(roster.Settings{Settle: settle})}
 }
 
 // Known returns the offsets up to which the topics are known.
@@ -111,13 +117,16 @@
 
 // registerDue returns how long the next read of the register can wait.
 func (b *book) registerDue(now time.Time) time.Duration {
-	limit := time.Duration(beliefShare * float64(b.drain))
-	if b.holds() {
-		limit = holderEvery
-	}
+	holds := b.holds()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.roster.ReadAt().Add(limit).Sub(now)
+	switch {
+	case holds:
+		return b.roster.ReadAt().Add(holderEvery).Sub(now)
+	case !b.roster.Loaded():
+		return b.firstRead.Sub(now)
+	}
+	return b.roster.ReadAt().Add(time.Duration(beliefShare * float64(b.drain))).Sub(now)
 }
 
 // configDue returns the same for the configuration. The holder always waits for
--- a/internal/node/entry/book_test.go
+++ b/internal/node/entry/book_test.go
@@ -28,7 +28,7 @@
 
 func newDesk() *desk {
 	d := &desk{}
-	d.book = newBook(drain, deadline, func() bool { return d.holder }, func(_ time.Time, ups []fleet.Upstream) {
+	d.book = newBook(drain, deadline, at(100), func() bool { return d.holder }, func(_ time.Time, ups []fleet.Upstream) {
 		d.ups = ups
 		d.used++
 	})
@@ -98,6 +98,21 @@
 	must.Eq(t, 200*time.Millisecond, d.Config(at(100.2)).Age)
 }
 
+// TestFirstStartOfManyDaemons plays the load of a fleet that starts at once: the
+// holder reads the register, and the others wait for its word a while.
+func TestFirstStartOfManyDaemons(t *testing.T) {
+	d := newDesk()
+	d.firstRead = at(103)
+	must.True(t, d.registerDue(at(102.9)) > 0)
+	must.True(t, d.registerDue(at(103)) <= 0)
+	d.holder = true
+	must.True(t, d.registerDue(at(100)) <= 0)
+	d.holder = false
+	d.Take(at(101), reply(10, 5, 0))
+	must.True(t, d.registerDue(at(102)) > 0)
+	must.True(t, d.registerDue(at(103)) <= 0)
+}
+
 // TestPartialReadIsNotFresh guards against a daemon that takes the part of a
 // topic that one answer holds for all of it.
 func TestPartialReadIsNotFresh(t *testing.T) {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -129,7 +129,11 @@
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: set.FailureDomain, RetryRatio: set.RetryRatio, RetryWindow: set.RetryWindow, RetrySlack: set.RetrySlack,
 	}, plat.Wire, pool, met, rng, now)
-	e.book = newBook(set.Drain, set.ConfigDeadline,
+	firstRead := now()
+	if set.FirstStart {
+		firstRead = firstRead.Add(firstWait)
+	}
+	e.book = newBook(set.Drain, set.ConfigDeadline, firstRead,
 		func() bool { _, holds := e.right.Holds(); return holds },
 		func(now time.Time, ups []fleet.Upstream) {
 			e.relay.SetUpstreams(now, ups)
--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -94,6 +94,9 @@
 	// return must be noticed within the time that a configuration may take.
 	firstRetry = 60 * time.Millisecond
 	lastRetry  = 600 * time.Millisecond
+	// lastWhole is lastRetry for reads of a whole topic, which a crowd of
+	// daemons that start together can make fail by their number.
+	lastWhole = 3 * time.Second
 	// dueCheck is the interval at which Due is asked again, since what is
 	// known from elsewhere changes.
 	dueCheck = 100 * time.Millisecond
@@ -198,5 +201,8 @@
 // return to the log together.
 func (f *Feed) backoff() time.Duration {
 	d := min(firstRetry<<min(f.failures, 4), lastRetry)
+	if !f.loaded {
+		d = min(firstRetry<<min(f.failures, 6), lastWhole)
+	}
 	return d/2 + rand.N(d/2)
 }
--- /dev/null
+++ b/internal/node/hub/bulk.go
@@ -0,0 +1,38 @@
+package hub
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/gob"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Bulk is a value that many daemons are told alike, encoded once for all of
+// them: at the start of a fleet or of a tenure everyone asks for all there is.
+type Bulk[T any] []byte
+
+// Pack encodes v.
+func Pack[T any](v T) (Bulk[T], error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	if err := gob.NewEncoder(w).Encode(v); err != nil {
+		return nil, merry.Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return b.Bytes(), nil
+}
+
+// Unpack decodes b.
+func (b Bulk[T]) Unpack() (v T, err error) {
+	r := flate.NewReader(bytes.NewReader(b))
+	if err := gob.NewDecoder(r).Decode(&v); err != nil {
+		return v, merry.Wrap(err, merry.PrependMessage("holder: bulk"))
+	}
+	return v, nil
+}
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -45,7 +45,9 @@
 		Fence  int64
 		Rev    uint64
 		Copies []fleet.Copy
-		Coming []fleet.Coming
+		// AllCopies is given in place of Copies to a daemon that knows none.
+		AllCopies Bulk[[]fleet.Copy]
+		Coming    []fleet.Coming
 		// Running counts the requests in progress of the other daemons by
 		// upstream; nil if it wasn't asked for.
 		Running map[string]int
@@ -59,6 +61,10 @@
 		// that topic, nil while the holder doesn't know.
 		Register *roster.News
 		Config   *Known
+		// WholeRegister is given in place of Register to a daemon that must
+		// take all of it; WholeAge is the time since it was packed.
+		WholeRegister Bulk[*roster.News]
+		WholeAge      time.Duration
 		// Job is a call to the log that the daemon makes for the holder.
 		Job *errand.Job
 	}
@@ -184,7 +190,26 @@
 // Watch asks for changes.
 func (c *Client) Watch(ctx context.Context, a *WatchArgs) (*WatchReply, error) {
 	r := new(WatchReply)
-	return r, c.call(ctx, "Watch", a, r, watchTimeout)
+	if err := c.call(ctx, "Watch", a, r, watchTimeout); err != nil {
+		return nil, err
+	}
+	return r, r.unpack()
+}
+
+// unpack puts what was packed for all where the rest of it is.
+func (r *WatchReply) unpack() (err error) {
+	if r.AllCopies != nil {
+		if r.Copies, err = r.AllCopies.Unpack(); err != nil {
+			return err
+		}
+	}
+	if r.WholeRegister != nil {
+		if r.Register, err = r.WholeRegister.Unpack(); err != nil {
+			return err
+		}
+		r.Register.Age += r.WholeAge
+	}
+	return nil
 }
 
 // Done brings the result of a job.
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -51,32 +51,37 @@
 			l.mu.Unlock()
 			return nil, &hub.NotHolderError{Host: l.host}
 		}
+		now := l.now()
 		since := a.Rev
 		if a.Fence != l.fence {
 			since = 0
 		}
-		now := l.now()
-		copies, rev := l.planner.Copies(now, since)
-		var job *errand.Job
+		r := l.told(now, a, since)
+		if r == nil && ctx.Err() != nil {
+			r = l.reply(now, a, nil, since)
+		}
 		if a.Host != l.host {
-			job = l.desk.Take(a.Host)
+			if job := l.desk.Take(a.Host); job != nil {
+				if r == nil {
+					r = l.reply(now, a, nil, since)
+				}
+				r.Job = job
+			}
 		}
 		changed := l.changed
-		var r *hub.WatchReply
-		if len(copies) > 0 || job != nil || ctx.Err() != nil {
-			r = l.reply(now, a, copies, rev)
-			r.Job = job
-		}
 		l.mu.Unlock()
 		register, config := l.news(now, a)
 		fresh := register != nil && (register.Full || len(register.Put)+len(register.Gone) > 0) || config != nil && config.AsOf > a.Config
 		if r == nil && fresh {
 			l.mu.Lock()
-			r = l.reply(now, a, copies, rev)
+			r = l.reply(now, a, nil, since)
 			l.mu.Unlock()
 		}
 		if r != nil {
 			r.Register, r.Config = register, config
+			if register != nil && register.Full {
+				l.packRegister(now, r)
+			}
 			return r, nil
 		}
 		select {
@@ -86,6 +91,50 @@
 	}
 }
 
+// told returns the reply with the copies that have changed since a revision, nil
+// if there are none; l.mu is held.
+func (l *Loader) told(now time.Time, a *hub.WatchArgs, since uint64) *hub.WatchReply {
+	all := since == 0 && a.Host != l.host
+	if p := &l.copies; all && p.bulk != nil && p.fence == l.fence && now.Sub(p.at) <= packedLife {
+		return l.bulk(now, a)
+	}
+	copies, rev := l.planner.Copies(now, since)
+	if len(copies) == 0 {
+		return nil
+	}
+	if all {
+		b, err := hub.Pack(copies)
+		if err == nil {
+			l.copies = packed[[]fleet.Copy]{b, now, l.fence, rev}
+			return l.bulk(now, a)
+		}
+		event.PackFailed.Log("of", "copies", "cause", err.Error())
+	}
+	return l.reply(now, a, copies, rev)
+}
+
+// bulk returns the reply with all copies; l.mu is held.
+func (l *Loader) bulk(now time.Time, a *hub.WatchArgs) *hub.WatchReply {
+	r := l.reply(now, a, nil, l.copies.rev)
+	r.AllCopies = l.copies.bulk
+	return r
+}
+
+// packRegister replaces the whole register in r by what is packed for all.
+func (l *Loader) packRegister(now time.Time, r *hub.WatchReply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.whole.bulk == nil || l.whole.fence != l.fence || now.Sub(l.whole.at) > packedLife {
+		bulk, err := hub.Pack(r.Register)
+		if err != nil {
+			event.PackFailed.Log("of", "register", "cause", err.Error())
+			return
+		}
+		l.whole = packed[*roster.News]{bulk: bulk, at: now, fence: l.fence}
+	}
+	r.Register, r.WholeRegister, r.WholeAge = nil, l.whole.bulk, now.Sub(l.whole.at)
+}
+
 // news returns what this daemon knows of the log's topics that another one
 // doesn't.
 func (l *Loader) news(now time.Time, a *hub.WatchArgs) (*roster.News, *hub.Known) {
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -71,11 +71,23 @@
 		crashes *poison.Table
 		suspect map[string]bool
 		rev     uint64
+		// copies and whole are what all daemons that know nothing are told.
+		copies packed[[]fleet.Copy]
+		whole  packed[*roster.News]
 		// changed is closed and replaced when there is something to tell.
 		changed chan struct{}
 		kick    chan struct{}
 	}
 
+	// packed is a bulk with when, and in which tenure and revision, it was
+	// packed.
+	packed[T any] struct {
+		bulk  hub.Bulk[T]
+		at    time.Time
+		fence int64
+		rev   uint64
+	}
+
 	peer struct {
 		at      time.Time
 		running map[string]int
@@ -94,6 +106,9 @@
 	decideRest  = 6
 	// peerMemory is how long a silent daemon counts.
 	peerMemory = 2 * time.Second
+	// packedLife is how long a bulk is given to those who ask; what has
+	// changed since follows in their next call.
+	packedLife = 300 * time.Millisecond
 	// crashMemory is how long crashes are remembered.
 	crashMemory = time.Minute
 )
--- a/internal/node/tie/tie.go
+++ b/internal/node/tie/tie.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,8 @@
 		// fence and rev are what was heard last.
 		fence int64
 		rev   uint64
+		// heard counts the answers.
+		heard uint64
 		// daemons is the number in contact with the holder; atomic, since
 		// tell and watch run side by side.
 		daemons atomic.Int64
@@ -86,8 +89,10 @@
 	// least time between two calls.
 	tellEvery = 200 * time.Millisecond
 	tellGap   = 4 * time.Millisecond
-	// retryEvery follows a failed contact.
-	retryEvery = 100 * time.Millisecond
+	// firstRetry and lastRetry bound the delay after failed contacts, which
+	// is jittered: a holder that is busy must not be called by all at once.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
 	// loadEvery is the interval at which the load of the other daemons is
 	// asked for.
 	loadEvery = 150 * time.Millisecond
@@ -133,11 +138,19 @@
 
 // Run keeps the contact until ctx ends.
 func (t *Tie) Run(ctx context.Context) error {
+	failures := 0
 	for ctx.Err() == nil {
-		if err := t.contact(ctx); err != nil && ctx.Err() == nil {
+		heard := t.heard
+		err := t.contact(ctx)
+		if err != nil && ctx.Err() == nil {
 			t.right.Lost()
 		}
-		pause.For(ctx, retryEvery)
+		if err == nil || t.heard != heard {
+			failures = 0
+		}
+		wait := min(firstRetry<<min(failures, 3), lastRetry)
+		failures++
+		pause.For(ctx, wait/2+rand.N(wait/2))
 	}
 	return ctx.Err()
 }
@@ -219,6 +232,7 @@
 			began = true
 			event.HolderContact.Log("address", address, "contact", true, "fence", r.Fence, "daemons", r.Daemons)
 		}
+		t.heard++
 		t.right.Touch()
 		t.fence, t.rev = r.Fence, r.Rev
 		t.learn(r.StoreAtOnce)
