plan, right: a new holder knows hot models and what the weight store takes

Ruled out: the gain of a further copy (with the true rate it comes first) and the engines' memory.

Change: a rate that has been told for less than the memory counts as if it had gone on; a change that another holder ordered counts as a load from the store until the longest load's time; the number of loads at once that a holder has learned stands in its record in the log.

--- a/internal/node/entry/book.go
+++ b/internal/node/entry/book.go
@@ -182,3 +182,12 @@
 	b.mu.Unlock()
 	b.use(now, ups)
 }
+
+// memory is the loader's, which is made after the right.
+type memory struct{ entry *Entry }
+
+// StoreAtOnce returns what the loader has learned.
+func (m memory) StoreAtOnce() float64 { return m.entry.loader.StoreAtOnce() }
+
+// Learn gives the loader what a former holder has learned.
+func (m memory) Learn(storeAtOnce float64) { m.entry.loader.Learn(storeAtOnce) }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -145,7 +145,7 @@
 	e.right = right.New(lease.Settings{
 		Self: set.Host, Address: set.Peers, TTL: tenure, Renew: renewal, Margin: margin,
 		Pause: set.HolderPause + pauseSlack, Spread: spread, FirstStart: set.FirstStart,
-	}, desk, plat.Boot)
+	}, desk, memory{e}, plat.Boot)
 	e.loader = loader.New(set.Host, plan.Settings{StoreWindow: set.StoreWindow}, plat.Engines, e.right, desk, e.book, met, now)
 	e.tie = tie.New(set.Host, e.right, e.relay, e.book, e.loader, e.loader.Learn, plat.Holder, e.relay.Kick, now)
 	e.config = &configSink{entry: e}
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -147,6 +147,17 @@
 // Done takes the result of a call to the log over.
 func (l *Loader) Done(r errand.Result) { l.desk.Done(r) }
 
+// StoreAtOnce returns the number of loads from the weight store at once that has
+// been learned, 0 for none.
+func (l *Loader) StoreAtOnce() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.active {
+		return l.planner.AtOnce()
+	}
+	return l.set.StoreAtOnce
+}
+
 // Learn takes over what another holder has learned of the weight store.
 func (l *Loader) Learn(storeAtOnce float64) {
 	l.mu.Lock()
--- a/internal/rule/plan/adapt.go
+++ b/internal/rule/plan/adapt.go
@@ -33,10 +33,11 @@
 			continue
 		}
 		n, missed := p.places(k, cs)
+		rate := p.rate(now, d)
 		switch {
-		case n == 0 && (d.waiting > 0 || d.rate > 0.02), missed && d.waiting > 0:
+		case n == 0 && (d.waiting > 0 || rate > 0.02), missed && d.waiting > 0:
 			wants = append(wants, want{d, false})
-		case n > 0 && d.rate > adapterPerCopy*float64(n):
+		case n > 0 && rate > adapterPerCopy*float64(n):
 			wants = append(wants, want{d, true})
 		}
 	}
@@ -62,7 +63,7 @@
 		}
 		under++
 		a := p.order(now, e, fleet.Order{Model: w.d.key.Model, Adapter: w.d.key.Adapter}, "adapter-wanted")
-		a.Waiting, a.Rate = w.d.waiting, w.d.rate
+		a.Waiting, a.Rate = w.d.waiting, p.rate(now, w.d)
 		out = append(out, a)
 	}
 	return p.spareAdapters(now, cs, under, out)
--- a/internal/rule/plan/census.go
+++ b/internal/rule/plan/census.go
@@ -59,7 +59,7 @@
 )
 
 // census counts copies and demand.
-func (p *Planner) census() *census {
+func (p *Planner) census(now time.Time) *census {
 	cs := &census{
 		counts: map[fleet.Key]*count{}, running: map[use]int{}, adapters: map[fleet.Key][]*engine{},
 		inUse: map[useAdapter]bool{}, adapterRates: map[fleet.Key]float64{}, unreached: map[reach]bool{},
@@ -81,14 +81,14 @@
 			k := fleet.Key{Service: name, Model: mn}
 			c := &count{key: k, model: m, spec: s.Engine, reload: m.FromStore, spread: min(len(domains[name]), mostDomains)}
 			if d := p.demands[k]; d != nil {
-				c.rate, c.waiting = d.rate, d.waiting
+				c.rate, c.waiting = p.rate(now, d), d.waiting
 			}
 			cs.counts[k] = c
 		}
 	}
 	for k, d := range p.demands {
 		if k.Adapter != "" {
-			cs.adapterRates[fleet.Key{Service: k.Service, Model: k.Model}] += d.rate
+			cs.adapterRates[fleet.Key{Service: k.Service, Model: k.Model}] += p.rate(now, d)
 		}
 	}
 	for _, id := range p.ids {
--- a/internal/rule/plan/decide.go
+++ b/internal/rule/plan/decide.go
@@ -25,7 +25,7 @@
 			out = append(out, a)
 		}
 	}
-	cs := p.census()
+	cs := p.census(now)
 	out = p.adapters(now, cs, out)
 	out = p.proceed(now, cs, out)
 	return p.models(now, cs, out)
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -37,6 +37,9 @@
 		held map[fleet.Key]time.Time
 		// began is the time of the first decision.
 		began time.Time
+		// heardFrom is since when demand has been told without a break, heard
+		// when it was told last.
+		heardFrom, heard time.Time
 		rev   uint64
 	}
 
@@ -91,6 +94,9 @@
 	rateMemory = 6 * time.Second
 	// daemonMemory is how long the news of a silent daemon counts.
 	daemonMemory = 2 * time.Second
+	// leastTold is the least time that told demand is taken to cover: the time
+	// in which each daemon has told once.
+	leastTold = 500 * time.Millisecond
 	// perCopy is the arrival rate, in requests a second, that one copy takes
 	// before prompts queue for it.
 	perCopy = 28.0
@@ -206,6 +212,10 @@
 
 // Hear takes over what a daemon tells.
 func (p *Planner) Hear(now time.Time, name string, d fleet.Demand) {
+	if now.Sub(p.heard) > rateMemory {
+		p.heardFrom = now
+	}
+	p.heard = now
 	for k, n := range d.Arrivals {
 		e := p.demand(k)
 		e.decay(now)
@@ -240,6 +250,14 @@
 	d.at = now
 }
 
+// rate returns an arrival rate. What was told in a time shorter than the memory
+// counts as if it had gone on for that long, so that a new holder doesn't take
+// hot models for cold ones.
+func (p *Planner) rate(now time.Time, d *demand) float64 {
+	told := max(now.Sub(p.heardFrom), leastTold)
+	return d.rate / (1 - math.Exp(-told.Seconds()/rateMemory.Seconds()))
+}
+
 // Unreported returns the engines whose state must be asked for at now.
 func (p *Planner) Unreported(now time.Time) (out []fleet.Upstream) {
 	for _, id := range p.ids {
--- a/internal/rule/plan/store.go
+++ b/internal/rule/plan/store.go
@@ -2,12 +2,17 @@
 
 import "time"
 
-// storeRoom reports whether a load from the weight store may begin.
+// storeRoom reports whether a load from the weight store may begin. What another
+// holder has ordered may be one, too.
 // One place is kept for models that are waited for or overloaded.
 func (p *Planner) storeRoom(now time.Time, urgent bool) bool {
 	under := 0
 	rate := 0.0
 	for _, e := range p.engines {
+		if e.unload != nil && e.unload.model == "" && now.Sub(e.unload.began) < p.slowest(e) {
+			under++
+			continue
+		}
 		if e.goal != nil && e.tier(e.goal.model) == Store || e.load != nil && e.load.tier == Store && now.Sub(e.load.began) < lostLoad*e.load.expected || e.sent != nil && !e.sent.Unload && e.sent.Adapter == "" && e.tier(e.sent.Model) == Store {
 			under++
 		}
@@ -27,6 +32,16 @@
 	return float64(len(p.storeStarts)) < rate*p.set.StoreWindow.Seconds()
 }
 
+// slowest returns the longest time that a load on e should take.
+func (p *Planner) slowest(e *engine) (d time.Duration) {
+	if s := p.spec(e); s != nil {
+		for _, m := range s.Models {
+			d = max(d, m.FromStore)
+		}
+	}
+	return d
+}
+
 // learn adapts the number of loads at once to the time that one took.
 func (p *Planner) learn(now time.Time, l *loading) {
 	took, stated := now.Sub(l.began).Seconds(), l.expected.Seconds()
