--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -40,7 +40,7 @@
 		// heardFrom is since when demand has been told without a break, heard
 		// when it was told last.
 		heardFrom, heard time.Time
-		rev   uint64
+		rev              uint64
 	}
 
 	// Action is an order for an engine.
