plan: learn the weight store's capacity from what each load was given

Cause: a slow load lowered the number of loads at once by the loads that were under way when it began. The first of four that begin one after the other was taken for one that had been alone, so that a store which serves two at full speed got one load at a time from then on; a load whose order was carried out late (applied_late) did the same.

Ruled out: the stated load times, which agree with undisturbed loads.

Change: the planner adds up the time that the store has given to each load, 1/n of the time with n under way; the stated time over that is the number served at full speed. A load that was given more than its stated time was slow for another reason and teaches nothing.

--- a/internal/rule/plan/engine.go
+++ b/internal/rule/plan/engine.go
@@ -50,12 +50,13 @@
 	adapter struct{ since time.Time }
 
 	loading struct {
-		model     string
-		tier      Tier
-		began     time.Time
-		eta       time.Time
-		expected  time.Duration
-		alongside int
+		model    string
+		tier     Tier
+		began    time.Time
+		eta      time.Time
+		expected time.Duration
+		// share is the Planner's share when the load began.
+		share float64
 	}
 
 	unloading struct {
@@ -205,6 +206,7 @@
 
 // loaded ends the load under way with success.
 func (e *engine) loaded(p *Planner, now time.Time) {
+	p.crowd(now)
 	l := e.load
 	e.load = nil
 	e.memory[l.model], e.disk[l.model] = true, true
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -33,6 +33,11 @@
 		// storeStarts are the times of loads from the store in the window.
 		storeStarts []time.Time
 		atOnce      float64
+		// share is the time, in seconds, that the weight store has given to
+		// each of the loads under way, crowded their number since crowdedAt.
+		share     float64
+		crowded   int
+		crowdedAt time.Time
 		// held is since when a model has been kept from the weight store.
 		held map[fleet.Key]time.Time
 		// began is the time of the first decision.
@@ -151,6 +156,9 @@
 	// slowLoad is the factor over the stated load time from which the store
 	// counts as overcommitted.
 	slowLoad = 1.3
+	// learnSlack is added to a measured number of loads at once, in shares,
+	// for the time that orders and reports take.
+	learnSlack = 1.2
 )
 
 // String returns the name of t for logs.
--- a/internal/rule/plan/store.go
+++ b/internal/rule/plan/store.go
@@ -42,14 +42,34 @@
 	return d
 }
 
-// learn adapts the number of loads at once to the time that one took.
+// crowd accounts for the time since the last call, in which the store has served
+// the loads under way side by side.
+func (p *Planner) crowd(now time.Time) {
+	if dt := now.Sub(p.crowdedAt).Seconds(); p.crowded > 0 && dt > 0 {
+		p.share += dt / float64(p.crowded)
+	}
+	p.crowdedAt, p.crowded = now, 0
+	for _, e := range p.engines {
+		if e.load != nil && e.load.tier == Store && now.Sub(e.load.began) < lostLoad*e.load.expected {
+			p.crowded++
+		}
+	}
+}
+
+// learn adapts the number of loads at once to the time that one took: what the
+// store gave to one load in place of its stated time is the part of its speed
+// that one gets.
 func (p *Planner) learn(now time.Time, l *loading) {
 	took, stated := now.Sub(l.began).Seconds(), l.expected.Seconds()
 	if stated <= 0 {
 		return
 	}
 	if took > slowLoad*stated {
-		p.atOnce = max(1, min(p.atOnce, float64(l.alongside)*stated/took*slowLoad))
+		// One load at least is served at full speed. What is slower has
+		// another reason, such as an order that was carried out late.
+		if n := stated / max(p.share-l.share, 0.01); n >= 1 {
+			p.atOnce = min(p.atOnce, n*learnSlack)
+		}
 		return
 	}
 	p.atOnce = min(p.atOnce+0.25, mostAtOnce)
