feed, tie: a log's return and another holder are noticed at once

Change: after a failed call reads don't wait for records until one succeeds. A daemon that waits to call its holder again looks for another one each 50 ms. What a new holder was told counts as at least 2 s of demand.

--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -151,8 +151,10 @@
 		return nil
 	}
 	f.next = max(f.next, f.sink.Known())
+	// After a failure the log may still be silent, and a call that waits takes
+	// that much longer to show it.
 	wait := time.Duration(0)
-	if f.set.Wait != nil {
+	if f.set.Wait != nil && f.failures == 0 {
 		wait = f.set.Wait()
 	}
 	p, err := f.src.Read(ctx, f.next, wait)
--- a/internal/node/tie/tie.go
+++ b/internal/node/tie/tie.go
@@ -93,6 +93,9 @@
 	// is jittered: a holder that is busy must not be called by all at once.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 800 * time.Millisecond
+	// holderCheck is the interval at which a daemon that waits looks for
+	// another holder.
+	holderCheck = 50 * time.Millisecond
 	// loadEvery is the interval at which the load of the other daemons is
 	// asked for.
 	loadEvery = 150 * time.Millisecond
@@ -150,11 +153,24 @@
 		}
 		wait := min(firstRetry<<min(failures, 3), lastRetry)
 		failures++
-		pause.For(ctx, wait/2+rand.N(wait/2))
+		t.rest(ctx, wait/2+rand.N(wait/2))
 	}
 	return ctx.Err()
 }
 
+// rest waits, but no longer than until there is another holder.
+func (t *Tie) rest(ctx context.Context, d time.Duration) {
+	before, _ := t.right.Holder()
+	for ; d > 0; d -= holderCheck {
+		if !pause.For(ctx, min(d, holderCheck)) {
+			return
+		}
+		if now, _ := t.right.Holder(); now != before {
+			return
+		}
+	}
+}
+
 // contact talks to the present holder until that fails.
 func (t *Tie) contact(ctx context.Context) error {
 	var c caller
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -99,9 +99,9 @@
 	rateMemory = 6 * time.Second
 	// daemonMemory is how long the news of a silent daemon counts.
 	daemonMemory = 2 * time.Second
-	// leastTold is the least time that told demand is taken to cover: the time
-	// in which each daemon has told once.
-	leastTold = 500 * time.Millisecond
+	// leastTold is the least time that told demand is taken to cover: in a
+	// shorter one, a single request would make a model hot.
+	leastTold = 2 * time.Second
 	// perCopy is the arrival rate, in requests a second, that one copy takes
 	// before prompts queue for it.
 	perCopy = 28.0
