--- /dev/null
+++ b/internal/node/loader/loader_test.go
@@ -0,0 +1,308 @@
+package loader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/roster"
+	"github.com/azurespan/azurespan/internal/node/errand"
+	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/rule/plan"
+)
+
+// world is all that a Loader needs: engines that load at once, a right, a desk
+// and topics.
+type world struct {
+	mu     sync.Mutex
+	fence  int64
+	holds  bool
+	may    bool
+	held   map[string][]string
+	orders map[string]int64
+	sent   []fleet.Order
+	// delay holds orders back until it is closed, if not nil.
+	delay chan struct{}
+	job   *errand.Job
+	news  *roster.News
+	known *hub.Known
+}
+
+func (w *world) Report(_ context.Context, u fleet.Upstream) (*fleet.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := &fleet.Report{Born: u.Born}
+	r.Holding.Orders = w.orders[u.ID]
+	for _, m := range w.held[u.ID] {
+		r.Holding.Models = append(r.Holding.Models, fleet.Held{Model: m})
+	}
+	return r, nil
+}
+
+func (w *world) Order(_ context.Context, u fleet.Upstream, o fleet.Order) (fleet.Reply, error) {
+	w.mu.Lock()
+	delay := w.delay
+	w.sent = append(w.sent, o)
+	w.mu.Unlock()
+	if delay != nil {
+		<-delay
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orders[u.ID]++
+	if o.Adapter == "" && !o.Unload {
+		w.held[u.ID] = append(w.held[u.ID], o.Model)
+	}
+	return fleet.Accepted, nil
+}
+
+func (w *world) May() (int64, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence, w.may
+}
+
+func (w *world) Holds() (int64, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence, w.holds
+}
+
+func (w *world) Take(string) *errand.Job {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := w.job
+	w.job = nil
+	return j
+}
+
+func (w *world) Done(errand.Result) {}
+
+func (w *world) Register(time.Time, int64) *roster.News {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.news
+}
+
+func (w *world) Config(time.Time) *hub.Known {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.known
+}
+
+func (w *world) set(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+func (w *world) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.sent)
+}
+
+// newWorld returns a running Loader before n engines, of which the first holds
+// all models.
+func newWorld(t *testing.T, n int) (*world, *Loader) {
+	w := &world{held: map[string][]string{"e0": {"m0", "m1"}}, orders: map[string]int64{}, fence: 4, holds: true, may: true}
+	l := New("self", plan.Settings{}, w, w, w, w, metric.New(prometheus.NewRegistry()), time.Now)
+	spec := &fleet.Engine{Slots: 4, MemoryMB: 1000, AdapterPlaces: 2, StoreLoadsPerSecond: 10, Models: map[string]fleet.Model{}}
+	for _, m := range []string{"m0", "m1"} {
+		spec.Models[m] = fleet.Model{Name: m, WeightMB: 400, FromStore: 20 * time.Millisecond, FromDisk: 20 * time.Millisecond, FromMemory: 20 * time.Millisecond}
+	}
+	l.Configure(&fleet.Config{Services: map[string]fleet.Service{"llm": {Name: "llm", Engine: spec}}})
+	var ups []fleet.Upstream
+	for i := range n {
+		ups = append(ups, fleet.Upstream{ID: fmt.Sprint("e", i), Born: 1, Service: "llm", FailureDomain: fmt.Sprint("d", i), Address: "x"})
+	}
+	l.SetUpstreams(time.Now(), ups)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = l.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return w, l
+}
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(20*time.Second), wait.Gap(2*time.Millisecond)))
+}
+
+func watch(l *Loader, a *hub.WatchArgs) (*hub.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	return l.Watch(ctx, a)
+}
+
+// demand tells that a model is waited for which no reachable engine holds.
+func demand(l *Loader, model string) error {
+	_, err := l.Tell(time.Now(), &hub.TellArgs{Host: "d1", Demand: fleet.Demand{
+		Arrivals: map[fleet.Key]int{{Service: "llm", Model: model}: 5}, Waiting: map[fleet.Key]int{{Service: "llm", Model: model}: 5},
+		Unreachable: []string{"e0"},
+	}})
+	return err
+}
+
+// TestOrdersOnlyWithTheRight guards against an order by a daemon that may not
+// order yet, or no more, and against one with the fence of a former tenure.
+func TestOrdersOnlyWithTheRight(t *testing.T) {
+	w, l := newWorld(t, 2)
+	w.set(func() { w.may = false })
+	eventually(t, func() bool { return demand(l, "m0") == nil })
+	time.Sleep(200 * time.Millisecond)
+	before := w.count() // those of the first moments
+	must.NoError(t, demand(l, "m0"))
+	time.Sleep(200 * time.Millisecond)
+	must.Eq(t, before, w.count())
+	w.set(func() { w.may, w.fence = true, 9 })
+	eventually(t, func() bool { _ = demand(l, "m0"); return w.count() > before })
+	w.mu.Lock()
+	for _, o := range w.sent[before:] {
+		must.Eq(t, int64(9), o.Fence)
+		must.Eq(t, "self", o.Holder)
+	}
+	w.mu.Unlock()
+	w.set(func() { w.may, w.holds = false, false })
+	eventually(t, func() bool { return demand(l, "m0") != nil })
+	_, err := watch(l, &hub.WatchArgs{Host: "d1"})
+	var nh *hub.NotHolderError
+	must.True(t, errors.As(err, &nh))
+}
+
+// TestAllOnceThenChanges guards against control traffic that repeats what a
+// daemon knows, and against a daemon of a former tenure that is told changes only.
+func TestAllOnceThenChanges(t *testing.T) {
+	w, l := newWorld(t, 2)
+	var first *hub.WatchReply
+	eventually(t, func() bool {
+		r, err := watch(l, &hub.WatchArgs{Host: "d1"})
+		first = r
+		return err == nil && r.AllCopies != nil
+	})
+	must.SliceEmpty(t, first.Copies)
+	copies, err := first.AllCopies.Unpack()
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, copies)
+	// The holder itself needs no packing.
+	own, err := watch(l, &hub.WatchArgs{Host: "self"})
+	must.NoError(t, err)
+	must.Nil(t, own.AllCopies)
+	must.SliceNotEmpty(t, own.Copies)
+	at := &hub.WatchArgs{Host: "d1", Fence: first.Fence, Rev: first.Rev}
+	var quiet *hub.WatchReply
+	eventually(t, func() bool {
+		quiet, err = watch(l, at)
+		at.Rev = quiet.Rev
+		return err == nil && len(quiet.Copies) == 0
+	})
+	must.Nil(t, quiet.AllCopies)
+	w.set(func() { w.fence = 8 })
+	eventually(t, func() bool {
+		r, err := watch(l, at)
+		return err == nil && r.Fence == 8 && r.AllCopies != nil
+	})
+}
+
+// TestNewsOfTheTopics guards against news of the log's topics that wait for
+// something else to tell, and against a whole register that is encoded for each
+// daemon.
+func TestNewsOfTheTopics(t *testing.T) {
+	w, l := newWorld(t, 1)
+	at := &hub.WatchArgs{Host: "d1", Register: 10, Config: 3}
+	var r *hub.WatchReply
+	eventually(t, func() bool {
+		got, err := watch(l, at)
+		if err == nil {
+			r, at.Fence, at.Rev = got, got.Fence, got.Rev
+		}
+		return err == nil && got.AllCopies == nil && len(got.Copies) == 0
+	})
+	must.Nil(t, r.Register)
+	long, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		w.set(func() { w.known = &hub.Known{AsOf: 4} })
+		l.Announce()
+	}()
+	r, err := l.Watch(long, at)
+	must.NoError(t, err)
+	must.Eq(t, int64(4), r.Config.AsOf)
+	w.set(func() { w.news = &roster.News{AsOf: 20, Full: true, Put: []fleet.Upstream{{ID: "e0"}}} })
+	r, err = l.Watch(long, at)
+	must.NoError(t, err)
+	must.Nil(t, r.Register)
+	n, err := r.WholeRegister.Unpack()
+	must.NoError(t, err)
+	must.Eq(t, int64(20), n.AsOf)
+	// Who asks in the same moment gets the same bytes.
+	w.set(func() { w.news = &roster.News{AsOf: 21, Full: true} })
+	again, err := l.Watch(long, at)
+	must.NoError(t, err)
+	if again.WholeAge > 0 {
+		must.Eq(t, r.WholeRegister, again.WholeRegister)
+	}
+}
+
+// TestReplyOfAFormerTenure guards against the reply to an order of a former
+// tenure that changes what the present one believes.
+func TestReplyOfAFormerTenure(t *testing.T) {
+	w, l := newWorld(t, 2)
+	w.set(func() { w.delay = make(chan struct{}) })
+	before := w.count()
+	eventually(t, func() bool { _ = demand(l, "m0"); return w.count() > before })
+	w.set(func() { w.fence = 12 })
+	eventually(t, func() bool {
+		r, err := watch(l, &hub.WatchArgs{Host: "d1"})
+		return err == nil && r.Fence == 12
+	})
+	w.mu.Lock()
+	close(w.delay)
+	w.delay = nil
+	w.mu.Unlock()
+	// The new tenure's next order is void, since the engine has accepted the
+	// late one; the engine is asked, and what it holds is told.
+	eventually(t, func() bool {
+		_ = demand(l, "m0")
+		r, err := watch(l, &hub.WatchArgs{Host: "self"})
+		if err != nil {
+			return false
+		}
+		for _, c := range r.Copies {
+			if c.ID == "e1" && len(c.Held) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// TestJobForAnotherDaemon guards against a call to the log that the holder, cut
+// off from it, hands to itself.
+func TestJobForAnotherDaemon(t *testing.T) {
+	w, l := newWorld(t, 1)
+	eventually(t, func() bool { _, err := watch(l, &hub.WatchArgs{Host: "self"}); return err == nil })
+	w.set(func() { w.job = &errand.Job{ID: 3} })
+	r, err := watch(l, &hub.WatchArgs{Host: "self"})
+	must.NoError(t, err)
+	must.Nil(t, r.Job)
+	r, err = watch(l, &hub.WatchArgs{Host: "d1"})
+	must.NoError(t, err)
+	must.Eq(t, uint64(3), r.Job.ID)
+}
--- /dev/null
+++ b/internal/node/right/right_test.go
@@ -0,0 +1,182 @@
+package right
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/azurespan/azurespan/internal/core/lease"
+	"github.com/azurespan/azurespan/internal/node/feed"
+)
+
+type (
+	// topic is the holder's topic in memory.
+	topic struct {
+		mu      sync.Mutex
+		records []feed.Record
+		down    bool
+		// unanswered appends are carried out without an answer.
+		unanswered int
+	}
+
+	// notes is what a daemon has learned.
+	notes struct {
+		mu    sync.Mutex
+		value float64
+	}
+)
+
+var errDown = errors.New("down")
+
+func (t *topic) Newest(context.Context) (*feed.Page, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, errDown
+	}
+	end := int64(len(t.records))
+	p := &feed.Page{Next: end, End: end}
+	if end > 0 {
+		p.Records = t.records[end-1:]
+	}
+	return p, nil
+}
+
+func (t *topic) Append(_ context.Context, at int64, key string, value []byte) (bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return false, errDown
+	}
+	if at != int64(len(t.records)) {
+		return false, nil
+	}
+	t.records = append(t.records, feed.Record{Key: key, Value: value, Offset: at})
+	if t.unanswered > 0 {
+		t.unanswered--
+		return false, errDown
+	}
+	return true, nil
+}
+
+func (t *topic) set(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f()
+}
+
+func (n *notes) StoreAtOnce() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.value
+}
+
+func (n *notes) Learn(v float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.value = v
+}
+
+// start runs a Right until the test ends, or the returned function is called.
+func start(t *testing.T, log *topic, host string, n *notes) (*Right, func()) {
+	r := New(lease.Settings{
+		Self: host, Address: host + ":1", TTL: 400 * time.Millisecond, Renew: 100 * time.Millisecond, Margin: 40 * time.Millisecond,
+		Pause: 60 * time.Millisecond, Spread: 20 * time.Millisecond, FirstStart: true,
+	}, log, n, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return r, stop
+}
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(20*time.Second), wait.Gap(2*time.Millisecond)))
+}
+
+func may(r *Right) bool { _, ok := r.May(); return ok }
+
+// TestNextHolderAfterALoss answers the loss of the holder without a word: one
+// other daemon takes the right with a higher fence, and knows what the former
+// one had learned although all of that one's memory is gone.
+func TestNextHolderAfterALoss(t *testing.T) {
+	log := &topic{}
+	a, stop := start(t, log, "a", &notes{value: 2.5})
+	eventually(t, func() bool { return may(a) })
+	first, _ := a.May()
+	learned := &notes{}
+	b, _ := start(t, log, "b", learned)
+	eventually(t, func() bool { address, _ := b.Holder(); return address == "a:1" })
+	must.False(t, may(b))
+	must.Eq(t, 2.5, learned.StoreAtOnce())
+	stop()
+	eventually(t, func() bool { return may(b) })
+	must.False(t, may(a))
+	next, _ := b.May()
+	must.Greater(t, first, next)
+	eventually(t, func() bool {
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		return string(log.records[len(log.records)-1].Value) == `{"host":"b","address":"b:1","store-at-once":2.5}`
+	})
+}
+
+// TestNoRightWithoutTheLog guards against a holder that orders on when its
+// renewals fail, and against one that never comes back.
+func TestNoRightWithoutTheLog(t *testing.T) {
+	log := &topic{}
+	a, _ := start(t, log, "a", &notes{})
+	eventually(t, func() bool { return may(a) })
+	log.set(func() { log.down = true })
+	eventually(t, func() bool { return !may(a) })
+	log.set(func() { log.down = false })
+	eventually(t, func() bool { return may(a) })
+}
+
+// TestUnansweredAppend guards against a right that is lost, or taken twice, when
+// the answer to an append is lost.
+func TestUnansweredAppend(t *testing.T) {
+	log := &topic{unanswered: 1}
+	a, _ := start(t, log, "a", &notes{})
+	eventually(t, func() bool { return may(a) })
+	fence, _ := a.May()
+	log.set(func() { log.unanswered = 1 })
+	eventually(t, func() bool {
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		return log.unanswered == 0
+	})
+	eventually(t, func() bool { return may(a) })
+	again, _ := a.May()
+	must.Eq(t, fence, again)
+}
+
+// TestLeaveGivesBack answers a planned stop: the next holder needn't wait for
+// the tenure's end.
+func TestLeaveGivesBack(t *testing.T) {
+	log := &topic{}
+	a, _ := start(t, log, "a", &notes{})
+	eventually(t, func() bool { return may(a) })
+	a.Leave()
+	must.False(t, may(a))
+	eventually(t, func() bool {
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		return string(log.records[len(log.records)-1].Value) == `{"host":"a","address":"a:1","released":true}`
+	})
+	b, _ := start(t, log, "b", &notes{})
+	eventually(t, func() bool { return may(b) })
+}
