loader: a reply to Watch is made in one tenure

Cause, found in review: the reply with news of the log's topics was made after the lock had been released and taken again. If the tenure changed between, it bore the new fence with a revision of the old one, and the daemon would never hear of copies up to that revision. Ruled out: a wait that misses an announcement, since the channel is taken before the news are looked at.

Change: the news are taken first and the whole reply is made under one lock.

--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -46,43 +46,13 @@
 // after a while.
 func (l *Loader) Watch(ctx context.Context, a *hub.WatchArgs) (*hub.WatchReply, error) {
 	for {
+		// What is announced from here on ends the wait below.
 		l.mu.Lock()
-		if !l.active {
-			l.mu.Unlock()
-			return nil, &hub.NotHolderError{Host: l.host}
-		}
-		now := l.now()
-		since := a.Rev
-		if a.Fence != l.fence {
-			since = 0
-		}
-		r := l.told(now, a, since)
-		if r == nil && ctx.Err() != nil {
-			r = l.reply(now, a, nil, since)
-		}
-		if a.Host != l.host {
-			if job := l.desk.Take(a.Host); job != nil {
-				if r == nil {
-					r = l.reply(now, a, nil, since)
-				}
-				r.Job = job
-			}
-		}
 		changed := l.changed
 		l.mu.Unlock()
-		register, config := l.news(now, a)
-		fresh := register != nil && (register.Full || len(register.Put)+len(register.Gone) > 0) || config != nil && config.AsOf > a.Config
-		if r == nil && fresh {
-			l.mu.Lock()
-			r = l.reply(now, a, nil, since)
-			l.mu.Unlock()
-		}
-		if r != nil {
-			r.Register, r.Config = register, config
-			if register != nil && register.Full {
-				l.packRegister(now, r)
-			}
-			return r, nil
+		r, err := l.look(a, ctx.Err() != nil)
+		if r != nil || err != nil {
+			return r, err
 		}
 		select {
 		case <-changed:
@@ -91,6 +61,43 @@
 	}
 }
 
+// look returns what there is to tell a daemon, nil if there is nothing and it
+// needn't be told so.
+func (l *Loader) look(a *hub.WatchArgs, anyway bool) (*hub.WatchReply, error) {
+	now := l.now()
+	register, config := l.news(now, a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.active {
+		return nil, &hub.NotHolderError{Host: l.host}
+	}
+	since := a.Rev
+	if a.Fence != l.fence {
+		since = 0
+	}
+	r := l.told(now, a, since)
+	var job *errand.Job
+	if a.Host != l.host {
+		job = l.desk.Take(a.Host)
+	}
+	if r == nil && (anyway || job != nil || fresh(a, register, config)) {
+		r = l.reply(now, a, nil, since)
+	}
+	if r == nil {
+		return nil, nil
+	}
+	r.Job, r.Register, r.Config = job, register, config
+	if register != nil && register.Full {
+		l.packRegister(now, r)
+	}
+	return r, nil
+}
+
+// fresh reports whether a daemon must be told of the log's topics at once.
+func fresh(a *hub.WatchArgs, register *roster.News, config *hub.Known) bool {
+	return register != nil && (register.Full || len(register.Put)+len(register.Gone) > 0) || config != nil && config.AsOf > a.Config
+}
+
 // told returns the reply with the copies that have changed since a revision, nil
 // if there are none; l.mu is held.
 func (l *Loader) told(now time.Time, a *hub.WatchArgs, since uint64) *hub.WatchReply {
@@ -120,10 +127,9 @@
 	return r
 }
 
-// packRegister replaces the whole register in r by what is packed for all.
+// packRegister replaces the whole register in r by what is packed for all; l.mu
+// is held.
 func (l *Loader) packRegister(now time.Time, r *hub.WatchReply) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.whole.bulk == nil || l.whole.fence != l.fence || now.Sub(l.whole.at) > packedLife {
 		bulk, err := hub.Pack(r.Register)
 		if err != nil {
