relay, poison: log and count what is known of crashing requests

New events: request-crash-observed, suspect-sent (with the age of the holder's last reply), crash-history-changed, crash-history-cleared. New metrics: suspects and quarantined requests as gauges, sends of suspects by the number of crashes known. Decisions are unchanged; volume is one line per crash and per send of a suspect.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -143,6 +143,23 @@
 		Number: 8220, Name: "request-crashes-upstreams",
 		Meaning: "A daemon reported a request during which an upstream broke the connection.",
 	})
+	RequestCrashed = register(Event{
+		Number: 8221, Name: "request-crash-observed",
+		Meaning: "An upstream broke the connection of a request on this daemon; the number of crashes known for its fingerprint and the verdict are given.",
+	})
+	SuspectSent = register(Event{
+		Number: 8222, Name: "suspect-sent",
+		Meaning: "A request is sent to an upstream although upstreams have crashed while they ran it; the number of crashes known here and the age of the last information from the holder are given.",
+		Action:  "Compare with crash-history-changed on the other daemons: who knew of more crashes, and since when?",
+	})
+	CrashHistoryChanged = register(Event{
+		Number: 8223, Name: "crash-history-changed",
+		Meaning: "The crashes known for a fingerprint have changed by information from elsewhere; the source and the number before and after are given.",
+	})
+	CrashHistoryCleared = register(Event{
+		Number: 8224, Name: "crash-history-cleared",
+		Meaning: "A request has completed, so the crashes known for its fingerprint no longer count against it.",
+	})
 )
 
 // LinesDropped reports lines that the rate limit of the log suppressed.
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -53,6 +53,12 @@
 	// of this daemon's information from the holder, of its register of
 	// upstreams and of its configuration.
 	HolderAgeSeconds, RegisterAgeSeconds, ConfigAgeSeconds prometheus.Gauge
+	// CrashSuspects is the number of fingerprints with known crashes, and
+	// Quarantined that of those which are refused.
+	CrashSuspects, Quarantined prometheus.Gauge
+	// SuspectSends counts requests sent to upstreams although upstreams had
+	// crashed under them, by the number of crashes known (see CrashCounts).
+	SuspectSends *prometheus.CounterVec
 	// ConfigurationOffset is the version of the configuration in force.
 	ConfigurationOffset prometheus.Gauge
 
@@ -88,6 +94,16 @@
 // Sources lists the values of the label source.
 var Sources = []string{SourceLog, SourceHosts, SourceEngines, SourcePeers}
 
+// Values of the label crashes of SuspectSends.
+const (
+	CrashesOne  = "1"
+	CrashesTwo  = "2"
+	CrashesMore = "3-or-more"
+)
+
+// CrashCounts lists the values of the label crashes.
+var CrashCounts = []string{CrashesOne, CrashesTwo, CrashesMore}
+
 // Outcomes lists the values of the label outcome of RequestSeconds.
 var Outcomes = []string{OutcomeOK, OutcomeRefused, OutcomeBroken, OutcomeSlowReader, OutcomeCallerGone, OutcomeUpstreamFailure}
 
@@ -128,6 +144,9 @@
 		HolderAgeSeconds:       b.gauge("azurespan_holder_news_age_seconds", "Age of the last information from the holder, the daemon that orders loads."),
 		RegisterAgeSeconds:     b.gauge("azurespan_register_age_seconds", "Time since this daemon last knew the register of upstreams up to its end, read from the log or received from the holder."),
 		ConfigAgeSeconds:       b.gauge("azurespan_configuration_age_seconds", "Time since this daemon last knew the topic of the configuration up to its end, read from the log or received from the holder."),
+		CrashSuspects:          b.gauge("azurespan_crash_suspects", "Requests, by fingerprint, under which upstreams are known to have crashed recently."),
+		Quarantined:            b.gauge("azurespan_quarantined_requests", "Requests, by fingerprint, that are refused because they crash upstreams."),
+		SuspectSends:           b.counterVec("azurespan_suspect_sends_total", "Requests sent to an upstream although upstreams had crashed under them, by the number of crashes known to the daemon (1, 2, 3-or-more).", "crashes"),
 		ConfigurationOffset:    b.gauge("azurespan_configuration_offset", "Version of the configuration in force, the offset of its record; 0 before the first."),
 	}
 	// Create the series at 0, so that Prometheus sees their first increase.
@@ -135,6 +154,9 @@
 		m.ControlSentBytes.WithLabelValues(source)
 		m.ControlReceivedBytes.WithLabelValues(source)
 	}
+	for _, n := range CrashCounts {
+		m.SuspectSends.WithLabelValues(n)
+	}
 	if reg != nil {
 		reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	}
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -48,6 +48,19 @@
 // well.
 const progressCrashLimit = 4
 
+// String returns the verdict's name in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Clean:
+		return "clean"
+	case Suspect:
+		return "suspect"
+	case Quarantined:
+		return "quarantined"
+	}
+	return "unknown"
+}
+
 // DefaultQuarantine is how long a quarantine lasts by default.
 const DefaultQuarantine = 10 * time.Minute
 
@@ -109,6 +122,22 @@
 	return ok
 }
 
+// Count returns the number of fingerprints with known crashes, and of those that
+// are quarantined at now.
+func (t *Table) Count(now time.Time) (suspects, quarantined int) {
+	for fp := range t.entries {
+		switch v, _ := t.Judge(now, fp); v {
+		case Clean:
+		case Suspect:
+			suspects++
+		case Quarantined:
+			suspects++
+			quarantined++
+		}
+	}
+	return suspects, quarantined
+}
+
 // Judge returns the verdict on a fingerprint at now and, if it is quarantined,
 // the time until the quarantine ends.
 func (t *Table) Judge(now time.Time, fingerprint string) (Verdict, time.Duration) {
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -86,6 +86,7 @@
 	event.RelaySent.Log("request", x.req.ID, "upstream", c.Upstream.ID, "address", c.Upstream.Address, "send", x.attempts,
 		"service", x.query.Key.Service, "model", fleet.ModelName(x.req.Model, x.req.Adapter), "load", c.Load, "weighed", c.Candidates,
 		"aside", c.Ejected, "waited", sent.Sub(x.arrived), "left", x.deadline.Sub(sent), "after", x.events.LastID)
+	x.logSuspect(sent, c.Upstream)
 	o := x.roundTrip(ctx, c.Upstream, sent)
 	if ctx.Err() != nil && !o.done {
 		o.result = pick.Inconclusive
@@ -96,10 +97,14 @@
 	r.table.Finish(now, c.Upstream, x.query.Key, o.result, o.firstByteTime)
 	switch {
 	case o.crashed && ctx.Err() == nil:
-		r.suspects.Observe(x.fingerprint, poison.Crash{ID: fmt.Sprintf("%s@%d", c.Upstream.ID, c.Upstream.Born), At: now, Progress: x.events.EventCount > 0})
+		crash := poison.Crash{ID: fmt.Sprintf("%s@%d", c.Upstream.ID, c.Upstream.Born), At: now, Progress: x.events.EventCount > 0}
+		entry := r.suspects.Observe(x.fingerprint, crash)
+		verdict, _ := r.suspects.Judge(now, x.fingerprint)
+		event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict)
 		r.crashes[x.fingerprint] = true
 		r.requestReport()
 	case o.done && r.suspects.Clear(x.fingerprint):
+		event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", c.Upstream.ID)
 		r.cleared[x.fingerprint] = true
 	}
 	r.dispatch(now)
@@ -112,6 +117,27 @@
 	return o
 }
 
+// logSuspect logs and counts the send of a request under which upstreams have
+// crashed.
+func (x *exchange) logSuspect(now time.Time, up fleet.Upstream) {
+	r := x.relay
+	r.mu.Lock()
+	crashes := len(r.suspects.Entry(x.fingerprint).Crashes)
+	holderAge := now.Sub(r.lastReply)
+	r.mu.Unlock()
+	label := metric.CrashesMore
+	switch crashes {
+	case 0:
+		return
+	case 1:
+		label = metric.CrashesOne
+	case 2:
+		label = metric.CrashesTwo
+	}
+	r.metrics.SuspectSends.WithLabelValues(label).Inc()
+	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge)
+}
+
 // roundTrip sends the request on a connection and forwards the response.
 func (x *exchange) roundTrip(ctx context.Context, up fleet.Upstream, sent time.Time) outcome {
 	dial, cancel := context.WithTimeout(ctx, connectTimeout)
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -174,7 +174,8 @@
 	r.arrivals[x.query.Key]++
 	r.budget(x.query.Key.Service).AddRequest()
 	verdict, left := r.suspects.Judge(now, x.fingerprint)
-	if verdict == poison.Quarantined || len(r.suspects.Entry(x.fingerprint).Crashes) >= crashLimit {
+	if crashes := len(r.suspects.Entry(x.fingerprint).Crashes); verdict == poison.Quarantined || crashes >= crashLimit {
+		x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", crashes, x.fingerprint)
 		return refusal{http.StatusServiceUnavailable, "quarantined", max(left, time.Second)}, false
 	}
 	return refusal{}, true
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -161,7 +161,11 @@
 	}
 	r.setDaemons(now, reply.Daemons)
 	for _, c := range reply.Crashes {
+		before := len(r.suspects.Entry(c.Fingerprint).Crashes)
 		r.suspects.Set(c)
+		if after := len(c.Crashes); after != before {
+			event.CrashHistoryChanged.Log("fingerprint", c.Fingerprint, "source", "holder", "fence", reply.Fence, "before", before, "after", after)
+		}
 	}
 	r.dispatch(now)
 }
@@ -257,6 +261,9 @@
 	if !r.lastReply.IsZero() {
 		r.metrics.HolderAgeSeconds.Set(now.Sub(r.lastReply).Seconds())
 	}
+	suspects, quarantined := r.suspects.Count(now)
+	r.metrics.CrashSuspects.Set(float64(suspects))
+	r.metrics.Quarantined.Set(float64(quarantined))
 	_, tokens := r.retryAllowance()
 	for _, b := range r.budgets {
 		tokens = min(tokens, b.Available(now))
