relay: check the quarantine before each send

Cause: the verdict was asked for on arrival only. Change: it is asked for before an upstream is chosen, again after a wait, and a wait ends as soon as the request is quarantined. A request that was sent before gets 502, since it may have run; all others 503. Tests failed before: TestQuarantineBetweenAttempts (upstream-failed after six sends in place of quarantined), TestQuarantineEndsWait (200 in place of 503).

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -51,8 +51,14 @@
 	}
 )
 
-// defaultMaxBodyBytes bounds a request body while there is no configuration.
-const defaultMaxBodyBytes = 4 << 20
+const (
+	// defaultMaxBodyBytes bounds a request body while there is no
+	// configuration.
+	defaultMaxBodyBytes = 4 << 20
+	// quarantinedReason is the refusal reason of a request that crashes
+	// upstreams.
+	quarantinedReason = "quarantined"
+)
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
@@ -148,6 +154,10 @@
 	}
 	for {
 		c, resp, ok := x.acquire(ctx)
+		if ok {
+			// Crashes may have become known during the wait.
+			resp, ok = x.confirm(c)
+		}
 		if !ok {
 			x.fail(ctx, resp)
 			return
@@ -173,20 +183,50 @@
 	defer r.mu.Unlock()
 	r.arrivals[x.query.Key]++
 	r.budget(x.query.Key.Service).AddRequest()
-	verdict, left := r.suspects.Judge(now, x.fingerprint)
-	if crashes := len(r.suspects.Entry(x.fingerprint).Crashes); verdict == poison.Quarantined || crashes >= crashLimit {
-		x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", crashes, x.fingerprint)
-		return refusal{http.StatusServiceUnavailable, "quarantined", max(left, time.Second)}, false
+	return x.checkQuarantine(now)
+}
+
+// checkQuarantine reports whether the request may be sent to upstreams, and its
+// refusal if it crashes them. r.mu must be held.
+func (x *exchange) checkQuarantine(now time.Time) (refusal, bool) {
+	suspects := x.relay.suspects
+	verdict, left := suspects.Judge(now, x.fingerprint)
+	crashes := len(suspects.Entry(x.fingerprint).Crashes)
+	if verdict != poison.Quarantined && crashes < crashLimit {
+		return refusal{}, true
 	}
-	return refusal{}, true
+	x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", crashes, x.fingerprint)
+	if x.possibleRuns > 0 {
+		return refusal{code: http.StatusBadGateway, reason: quarantinedReason}, false
+	}
+	return refusal{http.StatusServiceUnavailable, quarantinedReason, max(left, time.Second)}, false
+}
+
+// confirm reports whether the request may be sent to the acquired upstream. If
+// not, it releases the upstream.
+func (x *exchange) confirm(c pick.Choice) (refusal, bool) {
+	r, now := x.relay, x.relay.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	resp, ok := x.checkQuarantine(now)
+	if !ok {
+		r.table.Finish(now, c.Upstream, x.query.Key, pick.Inconclusive, 0)
+		r.dispatch(now)
+	}
+	return resp, ok
 }
 
 // acquire chooses an upstream for the next attempt and counts the request there.
-// If there is none, it queues the request as long as waitLimit allows.
+// If there is none, it queues the request as long as waitLimit allows and the
+// request isn't quarantined.
 func (x *exchange) acquire(ctx context.Context) (pick.Choice, refusal, bool) {
 	r := x.relay
 	now := r.now()
 	r.mu.Lock()
+	if resp, ok := x.checkQuarantine(now); !ok {
+		r.mu.Unlock()
+		return pick.Choice{}, resp, false
+	}
 	c, reason := r.table.Choose(now, &x.query)
 	if reason == pick.Found {
 		r.table.Start(c.Upstream.ID, x.query.Key)
@@ -201,7 +241,7 @@
 	r.nextID++
 	w := &waiter{
 		item:  &queue.Item{ID: r.nextID, Key: x.query.Key, Rank: x.route.Rank, TargetStart: x.targetStart(), LatestStart: until},
-		query: &x.query, ready: make(chan pick.Choice, 1),
+		query: &x.query, fingerprint: x.fingerprint, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
 	}
 	r.waiters[w.item.ID] = w
 	r.queue.Add(w.item)
@@ -218,6 +258,7 @@
 		return c, refusal{}, true
 	case <-ctx.Done():
 	case <-t.C:
+	case <-w.quarantined:
 	case <-r.stopped:
 		if x.possibleRuns == 0 {
 			resp.reason, resp.retryAfter = "stopping", stoppingRetryAfter
@@ -230,6 +271,9 @@
 		return <-w.ready, refusal{}, true
 	}
 	delete(r.waiters, w.item.ID)
+	if refused, ok := x.checkQuarantine(r.now()); !ok {
+		resp = refused
+	}
 	return pick.Choice{}, resp, false
 }
 
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -83,9 +83,12 @@
 	}
 
 	waiter struct {
-		item  *queue.Item
-		query *pick.Query
-		ready chan pick.Choice
+		item        *queue.Item
+		query       *pick.Query
+		fingerprint string
+		ready       chan pick.Choice
+		// quarantined is closed when the request is found to crash upstreams.
+		quarantined chan struct{}
 	}
 )
 
@@ -165,11 +168,26 @@
 		r.suspects.Set(c)
 		if after := len(c.Crashes); after != before {
 			event.CrashHistoryChanged.Log("fingerprint", c.Fingerprint, "source", "holder", "fence", reply.Fence, "before", before, "after", after)
+			r.refuseWaiting(now, c.Fingerprint)
 		}
 	}
 	r.dispatch(now)
 }
 
+// refuseWaiting ends the wait of queued requests with a fingerprint if that is
+// quarantined. r.mu must be held.
+func (r *Relay) refuseWaiting(now time.Time, fingerprint string) {
+	if verdict, _ := r.suspects.Judge(now, fingerprint); verdict != poison.Quarantined && len(r.suspects.Entry(fingerprint).Crashes) < crashLimit {
+		return
+	}
+	for _, w := range r.waiters {
+		if w.fingerprint == fingerprint {
+			close(w.quarantined)
+			w.fingerprint = ""
+		}
+	}
+}
+
 // HasWaiting reports whether a request is queued.
 func (r *Relay) HasWaiting() bool {
 	r.mu.Lock()
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/node/hub"
 )
@@ -415,6 +416,47 @@
 	must.Eq(t, http.StatusOK, code)
 }
 
+// TestQuarantineBetweenAttempts guards against a request that was accepted before
+// it was quarantined and is sent on to further upstreams.
+func TestQuarantineBetweenAttempts(t *testing.T) {
+	f := newFixture(t, route(fleet.Safe, 6, false), resetConnection, resetConnection, resetConnection, resetConnection, resetConnection, resetConnection)
+	code, body := f.send(http.MethodGet, "bad", "")
+	must.Eq(t, http.StatusBadGateway, code)
+	must.StrContains(t, body, "quarantined")
+	total := 0
+	for i := range f.requests {
+		total += f.requestCount(i)
+	}
+	must.LessEq(t, crashLimit, total)
+}
+
+// TestQuarantineEndsWait guards against a request that waits for an upstream
+// although another daemon has found that it crashes them, and against its being
+// sent there at the end of the wait.
+func TestQuarantineEndsWait(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 1, false), streamEvents(2, 0))
+	f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{Copies: []fleet.Inventory{{ID: "u0", Born: 1, Rev: 1}}})
+	go func() {
+		for !f.relay.HasWaiting() {
+			time.Sleep(time.Millisecond)
+		}
+		request := &fleet.Request{Method: http.MethodPost, Target: "/x?y=1", Model: "m", Body: []byte("body of 1")}
+		e := poison.Entry{Fingerprint: fingerprint(request, "127.0.0.1")}
+		for i := range crashLimit {
+			e.Crashes = append(e.Crashes, poison.Crash{ID: fmt.Sprint("v", i), At: time.Now()})
+		}
+		// The model arrives in the same reply.
+		f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{
+			Copies:  []fleet.Inventory{{ID: "u0", Born: 1, Rev: 2, Held: []fleet.LoadedModel{{Model: "m"}}}},
+			Crashes: []poison.Entry{e},
+		})
+	}()
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusServiceUnavailable, code)
+	must.StrContains(t, body, "quarantined")
+	must.Eq(t, 0, f.requestCount(0))
+}
+
 // TestFewerDaemons guards against retry budgets that grow in a network partition
 // while the daemons on the other side still use theirs.
 func TestFewerDaemons(t *testing.T) {
