--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -1,6 +1,11 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
 
 type (
 	// Verdict classifies a request by its crash history.
@@ -21,13 +26,44 @@
 	Entry struct {
 		Fingerprint string
 		Crashes     []Crash
+		// Cleared are crashes that do not count, because the request has
+		// completed since. They are kept so that a daemon which has not
+		// learnt of that can't restore them.
+		Cleared []Crash
+	}
+
+	// Cursor is a position in the sequence of a Table's changes. The zero value
+	// is the position before the first one.
+	Cursor struct{ Table, Rev uint64 }
+
+	// Settings of a Table.
+	Settings struct {
+		// Retention is how long a history is kept after its last crash; zero
+		// stands for DefaultQuarantine.
+		Retention time.Duration
+		// CrashLimit is the number of crashes from which a request is
+		// quarantined, whichever requests ran on the same upstreams; zero
+		// means no such limit.
+		CrashLimit int
 	}
 
-	// Table holds the crash histories that a daemon knows of.
+	// Table holds the crash histories that a daemon knows of. It is safe for
+	// concurrent use.
 	Table struct {
-		// retention is how long a history is kept after its last crash.
-		retention time.Duration
-		entries   map[string]*Entry
+		settings Settings
+		// id distinguishes the table from those of other processes.
+		id uint64
+
+		mu      sync.Mutex
+		entries map[string]*history
+		// rev counts changes.
+		rev uint64
+	}
+
+	// history is an Entry and the revision of its last change.
+	history struct {
+		Entry
+		rev uint64
 	}
 )
 
@@ -42,11 +78,18 @@
 	Quarantined
 )
 
-// progressCrashLimit is the number of crashes from which a request is
-// quarantined although it had produced tokens each time. The limit is high
-// because hosts are reclaimed and engines restarted during long responses as
-// well.
-const progressCrashLimit = 4
+const (
+	// DefaultQuarantine is how long a quarantine lasts by default.
+	DefaultQuarantine = 10 * time.Minute
+	// progressCrashLimit is the number of crashes from which a request is
+	// quarantined although it had produced tokens each time. The limit is high
+	// because hosts are reclaimed and engines restarted during long responses
+	// as well.
+	progressCrashLimit = 4
+	// maxCrashes bounds the crashes, and the cleared ones, that are kept for
+	// one fingerprint; the newest are kept.
+	maxCrashes = 8
+)
 
 // String returns the verdict's name in logs.
 func (v Verdict) String() string {
@@ -61,72 +104,205 @@
 	return "unknown"
 }
 
-// DefaultQuarantine is how long a quarantine lasts by default.
-const DefaultQuarantine = 10 * time.Minute
-
-// New returns an empty Table that keeps histories for the given time after the
-// last crash. Zero stands for DefaultQuarantine.
-func New(retention time.Duration) *Table {
-	if retention == 0 {
-		retention = DefaultQuarantine
+// New returns an empty Table. Its id must differ from those of the other tables
+// with which it exchanges entries.
+func New(settings Settings, id uint64) *Table {
+	if settings.Retention == 0 {
+		settings.Retention = DefaultQuarantine
 	}
-	return &Table{retention: retention, entries: map[string]*Entry{}}
+	return &Table{settings: settings, id: id, entries: map[string]*history{}}
 }
 
 // Observe adds a crash to the history of a fingerprint unless it contains the
 // crash already, and returns the history.
 func (t *Table) Observe(fingerprint string, c Crash) Entry {
-	e := t.entries[fingerprint]
-	if e == nil {
-		e = &Entry{Fingerprint: fingerprint}
-		t.entries[fingerprint] = e
-	}
-	for _, d := range e.Crashes {
-		if d.ID == c.ID {
-			return *e
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(c.At)
+	c.At = c.At.Round(0) // other daemons get no monotonic clock reading
+	return t.merge(Entry{Fingerprint: fingerprint, Crashes: []Crash{c}})
+}
+
+// Merge adds the crashes of an entry of another daemon, except those that either
+// side has cleared, and clears what the other side has cleared. Crashes that are
+// older than the retention at now are ignored. It returns the number of crashes
+// known before and after, and whether the history has changed.
+func (t *Table) Merge(now time.Time, e Entry) (before, after int, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	e.Crashes, e.Cleared = t.recent(now, e.Crashes), t.recent(now, e.Cleared)
+	if h := t.entries[e.Fingerprint]; h != nil {
+		before = len(h.Crashes)
+	}
+	rev := t.rev
+	after = len(t.merge(e).Crashes)
+	return before, after, t.rev != rev
+}
+
+// merge is Merge without the removal of old crashes. It returns the new history.
+// t.mu must be held.
+func (t *Table) merge(e Entry) Entry {
+	h := t.entries[e.Fingerprint]
+	if h == nil {
+		h = &history{Entry: Entry{Fingerprint: e.Fingerprint}}
+	}
+	cleared := union(h.Cleared, e.Cleared, nil)
+	crashes := union(h.Crashes, e.Crashes, cleared)
+	if len(crashes)+len(cleared) == 0 || equal(crashes, h.Crashes) && equal(cleared, h.Cleared) {
+		return h.clone()
+	}
+	t.rev++
+	h.Crashes, h.Cleared, h.rev = crashes, cleared, t.rev
+	t.entries[e.Fingerprint] = h
+	return h.clone()
+}
+
+// union returns the newest crashes of a and b that are not in except, in the order
+// of time. A crash in both has the earlier time, and progress only if both have it.
+func union(a, b, except []Crash) []Crash {
+	byID := make(map[string]Crash, len(a)+len(b))
+	for _, c := range append(slices.Clone(a), b...) {
+		if old, ok := byID[c.ID]; ok {
+			c.Progress = c.Progress && old.Progress
+			if old.At.Before(c.At) {
+				c.At = old.At
+			}
+		}
+		byID[c.ID] = c
+	}
+	for _, c := range except {
+		delete(byID, c.ID)
+	}
+	out := make([]Crash, 0, len(byID))
+	for _, c := range byID {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(x, y Crash) int {
+		if c := x.At.Compare(y.At); c != 0 {
+			return c
+		}
+		return strings.Compare(x.ID, y.ID)
+	})
+	return out[max(len(out)-maxCrashes, 0):]
+}
+
+// equal reports whether two lists have the same crashes in the same order.
+func equal(a, b []Crash) bool {
+	return slices.EqualFunc(a, b, func(x, y Crash) bool {
+		return x.ID == y.ID && x.At.Equal(y.At) && x.Progress == y.Progress
+	})
+}
+
+// clone returns a copy that doesn't share memory with the table.
+func (h *history) clone() Entry {
+	return Entry{Fingerprint: h.Fingerprint, Crashes: slices.Clone(h.Crashes), Cleared: slices.Clone(h.Cleared)}
+}
+
+// recent returns the crashes that are not older than the retention at now.
+func (t *Table) recent(now time.Time, crashes []Crash) []Crash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return t.left(now, c) <= 0 })
+}
+
+// left returns the time until the retention of c ends.
+func (t *Table) left(now time.Time, c Crash) time.Duration {
+	return c.At.Add(t.settings.Retention).Sub(now)
+}
+
+// expire removes the histories whose last crash is older than the retention. t.mu
+// must be held.
+func (t *Table) expire(now time.Time) {
+	for fp, h := range t.entries {
+		if t.expired(now, h) {
+			delete(t.entries, fp)
 		}
 	}
-	i := len(e.Crashes)
-	for i > 0 && e.Crashes[i-1].At.After(c.At) {
-		i--
+}
+
+// expired reports whether the last crash of h is older than the retention.
+func (t *Table) expired(now time.Time, h *history) bool {
+	for _, list := range [][]Crash{h.Crashes, h.Cleared} {
+		if n := len(list); n > 0 && t.left(now, list[n-1]) > 0 {
+			return false
+		}
 	}
-	e.Crashes = append(e.Crashes, Crash{})
-	copy(e.Crashes[i+1:], e.Crashes[i:])
-	e.Crashes[i] = c
-	return *e
+	return true
 }
 
 // Entry returns the history of a fingerprint, empty if it is unknown.
 func (t *Table) Entry(fingerprint string) Entry {
-	if e := t.entries[fingerprint]; e != nil {
-		return Entry{Fingerprint: fingerprint, Crashes: append([]Crash(nil), e.Crashes...)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.entries[fingerprint]; h != nil {
+		return h.clone()
 	}
 	return Entry{Fingerprint: fingerprint}
 }
 
-// Set replaces the history of a fingerprint by one received from another
-// daemon. An empty history removes it.
-func (t *Table) Set(e Entry) {
-	if len(e.Crashes) == 0 {
-		delete(t.entries, e.Fingerprint)
-		return
+// Clear clears the crashes of a fingerprint whose request has completed. It
+// reports whether there were any.
+func (t *Table) Clear(fingerprint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.entries[fingerprint]
+	if h == nil || len(h.Crashes) == 0 {
+		return false
 	}
-	t.entries[e.Fingerprint] = &e
+	t.merge(Entry{Fingerprint: fingerprint, Cleared: h.Crashes})
+	return true
 }
 
-// Clear removes the history of a fingerprint whose request has completed. It
-// reports whether there was one.
-func (t *Table) Clear(fingerprint string) bool {
-	_, ok := t.entries[fingerprint]
-	delete(t.entries, fingerprint)
-	return ok
+// Since returns the histories that have changed after a position and have at
+// least minCrashes crashes, cleared ones included, and the position up to which
+// they are returned. For a position in another table, it returns all.
+func (t *Table) Since(c Cursor, minCrashes int) ([]Entry, Cursor) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := Cursor{Table: t.id, Rev: t.rev}
+	if c == next {
+		return nil, next
+	}
+	if c.Table != t.id {
+		c.Rev = 0
+	}
+	var out []Entry
+	for _, h := range t.entries {
+		if h.rev > c.Rev && len(h.Crashes)+len(h.Cleared) >= minCrashes {
+			out = append(out, h.clone())
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	return out, next
+}
+
+// Rev returns the number of changes so far.
+func (t *Table) Rev() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rev
+}
+
+// Quarantined returns the histories of the requests that are quarantined at now.
+func (t *Table) Quarantined(now time.Time) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for _, h := range t.entries {
+		if v, _ := t.judge(now, h); v == Quarantined {
+			out = append(out, h.clone())
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
 }
 
 // Count returns the number of fingerprints with known crashes, and of those that
 // are quarantined at now.
 func (t *Table) Count(now time.Time) (suspects, quarantined int) {
-	for fp := range t.entries {
-		switch v, _ := t.Judge(now, fp); v {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.entries {
+		switch v, _ := t.judge(now, h); v {
 		case Clean:
 		case Suspect:
 			suspects++
@@ -141,17 +317,28 @@
 // Judge returns the verdict on a fingerprint at now and, if it is quarantined,
 // the time until the quarantine ends.
 func (t *Table) Judge(now time.Time, fingerprint string) (Verdict, time.Duration) {
-	e := t.entries[fingerprint]
-	if e == nil {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.entries[fingerprint]; h != nil {
+		return t.judge(now, h)
+	}
+	return Clean, 0
+}
+
+// judge is Judge for a known history. t.mu must be held.
+func (t *Table) judge(now time.Time, h *history) (Verdict, time.Duration) {
+	if len(h.Crashes) == 0 {
 		return Clean, 0
 	}
-	left := e.Crashes[len(e.Crashes)-1].At.Add(t.retention).Sub(now)
+	left := t.left(now, h.Crashes[len(h.Crashes)-1])
 	if left <= 0 {
-		delete(t.entries, fingerprint)
 		return Clean, 0
 	}
-	for _, c := range e.Crashes[1:] {
-		if t.soleSuspect(e, c) && (!c.Progress || len(e.Crashes) >= progressCrashLimit) {
+	if limit := t.settings.CrashLimit; limit > 0 && len(h.Crashes) >= limit {
+		return Quarantined, left
+	}
+	for _, c := range h.Crashes[1:] {
+		if t.soleSuspect(h, c) && (!c.Progress || len(h.Crashes) >= progressCrashLimit) {
 			return Quarantined, left
 		}
 	}
@@ -159,10 +346,10 @@
 }
 
 // soleSuspect reports whether no other request that was already a suspect was
-// running on the upstream at crash c.
-func (t *Table) soleSuspect(e *Entry, c Crash) bool {
+// running on the upstream at crash c. t.mu must be held.
+func (t *Table) soleSuspect(h *history, c Crash) bool {
 	for _, o := range t.entries {
-		if o == e {
+		if o == h || len(o.Crashes) == 0 {
 			continue
 		}
 		for _, d := range o.Crashes[1:] {
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -12,7 +14,7 @@
 // quarantined.
 func TestJudge(t *testing.T) {
 	at := time.UnixMilli(0)
-	tab := New(0)
+	tab := New(Settings{}, 1)
 	judge := func(fp string) Verdict { v, _ := tab.Judge(at, fp); return v }
 	must.Eq(t, Clean, judge("bad"))
 	for _, fp := range []string{"bad", "innocent", "other"} {
@@ -41,10 +43,140 @@
 // crashes engines only after it has produced tokens.
 func TestProgress(t *testing.T) {
 	at := time.UnixMilli(0)
-	tab := New(0)
+	tab := New(Settings{}, 1)
 	for i, want := range []Verdict{Suspect, Suspect, Suspect, Quarantined} {
 		tab.Observe("long", Crash{ID: string(rune('a' + i)), At: at, Progress: true})
 		got, _ := tab.Judge(at, "long")
 		must.Eq(t, want, got)
 	}
 }
+
+// crash returns a crash of a given upstream at a second.
+func crash(upstream string, second int) Crash {
+	return Crash{ID: upstream, At: time.Unix(int64(second), 0)}
+}
+
+// TestShorterHistoryIsMerged guards against a quarantine that ends because another
+// daemon, which knows of fewer crashes, reports its history (incident BUDGET).
+func TestShorterHistoryIsMerged(t *testing.T) {
+	now := time.Unix(10, 0)
+	tab := New(Settings{CrashLimit: 3}, 1)
+	for i, u := range []string{"u1", "u2", "u3"} {
+		tab.Observe("bad", crash(u, i))
+	}
+	for _, e := range []Entry{{Fingerprint: "bad", Crashes: []Crash{crash("u4", 5)}}, {Fingerprint: "bad"}} {
+		tab.Merge(now, e)
+		verdict, _ := tab.Judge(now, "bad")
+		must.Eq(t, Quarantined, verdict)
+	}
+	must.Len(t, 4, tab.Entry("bad").Crashes)
+}
+
+// TestClearedCrashStaysCleared guards against a suspicion that returns with the
+// history of a daemon that has not learnt that the request completed, and against
+// one that a later crash doesn't raise again.
+func TestClearedCrashStaysCleared(t *testing.T) {
+	now := time.Unix(10, 0)
+	a, b := New(Settings{CrashLimit: 3}, 1), New(Settings{CrashLimit: 3}, 2)
+	a.Observe("f", crash("u1", 1))
+	b.Merge(now, a.Entry("f"))
+	must.True(t, a.Clear("f"))
+	must.False(t, a.Clear("f"))
+	_, _, changed := a.Merge(now, b.Entry("f"))
+	must.False(t, changed)
+	verdict, _ := a.Judge(now, "f")
+	must.Eq(t, Clean, verdict)
+	b.Merge(now, a.Entry("f"))
+	verdict, _ = b.Judge(now, "f")
+	must.Eq(t, Clean, verdict)
+	b.Observe("f", crash("u2", 9))
+	a.Merge(now, b.Entry("f"))
+	must.Eq(t, []Crash{crash("u2", 9)}, a.Entry("f").Crashes)
+}
+
+// TestHistoriesConverge merges the histories of several tables in random order,
+// with reports that are lost or repeated: all tables must end with the same
+// histories, which contain each crash that was not cleared.
+func TestHistoriesConverge(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		now := time.Unix(100, 0)
+		tabs := make([]*Table, 4)
+		for i := range tabs {
+			tabs[i] = New(Settings{CrashLimit: 3}, uint64(i))
+		}
+		seen := map[string]bool{}
+		for i := range 6 {
+			tab, u := tabs[rng.IntN(len(tabs))], fmt.Sprint("u", rng.IntN(5))
+			tab.Observe("f", crash(u, i))
+			seen[u] = true
+			if rng.IntN(4) == 0 {
+				for _, c := range tab.Entry("f").Crashes {
+					delete(seen, c.ID)
+				}
+				tab.Clear("f")
+			}
+			tabs[rng.IntN(len(tabs))].Merge(now, tab.Entry("f"))
+		}
+		for range 2 {
+			for _, from := range tabs {
+				for _, to := range tabs {
+					to.Merge(now, from.Entry("f"))
+				}
+			}
+		}
+		for _, tab := range tabs {
+			must.Eq(t, tabs[0].Entry("f"), tab.Entry("f"), must.Sprint(seed))
+		}
+		for _, c := range tabs[0].Entry("f").Crashes {
+			delete(seen, c.ID)
+		}
+		for _, c := range tabs[0].Entry("f").Cleared {
+			// Observed again by a daemon that did not know of the clear.
+			delete(seen, c.ID)
+		}
+		must.MapEmpty(t, seen, must.Sprint(seed))
+	}
+}
+
+// TestSince guards against changes that are never returned to another daemon, and
+// against histories that are returned again and again.
+func TestSince(t *testing.T) {
+	tab := New(Settings{}, 7)
+	tab.Observe("a", crash("u1", 1))
+	got, at := tab.Since(Cursor{}, 1)
+	must.Len(t, 1, got)
+	got, same := tab.Since(at, 1)
+	must.SliceEmpty(t, got)
+	must.Eq(t, at, same)
+	tab.Observe("a", crash("u1", 1))
+	tab.Observe("b", crash("u1", 1))
+	got, next := tab.Since(at, 1)
+	must.Len(t, 1, got)
+	must.Eq(t, "b", got[0].Fingerprint)
+	got, _ = tab.Since(at, 2)
+	must.SliceEmpty(t, got)
+	// A position in the table of another process says nothing about this one.
+	got, _ = tab.Since(Cursor{Table: 8, Rev: next.Rev + 5}, 1)
+	must.Len(t, 2, got)
+	must.True(t, tab.Clear("a"))
+	got, _ = tab.Since(next, 1)
+	must.Len(t, 1, got)
+	must.Len(t, 1, got[0].Cleared)
+}
+
+// TestOldHistoriesAreDropped guards against a table that grows with every crash,
+// and against old crashes that other daemons bring back.
+func TestOldHistoriesAreDropped(t *testing.T) {
+	tab := New(Settings{Retention: time.Minute}, 1)
+	tab.Observe("old", crash("u1", 0))
+	tab.Observe("new", crash("u2", 61))
+	must.MapLen(t, 1, tab.entries)
+	_, _, changed := tab.Merge(time.Unix(61, 0), Entry{Fingerprint: "old", Crashes: []Crash{crash("u1", 0)}})
+	must.False(t, changed)
+	must.MapLen(t, 1, tab.entries)
+	for i := range 3 * maxCrashes {
+		tab.Observe("new", crash(fmt.Sprint("v", i), 62+i))
+	}
+	must.Len(t, maxCrashes, tab.Entry("new").Crashes)
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/azurespan/azurespan/internal/base/super"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/lease"
+	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/node/elect"
 	"github.com/azurespan/azurespan/internal/node/feed"
@@ -77,6 +78,7 @@
 		platform Platform
 		now      func() time.Time
 		relay    *relay.Relay
+		crashes  *poison.Table
 		loader   *loader.Loader
 		elector  *elect.Elector
 		syncer   *syncer.Syncer
@@ -114,6 +116,10 @@
 	callerIdleTimeout = 75 * time.Second
 	// headerBytes bounds a request's header.
 	headerBytes = 64 << 10
+	// crashLimit is the number of crashed upstreams from which a request is
+	// refused, whichever requests ran on them as well. The platform counts what
+	// is sent after the third.
+	crashLimit = 3
 	// rotationDelay is the time from SIGTERM until the platform has taken the
 	// daemon out of rotation: after two failed checks at one a second.
 	rotationDelay = 2500 * time.Millisecond
@@ -129,9 +135,10 @@
 	e.metrics = metrics
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	pool := http1.New(http1.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: idlePerUpstream}, now)
+	e.crashes = poison.New(poison.Settings{CrashLimit: crashLimit}, rng.Uint64())
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
-	}, platform.Wire, pool, metrics, rng, now)
+	}, platform.Wire, pool, e.crashes, metrics, rng, now)
 	earliestRead := now()
 	if settings.FirstStart {
 		earliestRead = earliestRead.Add(firstHolderWait)
@@ -149,8 +156,8 @@
 		Self: settings.Host, Address: settings.Peers, TTL: leaseTTL, Renew: renewInterval, Margin: leaseMargin,
 		Pause: settings.HolderPause + pauseSlack, MaxStagger: maxStagger, FirstStart: settings.FirstStart,
 	}, dispatcher, storeEstimate{e}, platform.BootClock)
-	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, metrics, now)
-	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.loader, e.loader.SetStoreAtOnce, platform.Holder, e.relay.ReportNow, now)
+	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, metrics, now)
+	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.loader, e.loader.SetStoreAtOnce, platform.Holder, e.relay.ReportNow, now)
 	e.config = &configSink{entry: e}
 	return e
 }
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -18,10 +18,13 @@
 type (
 	// TellArgs is a daemon's report to the holder.
 	TellArgs struct {
-		Host    string
-		Demand  fleet.Demand
+		Host   string
+		Demand fleet.Demand
+		// Crashes are the histories that have changed since the last reply,
+		// all of them after a connection was established.
 		Crashes []poison.Entry
-		// Cleared are the fingerprints of requests that have completed.
+		// Cleared are the fingerprints of requests that have completed. Daemons
+		// that don't know Entry.Cleared rely on it.
 		Cleared []string
 	}
 
@@ -36,6 +39,9 @@
 		// Register and Config are the offsets up to which the daemon knows
 		// these topics.
 		Register, Config int64
+		// Crashes is the position up to which the daemon knows the holder's
+		// crash histories.
+		Crashes poison.Cursor
 		// Load requests Running and Daemons.
 		Load bool
 	}
@@ -53,7 +59,10 @@
 		Running map[string]int
 		// Daemons is the number in contact, the holder included.
 		Daemons int
-		Crashes []poison.Entry
+		// Crashes are the changed histories of requests that may be in
+		// quarantine, and CrashesAt is the position that includes them.
+		Crashes   []poison.Entry
+		CrashesAt poison.Cursor
 		// StoreAtOnce is the holder's estimate of the number of loads that the
 		// weight store serves at a time, for the next holder.
 		StoreAtOnce float64
--- a/internal/node/hub/wire_test.go
+++ b/internal/node/hub/wire_test.go
@@ -67,6 +67,9 @@
 		Config: &TopicState{AsOf: 6, Age: 7}, WholeRegister: Packed[*roster.Update]("r"), WholeAge: 8,
 		Job: &logjob.Job{ID: 9, Append: true, At: 10, Key: "k", Value: []byte("v")},
 	})
+	cleared := []poison.Entry{{Fingerprint: "f", Crashes: []poison.Crash{{ID: "u/2", At: at}}, Cleared: []poison.Crash{{ID: "u/1", At: at}}}}
+	checkWire(t, "watch-args-crashes", WatchArgs{Host: "h1", Crashes: poison.Cursor{Table: 5, Rev: 6}})
+	checkWire(t, "watch-reply-crashes", WatchReply{Crashes: cleared, CrashesAt: poison.Cursor{Table: 5, Rev: 6}})
 	checkWire(t, "result", logjob.Result{
 		ID: 1, OK: true, Problem: "p",
 		Page: &feed.Page{Records: []feed.Record{{Key: "k", Value: []byte("v"), Offset: 2}}, Next: 3, End: 4},
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
@@ -26,20 +28,28 @@
 		}
 	}
 	l.daemons[a.Host] = p
-	for _, c := range a.Crashes {
-		for _, crash := range c.Crashes {
-			l.crashes.Observe(c.Fingerprint, crash)
+	l.mergeCrashes(now, a)
+	l.wake()
+	return l.fence, nil
+}
+
+// mergeCrashes merges the crash histories of a daemon's report, and notifies the
+// other daemons of changes. The caller holds l.mu.
+func (l *Loader) mergeCrashes(now time.Time, a *hub.TellArgs) {
+	for _, e := range a.Crashes {
+		if before, after, changed := l.crashes.Merge(now, e); changed {
+			event.CrashReported.Log("host", a.Host, "fingerprint", e.Fingerprint, "before", before, "crashes", after, "cleared", len(e.Cleared))
 		}
-		l.crashUpdates[c.Fingerprint] = true
-		event.CrashReported.Log("host", a.Host, "fingerprint", c.Fingerprint, "crashes", len(c.Crashes))
-		l.rev++
 	}
 	for _, fp := range a.Cleared {
-		l.crashes.Clear(fp)
-		l.crashUpdates[fp] = true
+		if !slices.ContainsFunc(a.Crashes, func(e poison.Entry) bool { return e.Fingerprint == fp }) {
+			l.crashes.Clear(fp)
+		}
+	}
+	if rev := l.crashes.Rev(); rev != l.crashRev {
+		l.crashRev = rev
+		l.notifyWatchers()
 	}
-	l.wake()
-	return l.fence, nil
 }
 
 // Watch returns the changes since a revision once there are any, or a reply
@@ -66,6 +76,7 @@
 func (l *Loader) currentReply(a *hub.WatchArgs, always bool) (*hub.WatchReply, error) {
 	now := l.now()
 	register, config := l.topicUpdates(now, a)
+	crashes, crashesAt := l.crashes.Since(a.Crashes, minSharedCrashes)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.active {
@@ -80,13 +91,16 @@
 	if a.Host != l.host {
 		job = l.jobs.Take(a.Host)
 	}
-	if r == nil && (always || job != nil || hasTopicUpdates(a, register, config)) {
+	// A daemon that states no position gets the histories with its next reply.
+	newCrashes := len(crashes) > 0 && a.Crashes != poison.Cursor{}
+	if r == nil && (always || job != nil || newCrashes || hasTopicUpdates(a, register, config)) {
 		r = l.newReply(now, a, nil, since)
 	}
 	if r == nil {
 		return nil, nil
 	}
 	r.Job, r.Register, r.Config = job, register, config
+	r.Crashes, r.CrashesAt = crashes, crashesAt
 	if register != nil && register.Full {
 		l.packRegister(now, r)
 	}
@@ -191,13 +205,6 @@
 	if a.Load {
 		r.Running, r.Daemons = l.otherRunning(now, a.Host)
 	}
-	for fp := range l.crashUpdates {
-		e := l.crashes.Entry(fp)
-		if len(e.Crashes) == 0 {
-			delete(l.crashUpdates, fp)
-		}
-		r.Crashes = append(r.Crashes, e)
-	}
 	return r
 }
 
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -71,11 +71,11 @@
 		active  bool
 		fence   int64
 		daemons map[string]*daemonState
-		crashes *poison.Table
-		// crashUpdates are the fingerprints whose crashes are in each reply;
-		// one without crashes is removed after the reply that clears it.
-		crashUpdates map[string]bool
-		rev          uint64
+		// crashes are the crash histories of this daemon, and crashRev is their
+		// revision of which the other daemons have been notified.
+		crashes  *poison.Table
+		crashRev uint64
+		rev      uint64
 		// packedInventory and packedUpdate are the complete state for daemons
 		// that know none.
 		packedInventory packCache[[]fleet.Inventory]
@@ -115,15 +115,16 @@
 	// packedTTL is how long a packed value is reused. Later changes are in the
 	// reply to the receiver's next call.
 	packedTTL = 300 * time.Millisecond
-	// crashTTL is how long crashes are kept.
-	crashTTL = time.Minute
+	// minSharedCrashes is the number of crashes from which a history is sent to
+	// all daemons: with one crash, a request is in no quarantine.
+	minSharedCrashes = 2
 )
 
 // New returns a Loader for the daemon named host.
-func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, metrics *metric.Metrics, now func() time.Time) *Loader {
+func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, crashes *poison.Table, metrics *metric.Metrics, now func() time.Time) *Loader {
 	return &Loader{
 		host: host, settings: settings, engines: engines, elector: elector, jobs: jobs, topics: topics, metrics: metrics, now: now,
-		daemons: map[string]*daemonState{}, crashes: poison.New(crashTTL), crashUpdates: map[string]bool{},
+		daemons: map[string]*daemonState{}, crashes: crashes,
 		changed: make(chan struct{}), wakeup: make(chan struct{}, 1),
 	}
 }
--- a/internal/node/loader/loader_test.go
+++ b/internal/node/loader/loader_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
@@ -113,7 +114,7 @@
 // startLoader runs a Loader with n engines, of which the first holds all models.
 func startLoader(t *testing.T, n int) (*fakeCluster, *Loader) {
 	w := &fakeCluster{held: map[string][]string{"e0": {"m0", "m1"}}, orders: map[string]int64{}, fence: 4, holds: true, may: true}
-	l := New("self", plan.Settings{}, w, w, w, w, metric.New(prometheus.NewRegistry()), time.Now)
+	l := New("self", plan.Settings{}, w, w, w, w, poison.New(poison.Settings{CrashLimit: 3}, 1), metric.New(prometheus.NewRegistry()), time.Now)
 	engine := &fleet.Engine{Slots: 4, MemoryMB: 1000, MaxAdapters: 2, StoreLoadsPerSecond: 10, Models: map[string]fleet.Model{}}
 	for _, m := range []string{"m0", "m1"} {
 		engine.Models[m] = fleet.Model{Name: m, WeightMB: 400, StoreLoadTime: 20 * time.Millisecond, DiskLoadTime: 20 * time.Millisecond, MemoryLoadTime: 20 * time.Millisecond}
@@ -308,3 +309,43 @@
 	must.NoError(t, err)
 	must.Eq(t, uint64(3), r.Job.ID)
 }
+
+// TestCrashNewsEndsWatch guards against daemons that learn of a request in
+// quarantine only when a waiting call of theirs has timed out, against histories
+// that each reply repeats, and against ones that a daemon with an unknown position
+// doesn't get.
+func TestCrashNewsEndsWatch(t *testing.T) {
+	_, l := startLoader(t, 1)
+	at := &hub.WatchArgs{Host: "d1"}
+	eventually(t, func() bool {
+		r, err := watch(l, at)
+		if err == nil {
+			at.Fence, at.Rev, at.Crashes = r.Fence, r.Rev, r.CrashesAt
+		}
+		return err == nil && r.AllCopies == nil && len(r.Copies) == 0
+	})
+	long, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	now := time.Now()
+	entry := poison.Entry{Fingerprint: "f", Crashes: []poison.Crash{{ID: "u1", At: now}, {ID: "u2", At: now}}}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		_, err := l.Tell(now, &hub.TellArgs{Host: "d2", Crashes: []poison.Entry{entry}})
+		must.NoError(t, err)
+	}()
+	r, err := l.Watch(long, at)
+	must.NoError(t, err)
+	must.NoError(t, long.Err())
+	must.Len(t, 1, r.Crashes)
+	must.Len(t, 2, r.Crashes[0].Crashes)
+	at.Fence, at.Rev, at.Crashes = r.Fence, r.Rev, r.CrashesAt
+	// The same report again, as from a daemon that has connected anew.
+	_, err = l.Tell(now, &hub.TellArgs{Host: "d2", Crashes: []poison.Entry{entry}})
+	must.NoError(t, err)
+	r, err = watch(l, at)
+	must.NoError(t, err)
+	must.SliceEmpty(t, r.Crashes)
+	r, err = watch(l, &hub.WatchArgs{Host: "d3", Crashes: poison.Cursor{Table: 99, Rev: 99}})
+	must.NoError(t, err)
+	must.Len(t, 1, r.Crashes)
+}
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -101,12 +101,10 @@
 		entry := r.suspects.Observe(x.fingerprint, crash)
 		verdict, _ := r.suspects.Judge(now, x.fingerprint)
 		event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict)
-		r.crashes[x.fingerprint] = true
-		r.refuseWaiting(now, x.fingerprint)
+		r.refuseQuarantined(now)
 		r.requestReport()
 	case o.done && r.suspects.Clear(x.fingerprint):
 		event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", c.Upstream.ID)
-		r.cleared[x.fingerprint] = true
 	}
 	r.dispatch(now)
 	r.mu.Unlock()
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -191,11 +191,10 @@
 func (x *exchange) checkQuarantine(now time.Time) (refusal, bool) {
 	suspects := x.relay.suspects
 	verdict, left := suspects.Judge(now, x.fingerprint)
-	crashes := len(suspects.Entry(x.fingerprint).Crashes)
-	if verdict != poison.Quarantined && crashes < crashLimit {
+	if verdict != poison.Quarantined {
 		return refusal{}, true
 	}
-	x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", crashes, x.fingerprint)
+	x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", len(suspects.Entry(x.fingerprint).Crashes), x.fingerprint)
 	if x.possibleRuns > 0 {
 		return refusal{code: http.StatusBadGateway, reason: quarantinedReason}, false
 	}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -69,11 +69,11 @@
 		// progress, by model.
 		lastReply    time.Time
 		pendingLoads map[fleet.Key]time.Time
-		// arrivals, crashes and cleared have not been reported to the holder
-		// yet; the last two are sets of fingerprints.
+		// arrivals have not been reported to the holder yet.
 		arrivals map[fleet.Key]int
-		crashes  map[string]bool
-		cleared  map[string]bool
+		// judgedRev is the revision of suspects for which the queued requests
+		// were last judged.
+		judgedRev uint64
 
 		// ReportNow is signalled when there is something to report to the holder
 		// at once.
@@ -83,12 +83,13 @@
 	}
 
 	waiter struct {
-		item        *queue.Item
-		query       *pick.Query
-		fingerprint string
-		ready       chan pick.Choice
-		// quarantined is closed when the request is found to crash upstreams.
+		item  *queue.Item
+		query *pick.Query
+		ready chan pick.Choice
+		// quarantined is closed when the request is found to crash upstreams;
+		// fingerprint is empty from then on.
 		quarantined chan struct{}
+		fingerprint string
 	}
 )
 
@@ -105,11 +106,6 @@
 	// replyPrecedence is how long after a reply of the holder its inventories
 	// take precedence over the register.
 	replyPrecedence = 1500 * time.Millisecond
-	// quarantineTime is how long a request that crashes upstreams is refused.
-	quarantineTime = time.Minute
-	// crashLimit is the number of crashes from which a request is refused,
-	// whichever requests ran on the same upstreams.
-	crashLimit = 3
 	// runInterval is the interval at which Run dispatches queued requests.
 	runInterval = 25 * time.Millisecond
 	// ticksPerUpdate is the number of run intervals after which the gauges are
@@ -117,16 +113,17 @@
 	ticksPerUpdate = 40
 )
 
-// New returns a Relay without configuration and upstreams.
-func New(settings Settings, codec Codec, pool *http1.Pool, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
+// New returns a Relay without configuration and upstreams. suspects holds what is
+// known of requests that crash upstreams.
+func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
 	return &Relay{
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, rng),
 		queue:    queue.New(),
-		suspects: poison.New(quarantineTime),
+		suspects: suspects,
 		budgets:  map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
-		crashes: map[string]bool{}, cleared: map[string]bool{}, ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
+		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
 	}
 }
 
@@ -163,25 +160,23 @@
 		r.pendingLoads[c.Key] = now.Add(c.In)
 	}
 	r.setDaemons(now, reply.Daemons)
-	for _, c := range reply.Crashes {
-		before := len(r.suspects.Entry(c.Fingerprint).Crashes)
-		r.suspects.Set(c)
-		if after := len(c.Crashes); after != before {
-			event.CrashHistoryChanged.Log("fingerprint", c.Fingerprint, "source", "holder", "fence", reply.Fence, "before", before, "after", after)
-			r.refuseWaiting(now, c.Fingerprint)
-		}
-	}
+	r.refuseQuarantined(now)
 	r.dispatch(now)
 }
 
-// refuseWaiting ends the wait of queued requests with a fingerprint if that is
-// quarantined. r.mu must be held.
-func (r *Relay) refuseWaiting(now time.Time, fingerprint string) {
-	if verdict, _ := r.suspects.Judge(now, fingerprint); verdict != poison.Quarantined && len(r.suspects.Entry(fingerprint).Crashes) < crashLimit {
+// refuseQuarantined ends the wait of queued requests that have been quarantined
+// since the last call. r.mu must be held.
+func (r *Relay) refuseQuarantined(now time.Time) {
+	rev := r.suspects.Rev()
+	if rev == r.judgedRev {
 		return
 	}
+	r.judgedRev = rev
 	for _, w := range r.waiters {
-		if w.fingerprint == fingerprint {
+		if w.fingerprint == "" {
+			continue
+		}
+		if verdict, _ := r.suspects.Judge(now, w.fingerprint); verdict == poison.Quarantined {
 			close(w.quarantined)
 			w.fingerprint = ""
 		}
@@ -217,25 +212,17 @@
 }
 
 // TakeDemand returns what to report to the holder, and resets the counts.
-func (r *Relay) TakeDemand(now time.Time) (d fleet.Demand, crashes []poison.Entry, cleared []string) {
+func (r *Relay) TakeDemand(now time.Time) fleet.Demand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d = fleet.Demand{
+	d := fleet.Demand{
 		Arrivals: r.arrivals, Waiting: map[fleet.Key]int{}, Running: map[string]map[fleet.Key]int{},
 		Unreachable: r.table.Ejected(now),
 	}
 	r.arrivals = map[fleet.Key]int{}
 	r.queue.CountByKey(d.Waiting)
 	r.table.Running(d.Running)
-	for fingerprint := range r.crashes {
-		crashes = append(crashes, r.suspects.Entry(fingerprint))
-	}
-	for fingerprint := range r.cleared {
-		cleared = append(cleared, fingerprint)
-	}
-	clear(r.crashes)
-	clear(r.cleared)
-	return d, crashes, cleared
+	return d
 }
 
 // Stop refuses queued requests, now and later, since the daemon exits before they
@@ -257,6 +244,7 @@
 		now := r.now()
 		r.mu.Lock()
 		if r.queue.Len() > 0 {
+			r.refuseQuarantined(now)
 			r.dispatch(now)
 		}
 		if ticks++; ticks%ticksPerUpdate == 0 {
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -59,6 +59,10 @@
 	http.Error(w, reason, status)
 }
 
+// crashLimit is the number of crashes from which the fixture's Relay refuses a
+// request.
+const crashLimit = 3
+
 // fixture is a Relay with upstreams.
 type fixture struct {
 	t     *testing.T
@@ -83,7 +87,7 @@
 	f := &fixture{t: t}
 	set := Settings{FailureDomain: "d", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}
 	pool := http1.New(http1.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdlePerUpstream: 4}, time.Now)
-	f.relay = New(set, testCodec{}, pool, metric.New(prometheus.NewRegistry()), rand.New(rand.NewPCG(1, 2)), time.Now)
+	f.relay = New(set, testCodec{}, pool, poison.New(poison.Settings{CrashLimit: crashLimit}, 1), metric.New(prometheus.NewRegistry()), rand.New(rand.NewPCG(1, 2)), time.Now)
 	cfg := &fleet.Config{Version: 1, Routes: []fleet.Route{r}, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	if r.Kind == fleet.Stream {
 		cfg.Services["s"] = fleet.Service{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m"}}}}
@@ -338,7 +342,7 @@
 		for !f.relay.HasWaiting() {
 			time.Sleep(time.Millisecond)
 		}
-		d, _, _ := f.relay.TakeDemand(time.Now())
+		d := f.relay.TakeDemand(time.Now())
 		must.Eq(t, 1, d.Waiting[fleet.Key{Service: "s", Model: "m"}])
 		f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{Copies: []fleet.Inventory{{ID: "u0", Born: 1, Rev: 2, Held: []fleet.LoadedModel{{Model: "m"}}}}})
 	}()
@@ -446,10 +450,8 @@
 			e.Crashes = append(e.Crashes, poison.Crash{ID: fmt.Sprint("v", i), At: time.Now()})
 		}
 		// The model arrives in the same reply.
-		f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{
-			Copies:  []fleet.Inventory{{ID: "u0", Born: 1, Rev: 2, Held: []fleet.LoadedModel{{Model: "m"}}}},
-			Crashes: []poison.Entry{e},
-		})
+		f.relay.suspects.Merge(time.Now(), e)
+		f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{Copies: []fleet.Inventory{{ID: "u0", Born: 1, Rev: 2, Held: []fleet.LoadedModel{{Model: "m"}}}}})
 	}()
 	code, body := f.send(http.MethodPost, "1", "m")
 	must.Eq(t, http.StatusServiceUnavailable, code)
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -150,7 +150,7 @@
 		retryPolicy: retry.New(retry.Policy{}), rng: rng,
 		models:          route.New(route.Settings{FailureDomain: s.FailureDomain}),
 		services:        route.New(route.Settings{FailureDomain: s.FailureDomain}),
-		suspects:        poison.New(s.QuarantineDuration),
+		suspects:        poison.New(poison.Settings{Retention: s.QuarantineDuration}, 0),
 		budget:          retry.NewBudget(retryRatio, retryPerSecond, maxRetryTokens),
 		suspectsRunning: map[string]int{}, scalingUp: map[string]bool{}, declaredUpstreams: map[string]bool{},
 	}
@@ -238,13 +238,14 @@
 		case member.Upstream, member.UpstreamLoad:
 			rt.refreshUpstream(now, f.Name)
 		case member.SuspectRequest:
-			rt.mu.Lock()
 			e := poison.Entry{Fingerprint: f.Name}
 			for _, c := range f.Crashes {
 				e.Crashes = append(e.Crashes, poison.Crash{ID: c.ID, At: time.UnixMilli(c.AtMS), Progress: c.Progress})
 			}
-			rt.suspects.Set(e)
-			rt.mu.Unlock()
+			if len(e.Crashes) == 0 {
+				rt.suspects.Clear(f.Name)
+			}
+			rt.suspects.Merge(now, e)
 		case member.Daemon, member.ModelLoads:
 		}
 	}
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -28,9 +28,8 @@
 
 	// Local is the part of the daemon that handles requests.
 	Local interface {
-		// TakeDemand returns the demand since the last call, and what is known
-		// of crashes: new ones and the fingerprints that are cleared.
-		TakeDemand(now time.Time) (d fleet.Demand, crashes []poison.Entry, cleared []string)
+		// TakeDemand returns the demand since the last call.
+		TakeDemand(now time.Time) fleet.Demand
 		// HasWaiting reports whether a request waits.
 		HasWaiting() bool
 		// ApplyWatchReply applies a reply of the holder.
@@ -53,6 +52,7 @@
 		elector     Elector
 		local       Local
 		topics      TopicView
+		crashes     *poison.Table
 		localHolder hub.Holder
 		// setStoreAtOnce takes over the holder's estimate of the number of
 		// loads that the weight store serves at a time.
@@ -63,9 +63,11 @@
 		// urgent ends the wait before the next report.
 		urgent <-chan struct{}
 		now    func() time.Time
-		// fence and rev are those of the last reply.
-		fence int64
-		rev   uint64
+		// fence and rev are those of the last reply, and crashesAt is the
+		// position in the holder's crash histories.
+		fence     int64
+		rev       uint64
+		crashesAt poison.Cursor
 		// replies counts the replies to Watch.
 		replies uint64
 		// daemons is the number in contact with the holder; atomic, since
@@ -119,8 +121,8 @@
 
 // New returns a Syncer. A value from urgent triggers a report, and holder is
 // the one in this process.
-func New(host string, elector Elector, local Local, topics TopicView, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, urgent <-chan struct{}, now func() time.Time) *Syncer {
-	return &Syncer{host: host, elector: elector, local: local, topics: topics, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, urgent: urgent, now: now}
+func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, urgent <-chan struct{}, now func() time.Time) *Syncer {
+	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, urgent: urgent, now: now}
 }
 
 // Tell reports to the holder in this process.
@@ -216,14 +218,24 @@
 	return err
 }
 
-// tell reports demand at intervals, and at once when urgent says so.
+// tell reports demand and crash histories at intervals, and at once when urgent
+// says so. The holder may be another one than before, so the first report has all
+// histories.
 func (s *Syncer) tell(ctx context.Context, c holderClient) error {
+	var told poison.Cursor
 	for {
-		a := &hub.TellArgs{Host: s.host}
-		a.Demand, a.Crashes, a.Cleared = s.local.TakeDemand(s.now())
+		a := &hub.TellArgs{Host: s.host, Demand: s.local.TakeDemand(s.now())}
+		var next poison.Cursor
+		a.Crashes, next = s.crashes.Since(told, 1)
+		for _, e := range a.Crashes {
+			if len(e.Crashes) == 0 {
+				a.Cleared = append(a.Cleared, e.Fingerprint)
+			}
+		}
 		if _, err := c.Tell(ctx, a); err != nil {
 			return err
 		}
+		told = next
 		timer := time.NewTimer(s.gapForFleet(tellInterval, tellGapPerDaemon))
 		select {
 		case <-timer.C:
@@ -243,7 +255,7 @@
 	var loadAt time.Time
 	for {
 		asked := s.now()
-		a := &hub.WatchArgs{Host: s.host, Fence: s.fence, Rev: s.rev}
+		a := &hub.WatchArgs{Host: s.host, Fence: s.fence, Rev: s.rev, Crashes: s.crashesAt}
 		a.Register, a.Config = s.topics.KnownOffsets()
 		if asked.Sub(loadAt) >= loadInterval {
 			a.Load, loadAt = true, asked
@@ -263,6 +275,7 @@
 		s.elector.HolderSeen()
 		s.fence, s.rev = r.Fence, r.Rev
 		s.setStoreAtOnce(r.StoreAtOnce)
+		s.mergeCrashes(r)
 		// The register first: inventories of unknown upstreams are ignored.
 		s.topics.Apply(asked, r)
 		s.local.ApplyWatchReply(s.now(), r)
@@ -282,6 +295,16 @@
 	}
 }
 
+// mergeCrashes merges the crash histories of the holder's reply.
+func (s *Syncer) mergeCrashes(r *hub.WatchReply) {
+	for _, e := range r.Crashes {
+		if before, after, changed := s.crashes.Merge(s.now(), e); changed {
+			event.CrashHistoryChanged.Log("fingerprint", e.Fingerprint, "source", "holder", "fence", r.Fence, "before", before, "after", after)
+		}
+	}
+	s.crashesAt = r.CrashesAt
+}
+
 // gapForFleet returns the larger of a minimum and perDaemon for each daemon, so
 // that the rate of calls to the holder doesn't grow with the number of daemons.
 func (s *Syncer) gapForFleet(minimum, perDaemon time.Duration) time.Duration {
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/node/logjob"
 )
 
 // fakeDaemon is a daemon that isn't the holder; it counts calls of the Syncer.
@@ -30,14 +33,13 @@
 
 func (s *fakeDaemon) Apply(time.Time, *hub.WatchReply) { s.taken.Add(1) }
 
-func (s *fakeDaemon) TakeDemand(time.Time) (fleet.Demand, []poison.Entry, []string) {
-	return fleet.Demand{}, nil, nil
-}
+func (s *fakeDaemon) TakeDemand(time.Time) fleet.Demand          { return fleet.Demand{} }
 func (s *fakeDaemon) HasWaiting() bool                           { return false }
 func (s *fakeDaemon) ApplyWatchReply(time.Time, *hub.WatchReply) { s.heard.Add(1) }
 
-func run(t *testing.T, s *fakeDaemon) {
-	syncer := New("d", s, s, s, nil, func(float64) {}, nil, make(chan struct{}), time.Now)
+func run(t *testing.T, s *fakeDaemon) *poison.Table {
+	crashes := poison.New(poison.Settings{CrashLimit: 3}, 1)
+	syncer := New("d", s, s, s, crashes, nil, func(float64) {}, nil, make(chan struct{}), time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -48,6 +50,61 @@
 		cancel()
 		<-done
 	})
+	return crashes
+}
+
+// fakeHolder is a holder that records the crash histories of reports.
+type fakeHolder struct {
+	mu sync.Mutex
+	// rejecting makes the holder reject reports.
+	rejecting bool
+	rejected  int
+	crashes   *poison.Table
+	address   string
+}
+
+func (h *fakeHolder) Tell(now time.Time, a *hub.TellArgs) (int64, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.rejecting {
+		h.rejected++
+		return 0, &hub.NotHolderError{Host: "h"}
+	}
+	for _, e := range a.Crashes {
+		h.crashes.Merge(now, e)
+	}
+	return 1, nil
+}
+
+func (h *fakeHolder) Watch(ctx context.Context, a *hub.WatchArgs) (*hub.WatchReply, error) {
+	<-ctx.Done()
+	r := &hub.WatchReply{Fence: 1}
+	r.Crashes, r.CrashesAt = h.crashes.Since(a.Crashes, 1)
+	return r, nil
+}
+
+func (h *fakeHolder) Done(logjob.Result) {}
+
+func (h *fakeHolder) set(rejecting bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rejecting = rejecting
+}
+
+// startHolder serves a holder whose crash table has an id.
+func startHolder(t *testing.T, id uint64) *fakeHolder {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	h := &fakeHolder{crashes: poison.New(poison.Settings{CrashLimit: 3}, id), address: l.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = hub.Serve(ctx, l, h, time.Now) }()
+	return h
+}
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(20*time.Second), wait.Gap(5*time.Millisecond)))
 }
 
 // TestBackoffToUnreachableHolder guards against hundreds of daemons that keep a
@@ -75,3 +132,48 @@
 			wait.Timeout(time.Second), wait.Gap(5*time.Millisecond)), must.Sprint(i))
 	}
 }
+
+// TestRejectedReportIsRepeated guards against crashes that no other daemon learns
+// of, because the call that reported them failed.
+func TestRejectedReportIsRepeated(t *testing.T) {
+	h := startHolder(t, 2)
+	h.set(true)
+	s := &fakeDaemon{}
+	s.address.Store(h.address)
+	crashes := run(t, s)
+	crashes.Observe("f", poison.Crash{ID: "u1", At: time.Now()})
+	eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.rejected > 1
+	})
+	h.set(false)
+	eventually(t, func() bool { return len(h.crashes.Entry("f").Crashes) == 1 })
+}
+
+// TestNextHolderLearnsHistories guards against a holder that doesn't know what its
+// predecessor was told, and against a daemon that loses its own history to that of
+// a holder which knows less.
+func TestNextHolderLearnsHistories(t *testing.T) {
+	first, next := startHolder(t, 2), startHolder(t, 3)
+	s := &fakeDaemon{}
+	s.address.Store(first.address)
+	crashes := run(t, s)
+	for _, u := range []string{"u1", "u2", "u3"} {
+		crashes.Observe("f", poison.Crash{ID: u, At: time.Now()})
+	}
+	eventually(t, func() bool { return len(first.crashes.Entry("f").Crashes) == 3 })
+	next.crashes.Observe("f", poison.Crash{ID: "u4", At: time.Now()})
+	s.address.Store(next.address)
+	first.set(true)
+	eventually(t, func() bool { return len(next.crashes.Entry("f").Crashes) == 4 })
+	eventually(t, func() bool { return len(crashes.Entry("f").Crashes) == 4 })
+	// A daemon that starts now learns from the holder.
+	fresh := &fakeDaemon{}
+	fresh.address.Store(next.address)
+	learnt := run(t, fresh)
+	eventually(t, func() bool {
+		verdict, _ := learnt.Judge(time.Now(), "f")
+		return verdict == poison.Quarantined
+	})
+}
