qlog: keep the quarantine in the log

Cause: crashes were known in memory only, against the product's own rule that what must last lives in the platform's log; and while there was no holder (up to 6 s), daemons had no way to learn from each other at all. Change: a keyed topic of its own (the lease's topic can't have other writers, its appends depend on its end). A daemon that saw a crash of a quarantined request writes the history; the holder compares topic and table each 5 s, writes what is missing and deletes what has expired. Every daemon reads the topic at its start, and each second while it hears nothing from a holder. In contact that is 0.2 reads a second for all daemons together, and one append per quarantined request. Ruled out: claims in the lease's record (its size is bounded and its writer must be the holder), the log's groups (nothing to divide).

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -160,6 +160,10 @@
 		Number: 8224, Name: "crash-history-cleared",
 		Meaning: "A request has completed, so the crashes known for its fingerprint no longer count against it.",
 	})
+	QuarantineStored = register(Event{
+		Number: 8225, Name: "quarantine-stored",
+		Meaning: "The crash history of a quarantined request was written to the log or, once it has expired, deleted there; a cause is given if that failed.",
+	})
 )
 
 // LinesDropped reports lines that the rate limit of the log suppressed.
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -60,10 +60,12 @@
 		rev uint64
 	}
 
-	// history is an Entry and the revision of its last change.
+	// history is an Entry, the revision of its last change, and whether one of
+	// its crashes was added by Observe.
 	history struct {
 		Entry
-		rev uint64
+		rev      uint64
+		observed bool
 	}
 )
 
@@ -119,8 +121,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(c.At)
-	c.At = c.At.Round(0) // other daemons get no monotonic clock reading
-	return t.merge(Entry{Fingerprint: fingerprint, Crashes: []Crash{c}})
+	c.At = c.At.Truncate(time.Millisecond) // the resolution of stored histories
+	e := t.merge(Entry{Fingerprint: fingerprint, Crashes: []Crash{c}})
+	if h := t.entries[fingerprint]; h != nil {
+		h.observed = true
+	}
+	return e
+}
+
+// ObservedHere reports whether a crash of a fingerprint was added by Observe, not
+// by Merge.
+func (t *Table) ObservedHere(fingerprint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.entries[fingerprint]
+	return h != nil && h.observed
 }
 
 // Merge adds the crashes of an entry of another daemon, except those that either
@@ -286,6 +301,7 @@
 func (t *Table) Quarantined(now time.Time) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(now)
 	var out []Entry
 	for _, h := range t.entries {
 		if v, _ := t.judge(now, h); v == Quarantined {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/loader"
 	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/node/qlog"
 	"github.com/azurespan/azurespan/internal/node/relay"
 	"github.com/azurespan/azurespan/internal/node/syncer"
 	"github.com/azurespan/azurespan/internal/rule/plan"
@@ -62,6 +63,7 @@
 	Platform struct {
 		Configuration, Upstreams feed.Source
 		Holder                   elect.Topic
+		Quarantine               qlog.Topic
 		Engines                  loader.Engines
 		Wire                     relay.Codec
 		DecodeConfig             func(b []byte) (*fleet.Config, error)
@@ -189,6 +191,9 @@
 	tree.Add("right", e.elector.Run)
 	tree.Add("tie", e.syncer.Run)
 	tree.Add("loader", e.loader.Run)
+	quarantine := qlog.New(e.platform.Quarantine, e.crashes, holderView{e}, e.now)
+	tree.Add("quarantine-read", quarantine.RunFeed)
+	tree.Add("quarantine-write", quarantine.Run)
 	tree.Add("relay", e.relay.Run)
 	tree.Add("roster", register.expireLoop)
 	tree.Add("peers", func(ctx context.Context) error { return hub.Serve(ctx, peers, e.loader, e.now) })
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -183,6 +183,14 @@
 	}
 }
 
+// LastReply returns the time of the last reply of the holder, zero if there was
+// none.
+func (r *Relay) LastReply() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastReply
+}
+
 // HasWaiting reports whether a request is queued.
 func (r *Relay) HasWaiting() bool {
 	r.mu.Lock()
