qlog: one record per host, with suspects while there is no holder

Change: each daemon has one record with the histories that it has observed itself. Suspects are in it only while the daemon has no contact with the holder, so that the end of an upstream with many requests costs one append, not one for each (at most 5 appends a second and daemon, 500 histories of some 200 bytes). The holder's review works as before, on records of all hosts.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -162,7 +162,7 @@
 	})
 	QuarantineStored = register(Event{
 		Number: 8225, Name: "quarantine-stored",
-		Meaning: "The crash history of a quarantined request was written to the log or, once it has expired, deleted there; a cause is given if that failed.",
+		Meaning: "A host's record of requests that crash upstreams was written to the log or, once it has expired, deleted there; a cause is given if that failed.",
 	})
 )
 
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -228,20 +228,20 @@
 // must be held.
 func (t *Table) expire(now time.Time) {
 	for fp, h := range t.entries {
-		if t.expired(now, h) {
+		if h.lastAt().Add(t.settings.Retention).Sub(now) <= 0 {
 			delete(t.entries, fp)
 		}
 	}
 }
 
-// expired reports whether the last crash of h is older than the retention.
-func (t *Table) expired(now time.Time, h *history) bool {
-	for _, list := range [][]Crash{h.Crashes, h.Cleared} {
-		if n := len(list); n > 0 && t.left(now, list[n-1]) > 0 {
-			return false
+// lastAt returns the time of the last crash, cleared ones included.
+func (e *Entry) lastAt() (at time.Time) {
+	for _, list := range [][]Crash{e.Crashes, e.Cleared} {
+		if n := len(list); n > 0 && list[n-1].At.After(at) {
+			at = list[n-1].At
 		}
 	}
-	return true
+	return at
 }
 
 // Entry returns the history of a fingerprint, empty if it is unknown.
@@ -297,18 +297,22 @@
 	return t.rev
 }
 
-// Quarantined returns the histories of the requests that are quarantined at now.
-func (t *Table) Quarantined(now time.Time) []Entry {
+// Recent returns the histories whose last crash is not older than the retention at
+// now, in the order of their last crash.
+func (t *Table) Recent(now time.Time) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	var out []Entry
+	out := make([]Entry, 0, len(t.entries))
 	for _, h := range t.entries {
-		if v, _ := t.judge(now, h); v == Quarantined {
-			out = append(out, h.clone())
-		}
+		out = append(out, h.clone())
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(out, func(a, b Entry) int {
+		if c := a.lastAt().Compare(b.lastAt()); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Fingerprint, b.Fingerprint)
+	})
 	return out
 }
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -191,7 +191,7 @@
 	tree.Add("right", e.elector.Run)
 	tree.Add("tie", e.syncer.Run)
 	tree.Add("loader", e.loader.Run)
-	quarantine := qlog.New(e.platform.Quarantine, e.crashes, holderView{e}, e.now)
+	quarantine := qlog.New(e.settings.Host, e.platform.Quarantine, e.crashes, holderView{e}, e.now)
 	tree.Add("quarantine-read", quarantine.RunFeed)
 	tree.Add("quarantine-write", quarantine.Run)
 	tree.Add("relay", e.relay.Run)
--- a/internal/node/qlog/qlog.go
+++ b/internal/node/qlog/qlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +13,7 @@
 )
 
 type (
-	// Topic is the keyed topic of the log that holds the quarantined requests.
+	// Topic is the keyed topic of the log that holds crash histories.
 	Topic interface {
 		feed.Source
 		// Put writes a record, whatever the topic's end is. An empty value
@@ -32,6 +33,8 @@
 	// Store keeps a table of crash histories and the topic up to date with each
 	// other. It is safe for concurrent use.
 	Store struct {
+		// host is the key of this daemon's record.
+		host    string
 		topic   Topic
 		crashes *poison.Table
 		holder  Holder
@@ -40,17 +43,17 @@
 		mu sync.Mutex
 		// readAt is when the topic was last read, zero if it hasn't been.
 		readAt time.Time
-		// stored holds the content of the topic, as far as it is known.
-		stored map[string]poison.Entry
+		// stored holds the histories of each record of the topic by host, as
+		// far as it is known.
+		stored map[string][]poison.Entry
 		// reviewDue is set once the holder has read the topic and hasn't
 		// compared it with the table yet.
 		reviewDue bool
-	}
-
-	// write is a change of the topic; an Entry without crashes deletes the key.
-	write struct {
-		entry  poison.Entry
-		delete bool
+		// writtenRev is the revision of the table, and writtenInContact whether
+		// there was contact with the holder, when the record was last up to
+		// date.
+		writtenRev       uint64
+		writtenInContact bool
 	}
 )
 
@@ -65,16 +68,21 @@
 	contactTTL       = time.Second
 	soloReadInterval = time.Second
 	// checkInterval is the interval at which the table is checked for changes.
-	checkInterval = 50 * time.Millisecond
+	// It bounds a daemon's writes to 5 a second.
+	checkInterval = 200 * time.Millisecond
 	// retryDelay is the delay after a failed write.
 	retryDelay = 300 * time.Millisecond
+	// maxHistories bounds the histories of one record, which has at most 256 KB
+	// on the platform; one takes some 200 bytes.
+	maxHistories = 500
 )
 
 var _ feed.Sink = (*Store)(nil)
 
-// New returns a Store. It reads the topic in RunFeed and writes it in Run.
-func New(topic Topic, crashes *poison.Table, holder Holder, now func() time.Time) *Store {
-	return &Store{topic: topic, crashes: crashes, holder: holder, now: now, stored: map[string]poison.Entry{}}
+// New returns the Store of the daemon named host. It reads the topic in RunFeed
+// and writes it in Run.
+func New(host string, topic Topic, crashes *poison.Table, holder Holder, now func() time.Time) *Store {
+	return &Store{host: host, topic: topic, crashes: crashes, holder: holder, now: now, stored: map[string][]poison.Entry{}}
 }
 
 // RunFeed reads the topic until ctx ends.
@@ -85,7 +93,8 @@
 // Run writes the topic until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
 	for pause.For(ctx, checkInterval) {
-		if !s.writeDue(ctx) {
+		if err := s.writeDue(ctx); err != nil {
+			event.QuarantineStored.Log("cause", err.Error())
 			pause.For(ctx, retryDelay)
 		}
 	}
@@ -128,14 +137,16 @@
 			delete(s.stored, rec.Key)
 			continue
 		}
-		e, err := decode(rec.Key, rec.Value)
+		entries, err := decode(rec.Value)
 		if err != nil {
 			event.RegisterEntryIgnored.Log("topic", "quarantine", "key", rec.Key, "offset", rec.Offset, "cause", err.Error())
 			continue
 		}
-		s.stored[rec.Key] = e
-		if before, after, changed := s.crashes.Merge(now, e); changed {
-			event.CrashHistoryChanged.Log("fingerprint", rec.Key, "source", "log", "offset", rec.Offset, "before", before, "after", after)
+		s.stored[rec.Key] = entries
+		for _, e := range entries {
+			if before, after, changed := s.crashes.Merge(now, e); changed {
+				event.CrashHistoryChanged.Log("fingerprint", e.Fingerprint, "source", "log", "host", rec.Key, "offset", rec.Offset, "before", before, "after", after)
+			}
 		}
 	}
 }
@@ -146,77 +157,119 @@
 // Recovered does nothing.
 func (s *Store) Recovered(time.Time, time.Duration) {}
 
-// writeDue writes what the topic lacks. It reports false if a write has failed.
-func (s *Store) writeDue(ctx context.Context) bool {
-	for _, w := range s.pending(s.now()) {
-		var value []byte
-		if !w.delete {
-			b, err := encode(w.entry)
-			if err != nil {
-				event.QuarantineStored.Log("fingerprint", w.entry.Fingerprint, "cause", err.Error())
-				continue
-			}
-			value = b
+// writeDue writes this daemon's record if histories are missing in the topic, and
+// deletes expired records.
+func (s *Store) writeDue(ctx context.Context) error {
+	inContact := s.holder.Holds() || s.now().Sub(s.holder.LastReply()) <= contactTTL
+	rev := s.crashes.Rev()
+	if !s.isDue(rev, inContact) {
+		return nil
+	}
+	entries, expired := s.pending(s.now(), inContact)
+	for _, host := range expired {
+		if err := s.topic.Put(ctx, host, nil); err != nil {
+			return err
 		}
-		if err := s.topic.Put(ctx, w.entry.Fingerprint, value); err != nil {
-			event.QuarantineStored.Log("fingerprint", w.entry.Fingerprint, "cause", err.Error())
-			return false
+		event.QuarantineStored.Log("key", host, "deleted", true)
+		s.setStored(host, nil)
+	}
+	if len(entries) > 0 {
+		value, err := encode(entries)
+		if err != nil {
+			return err
 		}
-		event.QuarantineStored.Log("fingerprint", w.entry.Fingerprint, "crashes", len(w.entry.Crashes), "cleared", len(w.entry.Cleared), "deleted", w.delete)
-		s.mu.Lock()
-		if w.delete {
-			delete(s.stored, w.entry.Fingerprint)
-		} else {
-			s.stored[w.entry.Fingerprint] = w.entry
+		if err := s.topic.Put(ctx, s.host, value); err != nil {
+			return err
 		}
-		s.mu.Unlock()
+		event.QuarantineStored.Log("key", s.host, "histories", len(entries), "bytes", len(value))
+		s.setStored(s.host, entries)
 	}
-	return true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writtenRev, s.writtenInContact = rev, inContact
+	return nil
+}
+
+// isDue reports whether the record may have to change since it was last up to date.
+func (s *Store) isDue(rev uint64, inContact bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reviewDue || rev != s.writtenRev || inContact != s.writtenInContact
 }
 
-// pending returns the writes that this daemon has to make at now.
-func (s *Store) pending(now time.Time) (out []write) {
+func (s *Store) setStored(host string, entries []poison.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if entries == nil {
+		delete(s.stored, host)
+		return
+	}
+	s.stored[host] = entries
+}
+
+// pending returns the new content of this daemon's record, none if it is up to
+// date, and the hosts whose records have expired.
+func (s *Store) pending(now time.Time, inContact bool) (entries []poison.Entry, expired []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	review := s.reviewDue
 	s.reviewDue = false
-	for _, e := range s.crashes.Quarantined(now) {
-		if (review || s.crashes.ObservedHere(e.Fingerprint)) && !includes(s.stored[e.Fingerprint], e) {
-			out = append(out, write{entry: e})
+	missing := false
+	for _, e := range s.crashes.Recent(now) {
+		verdict, _ := s.crashes.Judge(now, e.Fingerprint)
+		observed := s.crashes.ObservedHere(e.Fingerprint)
+		if verdict != poison.Quarantined && !s.knows(e.Fingerprint) && (inContact || !observed) {
+			continue
 		}
+		entries = append(entries, e)
+		missing = missing || (review || observed) && !s.includes(e)
 	}
-	if !review {
-		return out
+	if !missing {
+		entries = nil
 	}
-	for fp, stored := range s.stored {
-		switch e := s.crashes.Entry(fp); {
-		case len(e.Crashes)+len(e.Cleared) == 0:
-			out = append(out, write{entry: poison.Entry{Fingerprint: fp}, delete: true})
-		case !includes(stored, poison.Entry{Cleared: e.Cleared}):
-			out = append(out, write{entry: e})
-		}
+	if review {
+		expired = s.expired()
 	}
-	return out
+	return entries[max(len(entries)-maxHistories, 0):], expired
 }
 
-// includes reports whether stored has all crashes of e, and all that e has cleared
-// as cleared.
-func includes(stored, e poison.Entry) bool {
-	has := func(list []poison.Crash, id string) bool {
-		for _, c := range list {
-			if c.ID == id {
+// knows reports whether the topic has a history of a fingerprint. s.mu must be
+// held.
+func (s *Store) knows(fingerprint string) bool {
+	return s.includes(poison.Entry{Fingerprint: fingerprint})
+}
+
+// includes reports whether a record has all crashes of e, and has cleared all that
+// e has cleared. s.mu must be held.
+func (s *Store) includes(e poison.Entry) bool {
+	for _, entries := range s.stored {
+		for _, h := range entries {
+			if h.Fingerprint == e.Fingerprint && contains(h.Crashes, e.Crashes) && contains(h.Cleared, e.Cleared) {
 				return true
 			}
 		}
-		return false
 	}
-	for _, c := range e.Crashes {
-		if !has(stored.Crashes, c.ID) {
-			return false
+	return false
+}
+
+// expired returns the hosts whose records have no history that the table still
+// keeps. s.mu must be held.
+func (s *Store) expired() (hosts []string) {
+	for host, entries := range s.stored {
+		if !slices.ContainsFunc(entries, func(e poison.Entry) bool {
+			kept := s.crashes.Entry(e.Fingerprint)
+			return len(kept.Crashes)+len(kept.Cleared) > 0
+		}) {
+			hosts = append(hosts, host)
 		}
 	}
-	for _, c := range e.Cleared {
-		if !has(stored.Cleared, c.ID) {
+	return hosts
+}
+
+// contains reports whether list has all of crashes.
+func contains(list, crashes []poison.Crash) bool {
+	for _, c := range crashes {
+		if !slices.ContainsFunc(list, func(d poison.Crash) bool { return d.ID == c.ID }) {
 			return false
 		}
 	}
--- a/internal/node/qlog/qlog_test.go
+++ b/internal/node/qlog/qlog_test.go
@@ -69,10 +69,10 @@
 func (d *daemon) Holds() bool          { return d.holds }
 func (d *daemon) LastReply() time.Time { return d.lastReply }
 
-// newDaemon returns a daemon that has read the topic.
+// newDaemon returns a daemon in contact with the holder that has read the topic.
 func newDaemon(t *testing.T, topic *fakeTopic, id uint64) *daemon {
-	d := &daemon{topic: topic, at: start}
-	d.Store = New(topic, poison.New(poison.Settings{CrashLimit: 3, Retention: time.Minute}, id), d, func() time.Time { return d.at })
+	d := &daemon{topic: topic, at: start, lastReply: start}
+	d.Store = New(fmt.Sprint("h", id), topic, poison.New(poison.Settings{CrashLimit: 3, Retention: time.Minute}, id), d, func() time.Time { return d.at })
 	d.read(t)
 	return d
 }
@@ -93,10 +93,15 @@
 // observe records crashes of the request "f".
 func (d *daemon) observe(n int) {
 	for i := range n {
-		d.crashes.Observe("f", poison.Crash{ID: fmt.Sprint("u", i), At: d.at})
+		d.observeOn(fmt.Sprint("u", i))
 	}
 }
 
+// observeOn records a crash of an upstream by the request "f".
+func (d *daemon) observeOn(upstream string) {
+	d.crashes.Observe("f", poison.Crash{ID: upstream, At: d.at})
+}
+
 // TestQuarantineIsStored guards against a request that all daemons forget when
 // they lose power at once, and against one that a daemon without contact with the
 // holder doesn't learn of.
@@ -104,21 +109,60 @@
 	topic := &fakeTopic{}
 	a := newDaemon(t, topic, 1)
 	a.observe(1)
-	must.True(t, a.writeDue(t.Context()))
-	must.Eq(t, 0, topic.puts) // a suspect isn't stored
+	must.NoError(t, a.writeDue(t.Context()))
+	must.Eq(t, 0, topic.puts) // the holder passes on a suspect
 	a.observe(3)
-	must.True(t, a.writeDue(t.Context()))
-	must.True(t, a.writeDue(t.Context()))
+	must.NoError(t, a.writeDue(t.Context()))
+	must.NoError(t, a.writeDue(t.Context()))
 	must.Eq(t, 1, topic.puts)
 	b := newDaemon(t, topic, 2)
 	must.True(t, b.quarantined())
 	// What was read is not written again, even by a holder.
 	b.holds = true
 	b.read(t)
-	must.True(t, b.writeDue(t.Context()))
+	must.NoError(t, b.writeDue(t.Context()))
 	must.Eq(t, 1, topic.puts)
 }
 
+// TestSuspectsWithoutHolder guards against a request that crashes one upstream at
+// each of several daemons, none of which has enough crashes to refuse it, while no
+// holder adds them up.
+func TestSuspectsWithoutHolder(t *testing.T) {
+	topic := &fakeTopic{}
+	var daemons []*daemon
+	for i := range uint64(3) {
+		d := newDaemon(t, topic, i+1)
+		d.lastReply = start.Add(-time.Hour)
+		d.observeOn(fmt.Sprint("u", i))
+		daemons = append(daemons, d)
+	}
+	for _, d := range daemons {
+		must.NoError(t, d.writeDue(t.Context()))
+		must.NoError(t, d.writeDue(t.Context()))
+	}
+	must.Eq(t, len(daemons), topic.puts)
+	for _, d := range daemons {
+		d.read(t)
+		must.True(t, d.quarantined())
+	}
+}
+
+// TestRestartKeepsRecord guards against a restarted daemon that overwrites its
+// record, which only it had written, with less than that held.
+func TestRestartKeepsRecord(t *testing.T) {
+	topic := &fakeTopic{}
+	a := newDaemon(t, topic, 1)
+	a.observe(3)
+	must.NoError(t, a.writeDue(t.Context()))
+	again := newDaemon(t, topic, 1)
+	for _, u := range []string{"u7", "u8", "u9"} {
+		again.crashes.Observe("g", poison.Crash{ID: u, At: start})
+	}
+	must.NoError(t, again.writeDue(t.Context()))
+	topic.records = topic.records[1:]
+	must.True(t, newDaemon(t, topic, 2).quarantined())
+}
+
 // TestFailedWriteIsRepeated guards against a quarantine that isn't stored because
 // the log was away when it began.
 func TestFailedWriteIsRepeated(t *testing.T) {
@@ -126,9 +170,9 @@
 	a := newDaemon(t, topic, 1)
 	a.observe(3)
 	topic.failing = true
-	must.False(t, a.writeDue(t.Context()))
+	must.Error(t, a.writeDue(t.Context()))
 	topic.failing = false
-	must.True(t, a.writeDue(t.Context()))
+	must.NoError(t, a.writeDue(t.Context()))
 	must.True(t, newDaemon(t, topic, 2).quarantined())
 }
 
@@ -160,22 +204,22 @@
 	topic := &fakeTopic{}
 	a := newDaemon(t, topic, 1)
 	a.observe(3)
-	must.True(t, a.writeDue(t.Context()))
+	must.NoError(t, a.writeDue(t.Context()))
 	holder := newDaemon(t, topic, 2)
 	holder.holds = true
 	topic.records = nil
-	must.True(t, holder.writeDue(t.Context()))
+	must.NoError(t, holder.writeDue(t.Context()))
 	must.SliceEmpty(t, topic.records) // not read since
 	holder.read(t)
-	must.True(t, holder.writeDue(t.Context()))
+	must.NoError(t, holder.writeDue(t.Context()))
 	must.Len(t, 1, topic.records)
 	holder.at = start.Add(2 * time.Minute)
 	holder.read(t)
-	must.True(t, holder.writeDue(t.Context()))
+	must.NoError(t, holder.writeDue(t.Context()))
 	must.Len(t, 2, topic.records)
 	must.SliceEmpty(t, topic.records[1].Value)
 	holder.read(t)
-	must.True(t, holder.writeDue(t.Context()))
+	must.NoError(t, holder.writeDue(t.Context()))
 	must.Len(t, 2, topic.records)
 }
 
@@ -185,12 +229,12 @@
 	topic := &fakeTopic{}
 	a := newDaemon(t, topic, 1)
 	a.observe(3)
-	must.True(t, a.writeDue(t.Context()))
+	must.NoError(t, a.writeDue(t.Context()))
 	a.crashes.Clear("f")
 	a.holds = true
 	a.read(t)
 	must.False(t, a.quarantined())
-	must.True(t, a.writeDue(t.Context()))
+	must.NoError(t, a.writeDue(t.Context()))
 	must.False(t, newDaemon(t, topic, 2).quarantined())
 }
 
@@ -201,19 +245,19 @@
 	must.NoError(t, topic.Put(t.Context(), "x", []byte("{")))
 	a := newDaemon(t, topic, 1)
 	a.observe(3)
-	must.True(t, a.writeDue(t.Context()))
+	must.NoError(t, a.writeDue(t.Context()))
 	must.True(t, newDaemon(t, topic, 2).quarantined())
 }
 
 // TestRecordFormat guards against a stored form that a daemon of another version
 // can't read. UPDATE_GOLDEN=1 rewrites the file.
 func TestRecordFormat(t *testing.T) {
-	e := poison.Entry{
+	entries := []poison.Entry{{
 		Fingerprint: "f",
 		Crashes:     []poison.Crash{{ID: "u1@7", At: time.UnixMilli(1_700_000_000_123), Progress: true}},
 		Cleared:     []poison.Crash{{ID: "u0@6", At: time.UnixMilli(1_700_000_000_000)}},
-	}
-	b, err := encode(e)
+	}}
+	b, err := encode(entries)
 	must.NoError(t, err)
 	file := filepath.Join("testdata", "record.json")
 	if os.Getenv("UPDATE_GOLDEN") != "" {
@@ -222,7 +266,7 @@
 	want, err := os.ReadFile(file)
 	must.NoError(t, err)
 	must.Eq(t, string(want), string(b)+"\n")
-	got, err := decode("f", want)
+	got, err := decode(want)
 	must.NoError(t, err)
-	must.Eq(t, e, got)
+	must.Eq(t, entries, got)
 }
--- a/internal/node/qlog/record.go
+++ b/internal/node/qlog/record.go
@@ -10,10 +10,17 @@
 )
 
 type (
-	// record is the stored form of a history; its key is the fingerprint.
+	// record is the stored form of histories; its key is the host that wrote
+	// it.
 	record struct {
-		Crashes []crash `json:"crashes,omitempty"`
-		Cleared []crash `json:"cleared,omitempty"`
+		Histories []history `json:"histories"`
+	}
+
+	// history is the stored form of a poison.Entry.
+	history struct {
+		Fingerprint string  `json:"fingerprint"`
+		Crashes     []crash `json:"crashes,omitempty"`
+		Cleared     []crash `json:"cleared,omitempty"`
 	}
 
 	// crash is the stored form of a poison.Crash.
@@ -24,19 +31,27 @@
 	}
 )
 
-// encode returns the stored form of e.
-func encode(e poison.Entry) ([]byte, error) {
-	b, err := json.Marshal(record{Crashes: toStored(e.Crashes), Cleared: toStored(e.Cleared)})
+// encode returns the stored form of histories.
+func encode(entries []poison.Entry) ([]byte, error) {
+	var r record
+	for _, e := range entries {
+		r.Histories = append(r.Histories, history{Fingerprint: e.Fingerprint, Crashes: toStored(e.Crashes), Cleared: toStored(e.Cleared)})
+	}
+	b, err := json.Marshal(r)
 	return b, merry.Wrap(err)
 }
 
-// decode returns the history stored for a fingerprint.
-func decode(fingerprint string, b []byte) (poison.Entry, error) {
+// decode returns the histories of a record.
+func decode(b []byte) ([]poison.Entry, error) {
 	var r record
 	if err := json.Unmarshal(b, &r); err != nil {
-		return poison.Entry{}, merry.Wrap(err)
+		return nil, merry.Wrap(err)
+	}
+	var out []poison.Entry
+	for _, h := range r.Histories {
+		out = append(out, poison.Entry{Fingerprint: h.Fingerprint, Crashes: fromStored(h.Crashes), Cleared: fromStored(h.Cleared)})
 	}
-	return poison.Entry{Fingerprint: fingerprint, Crashes: fromStored(r.Crashes), Cleared: fromStored(r.Cleared)}, nil
+	return out, nil
 }
 
 func toStored(crashes []poison.Crash) (out []crash) {
