relay: take only the end of a connection as a crash, and only a framed success as none

Change: the history is cleared by a framed 2xx response only; a crash is the end of the connection; an unframed stream is complete if it ends after an event, without a reset, as the platform's pages say, and truncated if it ends within one.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -31,6 +33,10 @@
 	// crashed is set if the upstream closed the connection before the response
 	// was complete.
 	crashed bool
+	// survived is set if the response proves that the upstream has run the
+	// request to its end. A response without a length or chunks doesn't: it ends
+	// with its connection, as that of a crashed upstream does.
+	survived bool
 	// response is a complete error response, kept in case no later attempt
 	// succeeds.
 	response *response
@@ -103,7 +109,7 @@
 		event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict)
 		r.refuseQuarantined(now)
 		r.requestReport()
-	case o.done && r.suspects.Clear(x.fingerprint):
+	case o.survived && r.suspects.Clear(x.fingerprint):
 		event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", c.Upstream.ID)
 	}
 	r.dispatch(now)
@@ -174,15 +180,32 @@
 	return x.req.LastEventID
 }
 
-// interrupted returns the outcome of a missing or truncated response.
+// interrupted returns the outcome of a missing, malformed or truncated response.
 func interrupted(err error, firstByteTime time.Duration) outcome {
-	return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, crashed: true, cause: err.Error()}
+	return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, crashed: connectionEnded(err), cause: err.Error()}
+}
+
+// connectionEnded reports whether err is the end of a connection, not a malformed
+// response.
+func connectionEnded(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
+}
+
+// framed reports whether a response has a length or chunks, so that its end doesn't
+// depend on that of its connection.
+func framed(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
+
+// survived reports whether a complete response proves that its upstream has run
+// the request to its end.
+func survived(res *http.Response) bool {
+	return framed(res) && res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusMultipleChoices
 }
 
 // readResponse reads the response from conn and forwards it. If keep is false,
 // the caller must close the connection.
 func (x *exchange) readResponse(ctx context.Context, conn *http1.Conn, up fleet.Upstream, sent time.Time) (o outcome, keep bool) {
-	if o, ok := x.awaitByte(ctx, conn, x.firstByteTimeout()); !ok {
+	if o, ok := x.awaitByte(ctx, conn, x.firstByteTimeout(), false); !ok {
 		return o, false
 	}
 	res, err := conn.ReadResponse(x.req.Method)
@@ -234,14 +257,16 @@
 
 // awaitByte waits for the next byte. If none arrives within the timeout and
 // another upstream can take the request, the attempt fails; otherwise the wait
-// continues.
-func (x *exchange) awaitByte(ctx context.Context, conn *http1.Conn, timeout time.Duration) (outcome, bool) {
+// continues. endAllowed is set if the response may end with its connection.
+func (x *exchange) awaitByte(ctx context.Context, conn *http1.Conn, timeout time.Duration, endAllowed bool) (outcome, bool) {
 	for {
 		timedOut, err := conn.AwaitByte(x.relay.now().Add(timeout))
-		if err != nil {
+		switch {
+		case err != nil && endAllowed && errors.Is(err, io.EOF):
+			return outcome{}, true
+		case err != nil:
 			return interrupted(err, 0), false
-		}
-		if !timedOut {
+		case !timedOut:
 			return outcome{}, true
 		}
 		if ctx.Err() != nil {
@@ -283,7 +308,7 @@
 		return o, true
 	}
 	x.writeResponse(full)
-	return outcome{done: true, status: res.StatusCode, result: pick.Succeeded, firstByteTime: firstByteTime}, true
+	return outcome{done: true, survived: survived(res), status: res.StatusCode, result: pick.Succeeded, firstByteTime: firstByteTime}, true
 }
 
 // writeResponse writes a complete response to the caller.
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -63,6 +63,9 @@
 // request.
 const crashLimit = 3
 
+// eventStream is the header line of a stream.
+const eventStream = "Content-Type: text/event-stream\r\n"
+
 // fixture is a Relay with upstreams.
 type fixture struct {
 	t     *testing.T
@@ -459,6 +462,80 @@
 	must.Eq(t, 0, f.requestCount(0))
 }
 
+// closeAfter sends a response without a length and closes the connection, as the
+// end of an upstream's process in the middle of such a response does.
+func closeAfter(header, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // unread bytes would reset the connection
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"\r\n"+body)
+		_ = c.Close()
+	}
+}
+
+// TestClosedResponseClearsNothing guards against a crash history that is cleared by
+// a response whose end may be that of the upstream, and against one that a
+// complete response doesn't clear.
+func TestClosedResponseClearsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		kind    fleet.Kind
+		handler http.HandlerFunc
+		crashes int
+	}{
+		{"body without a length", fleet.Safe, closeAfter("", "fine"), 1},
+		{"stream without chunks", fleet.Stream, closeAfter(eventStream, wantEvents(1)), 1},
+		{"complete body", fleet.Safe, respondOK, 0},
+		{"complete stream", fleet.Stream, streamEvents(2, 0), 0},
+	} {
+		f := newFixture(t, route(c.kind, 1, false), c.handler)
+		request := &fleet.Request{Method: http.MethodPost, Target: "/x?y=1", Model: "m", Body: []byte("body of 1")}
+		if c.kind == fleet.Safe {
+			request.Model = ""
+		}
+		fp := fingerprint(request, "127.0.0.1")
+		f.relay.suspects.Observe(fp, poison.Crash{ID: "v", At: time.Now()})
+		code, _ := f.send(http.MethodPost, "1", request.Model)
+		must.Eq(t, http.StatusOK, code, must.Sprint(c.name))
+		must.Len(t, c.crashes, f.relay.suspects.Entry(fp).Crashes, must.Sprint(c.name))
+	}
+}
+
+// TestTruncatedUnframedStream guards against a stream that looks complete although
+// it ends within an event.
+func TestTruncatedUnframedStream(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 1, false), closeAfter(eventStream, wantEvents(1)+"id: 2\nda"))
+	code, _ := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, 0, code)
+	f = newFixture(t, route(fleet.Stream, 1, false), closeAfter(eventStream, wantEvents(1)))
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(1), body)
+}
+
+// TestMalformedResponseIsNoCrash guards against a request that is quarantined
+// because upstreams respond to it with bytes that are no response.
+func TestMalformedResponseIsNoCrash(t *testing.T) {
+	garbage := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "no response\r\n\r\n")
+		_ = c.Close()
+	}
+	f := newFixture(t, route(fleet.Safe, 2, false), garbage, garbage)
+	for range 2 {
+		code, _ := f.send(http.MethodGet, "1", "")
+		must.Eq(t, http.StatusBadGateway, code)
+	}
+	must.Eq(t, 0, f.relay.suspects.Rev())
+}
+
 // TestFewerDaemons guards against retry budgets that grow in a network partition
 // while the daemons on the other side still use theirs.
 func TestFewerDaemons(t *testing.T) {
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -27,7 +27,7 @@
 	gap := max(gapTimeoutFactor*x.route.MaxEventGap, minGapTimeout)
 	buf := make([]byte, streamBufferBytes)
 	for {
-		if o, ok := x.awaitByte(ctx, conn, gap); !ok {
+		if o, ok := x.awaitByte(ctx, conn, gap, !framed(res)); !ok {
 			x.events.TakePartial()
 			return o
 		}
@@ -48,14 +48,19 @@
 	}
 }
 
-// finishStream forwards what is buffered of a stream that has ended.
+// finishStream forwards what is buffered of a stream that has ended. Without a
+// length or chunks, a stream that ends within an event is truncated.
 func (x *exchange) finishStream(res *http.Response) outcome {
-	if rest := x.events.TakePartial(); len(rest) > 0 || !x.headerSent {
+	rest := x.events.TakePartial()
+	if len(rest) > 0 && !framed(res) {
+		return interrupted(merry.Wrap(io.ErrUnexpectedEOF), 0)
+	}
+	if len(rest) > 0 || !x.headerSent {
 		if !x.forward(res, rest) {
 			return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 		}
 	}
-	return outcome{done: true, status: res.StatusCode, result: pick.Succeeded}
+	return outcome{done: true, survived: survived(res), status: res.StatusCode, result: pick.Succeeded}
 }
 
 // forward writes bytes of the stream to the caller, after the header if that
