http1, relay: bound heads, events and rejections of upstreams

Cause: http.ReadResponse reads a head of any size, and an event without its empty line was buffered without a limit, until the request's deadline; a host has 284 MB. A rejection was read up to 16 MiB and its connection kept for other requests. Change: 64 KiB for a head (informational responses included) and a rejection, 256 KiB for an event; then the connection is reset and the request goes elsewhere where it may.

--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -42,7 +42,9 @@
 		pool *Pool
 		key  string
 		net.Conn
-		br *bufio.Reader
+		// br reads from limited, which reads from Conn.
+		br      *bufio.Reader
+		limited *limitedReader
 		// reuseBefore is the time from which the upstream may close the idle
 		// connection.
 		reuseBefore time.Time
@@ -98,7 +100,8 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 	}
-	return &Conn{pool: p, key: key, Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	limited := &limitedReader{r: nc}
+	return &Conn{pool: p, key: key, Conn: nc, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
 // Control is the Control function of a net.Dialer. It makes a connection fail
@@ -162,10 +165,17 @@
 }
 
 // ReadResponse reads the status line and header of the response to a request
-// with the given method. It skips informational responses except 101.
+// with the given method. It skips informational responses except 101. It fails
+// with a HeadTooLargeError after MaxHeadBytes, informational responses included.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
+	c.limited.limit(MaxHeadBytes)
+	defer c.limited.lift()
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if err != nil && c.limited.left <= 0 {
+			// net/http may report the cut line as malformed instead.
+			err = &HeadTooLargeError{Limit: MaxHeadBytes}
+		}
 		if err != nil {
 			return nil, merry.Wrap(err)
 		}
--- a/internal/link/sse/splitter.go
+++ b/internal/link/sse/splitter.go
@@ -40,6 +40,10 @@
 	return out
 }
 
+// Buffered returns the number of bytes in the buffer, which after TakeEvents are
+// those of an incomplete event.
+func (s *Splitter) Buffered() int { return len(s.buf) }
+
 // TakePartial empties the buffer and returns its content, which after TakeEvents
 // is an incomplete event.
 func (s *Splitter) TakePartial() []byte {
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -56,8 +56,10 @@
 )
 
 const (
-	// maxResponseBytes is the largest response that is buffered.
+	// maxResponseBytes is the largest response that is buffered, and
+	// maxRefusalBytes the largest of an upstream that did not run the request.
 	maxResponseBytes = 16 << 20
+	maxRefusalBytes  = 64 << 10
 	// safeTimeoutTargets and streamTimeoutTargets are the time to the first
 	// byte, in multiples of the route's latency target, after which a
 	// retryable request is sent to another upstream. The time is at least
@@ -218,8 +220,8 @@
 	case fleet.Foreign:
 		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, cause: "response belongs to another request"}, false
 	case fleet.NotRun, fleet.Misplaced:
-		body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
-		if keep = err == nil; keep {
+		body, err := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes+1))
+		if keep = err == nil && len(body) <= maxRefusalBytes; keep {
 			conn.Release(res)
 		}
 		o := outcome{result: pick.Rejected, status: res.StatusCode, cause: verdict.String()}
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -536,6 +536,54 @@
 	must.Eq(t, 0, f.relay.suspects.Rev())
 }
 
+// endless sends a header and then the same byte until the connection is closed, and
+// counts the bytes.
+func endless(header string, sent *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, header)
+		for b := bytes.Repeat([]byte("x"), 4<<10); err == nil; {
+			var n int
+			n, err = c.Write(b)
+			sent.Add(int64(n))
+		}
+	}
+}
+
+// TestEndlessResponse guards against a daemon that runs out of memory, because an
+// upstream in trouble sends bytes without end: each response is given up after a
+// bounded number of bytes, and the request is served elsewhere where it may be.
+func TestEndlessResponse(t *testing.T) {
+	const socketBuffers = 16 << 20
+	for _, c := range []struct {
+		name, header string
+		kind         fleet.Kind
+		good         http.HandlerFunc
+		limit        int64
+	}{
+		{"head", "HTTP/1.1 200 OK\r\nX-Header: ", fleet.Safe, respondOK, http1.MaxHeadBytes},
+		{"no response", "", fleet.Safe, respondOK, http1.MaxHeadBytes},
+		{"body without a length", "HTTP/1.1 200 OK\r\n\r\n", fleet.Safe, respondOK, maxResponseBytes},
+		{"rejection", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n", fleet.Safe, respondOK, maxRefusalBytes},
+		{"event", "HTTP/1.1 200 OK\r\n" + eventStream + "\r\ndata: ", fleet.Stream, streamEvents(1, 0), maxEventBytes},
+	} {
+		var sent atomic.Int64
+		f := newFixture(t, route(c.kind, 2, true), endless(c.header, &sent), c.good)
+		model := ""
+		if c.kind == fleet.Stream {
+			model = "m"
+		}
+		code, _ := f.send(http.MethodPost, "1", model)
+		must.Eq(t, http.StatusOK, code, must.Sprint(c.name))
+		must.LessEq(t, c.limit+socketBuffers, sent.Load(), must.Sprint(c.name))
+	}
+}
+
 // TestFewerDaemons guards against retry budgets that grow in a network partition
 // while the daemons on the other side still use theirs.
 func TestFewerDaemons(t *testing.T) {
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -15,8 +16,13 @@
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
 
-// streamBufferBytes is the buffer size for reading a stream.
-const streamBufferBytes = 4 << 10
+const (
+	// streamBufferBytes is the buffer size for reading a stream.
+	streamBufferBytes = 4 << 10
+	// maxEventBytes is the largest event of a stream. Engines' events have some
+	// hundred bytes.
+	maxEventBytes = 256 << 10
+)
 
 // forwardStream forwards events as they arrive. Only complete events are
 // forwarded, so that another upstream can resume after the last one.
@@ -38,6 +44,10 @@
 				return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 			}
 		}
+		if x.events.Buffered() > maxEventBytes {
+			x.events.TakePartial()
+			return outcome{mayHaveRun: true, result: pick.Interrupted, cause: fmt.Sprintf("event larger than %d bytes", maxEventBytes)}
+		}
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(res)
 		}
