member, router: join the crashes of both sides of a partition

Change: crashes are joined as in core/poison, clears name the crashes, and the digest covers both. A clear by an earlier version, which names none, still clears. Tests failed before: TestCrashesOfBothSides (digests equal), TestClearedCrashes (u1 is back; run with a clear that names no crashes, as there was no other).

--- a/internal/core/member/fact.go
+++ b/internal/core/member/fact.go
@@ -42,8 +42,9 @@
 		// queued loads, and AdapterLoads its adapter loads in the last second.
 		Running, Queued, Background, AdapterLoads int
 		// Crashes lists the crashes of a suspect request (Kind
-		// SuspectRequest).
-		Crashes []Crash
+		// SuspectRequest), and Cleared those that do not count because it has
+		// completed since.
+		Crashes, Cleared []Crash
 	}
 
 	// Crash is one crash of an upstream while a request ran on it.
@@ -109,8 +110,10 @@
 			n += lengthBytes + len(a)
 		}
 	}
-	for _, c := range f.Crashes {
-		n += fixedCrashBytes + len(c.ID)
+	for _, list := range [][]Crash{f.Crashes, f.Cleared} {
+		for _, c := range list {
+			n += fixedCrashBytes + len(c.ID)
+		}
 	}
 	for _, c := range f.InMemory {
 		n += lengthBytes + len(c)
@@ -128,6 +131,14 @@
 	b = append(b, byte(f.Kind), byte(f.Status))
 	b = strconv.AppendUint(b, f.Counter, 10)
 	b = append(b, f.Name...)
+	// Daemons that are cut off from each other report different crashes with
+	// the same counter.
+	for _, list := range [][]Crash{f.Crashes, f.Cleared} {
+		b = append(b, 0)
+		for _, c := range list {
+			b = append(append(b, c.ID...), 0)
+		}
+	}
 	_, _ = h.Write(b)
 	return h.Sum64()
 }
--- a/internal/core/member/set.go
+++ b/internal/core/member/set.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/azurespan/azurespan/internal/core/poison"
 )
 
 // minSends is the minimum number of times that a fact is sent. In a small
@@ -161,29 +163,53 @@
 	return changed
 }
 
-// mergeCrashes returns old with the crashes of both facts if the counters are
-// equal, and otherwise f. It reports whether the result should replace old.
+// mergeCrashes returns the fact with the crashes of both facts, except those that
+// either has cleared. It reports whether the result should replace old.
 func mergeCrashes(old, f Fact) (Fact, bool) {
-	if f.Counter != old.Counter || old.Kind == 0 {
-		return f, f.Counter > old.Counter || old.Kind == 0
+	if old.Kind == 0 {
+		return f, true
 	}
-	g, changed := old, false
-	g.Crashes = append([]Crash(nil), old.Crashes...)
-next:
-	for _, c := range f.Crashes {
-		for _, d := range g.Crashes {
-			if c.ID == d.ID {
-				continue next
-			}
-		}
-		g.Crashes = append(g.Crashes, c)
-		changed = true
+	if f.Counter > old.Counter && len(f.Crashes)+len(f.Cleared) == 0 {
+		// Earlier versions clear all crashes without naming them.
+		f.Cleared = old.Crashes
 	}
-	sort.Slice(g.Crashes, func(i, j int) bool {
-		a, b := g.Crashes[i], g.Crashes[j]
-		return a.AtMS < b.AtMS || a.AtMS == b.AtMS && a.ID < b.ID
-	})
-	return g, changed
+	joined := poison.Join(f.History(), old.History())
+	g := old
+	g.Counter = max(old.Counter, f.Counter)
+	g.Crashes, g.Cleared = fromHistory(joined.Crashes), fromHistory(joined.Cleared)
+	g.Status = Alive
+	if len(g.Crashes) > 0 {
+		g.Status = Suspect
+	}
+	return g, g.Counter != old.Counter || !joined.Equal(old.History())
+}
+
+// SuspectFact returns the fact about a suspect request with the given history.
+func SuspectFact(e poison.Entry) Fact {
+	f := Fact{Kind: SuspectRequest, Name: e.Fingerprint, Status: Alive, Crashes: fromHistory(e.Crashes), Cleared: fromHistory(e.Cleared)}
+	if len(f.Crashes) > 0 {
+		f.Status = Suspect
+	}
+	return f
+}
+
+// History returns the crash history of a suspect request.
+func (f Fact) History() poison.Entry {
+	return poison.Entry{Fingerprint: f.Name, Crashes: toHistory(f.Crashes), Cleared: toHistory(f.Cleared)}
+}
+
+func toHistory(crashes []Crash) (out []poison.Crash) {
+	for _, c := range crashes {
+		out = append(out, poison.Crash{ID: c.ID, At: time.UnixMilli(c.AtMS), Progress: c.Progress})
+	}
+	return out
+}
+
+func fromHistory(crashes []poison.Crash) (out []Crash) {
+	for _, c := range crashes {
+		out = append(out, Crash{ID: c.ID, AtMS: c.At.UnixMilli(), Progress: c.Progress})
+	}
+	return out
 }
 
 // Observe records a fact that this daemon has observed itself, with the next
@@ -194,6 +220,9 @@
 	if ok && equalContent(old, f) {
 		return false
 	}
+	if f.Kind == SuspectRequest && ok {
+		f, _ = mergeCrashes(old, f)
+	}
 	f.Counter = old.Counter + 1
 	m.put(now, f)
 	return true
@@ -329,5 +358,5 @@
 			return false
 		}
 	}
-	return slices.Equal(a.Crashes, b.Crashes)
+	return slices.Equal(a.Crashes, b.Crashes) && slices.Equal(a.Cleared, b.Cleared)
 }
--- a/internal/core/member/set_test.go
+++ b/internal/core/member/set_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sort"
 	"testing"
 	"time"
 
@@ -131,3 +132,69 @@
 		})
 	}
 }
+
+// suspectKey is the subject of the facts about crashes in tests.
+var suspectKey = Key{Kind: SuspectRequest, Name: "bad"}
+
+// suspectFact returns a fact with crashes of the given upstreams.
+func suspectFact(upstreams ...string) Fact {
+	f := Fact{Kind: SuspectRequest, Name: suspectKey.Name, Status: Suspect}
+	for i, u := range upstreams {
+		f.Crashes = append(f.Crashes, Crash{ID: u, AtMS: int64(i + 1)})
+	}
+	return f
+}
+
+// crashIDs returns the crashes that a set knows.
+func crashIDs(m *Set) (ids []string) {
+	f, _ := m.Get(suspectKey)
+	for _, c := range f.Crashes {
+		ids = append(ids, c.ID)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// TestCrashesOfBothSides guards against a crash that is lost because the other side
+// of a partition has reported more of them, and against sets that differ in crashes
+// but not in their digests.
+func TestCrashesOfBothSides(t *testing.T) {
+	now := time.Unix(1, 0)
+	a, b := New(now, Fact{Name: "a"}, Settings{}), New(now, Fact{Name: "b"}, Settings{})
+	a.Observe(now, suspectFact("u1"))
+	b.Observe(now, suspectFact("u3"))
+	must.NotEq(t, a.Digest()[bucketOf(suspectKey)], b.Digest()[bucketOf(suspectKey)])
+	a.Observe(now, suspectFact("u1", "u2"))
+	fa, _ := a.Get(suspectKey)
+	fb, _ := b.Get(suspectKey)
+	must.SliceNotEmpty(t, a.Merge(now, []Fact{fb}))
+	must.SliceNotEmpty(t, b.Merge(now, []Fact{fa}))
+	want := []string{"u1", "u2", "u3"}
+	must.Eq(t, want, crashIDs(a))
+	must.Eq(t, want, crashIDs(b))
+	must.Eq(t, a.Digest()[bucketOf(suspectKey)], b.Digest()[bucketOf(suspectKey)])
+	fa, _ = a.Get(suspectKey)
+	must.SliceEmpty(t, b.Merge(now, []Fact{fa}))
+}
+
+// TestClearedCrashes guards against crashes that a daemon which missed their clear
+// brings back, and against a clear by a daemon of an earlier version, which names no
+// crashes, that has no effect.
+func TestClearedCrashes(t *testing.T) {
+	now := time.Unix(1, 0)
+	a, b := New(now, Fact{Name: "a"}, Settings{}), New(now, Fact{Name: "b"}, Settings{})
+	a.Observe(now, suspectFact("u1"))
+	fa, _ := a.Get(suspectKey)
+	b.Merge(now, []Fact{fa})
+	a.Observe(now, Fact{Kind: SuspectRequest, Name: suspectKey.Name, Status: Alive, Cleared: fa.Crashes})
+	b.Observe(now, suspectFact("u1", "u2"))
+	fa, _ = a.Get(suspectKey)
+	fb, _ := b.Get(suspectKey)
+	a.Merge(now, []Fact{fb})
+	b.Merge(now, []Fact{fa})
+	must.Eq(t, []string{"u2"}, crashIDs(a))
+	must.Eq(t, []string{"u2"}, crashIDs(b))
+	f, _ := a.Get(suspectKey)
+	a.Merge(now, []Fact{{Kind: SuspectRequest, Name: suspectKey.Name, Status: Alive, Counter: f.Counter + 1}})
+	must.SliceEmpty(t, crashIDs(a))
+}
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -162,17 +162,27 @@
 	if h == nil {
 		h = &history{Entry: Entry{Fingerprint: e.Fingerprint}}
 	}
-	cleared := union(h.Cleared, e.Cleared, nil)
-	crashes := union(h.Crashes, e.Crashes, cleared)
-	if len(crashes)+len(cleared) == 0 || equal(crashes, h.Crashes) && equal(cleared, h.Cleared) {
+	joined := Join(h.Entry, e)
+	if len(joined.Crashes)+len(joined.Cleared) == 0 || joined.Equal(h.Entry) {
 		return h.clone()
 	}
 	t.rev++
-	h.Crashes, h.Cleared, h.rev = crashes, cleared, t.rev
+	h.Entry, h.rev = joined, t.rev
 	t.entries[e.Fingerprint] = h
 	return h.clone()
 }
 
+// Join returns the history that has the crashes of both, except those that either
+// has cleared. It depends neither on the order of histories nor on how often one is
+// joined.
+func Join(a, b Entry) Entry {
+	cleared := union(a.Cleared, b.Cleared, nil)
+	return Entry{Fingerprint: a.Fingerprint, Crashes: union(a.Crashes, b.Crashes, cleared), Cleared: cleared}
+}
+
+// Equal reports whether two histories have the same crashes.
+func (e Entry) Equal(o Entry) bool { return equal(e.Crashes, o.Crashes) && equal(e.Cleared, o.Cleared) }
+
 // union returns the newest crashes of a and b that are not in except, in the order
 // of time. A crash in both has the earlier time, and progress only if both have it.
 func union(a, b, except []Crash) []Crash {
@@ -235,7 +245,7 @@
 }
 
 // lastAt returns the time of the last crash, cleared ones included.
-func (e *Entry) lastAt() (at time.Time) {
+func (e Entry) lastAt() (at time.Time) {
 	for _, list := range [][]Crash{e.Crashes, e.Cleared} {
 		if n := len(list); n > 0 && list[n-1].At.After(at) {
 			at = list[n-1].At
--- a/internal/node/router/completion.go
+++ b/internal/node/router/completion.go
@@ -145,7 +145,7 @@
 	known := rt.suspects.Clear(fingerprint(&c.req))
 	rt.mu.Unlock()
 	if known {
-		rt.facts.Report(time.Now(), member.Fact{Kind: member.SuspectRequest, Name: fingerprint(&c.req), Status: member.Alive})
+		rt.facts.Report(time.Now(), member.SuspectFact(rt.suspects.Entry(fingerprint(&c.req))))
 	}
 }
 
@@ -227,11 +227,7 @@
 	entry := rt.suspects.Observe(fp, poison.Crash{ID: upstream + "/" + c.incarnation, At: now, Progress: c.nextIndex > c.req.DeliveredTokens})
 	verdict, _ := rt.suspects.Judge(now, fp)
 	rt.mu.Unlock()
-	f := member.Fact{Kind: member.SuspectRequest, Name: fp, Status: member.Suspect}
-	for _, cr := range entry.Crashes {
-		f.Crashes = append(f.Crashes, member.Crash{ID: cr.ID, AtMS: cr.At.UnixMilli(), Progress: cr.Progress})
-	}
-	rt.facts.Report(now, f)
+	rt.facts.Report(now, member.SuspectFact(entry))
 	event.RequestSuspected.Log("request", c.req.ID, "fingerprint", fp, "upstream", upstream, "crashes", len(entry.Crashes))
 	if verdict == poison.Quarantined {
 		event.RequestQuarantined.Log("request", c.req.ID, "fingerprint", fp, "crashes", len(entry.Crashes))
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -238,14 +238,7 @@
 		case member.Upstream, member.UpstreamLoad:
 			rt.refreshUpstream(now, f.Name)
 		case member.SuspectRequest:
-			e := poison.Entry{Fingerprint: f.Name}
-			for _, c := range f.Crashes {
-				e.Crashes = append(e.Crashes, poison.Crash{ID: c.ID, At: time.UnixMilli(c.AtMS), Progress: c.Progress})
-			}
-			if len(e.Crashes) == 0 {
-				rt.suspects.Clear(f.Name)
-			}
-			rt.suspects.Merge(now, e)
+			rt.suspects.Merge(now, f.History())
 		case member.Daemon, member.ModelLoads:
 		}
 	}
