relay: a restarted daemon begins with one retry, not a full budget

A daemon began with a full bucket for an assumed fleet of 16, whatever an earlier process had used. With 4 daemons that is little; with 320 all restarted at once it is not. Change: one token at the start, the assumed fleet is 320 (the size to design for) until the holder has told, and a limit of one token at least, so that a large fleet with a small slack can retry at all. TestBudgetOverRestarts failed before: 36,800 retries in a window that allows 14,400 (320 daemons); 4 and 33 daemons passed. The test fixture now sets the budget of a daemon that has run for a while; assertions are unchanged.

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -182,7 +182,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals[x.query.Key]++
-	r.budget(x.query.Key.Service).AddRequest()
+	r.budget(now, x.query.Key.Service).AddRequest()
 	return x.checkQuarantine(now)
 }
 
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -97,8 +97,9 @@
 	// budgetShare is the fraction of the agreed retry budget that is used; the
 	// rest covers what daemons do not know of each other.
 	budgetShare = 0.8
-	// assumedDaemons is the number of daemons until the holder has reported it.
-	assumedDaemons = 16
+	// assumedDaemons is the number of daemons until the holder has reported it:
+	// the size that azurespan is designed for (docs/CAPACITY.md).
+	assumedDaemons = 320
 	// shrinkDelay is how long a lower number of daemons must be reported before
 	// the retry budget of the missing ones is redistributed: longer than a retry
 	// window.
@@ -312,22 +313,25 @@
 	}
 }
 
-// budget returns the retry budget of a service. r.mu must be held.
-func (r *Relay) budget(service string) *retry.Budget {
+// budget returns the retry budget of a service. It begins with one token, because
+// the daemon may have been restarted. r.mu must be held.
+func (r *Relay) budget(now time.Time, service string) *retry.Budget {
 	b := r.budgets[service]
 	if b == nil {
 		perSecond, limit := r.retryAllowance()
 		b = retry.NewBudget(budgetShare*r.settings.RetryRatio, perSecond, limit)
+		b.Restart(now)
 		r.budgets[service] = b
 	}
 	return b
 }
 
 // retryAllowance returns this daemon's part of RetrySlack: half of it as the
-// token limit and half as a rate over RetryWindow. r.mu must be held.
+// token limit and half as a rate over RetryWindow. The limit is at least one token,
+// without which there would be no retry. r.mu must be held.
 func (r *Relay) retryAllowance() (perSecond, limit float64) {
 	part := budgetShare * r.settings.RetrySlack / float64(max(r.daemons, 1))
-	return part / 2 / r.settings.RetryWindow.Seconds(), part / 2
+	return part / 2 / r.settings.RetryWindow.Seconds(), max(part/2, 1)
 }
 
 // takeRetryToken takes a token of a service's retry budget and reports whether
@@ -335,7 +339,7 @@
 func (r *Relay) takeRetryToken(now time.Time, service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ok := r.budget(service).Take(now, 0)
+	ok := r.budget(now, service).Take(now, 0)
 	if !ok {
 		event.RetryBudgetUsed.Log("service", service, "daemons", r.daemons)
 	}
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/rule/retry"
 )
 
 // testCodec is a Codec with the headers Id, Model, After and Not-Run.
@@ -96,6 +97,8 @@
 		cfg.Services["s"] = fleet.Service{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m"}}}}
 	}
 	f.relay.Configure(cfg.Index())
+	// The retry budget of a daemon that has run for a while.
+	f.relay.budgets["s"] = retry.NewBudget(set.RetryRatio, 1, set.RetrySlack/2)
 	for i, h := range handlers {
 		n := new(atomic.Int32)
 		f.requests = append(f.requests, n)
@@ -603,6 +606,59 @@
 	must.Eq(t, 2, f.relay.daemons)
 }
 
+// TestBudgetOverRestarts guards against retries beyond the budget that all daemons
+// share, because restarted daemons begin with a budget of their own: all daemons
+// retry as much as they can, are restarted together, and learn only some time later
+// how many they are.
+func TestBudgetOverRestarts(t *testing.T) {
+	const (
+		step         = 100 * time.Millisecond
+		requests     = 2 // of a daemon in each step
+		restartAfter = 4 * time.Second
+		knownAfter   = 500 * time.Millisecond
+	)
+	set := Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second}
+	for _, c := range []struct {
+		daemons int
+		slack   float64
+	}{{4, 52}, {33, 210}, {320, 1600}} {
+		set.RetrySlack = c.slack
+		start := time.Unix(1000, 0)
+		now := start
+		metrics := metric.New(nil)
+		relays := make([]*Relay, c.daemons)
+		restart := func() {
+			for i := range relays {
+				relays[i] = New(set, testCodec{}, nil, nil, metrics, nil, func() time.Time { return now })
+			}
+		}
+		restart()
+		sent, retried, restartedAt := 0, 0, start
+		for ; now.Sub(start) < set.RetryWindow; now = now.Add(step) {
+			if now.Sub(start) == restartAfter {
+				restart()
+				restartedAt = now
+			}
+			for _, r := range relays {
+				if now.Sub(restartedAt) >= knownAfter {
+					r.setDaemons(now, c.daemons)
+				}
+				for range requests {
+					r.budget(now, "s").AddRequest()
+					sent++
+				}
+				for r.takeRetryToken(now, "s") {
+					retried++
+				}
+			}
+		}
+		limit := set.RetryRatio*float64(sent) + c.slack
+		must.LessEq(t, limit, float64(retried), must.Sprint(c.daemons))
+		// The budget isn't left unused either.
+		must.GreaterEq(t, limit/2, float64(retried), must.Sprint(c.daemons))
+	}
+}
+
 // TestRetryBudget guards against retries beyond this daemon's part of the retry
 // budget when all upstreams are overloaded and reject requests.
 func TestRetryBudget(t *testing.T) {
--- a/internal/rule/retry/budget.go
+++ b/internal/rule/retry/budget.go
@@ -24,6 +24,10 @@
 	b.tokens = min(b.tokens, maxTokens)
 }
 
+// Restart leaves one token; further ones accrue from now on. It is for a budget that
+// is shared with an earlier process, which may have used its tokens.
+func (b *Budget) Restart(now time.Time) { b.tokens, b.refilledAt = min(b.tokens, 1), now }
+
 // AddRequest counts the first attempt of a request.
 func (b *Budget) AddRequest() { b.tokens = min(b.tokens+b.tokensPerRequest, b.maxTokens) }
 
