--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -79,7 +79,7 @@
 	s.entry.relay.Configure(newest)
 	s.entry.loader.Configure(newest)
 	s.entry.topics.publish(now)
-	event.EntryConfig.Log("version", newest.Version, "offset", offset, "routes", len(newest.Routes), "services", len(newest.Services))
+	event.EntryConfig.Log("version", newest.Version, "offset", offset, "routes", len(newest.Routes), "services", len(newest.Services), "read-took", p.Took)
 }
 
 // Failed does nothing: the last configuration stays in force.
--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -25,6 +25,8 @@
 		// Next is the offset of the next read, End the offset after the newest
 		// record.
 		Next, End int64
+		// Took is the duration of the call, set by Feed.
+		Took time.Duration
 	}
 
 	// Source reads a topic.
@@ -150,11 +152,13 @@
 // readOnce makes one call. Deleted records are not a failure: the next call reads
 // the newest records.
 func (f *Feed) readOnce(ctx context.Context) error {
+	began := f.now()
 	if !f.loaded {
 		p, err := f.source.Newest(ctx)
 		if err != nil {
 			return err
 		}
+		p.Took = f.now().Sub(began)
 		f.sink.Replace(f.now(), p)
 		f.nextOffset, f.loaded = p.Next, true
 		return nil
@@ -176,6 +180,7 @@
 	// Complete records before a truncated one are valid. A response without
 	// records is applied as well: it shows how recent the state is.
 	if p != nil && (len(p.Records) > 0 || err == nil) {
+		p.Took = f.now().Sub(began)
 		f.sink.Apply(f.now(), p)
 		f.nextOffset = p.Next
 	}
