entry: wait for a configuration no longer than its deadline allows

Cause: a read that waits for records, and begins some ms before one is written, is answered at the end of its wait only. Reads waited 2.5 s, the deadline is 2 s. The daemons read in step after the log has dropped its history, so that several begin at once; the holder, cut off, told nothing newer. Ruled out: a read not made (it was under way), a wrong offset, the holder's word on its age (cut off, it gave none). Change: the wait is 0.6 of the deadline, as the age at which the topic is read. TestMissedWakeUp failed before (2.74 s for a deadline of 2 s). TestHolderReadsForAll compared with the constant; it now bounds the wait by the deadline from both sides.

--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -44,10 +44,8 @@
 	// maxAgeShare is the age at which a topic is read, as a share of the time
 	// within which its changes must take effect.
 	maxAgeShare = 0.6
-	// configWait is how long a read of the configuration waits for a new one.
-	// An unresponsive connection is noticed only after it, so the holder, on
-	// whose reads the other daemons rely, waits for holderConfigWait.
-	configWait       = 2500 * time.Millisecond
+	// holderConfigWait is how long a read of the configuration by the holder, on
+	// whose reads the other daemons rely, waits for a new one.
 	holderConfigWait = 500 * time.Millisecond
 	// firstHolderWait is how long a daemon waits for the register from a holder
 	// at the first start of a system, before it reads the whole register itself.
@@ -149,12 +147,15 @@
 	return v.configAt.Add(time.Duration(maxAgeShare * float64(v.configDeadline))).Sub(now)
 }
 
-// configWait returns how long a read of the configuration waits for a new one.
+// configWait returns how long a read of the configuration waits for a new one. A
+// read that begins as a record is written may not be answered before the end of its
+// wait, and an unresponsive connection is noticed only then, so the wait is within
+// the time in which the record must take effect.
 func (v *topicView) configWait() time.Duration {
 	if v.holds() {
 		return holderConfigWait
 	}
-	return configWait
+	return time.Duration(maxAgeShare * float64(v.configDeadline))
 }
 
 // configRead records a read of the configuration's topic by this daemon.
--- a/internal/node/entry/view_test.go
+++ b/internal/node/entry/view_test.go
@@ -64,6 +64,22 @@
 	must.True(t, v.configDelay(at(161.01)) > 0)
 }
 
+// TestMissedWakeUp guards against a configuration that comes into force after its
+// deadline, because a read that began just before it was written is answered only at
+// the end of its wait (figtray-coop scale-2, seed 55594420969).
+func TestMissedWakeUp(t *testing.T) {
+	// callTime is the duration of a call to a log that is slow, 60 times the
+	// usual 4 ms.
+	const callTime = 240 * time.Millisecond
+	for _, d := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		v := newTestView()
+		v.configDeadline = d
+		v.configRead(at(100), 5, 5)
+		must.LessEq(t, d, v.configDelay(at(100))+callTime, must.Sprint("written after a read, deadline ", d))
+		must.LessEq(t, d, v.configWait()+callTime, must.Sprint("written as a read begins, deadline ", d))
+	}
+}
+
 // TestStaleView guards against a change that takes effect too late because the
 // holder failed, or lost its contact to the log: the daemon reads the topics
 // itself before its view is older than an agreed time allows.
@@ -90,7 +106,7 @@
 	v := newTestView()
 	v.configRead(at(100), 5, 5)
 	v.Apply(at(100), reply(10, 5, 0))
-	must.Eq(t, configWait, v.configWait())
+	must.Between(t, holderConfigWait, v.configWait(), deadline*3/4)
 	v.holder = true
 	must.Eq(t, holderReadInterval, v.registerDelay(at(100)))
 	must.Eq(t, 0, v.configDelay(at(100)))
