--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -8,7 +8,6 @@
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/feed"
-	"github.com/azurespan/azurespan/internal/node/qlog"
 )
 
 type (
@@ -27,27 +26,14 @@
 	}
 )
 
-// holderView is what this daemon knows of the holder.
-type holderView struct{ entry *Entry }
-
 var (
-	_ qlog.Holder = holderView{}
-	_ feed.Sink   = (*configSink)(nil)
-	_ feed.Sink   = (*registerSink)(nil)
+	_ feed.Sink = (*configSink)(nil)
+	_ feed.Sink = (*registerSink)(nil)
 )
 
 // expireInterval is the interval at which missing entries are checked.
 const expireInterval = 100 * time.Millisecond
 
-// Holds reports whether this daemon is the holder.
-func (v holderView) Holds() bool {
-	_, holds := v.entry.elector.Holds()
-	return holds
-}
-
-// LastReply returns the time of the holder's last reply.
-func (v holderView) LastReply() time.Time { return v.entry.relay.LastReply() }
-
 // KnownOffset returns 0: the configuration comes from the log alone.
 func (s *configSink) KnownOffset() int64 { return 0 }
 
--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -9,6 +9,7 @@
 	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/loader"
+	"github.com/azurespan/azurespan/internal/node/qlog"
 	"github.com/azurespan/azurespan/internal/node/syncer"
 )
 
@@ -59,6 +60,7 @@
 var (
 	_ syncer.TopicView = (*topicView)(nil)
 	_ loader.Topics    = (*topicView)(nil)
+	_ qlog.Holder      = holderView{}
 )
 
 func newTopicView(drainLimit, configDeadline time.Duration, earliestRead time.Time, holds func() bool, onUpstreams func(now time.Time, ups []fleet.Upstream)) *topicView {
@@ -190,6 +192,18 @@
 	v.onUpstreams(now, ups)
 }
 
+// holderView is what this daemon knows of the holder.
+type holderView struct{ entry *Entry }
+
+// Holds reports whether this daemon is the holder.
+func (v holderView) Holds() bool {
+	_, holds := v.entry.elector.Holds()
+	return holds
+}
+
+// LastReply returns the time of the holder's last reply.
+func (v holderView) LastReply() time.Time { return v.entry.relay.LastReply() }
+
 // storeEstimate is the loader's estimate. It refers to the Entry because the
 // loader is created after the elector.
 type storeEstimate struct{ entry *Entry }
--- a/internal/node/qlog/qlog.go
+++ b/internal/node/qlog/qlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -70,8 +71,12 @@
 	// checkInterval is the interval at which the table is checked for changes.
 	// It bounds a daemon's writes to 5 a second.
 	checkInterval = 200 * time.Millisecond
-	// retryDelay is the delay after a failed write.
-	retryDelay = 300 * time.Millisecond
+	// minRetryDelay is the delay after a failed write. It doubles with each
+	// further failure up to maxRetryDelay, since refused calls cost as well.
+	minRetryDelay = 300 * time.Millisecond
+	maxRetryDelay = 5 * time.Second
+	// maxRetryShift bounds the doublings of minRetryDelay.
+	maxRetryShift = 5
 	// maxHistories bounds the histories of one record, which has at most 256 KB
 	// on the platform; one takes some 200 bytes.
 	maxHistories = 500
@@ -92,15 +97,27 @@
 
 // Run writes the topic until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
+	failures := 0
 	for pause.For(ctx, checkInterval) {
-		if err := s.writeDue(ctx); err != nil {
-			event.QuarantineStored.Log("cause", err.Error())
-			pause.For(ctx, retryDelay)
+		err := s.writeDue(ctx)
+		if err == nil {
+			failures = 0
+			continue
 		}
+		event.QuarantineStored.Log("cause", err.Error())
+		delay := retryDelay(failures)
+		failures++
+		pause.For(ctx, delay/2+rand.N(delay/2))
 	}
 	return ctx.Err()
 }
 
+// retryDelay returns the delay after a failed write that follows a number of failed
+// ones.
+func retryDelay(failures int) time.Duration {
+	return min(minRetryDelay<<min(failures, maxRetryShift), maxRetryDelay)
+}
+
 // readDelay returns the time until the next read of the topic is due.
 func (s *Store) readDelay(now time.Time) time.Duration {
 	s.mu.Lock()
--- a/internal/node/qlog/qlog_test.go
+++ b/internal/node/qlog/qlog_test.go
@@ -176,6 +176,14 @@
 	must.True(t, newDaemon(t, topic, 2).quarantined())
 }
 
+// TestRetryDelay guards against hundreds of refused calls while the log is away (290
+// on figtray-coop-grown trouble-3 in 6 s), and against a delay that overflows.
+func TestRetryDelay(t *testing.T) {
+	must.Eq(t, minRetryDelay, retryDelay(0))
+	must.Eq(t, 2*minRetryDelay, retryDelay(1))
+	must.Eq(t, maxRetryDelay, retryDelay(1000))
+}
+
 // TestReadTimes guards against a daemon that reads the topic although the holder
 // tells it of changes, and against one that learns of a quarantine without a
 // holder only after the platform counts its sends.
@@ -195,7 +203,7 @@
 		d.holds, d.lastReply = c.holds, start.Add(c.lastReply)
 		must.Eq(t, c.want, d.readDelay(start), must.Sprint(c.name))
 	}
-	must.Less(t, platformCountsAfter, contactTTL+soloReadInterval+retryDelay+checkInterval)
+	must.Less(t, platformCountsAfter, contactTTL+soloReadInterval+minRetryDelay+checkInterval)
 }
 
 // TestHolderReviews guards against a stored quarantine that is missing after the
