poison: daemons tell only the suspects that they saw themselves

Cause: after all daemons lost power each read hundreds of suspects from the log and told all of them to the holder on contact. Merging one went over the whole table for old histories, so 39 reports of some hundred entries kept the holder busy for seconds; calls to it timed out (600 ms, holder-contact contact=false on 22 daemons at 43.4 s), the holder changed, and daemons without one read the topics themselves. Change: a suspect of one crash is told by the daemon that saw it only; old histories are removed once a second at most; a history that is known is skipped at once. TestSuspectsAreNotEchoed is new; the former Since returned all three of its entries.

--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -58,6 +58,8 @@
 		entries map[string]*history
 		// rev counts changes.
 		rev uint64
+		// expiredAt is when old histories were last removed.
+		expiredAt time.Time
 	}
 
 	// history is an Entry, the revision of its last change, and whether one of
@@ -88,6 +90,9 @@
 	// because hosts are reclaimed and engines restarted during long responses
 	// as well.
 	progressCrashLimit = 4
+	// expireInterval is the least time between two removals of old histories,
+	// since each goes over all of them.
+	expireInterval = time.Second
 	// maxCrashes bounds the crashes, and the cleared ones, that are kept for
 	// one fingerprint; the newest are kept.
 	maxCrashes = 8
@@ -162,6 +167,9 @@
 	if h == nil {
 		h = &history{Entry: Entry{Fingerprint: e.Fingerprint}}
 	}
+	if contains(h.Crashes, e.Crashes) && contains(h.Cleared, e.Cleared) {
+		return h.clone()
+	}
 	joined := Join(h.Entry, e)
 	if len(joined.Crashes)+len(joined.Cleared) == 0 || joined.Equal(h.Entry) {
 		return h.clone()
@@ -172,6 +180,18 @@
 	return h.clone()
 }
 
+// contains reports whether list has all of crashes, as they are.
+func contains(list, crashes []Crash) bool {
+	for _, c := range crashes {
+		if !slices.ContainsFunc(list, func(d Crash) bool {
+			return c.ID == d.ID && !c.At.Before(d.At) && (c.Progress || !d.Progress)
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
 // Join returns the history that has the crashes of both, except those that either
 // has cleared. It depends neither on the order of histories nor on how often one is
 // joined.
@@ -234,9 +254,13 @@
 	return c.At.Add(t.settings.Retention).Sub(now)
 }
 
-// expire removes the histories whose last crash is older than the retention. t.mu
-// must be held.
+// expire removes the histories whose last crash is older than the retention, at most
+// once in expireInterval. t.mu must be held.
 func (t *Table) expire(now time.Time) {
+	if since := now.Sub(t.expiredAt); since >= 0 && since < expireInterval {
+		return
+	}
+	t.expiredAt = now
 	for fp, h := range t.entries {
 		if h.lastAt().Add(t.settings.Retention).Sub(now) <= 0 {
 			delete(t.entries, fp)
@@ -277,10 +301,12 @@
 	return true
 }
 
-// Since returns the histories that have changed after a position and have at
-// least minCrashes crashes, cleared ones included, and the position up to which
-// they are returned. For a position in another table, it returns all.
-func (t *Table) Since(c Cursor, minCrashes int) ([]Entry, Cursor) {
+// Since returns the histories that have changed after a position, and the position
+// up to which they are returned. For a position in another table, it returns all.
+// Histories of fewer than two crashes, cleared ones included, are returned only if
+// single is set and one of them was added by Observe: the other side of an exchange
+// needs a suspect of one crash only from the daemon that saw it.
+func (t *Table) Since(c Cursor, single bool) ([]Entry, Cursor) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := Cursor{Table: t.id, Rev: t.rev}
@@ -292,7 +318,7 @@
 	}
 	var out []Entry
 	for _, h := range t.entries {
-		if h.rev > c.Rev && len(h.Crashes)+len(h.Cleared) >= minCrashes {
+		if h.rev > c.Rev && (len(h.Crashes)+len(h.Cleared) > 1 || single && h.observed) {
 			out = append(out, h.clone())
 		}
 	}
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -144,23 +144,23 @@
 func TestSince(t *testing.T) {
 	tab := New(Settings{}, 7)
 	tab.Observe("a", crash("u1", 1))
-	got, at := tab.Since(Cursor{}, 1)
+	got, at := tab.Since(Cursor{}, true)
 	must.Len(t, 1, got)
-	got, same := tab.Since(at, 1)
+	got, same := tab.Since(at, true)
 	must.SliceEmpty(t, got)
 	must.Eq(t, at, same)
 	tab.Observe("a", crash("u1", 1))
 	tab.Observe("b", crash("u1", 1))
-	got, next := tab.Since(at, 1)
+	got, next := tab.Since(at, true)
 	must.Len(t, 1, got)
 	must.Eq(t, "b", got[0].Fingerprint)
-	got, _ = tab.Since(at, 2)
+	got, _ = tab.Since(at, false)
 	must.SliceEmpty(t, got)
 	// A position in the table of another process says nothing about this one.
-	got, _ = tab.Since(Cursor{Table: 8, Rev: next.Rev + 5}, 1)
+	got, _ = tab.Since(Cursor{Table: 8, Rev: next.Rev + 5}, true)
 	must.Len(t, 2, got)
 	must.True(t, tab.Clear("a"))
-	got, _ = tab.Since(next, 1)
+	got, _ = tab.Since(next, true)
 	must.Len(t, 1, got)
 	must.Len(t, 1, got[0].Cleared)
 }
@@ -180,3 +180,20 @@
 	}
 	must.Len(t, maxCrashes, tab.Entry("new").Crashes)
 }
+
+// TestSuspectsAreNotEchoed guards against a holder that is busy for seconds after a
+// restart of all daemons, because each of them tells it every suspect that it has
+// read from the log (figtray-coop-grown trouble-1).
+func TestSuspectsAreNotEchoed(t *testing.T) {
+	now := time.Unix(10, 0)
+	tab := New(Settings{CrashLimit: 3}, 1)
+	tab.Merge(now, Entry{Fingerprint: "seen elsewhere", Crashes: []Crash{crash("u1", 1)}})
+	tab.Merge(now, Entry{Fingerprint: "twice", Crashes: []Crash{crash("u1", 1), crash("u2", 2)}})
+	tab.Observe("seen here", crash("u3", 3))
+	var names []string
+	got, _ := tab.Since(Cursor{}, true)
+	for _, e := range got {
+		names = append(names, e.Fingerprint)
+	}
+	must.Eq(t, []string{"seen here", "twice"}, names)
+}
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -76,7 +76,7 @@
 func (l *Loader) currentReply(a *hub.WatchArgs, always bool) (*hub.WatchReply, error) {
 	now := l.now()
 	register, config := l.topicUpdates(now, a)
-	crashes, crashesAt := l.crashes.Since(a.Crashes, minSharedCrashes)
+	crashes, crashesAt := l.crashes.Since(a.Crashes, false)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.active {
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -115,9 +115,6 @@
 	// packedTTL is how long a packed value is reused. Later changes are in the
 	// reply to the receiver's next call.
 	packedTTL = 300 * time.Millisecond
-	// minSharedCrashes is the number of crashes from which a history is sent to
-	// all daemons: with one crash, a request is in no quarantine.
-	minSharedCrashes = 2
 )
 
 // New returns a Loader for the daemon named host.
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -226,7 +226,7 @@
 	for {
 		a := &hub.TellArgs{Host: s.host, Demand: s.local.TakeDemand(s.now())}
 		var next poison.Cursor
-		a.Crashes, next = s.crashes.Since(told, 1)
+		a.Crashes, next = s.crashes.Since(told, true)
 		for _, e := range a.Crashes {
 			if len(e.Crashes) == 0 {
 				a.Cleared = append(a.Cleared, e.Fingerprint)
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -79,7 +79,7 @@
 func (h *fakeHolder) Watch(ctx context.Context, a *hub.WatchArgs) (*hub.WatchReply, error) {
 	<-ctx.Done()
 	r := &hub.WatchReply{Fence: 1}
-	r.Crashes, r.CrashesAt = h.crashes.Since(a.Crashes, 1)
+	r.Crashes, r.CrashesAt = h.crashes.Since(a.Crashes, false)
 	return r, nil
 }
 
