--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -25,7 +25,7 @@
 	})
 	RelayEnded = register(Event{
 		Number: 8005, Name: "relay-ended",
-		Meaning: "A request has ended; the outcome, the time to the first byte and the total time are given.",
+		Meaning: "A request has ended; the outcome, the time to the first byte, the total time and whether the answer ended with its connection are given.",
 	})
 	RetryBudgetUsed = register(Event{
 		Number: 8006, Name: "relay-retry-budget-used",
@@ -145,11 +145,11 @@
 	})
 	RequestCrashed = register(Event{
 		Number: 8221, Name: "request-crash-observed",
-		Meaning: "An upstream broke the connection of a request on this daemon; the number of crashes known for its fingerprint and the verdict are given.",
+		Meaning: "An upstream broke the connection of a request on this daemon; the number of crashes known for its fingerprint, the verdict, the shared parts of its prompt and the time since the first byte of its answer are given.",
 	})
 	SuspectSent = register(Event{
 		Number: 8222, Name: "suspect-sent",
-		Meaning: "A request is sent to an upstream although upstreams have crashed while they ran it; the number of crashes known here and the age of the last information from the holder are given.",
+		Meaning: "A request is sent to an upstream although upstreams have crashed while they ran it; the number of crashes known here, the age of the last information from the holder and the shared parts of its prompt are given.",
 		Action:  "Compare with crash-history-changed on the other daemons: who knew of more crashes, and since when?",
 	})
 	CrashHistoryChanged = register(Event{
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -75,6 +75,19 @@
 	return [...]string{"answered", "not-run", "misplaced", "foreign"}[v]
 }
 
+// SharedParts returns the IDs of the parts of the prompt that other requests may
+// have too.
+func (r *Request) SharedParts() []string {
+	if len(r.Parts) < 2 { // the last part is never shared
+		return nil
+	}
+	ids := make([]string, len(r.Parts)-1)
+	for i := range ids {
+		ids[i] = r.Parts[i].ID
+	}
+	return ids
+}
+
 // SharedKey identifies the shared prefix of the prompt, empty if there is none.
 func (r *Request) SharedKey() string {
 	if len(r.Parts) < 2 { // the last part is never shared
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -37,6 +38,9 @@
 	// request to its end. A response without a length or chunks doesn't: it ends
 	// with its connection, as that of a crashed upstream does.
 	survived bool
+	// unframed is set if the response has neither a length nor chunks, so that
+	// it looks complete if its upstream ends.
+	unframed bool
 	// response is a complete error response, kept in case no later attempt
 	// succeeds.
 	response *response
@@ -108,7 +112,8 @@
 		crash := poison.Crash{ID: fmt.Sprintf("%s@%d", c.Upstream.ID, c.Upstream.Born), At: now, Progress: x.events.EventCount > 0}
 		entry := r.suspects.Observe(x.fingerprint, crash)
 		verdict, _ := r.suspects.Judge(now, x.fingerprint)
-		event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict)
+		event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
+			"parts", strings.Join(x.req.SharedParts(), ","), "answered-for", x.answeredFor(now))
 		r.refuseQuarantined(now)
 		r.requestReport()
 	case o.survived && r.suspects.Clear(x.fingerprint):
@@ -116,6 +121,7 @@
 	}
 	r.dispatch(now)
 	r.mu.Unlock()
+	x.unframed = o.unframed
 	if !o.done {
 		x.lastFailure = o.cause
 		event.RelayFailed.Log("request", x.req.ID, "upstream", c.Upstream.ID, "cause", o.cause, "end", o.result,
@@ -124,6 +130,15 @@
 	return o
 }
 
+// answeredFor returns the time since the first byte that was forwarded to the
+// caller, 0 if there was none.
+func (x *exchange) answeredFor(now time.Time) time.Duration {
+	if x.firstByteAt.IsZero() {
+		return 0
+	}
+	return now.Sub(x.firstByteAt)
+}
+
 // logSuspect logs and counts the send of a request under which upstreams have
 // crashed.
 func (x *exchange) logSuspect(now time.Time, up fleet.Upstream) {
@@ -142,7 +157,8 @@
 		label = metric.CrashesTwo
 	}
 	r.metrics.SuspectSends.WithLabelValues(label).Inc()
-	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge)
+	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge,
+		"parts", strings.Join(x.req.SharedParts(), ","))
 }
 
 // roundTrip sends the request on a connection and forwards the response.
@@ -310,7 +326,7 @@
 		return o, true
 	}
 	x.writeResponse(full)
-	return outcome{done: true, survived: survived(res), status: res.StatusCode, result: pick.Succeeded, firstByteTime: firstByteTime}, true
+	return outcome{done: true, survived: survived(res), unframed: !framed(res), status: res.StatusCode, result: pick.Succeeded, firstByteTime: firstByteTime}, true
 }
 
 // writeResponse writes a complete response to the caller.
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -38,7 +38,10 @@
 		// lastFailure is the cause of the last failed attempt.
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
-		headerSent  bool
+		headerSent bool
+		// unframed is set if the response of the last attempt ended with its
+		// connection.
+		unframed    bool
 		events      *sse.Splitter
 		firstByteAt time.Time
 	}
@@ -295,7 +298,7 @@
 	}
 	event.RelayEnded.Log("request", x.req.ID, "outcome", outcome, "status", code, "route", x.route.Name,
 		"rank", x.route.Rank, "upstream", up.ID, "sends", x.attempts, "events", x.events.EventCount,
-		"first", firstByte, "took", now.Sub(x.arrived), "failure", x.lastFailure)
+		"first", firstByte, "took", now.Sub(x.arrived), "unframed", x.unframed, "failure", x.lastFailure)
 	class := fmt.Sprintf("%s-%d", x.route.Kind, x.route.Rank)
 	x.relay.metrics.RequestSeconds.WithLabelValues(class, outcome).Observe(now.Sub(x.arrived).Seconds())
 	if x.headerSent {
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -70,7 +70,7 @@
 			return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 		}
 	}
-	return outcome{done: true, survived: survived(res), status: res.StatusCode, result: pick.Succeeded}
+	return outcome{done: true, survived: survived(res), unframed: !framed(res), status: res.StatusCode, result: pick.Succeeded}
 }
 
 // forward writes bytes of the stream to the caller, after the header if that
