blame, relay: quarantine parts of prompts that crash upstreams

Cause: a request that crashes upstreams was recognised only when it came again as it was: same caller, path, model and body. Requests with a common part have as many fingerprints as requests, each with one crash. Class: the identity under which evidence is collected is narrower than the cause.

Fix: each crash is also recorded for the shared parts of the requests that the upstream had been answering for less than 500 ms or not at all, as histories of the same table, so they reach the holder, the other daemons and the log as before. blame judges them: a part is quarantined after 3 crashes (5 and 1 s if requests with it were answered here within a minute) that no other quarantined part explains.

poison keeps 24 crashes of a history in place of 8, so that the part which caused a burst still explains all of it.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -145,7 +145,7 @@
 	})
 	RequestCrashed = register(Event{
 		Number: 8221, Name: "request-crash-observed",
-		Meaning: "An upstream broke the connection of a request on this daemon; the number of crashes known for its fingerprint, the verdict, the shared parts of its prompt and the time since the first byte of its answer are given.",
+		Meaning: "An upstream broke the connection of a request on this daemon; the number of crashes known for its fingerprint, the verdict, the shared parts of its prompt, the one of them that is quarantined and the time since the first byte of its answer are given.",
 	})
 	SuspectSent = register(Event{
 		Number: 8222, Name: "suspect-sent",
@@ -158,7 +158,7 @@
 	})
 	CrashHistoryCleared = register(Event{
 		Number: 8224, Name: "crash-history-cleared",
-		Meaning: "A request has completed, so the crashes known for its fingerprint no longer count against it.",
+		Meaning: "A request has been answered, so the crashes known for its fingerprint or for the parts of its prompt no longer count against them.",
 	})
 	QuarantineStored = register(Event{
 		Number: 8225, Name: "quarantine-stored",
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -54,8 +54,9 @@
 	// upstreams and of its configuration.
 	HolderAgeSeconds, RegisterAgeSeconds, ConfigAgeSeconds prometheus.Gauge
 	// CrashSuspects is the number of fingerprints with known crashes, and
-	// Quarantined that of those which are refused.
-	CrashSuspects, Quarantined prometheus.Gauge
+	// Quarantined that of those which are refused. QuarantinedParts is the number
+	// of parts of prompts with which requests are refused.
+	CrashSuspects, Quarantined, QuarantinedParts prometheus.Gauge
 	// SuspectSends counts requests sent to upstreams although upstreams had
 	// crashed under them, by the number of crashes known (see CrashCounts).
 	SuspectSends *prometheus.CounterVec
@@ -146,6 +147,7 @@
 		ConfigAgeSeconds:       b.gauge("azurespan_configuration_age_seconds", "Time since this daemon last knew the topic of the configuration up to its end, read from the log or received from the holder."),
 		CrashSuspects:          b.gauge("azurespan_crash_suspects", "Requests, by fingerprint, under which upstreams are known to have crashed recently."),
 		Quarantined:            b.gauge("azurespan_quarantined_requests", "Requests, by fingerprint, that are refused because they crash upstreams."),
+		QuarantinedParts:       b.gauge("azurespan_quarantined_prompt_parts", "Parts of prompts with which requests are refused because they crash upstreams."),
 		SuspectSends:           b.counterVec("azurespan_suspect_sends_total", "Requests sent to an upstream although upstreams had crashed under them, by the number of crashes known to the daemon (1, 2, 3-or-more).", "crashes"),
 		ConfigurationOffset:    b.gauge("azurespan_configuration_offset", "Version of the configuration in force, the offset of its record; 0 before the first."),
 	}
--- /dev/null
+++ b/internal/core/blame/table.go
@@ -0,0 +1,291 @@
+package blame
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/core/poison"
+)
+
+type (
+	// Table judges the parts of prompts. It is safe for concurrent use.
+	Table struct {
+		crashes *poison.Table
+
+		mu sync.Mutex
+		// usage holds the parts of requests that this daemon has sent.
+		usage map[string]*usage
+		// prunedAt is when parts were last removed from usage.
+		prunedAt time.Time
+		// reachedAt is when the crashes of a part with recent answers reached
+		// answeredLimit.
+		reachedAt map[string]time.Time
+		// quarantined holds the ends of quarantines by part, as judged at rev.
+		// They are judged again at dueAt, unless it is zero.
+		quarantined map[string]time.Time
+		rev         uint64
+		dueAt       time.Time
+	}
+
+	// Known holds the crashes of parts that were known at a moment.
+	Known map[string][]poison.Crash
+
+	// usage is how this daemon has used a part.
+	usage struct {
+		// sent is the number of requests sent, the last one at sentAt.
+		sent   int
+		sentAt time.Time
+		// answeredAt is when a request was last answered.
+		answeredAt time.Time
+	}
+
+	// candidate is a part that may have caused crashes.
+	candidate struct {
+		part     string
+		crashes  []poison.Crash
+		answered bool
+		sent     int
+	}
+)
+
+const (
+	// AnsweredAfter is how long an upstream must have been answering a request
+	// to be taken as unharmed by it. An upstream that is crashed by a part ends
+	// some 100 ms after it has begun to answer.
+	AnsweredAfter = 500 * time.Millisecond
+	// unansweredLimit is the number of crashes from which a part is quarantined
+	// if no request with it has been answered here recently. answeredLimit is
+	// the same for other parts, which must also not have been cleared within
+	// clearTime. The platform counts requests that are sent later than 3 s after
+	// the fifth crash.
+	unansweredLimit = 3
+	answeredLimit   = 5
+	clearTime       = time.Second
+	// recentAnswer is how long a part counts as answered recently.
+	recentAnswer = time.Minute
+	// maxParts is the number of parts from which unused ones are forgotten, at
+	// most once in pruneInterval.
+	maxParts      = 4096
+	pruneInterval = time.Second
+)
+
+// New returns a Table that judges by the histories in crashes.
+func New(crashes *poison.Table) *Table {
+	return &Table{
+		crashes: crashes, usage: map[string]*usage{}, reachedAt: map[string]time.Time{}, quarantined: map[string]time.Time{},
+	}
+}
+
+// Sent records that a request with parts is sent to an upstream.
+func (t *Table) Sent(now time.Time, parts []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		u := t.used(now, p)
+		u.sent, u.sentAt = u.sent+1, now
+	}
+}
+
+// used returns the usage of a part. t.mu must be held.
+func (t *Table) used(now time.Time, part string) *usage {
+	u := t.usage[part]
+	if u == nil {
+		t.prune(now)
+		u = &usage{}
+		t.usage[part] = u
+	}
+	return u
+}
+
+// prune forgets parts that haven't been used recently, and all if there are still
+// too many. t.mu must be held.
+func (t *Table) prune(now time.Time) {
+	if len(t.usage) < maxParts || now.Sub(t.prunedAt) < pruneInterval {
+		return
+	}
+	t.prunedAt = now
+	for p, u := range t.usage {
+		if now.Sub(u.sentAt) > recentAnswer {
+			delete(t.usage, p)
+		}
+	}
+	if len(t.usage) >= 2*maxParts {
+		clear(t.usage)
+	}
+}
+
+// Crashed records that an upstream crashed while it ran a request with parts.
+func (t *Table) Crashed(parts []string, c poison.Crash) {
+	for _, p := range parts {
+		t.crashes.Observe(poison.PartKey(p), c)
+	}
+}
+
+// Known returns the crashes of parts that are known when the answer to a request
+// with them begins.
+func (t *Table) Known(parts []string) Known {
+	var out Known
+	for _, p := range parts {
+		if e := t.crashes.Entry(poison.PartKey(p)); len(e.Crashes) > 0 {
+			if out == nil {
+				out = Known{}
+			}
+			out[p] = e.Crashes
+		}
+	}
+	return out
+}
+
+// Answered records that a request with parts has been answered, or for at least
+// AnsweredAfter, and clears the parts of the crashes that were known when the answer
+// began. It reports whether any crash was cleared.
+func (t *Table) Answered(now time.Time, parts []string, known Known) bool {
+	t.mu.Lock()
+	for _, p := range parts {
+		t.used(now, p).answeredAt = now
+		if _, ok := t.quarantined[p]; ok {
+			t.dueAt = now
+		}
+	}
+	t.mu.Unlock()
+	cleared := false
+	for p, crashes := range known {
+		cleared = t.crashes.ClearCrashes(poison.PartKey(p), crashes) || cleared
+	}
+	return cleared
+}
+
+// Judge returns the first part of a prompt that is quarantined at now and the time
+// until the quarantine ends, or an empty part.
+func (t *Table) Judge(now time.Time, parts []string) (part string, left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh(now)
+	for _, p := range parts {
+		if left := t.quarantined[p].Sub(now); left > 0 {
+			return p, left
+		}
+	}
+	return "", 0
+}
+
+// Quarantined reports whether a request or part with a history is quarantined.
+func (t *Table) Quarantined(now time.Time, key string) bool {
+	if part, ok := poison.PartOf(key); ok {
+		found, _ := t.Judge(now, []string{part})
+		return found != ""
+	}
+	verdict, _ := t.crashes.Judge(now, key)
+	return verdict == poison.Quarantined
+}
+
+// Count returns the number of parts that are quarantined at now.
+func (t *Table) Count(now time.Time) (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh(now)
+	for _, until := range t.quarantined {
+		if now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// refresh judges all parts again if their histories have changed, or if time may
+// have changed a verdict. t.mu must be held.
+func (t *Table) refresh(now time.Time) {
+	rev := t.crashes.Rev()
+	if rev == t.rev && (t.dueAt.IsZero() || now.Before(t.dueAt)) {
+		return
+	}
+	t.rev, t.dueAt = rev, time.Time{}
+	clear(t.quarantined)
+	explained := map[string]bool{}
+	for _, c := range t.candidates(now) {
+		if !t.guilty(now, c, explained) {
+			continue
+		}
+		for _, crash := range c.crashes {
+			explained[crash.ID] = true
+		}
+		t.quarantined[c.part] = c.crashes[len(c.crashes)-1].At.Add(t.crashes.Retention())
+	}
+}
+
+// candidates returns the parts that may be quarantined, the most likely ones first.
+// t.mu must be held.
+func (t *Table) candidates(now time.Time) (out []candidate) {
+	reached := map[string]time.Time{}
+	for _, e := range t.crashes.Parts(now) {
+		crashes := uncleared(e)
+		if len(crashes) < unansweredLimit {
+			continue
+		}
+		part, _ := poison.PartOf(e.Fingerprint)
+		c := candidate{part: part, crashes: crashes}
+		if u := t.usage[part]; u != nil {
+			c.sent, c.answered = u.sent, !u.answeredAt.IsZero() && now.Sub(u.answeredAt) < recentAnswer
+		}
+		if len(crashes) >= answeredLimit {
+			reached[part] = now
+			if at, ok := t.reachedAt[part]; ok {
+				reached[part] = at
+			}
+		}
+		out = append(out, c)
+	}
+	t.reachedAt = reached
+	slices.SortFunc(out, compare)
+	return out
+}
+
+// compare orders candidates by how likely they are to have caused their crashes.
+func compare(a, b candidate) int {
+	if a.answered != b.answered {
+		if b.answered {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.sent, b.sent), strings.Compare(a.part, b.part))
+}
+
+// guilty reports whether a candidate is to be quarantined, given the crashes that
+// are explained by other parts. t.mu must be held.
+func (t *Table) guilty(now time.Time, c candidate, explained map[string]bool) bool {
+	limit := unansweredLimit
+	if c.answered {
+		limit = answeredLimit
+	}
+	left := 0
+	for _, crash := range c.crashes {
+		if !explained[crash.ID] {
+			left++
+		}
+	}
+	if left < limit {
+		return false
+	}
+	if due := t.reachedAt[c.part].Add(clearTime); c.answered && now.Before(due) {
+		if t.dueAt.IsZero() || due.Before(t.dueAt) {
+			t.dueAt = due
+		}
+		return false
+	}
+	return true
+}
+
+// uncleared returns the crashes of a history since the last one that was cleared. A
+// history keeps a limited number of cleared crashes, so an older crash may have been
+// cleared as well.
+func uncleared(e poison.Entry) []poison.Crash {
+	if len(e.Cleared) == 0 {
+		return e.Crashes
+	}
+	last := e.Cleared[len(e.Cleared)-1].At
+	return slices.DeleteFunc(e.Crashes, func(c poison.Crash) bool { return !c.At.After(last) })
+}
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -24,6 +24,7 @@
 
 	// Entry is the history of one fingerprint.
 	Entry struct {
+		// Fingerprint identifies a request or, as a PartKey, a part of prompts.
 		Fingerprint string
 		Crashes     []Crash
 		// Cleared are crashes that do not count, because the request has
@@ -82,6 +83,10 @@
 	Quarantined
 )
 
+// partPrefix distinguishes the key of a part from the fingerprint of a request,
+// which is hexadecimal.
+const partPrefix = "part:"
+
 const (
 	// DefaultQuarantine is how long a quarantine lasts by default.
 	DefaultQuarantine = 10 * time.Minute
@@ -94,10 +99,19 @@
 	// since each goes over all of them.
 	expireInterval = time.Second
 	// maxCrashes bounds the crashes, and the cleared ones, that are kept for
-	// one fingerprint; the newest are kept.
-	maxCrashes = 8
+	// one fingerprint; the newest are kept. It exceeds the upstreams that may
+	// crash before a quarantine is known everywhere, so that the part of a
+	// prompt that caused them still explains all of them.
+	maxCrashes = 24
 )
 
+// PartKey returns the key of the history of a part of prompts.
+func PartKey(part string) string { return partPrefix + part }
+
+// PartOf returns the part of prompts whose history has a key, and false for that of
+// a request.
+func PartOf(key string) (part string, ok bool) { return strings.CutPrefix(key, partPrefix) }
+
 // String returns the verdict's name in logs.
 func (v Verdict) String() string {
 	switch v {
@@ -294,13 +308,45 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.entries[fingerprint]
-	if h == nil || len(h.Crashes) == 0 {
+	return h != nil && t.clear(fingerprint, h.Crashes)
+}
+
+// ClearCrashes clears some crashes of a fingerprint. It reports whether there were
+// any.
+func (t *Table) ClearCrashes(fingerprint string, crashes []Crash) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clear(fingerprint, crashes)
+}
+
+// clear is ClearCrashes for callers that hold t.mu.
+func (t *Table) clear(fingerprint string, crashes []Crash) bool {
+	if len(crashes) == 0 {
 		return false
 	}
-	t.merge(Entry{Fingerprint: fingerprint, Cleared: h.Crashes})
-	return true
+	rev := t.rev
+	t.merge(Entry{Fingerprint: fingerprint, Cleared: crashes})
+	return t.rev != rev
 }
 
+// Parts returns the histories of parts of prompts that have a crash which is not
+// older than the retention at now, ordered by key.
+func (t *Table) Parts(now time.Time) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for key, h := range t.entries {
+		if _, ok := PartOf(key); ok && len(h.Crashes) > 0 && t.left(now, h.Crashes[len(h.Crashes)-1]) > 0 {
+			out = append(out, h.clone())
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
+// Retention returns how long a history is kept after its last crash.
+func (t *Table) Retention() time.Duration { return t.settings.Retention }
+
 // Since returns the histories that have changed after a position, and the position
 // up to which they are returned. For a position in another table, it returns all.
 // Histories of fewer than two crashes, cleared ones included, are returned only if
@@ -352,12 +398,15 @@
 	return out
 }
 
-// Count returns the number of fingerprints with known crashes, and of those that
-// are quarantined at now.
+// Count returns the number of requests with known crashes, and of those that are
+// quarantined at now.
 func (t *Table) Count(now time.Time) (suspects, quarantined int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, h := range t.entries {
+	for key, h := range t.entries {
+		if _, ok := PartOf(key); ok {
+			continue
+		}
 		switch v, _ := t.judge(now, h); v {
 		case Clean:
 		case Suspect:
@@ -404,8 +453,8 @@
 // soleSuspect reports whether no other request that was already a suspect was
 // running on the upstream at crash c. t.mu must be held.
 func (t *Table) soleSuspect(h *history, c Crash) bool {
-	for _, o := range t.entries {
-		if o == h || len(o.Crashes) == 0 {
+	for key, o := range t.entries {
+		if _, ok := PartOf(key); ok || o == h || len(o.Crashes) == 0 {
 			continue
 		}
 		for _, d := range o.Crashes[1:] {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/base/super"
+	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/lease"
 	"github.com/azurespan/azurespan/internal/core/poison"
@@ -81,6 +82,7 @@
 		now      func() time.Time
 		relay    *relay.Relay
 		crashes  *poison.Table
+		parts    *blame.Table
 		loader   *loader.Loader
 		elector  *elect.Elector
 		syncer   *syncer.Syncer
@@ -138,9 +140,10 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	pool := http1.New(http1.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: idlePerUpstream}, now)
 	e.crashes = poison.New(poison.Settings{CrashLimit: crashLimit}, rng.Uint64())
+	e.parts = blame.New(e.crashes)
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
-	}, platform.Wire, pool, e.crashes, metrics, rng, now)
+	}, platform.Wire, pool, e.crashes, e.parts, metrics, rng, now)
 	earliestRead := now()
 	if settings.FirstStart {
 		earliestRead = earliestRead.Add(firstHolderWait)
@@ -191,7 +194,7 @@
 	tree.Add("right", e.elector.Run)
 	tree.Add("tie", e.syncer.Run)
 	tree.Add("loader", e.loader.Run)
-	quarantine := qlog.New(e.settings.Host, e.platform.Quarantine, e.crashes, holderView{e}, e.now)
+	quarantine := qlog.New(e.settings.Host, e.platform.Quarantine, e.crashes, e.parts, holderView{e}, e.now)
 	tree.Add("quarantine-read", quarantine.RunFeed)
 	tree.Add("quarantine-write", quarantine.Run)
 	tree.Add("relay", e.relay.Run)
--- a/internal/node/qlog/qlog.go
+++ b/internal/node/qlog/qlog.go
@@ -31,6 +31,13 @@
 		LastReply() time.Time
 	}
 
+	// Judge decides what is quarantined.
+	Judge interface {
+		// Quarantined reports whether a request or a part of prompts, given by
+		// the key of its history, is quarantined.
+		Quarantined(now time.Time, key string) bool
+	}
+
 	// Store keeps a table of crash histories and the topic up to date with each
 	// other. It is safe for concurrent use.
 	Store struct {
@@ -38,6 +45,7 @@
 		host    string
 		topic   Topic
 		crashes *poison.Table
+		judge   Judge
 		holder  Holder
 		now     func() time.Time
 
@@ -87,8 +95,8 @@
 
 // New returns the Store of the daemon named host. It reads the topic in RunFeed
 // and writes it in Run.
-func New(host string, topic Topic, crashes *poison.Table, holder Holder, now func() time.Time) *Store {
-	return &Store{host: host, topic: topic, crashes: crashes, holder: holder, now: now, stored: map[string][]poison.Entry{}}
+func New(host string, topic Topic, crashes *poison.Table, judge Judge, holder Holder, now func() time.Time) *Store {
+	return &Store{host: host, topic: topic, crashes: crashes, judge: judge, holder: holder, now: now, stored: map[string][]poison.Entry{}}
 }
 
 // RunFeed reads the topic until ctx ends.
@@ -234,9 +242,8 @@
 	s.reviewDue = false
 	missing := false
 	for _, e := range s.crashes.Recent(now) {
-		verdict, _ := s.crashes.Judge(now, e.Fingerprint)
 		observed := s.crashes.ObservedHere(e.Fingerprint)
-		if verdict != poison.Quarantined && !s.knows(e.Fingerprint) && (inContact || !observed) {
+		if !s.judge.Quarantined(now, e.Fingerprint) && !s.knows(e.Fingerprint) && (inContact || !observed) {
 			continue
 		}
 		entries = append(entries, e)
--- a/internal/node/qlog/qlog_test.go
+++ b/internal/node/qlog/qlog_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/feed"
 )
@@ -72,7 +73,8 @@
 // newDaemon returns a daemon in contact with the holder that has read the topic.
 func newDaemon(t *testing.T, topic *fakeTopic, id uint64) *daemon {
 	d := &daemon{topic: topic, at: start, lastReply: start}
-	d.Store = New(fmt.Sprint("h", id), topic, poison.New(poison.Settings{CrashLimit: 3, Retention: time.Minute}, id), d, func() time.Time { return d.at })
+	crashes := poison.New(poison.Settings{CrashLimit: 3, Retention: time.Minute}, id)
+	d.Store = New(fmt.Sprint("h", id), topic, crashes, blame.New(crashes), d, func() time.Time { return d.at })
 	d.read(t)
 	return d
 }
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
@@ -99,6 +100,8 @@
 		"service", x.query.Key.Service, "model", fleet.ModelName(x.req.Model, x.req.Adapter), "load", c.Load, "weighed", c.Candidates,
 		"aside", c.Ejected, "waited", sent.Sub(x.arrived), "left", x.deadline.Sub(sent), "after", x.events.LastID)
 	x.logSuspect(sent, c.Upstream)
+	x.known, x.answeredAt, x.cleared = nil, time.Time{}, false
+	x.relay.parts.Sent(sent, x.parts)
 	o := x.roundTrip(ctx, c.Upstream, sent)
 	if ctx.Err() != nil && !o.done {
 		o.result = pick.Inconclusive
@@ -109,15 +112,12 @@
 	r.table.Finish(now, c.Upstream, x.query.Key, o.result, o.firstByteTime)
 	switch {
 	case o.crashed && ctx.Err() == nil:
-		crash := poison.Crash{ID: fmt.Sprintf("%s@%d", c.Upstream.ID, c.Upstream.Born), At: now, Progress: x.events.EventCount > 0}
-		entry := r.suspects.Observe(x.fingerprint, crash)
-		verdict, _ := r.suspects.Judge(now, x.fingerprint)
-		event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
-			"parts", strings.Join(x.req.SharedParts(), ","), "answered-for", x.answeredFor(now))
-		r.refuseQuarantined(now)
-		r.requestReport()
-	case o.survived && r.suspects.Clear(x.fingerprint):
-		event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", c.Upstream.ID)
+		x.recordCrash(now, c.Upstream)
+	case o.survived:
+		if r.suspects.Clear(x.fingerprint) {
+			event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", c.Upstream.ID)
+		}
+		x.clearParts(now)
 	}
 	r.dispatch(now)
 	r.mu.Unlock()
@@ -130,13 +130,61 @@
 	return o
 }
 
-// answeredFor returns the time since the first byte that was forwarded to the
-// caller, 0 if there was none.
+// recordCrash adds the crash of an upstream to the history of the request and, unless
+// the upstream had been answering it for a while, to those of its parts. The caller
+// holds relay.mu.
+func (x *exchange) recordCrash(now time.Time, up fleet.Upstream) {
+	r := x.relay
+	crash := poison.Crash{ID: fmt.Sprintf("%s@%d", up.ID, up.Born), At: now, Progress: x.events.EventCount > 0}
+	entry := r.suspects.Observe(x.fingerprint, crash)
+	if x.answeredFor(now) < blame.AnsweredAfter {
+		r.parts.Crashed(x.parts, crash)
+	}
+	verdict, _ := r.suspects.Judge(now, x.fingerprint)
+	part, _ := r.parts.Judge(now, x.parts)
+	event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
+		"parts", strings.Join(x.parts, ","), "answered-for", x.answeredFor(now), "quarantined-part", part)
+	r.refuseQuarantined(now)
+	r.requestReport()
+}
+
+// beginAnswer records that the present attempt's answer has begun.
+func (x *exchange) beginAnswer() {
+	if x.answeredAt.IsZero() {
+		x.answeredAt, x.known = x.relay.now(), x.relay.parts.Known(x.parts)
+	}
+}
+
+// continueAnswer clears the parts of the prompt once the upstream has been answering
+// for long enough.
+func (x *exchange) continueAnswer() {
+	if x.cleared || len(x.parts) == 0 {
+		return
+	}
+	if now := x.relay.now(); x.answeredFor(now) >= blame.AnsweredAfter {
+		x.clearParts(now)
+	}
+}
+
+// clearParts records that the upstream was not crashed by the parts of the prompt.
+func (x *exchange) clearParts(now time.Time) {
+	if x.cleared || len(x.parts) == 0 {
+		return
+	}
+	x.cleared = true
+	if x.relay.parts.Answered(now, x.parts, x.known) {
+		event.CrashHistoryCleared.Log("request", x.req.ID, "parts", strings.Join(x.parts, ","), "answered-for", x.answeredFor(now))
+		x.relay.requestReport()
+	}
+}
+
+// answeredFor returns the time since the present attempt's answer has begun, 0 if it
+// hasn't.
 func (x *exchange) answeredFor(now time.Time) time.Duration {
-	if x.firstByteAt.IsZero() {
+	if x.answeredAt.IsZero() {
 		return 0
 	}
-	return now.Sub(x.firstByteAt)
+	return now.Sub(x.answeredAt)
 }
 
 // logSuspect logs and counts the send of a request under which upstreams have
@@ -158,7 +206,7 @@
 	}
 	r.metrics.SuspectSends.WithLabelValues(label).Inc()
 	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge,
-		"parts", strings.Join(x.req.SharedParts(), ","))
+		"parts", strings.Join(x.parts, ","))
 }
 
 // roundTrip sends the request on a connection and forwards the response.
@@ -312,6 +360,7 @@
 // response with a 5xx status is not written but returned in the outcome, since
 // a retry may succeed.
 func (x *exchange) forwardBuffered(conn *http1.Conn, res *http.Response, firstByteTime time.Duration) (o outcome, keep bool) {
+	x.beginAnswer()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return interrupted(merry.Wrap(err), firstByteTime), false
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/sse"
@@ -30,6 +31,13 @@
 		route       *fleet.Route
 		query       pick.Query
 		fingerprint string
+		// parts are the shared parts of the prompt. known are their crashes as
+		// of answeredAt, the time of the first byte of the present attempt's
+		// answer; cleared is set once the parts have been cleared of them.
+		parts      []string
+		known      blame.Known
+		answeredAt time.Time
+		cleared    bool
 		// deadline is the earlier of the caller's and the route's timeout.
 		arrived, deadline time.Time
 		// attempts counts the requests sent to upstreams, possibleRuns those
@@ -104,6 +112,7 @@
 		caller = hr.RemoteAddr
 	}
 	x.fingerprint = fingerprint(req, caller)
+	x.parts = req.SharedParts()
 	// A caller that does not read must not hold the request past its deadline.
 	if err := x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
 		event.CallerWriteFailed.Log("request", req.ID, "cause", err.Error())
@@ -194,10 +203,15 @@
 func (x *exchange) checkQuarantine(now time.Time) (refusal, bool) {
 	suspects := x.relay.suspects
 	verdict, left := suspects.Judge(now, x.fingerprint)
+	key := x.fingerprint
 	if verdict != poison.Quarantined {
-		return refusal{}, true
+		var part string
+		if part, left = x.relay.parts.Judge(now, x.parts); part == "" {
+			return refusal{}, true
+		}
+		key = poison.PartKey(part)
 	}
-	x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", len(suspects.Entry(x.fingerprint).Crashes), x.fingerprint)
+	x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", len(suspects.Entry(key).Crashes), key)
 	if x.possibleRuns > 0 {
 		return refusal{code: http.StatusBadGateway, reason: quarantinedReason}, false
 	}
@@ -243,7 +257,7 @@
 	r.nextID++
 	w := &waiter{
 		item:  &queue.Item{ID: r.nextID, Key: x.query.Key, Rank: x.route.Rank, TargetStart: x.targetStart(), LatestStart: until},
-		query: &x.query, fingerprint: x.fingerprint, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
+		query: &x.query, fingerprint: x.fingerprint, parts: x.parts, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
 	}
 	r.waiters[w.item.ID] = w
 	r.queue.Add(w.item)
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
@@ -54,6 +55,7 @@
 		table    *pick.Table
 		queue    *queue.Queue
 		suspects *poison.Table
+		parts    *blame.Table
 		rng      *rand.Rand
 		budgets  map[string]*retry.Budget
 		// daemons is the number of daemons that share the budgets.
@@ -90,6 +92,8 @@
 		// fingerprint is empty from then on.
 		quarantined chan struct{}
 		fingerprint string
+		// parts are the shared parts of the prompt.
+		parts []string
 	}
 )
 
@@ -115,14 +119,15 @@
 )
 
 // New returns a Relay without configuration and upstreams. suspects holds what is
-// known of requests that crash upstreams.
-func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
+// known of requests that crash upstreams, and parts judges the parts of their
+// prompts.
+func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, parts *blame.Table, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
 	return &Relay{
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, rng),
 		queue:    queue.New(),
-		suspects: suspects,
-		budgets:  map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
+		suspects: suspects, parts: parts,
+		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
 		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
 	}
@@ -177,7 +182,9 @@
 		if w.fingerprint == "" {
 			continue
 		}
-		if verdict, _ := r.suspects.Judge(now, w.fingerprint); verdict == poison.Quarantined {
+		verdict, _ := r.suspects.Judge(now, w.fingerprint)
+		part, _ := r.parts.Judge(now, w.parts)
+		if verdict == poison.Quarantined || part != "" {
 			close(w.quarantined)
 			w.fingerprint = ""
 		}
@@ -279,6 +286,7 @@
 	suspects, quarantined := r.suspects.Count(now)
 	r.metrics.CrashSuspects.Set(float64(suspects))
 	r.metrics.Quarantined.Set(float64(quarantined))
+	r.metrics.QuarantinedParts.Set(float64(r.parts.Count(now)))
 	_, tokens := r.retryAllowance()
 	for _, b := range r.budgets {
 		tokens = min(tokens, b.Available(now))
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
@@ -83,7 +84,8 @@
 	f := &fixture{t: t}
 	set := Settings{FailureDomain: "d", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}
 	pool := http1.New(http1.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdlePerUpstream: 4}, time.Now)
-	f.relay = New(set, testCodec{}, pool, poison.New(poison.Settings{CrashLimit: crashLimit}, 1), metric.New(prometheus.NewRegistry()), rand.New(rand.NewPCG(1, 2)), time.Now)
+	crashes := poison.New(poison.Settings{CrashLimit: crashLimit}, 1)
+	f.relay = New(set, testCodec{}, pool, crashes, blame.New(crashes), metric.New(prometheus.NewRegistry()), rand.New(rand.NewPCG(1, 2)), time.Now)
 	cfg := &fleet.Config{Version: 1, Routes: []fleet.Route{r}, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	if r.Kind == fleet.Stream {
 		cfg.Services["s"] = fleet.Service{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m"}}}}
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -40,6 +40,8 @@
 		n, err := res.Body.Read(buf)
 		_, _ = x.events.Write(buf[:n]) // never fails
 		if whole := x.events.TakeEvents(); len(whole) > 0 {
+			x.beginAnswer()
+			x.continueAnswer()
 			if !x.forward(res, whole) {
 				return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 			}
