relay: recognise crashes behind answers that end with their connection

Such a stream that ended before its first event was passed on as a complete, empty answer; one that ended after an event counted as answered, so its crash was recorded for nobody. A part that crashes upstreams behind such answers would never have been found.

TestEmptyUnframedStream and TestUnframedEndInCrash failed before.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -118,6 +118,8 @@
 			event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", c.Upstream.ID)
 		}
 		x.clearParts(now)
+	case o.done && o.unframed:
+		x.recordUnframedEnd(now, c.Upstream)
 	}
 	r.dispatch(now)
 	r.mu.Unlock()
@@ -135,8 +137,13 @@
 // holds relay.mu.
 func (x *exchange) recordCrash(now time.Time, up fleet.Upstream) {
 	r := x.relay
-	crash := poison.Crash{ID: fmt.Sprintf("%s@%d", up.ID, up.Born), At: now, Progress: x.events.EventCount > 0}
+	crash := poison.Crash{ID: incarnation(up), At: now, Progress: x.events.EventCount > 0}
 	entry := r.suspects.Observe(x.fingerprint, crash)
+	for _, end := range r.endings.crash(now, crash.ID) {
+		ended := poison.Crash{ID: crash.ID, At: now, Progress: true}
+		r.suspects.Observe(end.fingerprint, ended)
+		r.parts.Crashed(end.parts, ended)
+	}
 	if x.answeredFor(now) < blame.AnsweredAfter {
 		r.parts.Crashed(x.parts, crash)
 	}
@@ -148,6 +155,22 @@
 	r.requestReport()
 }
 
+// recordUnframedEnd records a response that ended with its connection. If the
+// upstream crashed at that time, the response may have ended with it. The caller
+// holds relay.mu.
+func (x *exchange) recordUnframedEnd(now time.Time, up fleet.Upstream) {
+	end := unframedEnd{at: now, fingerprint: x.fingerprint}
+	if !x.cleared {
+		end.parts = x.parts
+	}
+	if x.relay.endings.end(incarnation(up), end) {
+		x.recordCrash(now, up)
+	}
+}
+
+// incarnation identifies an upstream's process in crash histories.
+func incarnation(up fleet.Upstream) string { return fmt.Sprintf("%s@%d", up.ID, up.Born) }
+
 // beginAnswer records that the present attempt's answer has begun.
 func (x *exchange) beginAnswer() {
 	if x.answeredAt.IsZero() {
--- a/internal/node/relay/crash_test.go
+++ b/internal/node/relay/crash_test.go
@@ -151,6 +151,57 @@
 	must.Eq(t, wantEvents(1), body)
 }
 
+// TestEmptyUnframedStream guards against a stream without a length or chunks that
+// looks complete although its upstream ended before the first event.
+func TestEmptyUnframedStream(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 2, true), closeAfter(eventStream, ""), streamEvents(2, 0))
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(2), body)
+	f = newFixture(t, route(fleet.Stream, 1, false), closeAfter(eventStream, ""))
+	code, _ = f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusBadGateway, code)
+}
+
+// TestUnframedEndInCrash guards against a part of a prompt that crashes upstreams
+// unseen, because the answers to requests with it look complete: they have neither a
+// length nor chunks, and the upstream ends after an event.
+func TestUnframedEndInCrash(t *testing.T) {
+	for _, name := range []string{"before", "after"} {
+		both := make(chan struct{}, 2)
+		first := make(chan struct{})
+		end := func(w http.ResponseWriter, r *http.Request) {
+			both <- struct{}{}
+			for len(both) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			unframed := r.Header.Get("Id") == "bad"
+			if unframed == (name == "after") {
+				<-first
+				time.Sleep(20 * time.Millisecond)
+			} else {
+				defer close(first)
+			}
+			if unframed {
+				closeAfter(eventStream, wantEvents(1))(w, r)
+				return
+			}
+			resetConnection(w, r)
+		}
+		f := newFixture(t, route(fleet.Stream, 1, false), end)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.sendParts(http.MethodPost, "other", "m", "a b last1")
+		}()
+		f.sendParts(http.MethodPost, "bad", "m", "a c last2")
+		<-done
+		for _, part := range []string{"a", "b", "c"} {
+			must.Len(t, 1, f.relay.suspects.Entry(poison.PartKey(part)).Crashes, must.Sprint(name, part))
+		}
+	}
+}
+
 // TestMalformedResponseIsNoCrash guards against a request that is quarantined
 // because upstreams respond to it with bytes that are no response.
 func TestMalformedResponseIsNoCrash(t *testing.T) {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -56,6 +56,7 @@
 		queue    *queue.Queue
 		suspects *poison.Table
 		parts    *blame.Table
+		endings  *endings
 		rng      *rand.Rand
 		budgets  map[string]*retry.Budget
 		// daemons is the number of daemons that share the budgets.
@@ -126,7 +127,7 @@
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, rng),
 		queue:    queue.New(),
-		suspects: suspects, parts: parts,
+		suspects: suspects, parts: parts, endings: newEndings(),
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
 		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -26,13 +26,16 @@
 	"github.com/azurespan/azurespan/internal/rule/retry"
 )
 
-// testCodec is a Codec with the headers Id, Model, After and Not-Run.
+// testCodec is a Codec with the headers Id, Model, Parts, After and Not-Run.
 type testCodec struct{}
 
 func (testCodec) DecodeRequest(r *http.Request, _ int) (*fleet.Request, error) {
 	b, err := io.ReadAll(r.Body)
 	q := &fleet.Request{ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Path: r.URL.Path, Body: b, LastEventID: r.Header.Get("After")}
 	q.Model, q.Adapter, _ = strings.Cut(r.Header.Get("Model"), "/")
+	for _, id := range strings.Fields(r.Header.Get("Parts")) {
+		q.Parts = append(q.Parts, fleet.Part{ID: id, Tokens: 1})
+	}
 	return q, err
 }
 
@@ -124,11 +127,18 @@
 // send sends a request and returns the status and body. The status is 0 if the
 // response failed or was truncated.
 func (f *fixture) send(method, id, model string) (int, string) {
+	f.t.Helper()
+	return f.sendParts(method, id, model, "")
+}
+
+// sendParts is send with the IDs of the parts of the prompt.
+func (f *fixture) sendParts(method, id, model, parts string) (int, string) {
 	f.t.Helper()
 	req, err := http.NewRequest(method, f.front.URL+"/x?y=1", bytes.NewReader([]byte("body of "+id)))
 	must.NoError(f.t, err)
 	req.Header.Set("Id", id)
 	req.Header.Set("Model", model)
+	req.Header.Set("Parts", parts)
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -61,10 +61,11 @@
 }
 
 // finishStream forwards what is buffered of a stream that has ended. Without a
-// length or chunks, a stream that ends within an event is truncated.
+// length or chunks, a stream that ends within an event, or before the first one of
+// this attempt, is truncated.
 func (x *exchange) finishStream(res *http.Response) outcome {
 	rest := x.events.TakePartial()
-	if len(rest) > 0 && !framed(res) {
+	if !framed(res) && (len(rest) > 0 || x.answeredAt.IsZero()) {
 		return interrupted(merry.Wrap(io.ErrUnexpectedEOF), 0)
 	}
 	if len(rest) > 0 || !x.headerSent {
