router, front: quarantine messages that crash engines

A system prompt or example that crashes engines, with another question each time, took two engines a request without end.

The first four messages of a prompt, except its last one, are its parts now; the router judges them with blame and tells the peers their histories as facts.

--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -26,6 +26,8 @@
 		// PromptPrefixHash identifies the start of the prompt for cache
 		// affinity.
 		PromptPrefixHash uint64
+		// Parts identify the messages that other requests may start with too.
+		Parts []string
 		// DeliveredText is the text that was already delivered, and
 		// DeliveredTokens its length in tokens, when another replica continues
 		// the completion.
--- a/internal/node/front/chat.go
+++ b/internal/node/front/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"hash/fnv"
 	"time"
 
@@ -18,6 +19,15 @@
 // after it.
 const maxPrefixBytes = 1 << 10
 
+const (
+	// maxSharedParts bounds the messages of a prompt that are taken for shared
+	// with other prompts: system prompts and examples come first, the turns of
+	// one conversation after them.
+	maxSharedParts = 4
+	// sharedPartBytes is the length of a message's hash.
+	sharedPartBytes = 8
+)
+
 // CreateChatCompletion handles POST /v1/chat/completions.
 func (s *Server) CreateChatCompletion(ctx context.Context, req *oas.ChatRequest, params oas.CreateChatCompletionParams) (oas.CreateChatCompletionRes, error) {
 	x := exchangeFromContext(ctx)
@@ -103,6 +113,7 @@
 	}
 	r.Fingerprint = fingerprint(req.Model, x.body)
 	r.PromptPrefixHash = prefixHash(req)
+	r.Parts = sharedParts(req.Messages)
 	return r, nil
 }
 
@@ -149,6 +160,19 @@
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
 
+// sharedParts identifies the first messages of a prompt, except its last one, by
+// truncated SHA-256 hashes as fingerprint does.
+func sharedParts(messages []oas.ChatMessage) (parts []string) {
+	for _, m := range messages[:min(len(messages)-1, maxSharedParts)] {
+		h := sha256.New()
+		h.Write([]byte(m.Role))
+		h.Write([]byte{0})
+		h.Write(m.Content)
+		parts = append(parts, hex.EncodeToString(h.Sum(nil)[:sharedPartBytes]))
+	}
+	return parts
+}
+
 // prefixHash returns a hash of the model and the first bytes of the prompt.
 func prefixHash(req *oas.ChatRequest) uint64 {
 	h := fnv.New64a()
--- a/internal/node/router/attempt.go
+++ b/internal/node/router/attempt.go
@@ -87,6 +87,8 @@
 		return fault.New(fault.NoCapacity, "another crash suspect runs on %s", upstream)
 	}
 	rt.models.RequestSent(now, upstream, c.req.PromptPrefixHash)
+	rt.parts.Sent(now, c.req.Parts)
+	c.known, c.answeredAt, c.cleared = nil, time.Time{}, false
 	if c.suspect {
 		rt.suspectsRunning[upstream]++
 	}
--- a/internal/node/router/complete.go
+++ b/internal/node/router/complete.go
@@ -228,7 +228,11 @@
 	rt.mu.Unlock()
 	c.suspect = verdict == poison.Suspect
 	if verdict != poison.Quarantined {
-		return nil
+		var part string
+		if part, left = rt.parts.Judge(now, c.req.Parts); part == "" {
+			return nil
+		}
+		event.RequestQuarantined.Log("request", c.req.ID, "fingerprint", poison.PartKey(part), "crashes", len(rt.suspects.Entry(poison.PartKey(part)).Crashes))
 	}
 	return c.refuse(fault.New(fault.RequestQuarantined, "this request has crashed several upstreams").WithRun(fault.RunYes).WithRetry(left))
 }
--- a/internal/node/router/completion.go
+++ b/internal/node/router/completion.go
@@ -11,6 +11,7 @@
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/base/pause"
+	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/engine"
@@ -34,6 +35,12 @@
 	incarnation string
 	sentAt      time.Time
 	firstAt     time.Time
+	// answeredAt is the time of the first token of the present attempt, and known
+	// holds the crashes of the prompt's parts at that time; cleared is set once
+	// the parts have been cleared of them.
+	answeredAt time.Time
+	known      blame.Known
+	cleared    bool
 	// nextIndex is the index of the next token, text the tokens delivered so
 	// far.
 	nextIndex int64
@@ -131,6 +138,9 @@
 	if c.firstAt.IsZero() {
 		c.firstAt = time.Now()
 	}
+	if len(c.req.Parts) > 0 && !c.cleared {
+		c.recordAnswer(time.Now(), t.Finish != "")
+	}
 	c.nextIndex++
 	c.text.WriteString(t.Text)
 	if t.Finish == "" {
@@ -149,6 +159,29 @@
 	}
 }
 
+// recordAnswer clears the parts of the prompt once the engine has answered the
+// request, or has been answering it for long enough.
+func (c *completion) recordAnswer(now time.Time, finished bool) {
+	rt := c.router
+	if c.answeredAt.IsZero() {
+		c.answeredAt, c.known = now, rt.parts.Known(c.req.Parts)
+	}
+	if !finished && now.Sub(c.answeredAt) < blame.AnsweredAfter {
+		return
+	}
+	c.cleared = true
+	if rt.parts.Answered(now, c.req.Parts, c.known) {
+		c.reportParts(now)
+	}
+}
+
+// reportParts reports the crash histories of the prompt's parts to the peers.
+func (c *completion) reportParts(now time.Time) {
+	for _, p := range c.req.Parts {
+		c.router.facts.Report(now, member.SuspectFact(c.router.suspects.Entry(poison.PartKey(p))))
+	}
+}
+
 // recover continues the completion after a failure of its engine: on the same
 // engine if that has not crashed and still has the stream, else on another
 // replica.
@@ -224,10 +257,15 @@
 		rt.mu.Unlock()
 		return true
 	}
-	entry := rt.suspects.Observe(fp, poison.Crash{ID: upstream + "/" + c.incarnation, At: now, Progress: c.nextIndex > c.req.DeliveredTokens})
+	crash := poison.Crash{ID: upstream + "/" + c.incarnation, At: now, Progress: c.nextIndex > c.req.DeliveredTokens}
+	entry := rt.suspects.Observe(fp, crash)
 	verdict, _ := rt.suspects.Judge(now, fp)
 	rt.mu.Unlock()
 	rt.facts.Report(now, member.SuspectFact(entry))
+	if c.answeredAt.IsZero() || now.Sub(c.answeredAt) < blame.AnsweredAfter {
+		rt.parts.Crashed(c.req.Parts, crash)
+		c.reportParts(now)
+	}
 	event.RequestSuspected.Log("request", c.req.ID, "fingerprint", fp, "upstream", upstream, "crashes", len(entry.Crashes))
 	if verdict == poison.Quarantined {
 		event.RequestQuarantined.Log("request", c.req.ID, "fingerprint", fp, "crashes", len(entry.Crashes))
--- a/internal/node/router/crash_test.go
+++ b/internal/node/router/crash_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -49,3 +51,43 @@
 	}
 	must.Eq(t, 2, crashes)
 }
+
+// TestCrashingMessage guards against requests that have a message in common which
+// crashes each engine, and that are sent on because no two of them are alike; and
+// against refusing other requests with the same first message.
+func TestCrashingMessage(t *testing.T) {
+	s := newSite(t, 10)
+	for _, e := range s.engines {
+		e.SetFaults(engsv.Faults{Poison: "POISON"})
+	}
+	complete := func(id, prompt string, parts ...string) error {
+		r := chat(id, prompt, 10)
+		r.Parts = parts
+		a, err := s.router.Complete(t.Context(), r)
+		if err == nil {
+			_, err = readAll(t, a, nil)
+		}
+		return err
+	}
+	crashes := func() (n int) {
+		for _, e := range s.engines {
+			for _, r := range e.Records().Entries {
+				if r.Kind == "crash" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	must.NoError(t, complete("before", "figs", "system", "good"))
+	const limit = 5
+	for i := 0; crashes() < limit; i++ {
+		must.Error(t, complete(fmt.Sprint("bad", i), fmt.Sprint("POISON ", i), "system", "bad"))
+	}
+	// Crashes count once they have been known for a second.
+	time.Sleep(1500 * time.Millisecond)
+	before := crashes()
+	must.Eq(t, fault.RequestQuarantined, fault.Of(complete("bad again", "POISON again", "system", "bad")).Kind)
+	must.Eq(t, before, crashes())
+	must.NoError(t, complete("after", "figs", "system", "good"))
+}
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/ctrl"
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/core/poison"
@@ -108,6 +109,7 @@
 		models   *route.Table
 		services *route.Table
 		suspects *poison.Table
+		parts    *blame.Table
 		budget   *retry.Budget
 		// suspectsRunning counts the crash suspects on each upstream.
 		suspectsRunning map[string]int
@@ -154,6 +156,7 @@
 		budget:          retry.NewBudget(retryRatio, retryPerSecond, maxRetryTokens),
 		suspectsRunning: map[string]int{}, scalingUp: map[string]bool{}, declaredUpstreams: map[string]bool{},
 	}
+	rt.parts = blame.New(rt.suspects)
 	rt.gate = gate.New(admit.Settings{MaxLength: s.MaxQueued}, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())), rt.capacity)
 	return rt
 }
