--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -160,6 +160,15 @@
 		Number: 8224, Name: "crash-history-cleared",
 		Meaning: "A request has been answered, so the crashes known for its fingerprint or for the parts of its prompt no longer count against them.",
 	})
+	UpstreamLimit = register(Event{
+		Number: 8226, Name: "upstream-limit",
+		Meaning: "An upstream named another limit of requests a second, or none any more; the source is the answer to a request.",
+	})
+	UpstreamLimitInvalid = register(Event{
+		Number: 8227, Name: "upstream-limit-invalid",
+		Meaning: "An upstream named a limit that is no number, which is ignored.",
+		Action:  "Report it to the maintainers of the upstream.",
+	})
 	QuarantineStored = register(Event{
 		Number: 8225, Name: "quarantine-stored",
 		Meaning: "A host's record of requests that crash upstreams was written to the log or, once it has expired, deleted there; a cause is given if that failed.",
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -60,6 +60,10 @@
 	// SuspectSends counts requests sent to upstreams although upstreams had
 	// crashed under them, by the number of crashes known (see CrashCounts).
 	SuspectSends *prometheus.CounterVec
+	// LimitedSends counts requests sent to upstreams that have named a limit, and
+	// LimitedUpstreams is the number of such upstreams.
+	LimitedSends     prometheus.Counter
+	LimitedUpstreams prometheus.Gauge
 	// ConfigurationOffset is the version of the configuration in force.
 	ConfigurationOffset prometheus.Gauge
 
@@ -148,6 +152,8 @@
 		CrashSuspects:          b.gauge("azurespan_crash_suspects", "Requests, by fingerprint, under which upstreams are known to have crashed recently."),
 		Quarantined:            b.gauge("azurespan_quarantined_requests", "Requests, by fingerprint, that are refused because they crash upstreams."),
 		QuarantinedParts:       b.gauge("azurespan_quarantined_prompt_parts", "Parts of prompts with which requests are refused because they crash upstreams."),
+		LimitedSends:           b.counter("azurespan_limited_sends_total", "Requests sent to an upstream that had named a rate limit."),
+		LimitedUpstreams:       b.gauge("azurespan_limited_upstreams", "Upstreams that name a rate limit, as far as the daemon knows."),
 		SuspectSends:           b.counterVec("azurespan_suspect_sends_total", "Requests sent to an upstream although upstreams had crashed under them, by the number of crashes known to the daemon (1, 2, 3-or-more).", "crashes"),
 		ConfigurationOffset:    b.gauge("azurespan_configuration_offset", "Version of the configuration in force, the offset of its record; 0 before the first."),
 	}
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -25,6 +25,18 @@
 		Holding Holding
 	}
 
+	// RateLimit is the limit that an upstream in need names for the requests of
+	// all daemons together.
+	RateLimit struct {
+		// Upstream and Born identify the incarnation.
+		Upstream string
+		Born     int64
+		// PerSecond is the number of requests a second.
+		PerSecond float64
+		// Lifted is set if the upstream no longer names a limit.
+		Lifted bool
+	}
+
 	// Holding is what an upstream reports to hold.
 	Holding struct {
 		Models []LoadedModel
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -100,6 +100,7 @@
 		"service", x.query.Key.Service, "model", fleet.ModelName(x.req.Model, x.req.Adapter), "load", c.Load, "weighed", c.Candidates,
 		"aside", c.Ejected, "waited", sent.Sub(x.arrived), "left", x.deadline.Sub(sent), "after", x.events.LastID)
 	x.logSuspect(sent, c.Upstream)
+	x.relay.countLimited(c.Upstream)
 	x.known, x.answeredAt, x.cleared = nil, time.Time{}, false
 	x.relay.parts.Sent(sent, x.parts)
 	o := x.roundTrip(ctx, c.Upstream, sent)
@@ -210,6 +211,15 @@
 	return now.Sub(x.answeredAt)
 }
 
+// countLimited counts a request that is sent to an upstream with a rate limit.
+func (r *Relay) countLimited(up fleet.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, limited := r.limits.Limited(up); limited {
+		r.metrics.LimitedSends.Inc()
+	}
+}
+
 // logSuspect logs and counts the send of a request under which upstreams have
 // crashed.
 func (x *exchange) logSuspect(now time.Time, up fleet.Upstream) {
@@ -303,6 +313,9 @@
 	}
 	firstByteTime := x.relay.now().Sub(sent)
 	verdict := x.relay.codec.Classify(x.req, res)
+	if verdict != fleet.Foreign {
+		x.recordLimit(res, up, sent)
+	}
 	switch verdict {
 	case fleet.Foreign:
 		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, cause: "response belongs to another request"}, false
@@ -335,6 +348,17 @@
 	return x.forwardBuffered(conn, res, firstByteTime)
 }
 
+// recordLimit records what a response says of its upstream's rate limit.
+func (x *exchange) recordLimit(res *http.Response, up fleet.Upstream, sent time.Time) {
+	r := x.relay
+	perSecond, named := r.codec.RateLimit(res)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limits.Answered(r.now(), sent, up, perSecond, named) {
+		event.UpstreamLimit.Log("upstream", up.ID, "born", up.Born, "limited", named, "per-second", perSecond, "source", x.req.ID)
+	}
+}
+
 // firstByteTimeout returns how long to wait for the first byte before a
 // retryable request is sent to another upstream.
 func (x *exchange) firstByteTimeout() time.Duration {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 	"github.com/azurespan/azurespan/internal/rule/queue"
+	"github.com/azurespan/azurespan/internal/rule/quota"
 	"github.com/azurespan/azurespan/internal/rule/retry"
 )
 
@@ -37,6 +38,9 @@
 		DecodeRequest(r *http.Request, limit int) (*fleet.Request, error)
 		EncodeRequest(q *fleet.Request, s fleet.Attempt) []byte
 		Classify(q *fleet.Request, res *http.Response) fleet.Verdict
+		// RateLimit returns the requests a second that the upstream takes from
+		// all daemons together, and false if the response names no limit.
+		RateLimit(res *http.Response) (perSecond float64, ok bool)
 		CopyHeader(dst, src http.Header)
 		Refuse(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration)
 	}
@@ -57,6 +61,7 @@
 		suspects *poison.Table
 		parts    *blame.Table
 		endings  *endings
+		limits   *quota.Table
 		rng      *rand.Rand
 		budgets  map[string]*retry.Budget
 		// daemons is the number of daemons that share the budgets.
@@ -127,7 +132,7 @@
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, rng),
 		queue:    queue.New(),
-		suspects: suspects, parts: parts, endings: newEndings(),
+		suspects: suspects, parts: parts, endings: newEndings(), limits: quota.New(),
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
 		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
@@ -288,6 +293,7 @@
 	r.metrics.CrashSuspects.Set(float64(suspects))
 	r.metrics.Quarantined.Set(float64(quarantined))
 	r.metrics.QuarantinedParts.Set(float64(r.parts.Count(now)))
+	r.metrics.LimitedUpstreams.Set(float64(r.limits.Count()))
 	_, tokens := r.retryAllowance()
 	for _, b := range r.budgets {
 		tokens = min(tokens, b.Available(now))
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -56,6 +57,11 @@
 	return fleet.Answered
 }
 
+func (testCodec) RateLimit(res *http.Response) (float64, bool) {
+	perSecond, err := strconv.ParseFloat(res.Header.Get("Limit"), 64)
+	return perSecond, err == nil
+}
+
 func (testCodec) CopyHeader(dst, src http.Header) { dst.Set("Content-Type", src.Get("Content-Type")) }
 
 func (testCodec) Refuse(w http.ResponseWriter, _ string, status int, reason string, retryAfter time.Duration) {
