quota, dealer: keep to the rate limits that upstreams name

Fix: a daemon tells the holder what an answer names; the holder tells all daemons, with ages in place of times. A request to such an upstream takes a permit, which the holder gives with its replies to reports, one for each request that waits; it is void after 1 s. Thus at most limit x (t + 1.25 s) + 1 requests arrive in any time t, whatever the number of daemons and whichever of them have requests. Shares of limit/daemons, each with a burst of one, were ruled out: 33 daemons would have 33 requests beside the limit in one window. They are used only while there is no holder, and void after 1 s as well.

An upstream with a limit is chosen after all healthy ones that have room, and a request that has waited for its permit for 0.5 s makes the planner look for another engine, as for one that can't be reached.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -13,7 +13,7 @@
 	})
 	RequestQueued = register(Event{
 		Number: 8002, Name: "request-waits",
-		Meaning: "No upstream can run a request now; it waits in the queue, at the longest until the time given.",
+		Meaning: "No upstream can run a request now; it waits in the queue, at the longest until the time given. If one could but for its rate limit, that is named.",
 	})
 	RelaySent = register(Event{
 		Number: 8003, Name: "relay-sent",
@@ -162,7 +162,7 @@
 	})
 	UpstreamLimit = register(Event{
 		Number: 8226, Name: "upstream-limit",
-		Meaning: "An upstream named another limit of requests a second, or none any more; the source is the answer to a request.",
+		Meaning: "An upstream named another limit of requests a second, or none any more; the source is the answer to a request, or the holder or a daemon that knew of it.",
 	})
 	UpstreamLimitInvalid = register(Event{
 		Number: 8227, Name: "upstream-limit-invalid",
--- a/internal/core/fleet/demand.go
+++ b/internal/core/fleet/demand.go
@@ -16,8 +16,13 @@
 		Waiting map[Key]int
 		// Running counts the requests in progress by upstream.
 		Running map[string]map[Key]int
-		// Unreachable are the upstreams that this daemon can't reach.
+		// Unreachable are the upstreams that this daemon can't reach, or that
+		// their rate limit keeps it from.
 		Unreachable []string
+		// Limits are the rate limits that the daemon knows, and Permits the
+		// number of requests by upstream that wait for one to be sent.
+		Limits  []NamedLimit
+		Permits map[string]int
 	}
 
 	// Inventory is what an engine holds and daemons may use.
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -37,6 +37,12 @@
 		Lifted bool
 	}
 
+	// NamedLimit is a RateLimit and the time since an answer last said so.
+	NamedLimit struct {
+		RateLimit
+		Age time.Duration
+	}
+
 	// Holding is what an upstream reports to hold.
 	Holding struct {
 		Models []LoadedModel
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -29,7 +29,13 @@
 	}
 
 	// TellReply is the reply to TellArgs.
-	TellReply struct{ Fence int64 }
+	TellReply struct {
+		Fence int64
+		// Deals is set if the holder deals permits for upstreams with a rate
+		// limit, and Permits are those for this daemon by upstream.
+		Deals   bool
+		Permits map[string]int
+	}
 
 	// WatchArgs requests the changes after a revision of a tenure.
 	WatchArgs struct {
@@ -42,6 +48,8 @@
 		// Crashes is the position up to which the daemon knows the holder's
 		// crash histories.
 		Crashes poison.Cursor
+		// LimitsRev is the revision of the rate limits that the daemon knows.
+		LimitsRev uint64
 		// Load requests Running and Daemons.
 		Load bool
 	}
@@ -77,6 +85,10 @@
 		WholeAge      time.Duration
 		// Job is a call to the log that the daemon makes for the holder.
 		Job *logjob.Job
+		// Limits are the rate limits that the holder knows, and LimitsRev is
+		// their revision.
+		Limits    []fleet.NamedLimit
+		LimitsRev uint64
 	}
 
 	// TopicState is how much of a topic the holder knows.
@@ -91,7 +103,7 @@
 	Holder interface {
 		// Tell records a daemon's report. It fails with a NotHolderError if
 		// this daemon doesn't hold the lease.
-		Tell(now time.Time, a *TellArgs) (fence int64, err error)
+		Tell(now time.Time, a *TellArgs) (*TellReply, error)
 		// Watch returns the state once it has changed, or when ctx ends.
 		Watch(ctx context.Context, a *WatchArgs) (*WatchReply, error)
 		// Done records the result of a job.
@@ -152,9 +164,12 @@
 
 // Tell implements the call of that name.
 func (s *server) Tell(a *TellArgs, r *TellReply) error {
-	fence, err := s.holder.Tell(s.now(), a)
-	r.Fence = fence
-	return err
+	reply, err := s.holder.Tell(s.now(), a)
+	if err != nil {
+		return err
+	}
+	*r = *reply
+	return nil
 }
 
 // Watch implements the call of that name.
--- a/internal/node/hub/hub_test.go
+++ b/internal/node/hub/hub_test.go
@@ -23,12 +23,12 @@
 	hang chan struct{}
 }
 
-func (h *fakeHolder) Tell(_ time.Time, a *TellArgs) (int64, error) {
+func (h *fakeHolder) Tell(_ time.Time, a *TellArgs) (*TellReply, error) {
 	if h.hang != nil {
 		<-h.hang
 	}
 	h.told <- a
-	return 7, h.err
+	return &TellReply{Fence: 7}, h.err
 }
 
 func (h *fakeHolder) Watch(ctx context.Context, _ *WatchArgs) (*WatchReply, error) {
--- a/internal/node/hub/wire_test.go
+++ b/internal/node/hub/wire_test.go
@@ -70,6 +70,11 @@
 	cleared := []poison.Entry{{Fingerprint: "f", Crashes: []poison.Crash{{ID: "u/2", At: at}}, Cleared: []poison.Crash{{ID: "u/1", At: at}}}}
 	checkWire(t, "watch-args-crashes", WatchArgs{Host: "h1", Crashes: poison.Cursor{Table: 5, Rev: 6}})
 	checkWire(t, "watch-reply-crashes", WatchReply{Crashes: cleared, CrashesAt: poison.Cursor{Table: 5, Rev: 6}})
+	limits := []fleet.NamedLimit{{RateLimit: fleet.RateLimit{Upstream: "u", Born: 7, PerSecond: 2.9, Lifted: true}, Age: 8}}
+	checkWire(t, "tell-args-limits", TellArgs{Host: "h1", Demand: fleet.Demand{Limits: limits, Permits: map[string]int{"u": 2}}})
+	checkWire(t, "tell-reply-limits", TellReply{Fence: 3, Deals: true, Permits: map[string]int{"u": 2}})
+	checkWire(t, "watch-args-limits", WatchArgs{Host: "h1", LimitsRev: 4})
+	checkWire(t, "watch-reply-limits", WatchReply{Limits: limits, LimitsRev: 4})
 	checkWire(t, "result", logjob.Result{
 		ID: 1, OK: true, Problem: "p",
 		Page: &feed.Page{Records: []feed.Record{{Key: "k", Value: []byte("v"), Offset: 2}}, Next: 3, End: 4},
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -14,11 +14,11 @@
 )
 
 // Tell records a daemon's report.
-func (l *Loader) Tell(now time.Time, a *hub.TellArgs) (int64, error) {
+func (l *Loader) Tell(now time.Time, a *hub.TellArgs) (*hub.TellReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.active {
-		return 0, &hub.NotHolderError{Host: l.host}
+		return nil, &hub.NotHolderError{Host: l.host}
 	}
 	l.planner.RecordDemand(now, a.Host, a.Demand)
 	p := &daemonState{at: now, running: make(map[string]int, len(a.Demand.Running))}
@@ -29,8 +29,13 @@
 	}
 	l.daemons[a.Host] = p
 	l.mergeCrashes(now, a)
+	if l.dealer.Learn(now, a.Demand.Limits) {
+		l.limitsRev++
+		event.UpstreamLimit.Log("limited", len(l.dealer.Limits(now)), "source", a.Host, "fence", l.fence)
+		l.notifyWatchers()
+	}
 	l.wake()
-	return l.fence, nil
+	return &hub.TellReply{Fence: l.fence, Deals: true, Permits: l.dealer.Deal(now, a.Demand.Permits)}, nil
 }
 
 // mergeCrashes merges the crash histories of a daemon's report, and notifies the
@@ -93,7 +98,8 @@
 	}
 	// A daemon that states no position gets the histories with its next reply.
 	newCrashes := len(crashes) > 0 && a.Crashes != poison.Cursor{}
-	if r == nil && (always || job != nil || newCrashes || hasTopicUpdates(a, register, config)) {
+	newLimits := l.limitsRev > a.LimitsRev
+	if r == nil && (always || job != nil || newCrashes || newLimits || hasTopicUpdates(a, register, config)) {
 		r = l.newReply(now, a, nil, since)
 	}
 	if r == nil {
@@ -101,6 +107,7 @@
 	}
 	r.Job, r.Register, r.Config = job, register, config
 	r.Crashes, r.CrashesAt = crashes, crashesAt
+	r.Limits, r.LimitsRev = l.dealer.Limits(now), l.limitsRev
 	if register != nil && register.Full {
 		l.packRegister(now, r)
 	}
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -14,6 +14,7 @@
 	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/rule/dealer"
 	"github.com/azurespan/azurespan/internal/rule/plan"
 )
 
@@ -76,6 +77,10 @@
 		crashes  *poison.Table
 		crashRev uint64
 		rev      uint64
+		// dealer shares the rate limits of upstreams among the daemons, and
+		// limitsRev counts the changes of its limits.
+		dealer    *dealer.Dealer
+		limitsRev uint64
 		// packedInventory and packedUpdate are the complete state for daemons
 		// that know none.
 		packedInventory packCache[[]fleet.Inventory]
@@ -121,7 +126,7 @@
 func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, crashes *poison.Table, metrics *metric.Metrics, now func() time.Time) *Loader {
 	return &Loader{
 		host: host, settings: settings, engines: engines, elector: elector, jobs: jobs, topics: topics, metrics: metrics, now: now,
-		daemons: map[string]*daemonState{}, crashes: crashes,
+		daemons: map[string]*daemonState{}, crashes: crashes, dealer: dealer.New(),
 		changed: make(chan struct{}), wakeup: make(chan struct{}, 1),
 	}
 }
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -215,7 +215,7 @@
 func (r *Relay) countLimited(up fleet.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, limited := r.limits.Limited(up); limited {
+	if r.limits.Limited(up) {
 		r.metrics.LimitedSends.Inc()
 	}
 }
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -245,7 +245,7 @@
 	}
 	c, reason := r.table.Choose(now, &x.query)
 	if reason == pick.Found {
-		r.table.Start(c.Upstream.ID, x.query.Key)
+		r.table.Start(now, c.Upstream.ID, x.query.Key)
 		r.mu.Unlock()
 		return c, refusal{}, true
 	}
@@ -257,15 +257,15 @@
 	r.nextID++
 	w := &waiter{
 		item:  &queue.Item{ID: r.nextID, Key: x.query.Key, Rank: x.route.Rank, TargetStart: x.targetStart(), LatestStart: until},
-		query: &x.query, fingerprint: x.fingerprint, parts: x.parts, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
+		query: &x.query, fingerprint: x.fingerprint, parts: x.parts, since: now, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
 	}
 	r.waiters[w.item.ID] = w
 	r.queue.Add(w.item)
-	waiting := r.queue.Len()
+	waiting, limited := r.queue.Len(), x.query.Limited
 	r.mu.Unlock()
 	r.requestReport()
 	event.RequestQueued.Log("request", x.req.ID, "reason", reason, "service", x.query.Key.Service,
-		"model", fleet.ModelName(x.req.Model, x.req.Adapter), "until", until.Sub(now), "waiting", waiting)
+		"model", fleet.ModelName(x.req.Model, x.req.Adapter), "until", until.Sub(now), "waiting", waiting, "limited", limited)
 
 	t := time.NewTimer(until.Sub(now))
 	defer t.Stop()
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,7 +76,10 @@
 		// lastReply is the time of the last reply of the holder, the daemon that
 		// orders loads. pendingLoads are the expected ends of its loads in
 		// progress, by model.
-		lastReply    time.Time
+		lastReply time.Time
+		// lastDeal is the time of the last reply of a holder that deals permits
+		// for upstreams with a rate limit.
+		lastDeal     time.Time
 		pendingLoads map[fleet.Key]time.Time
 		// arrivals have not been reported to the holder yet.
 		arrivals map[fleet.Key]int
@@ -100,6 +104,8 @@
 		fingerprint string
 		// parts are the shared parts of the prompt.
 		parts []string
+		// since is when the wait began.
+		since time.Time
 	}
 )
 
@@ -117,6 +123,12 @@
 	// replyPrecedence is how long after a reply of the holder its inventories
 	// take precedence over the register.
 	replyPrecedence = 1500 * time.Millisecond
+	// dealTTL is the time since the last reply of a holder that deals permits
+	// from which the daemon gives itself its share of rate limits.
+	dealTTL = 1500 * time.Millisecond
+	// limitedWait is the time for which a request must have waited for a permit
+	// before its upstream counts as out of reach.
+	limitedWait = 500 * time.Millisecond
 	// runInterval is the interval at which Run dispatches queued requests.
 	runInterval = 25 * time.Millisecond
 	// ticksPerUpdate is the number of run intervals after which the gauges are
@@ -128,11 +140,12 @@
 // known of requests that crash upstreams, and parts judges the parts of their
 // prompts.
 func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, parts *blame.Table, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
+	limits := quota.New()
 	return &Relay{
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
-		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, rng),
+		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng),
 		queue:    queue.New(),
-		suspects: suspects, parts: parts, endings: newEndings(), limits: quota.New(),
+		suspects: suspects, parts: parts, endings: newEndings(), limits: limits,
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
 		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
@@ -172,10 +185,26 @@
 		r.pendingLoads[c.Key] = now.Add(c.In)
 	}
 	r.setDaemons(now, reply.Daemons)
+	if r.limits.Learn(now, reply.Limits) {
+		event.UpstreamLimit.Log("limited", r.limits.Count(), "source", "holder", "fence", reply.Fence)
+	}
 	r.refuseQuarantined(now)
 	r.dispatch(now)
 }
 
+// ApplyTellReply applies the holder's reply to a report.
+func (r *Relay) ApplyTellReply(now time.Time, reply *hub.TellReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reply.Deals {
+		r.lastDeal = now
+	}
+	if len(reply.Permits) > 0 {
+		r.limits.Grant(now, reply.Permits)
+		r.dispatch(now)
+	}
+}
+
 // refuseQuarantined ends the wait of queued requests that have been quarantined
 // since the last call. r.mu must be held.
 func (r *Relay) refuseQuarantined(now time.Time) {
@@ -239,14 +268,35 @@
 	defer r.mu.Unlock()
 	d := fleet.Demand{
 		Arrivals: r.arrivals, Waiting: map[fleet.Key]int{}, Running: map[string]map[fleet.Key]int{},
-		Unreachable: r.table.Ejected(now),
+		Unreachable: r.table.Ejected(now), Limits: r.limits.Named(now),
 	}
+	r.addPermits(now, &d)
 	r.arrivals = map[fleet.Key]int{}
 	r.queue.CountByKey(d.Waiting)
 	r.table.Running(d.Running)
 	return d
 }
 
+// addPermits adds to d the permits that queued requests wait for. r.mu must be held.
+func (r *Relay) addPermits(now time.Time, d *fleet.Demand) {
+	for _, w := range r.waiters {
+		id := w.query.Limited
+		if id == "" {
+			continue
+		}
+		if d.Permits == nil {
+			d.Permits = map[string]int{}
+		}
+		d.Permits[id]++
+		if now.Sub(w.since) > limitedWait && !slices.Contains(d.Unreachable, id) {
+			d.Unreachable = append(d.Unreachable, id)
+		}
+	}
+	for id := range d.Permits {
+		d.Permits[id] = max(d.Permits[id]-r.limits.Permits(now, id), 0)
+	}
+}
+
 // Stop refuses queued requests, now and later, since the daemon exits before they
 // could be served.
 func (r *Relay) Stop() { close(r.stopped) }
@@ -265,6 +315,7 @@
 		}
 		now := r.now()
 		r.mu.Lock()
+		r.limits.Accrue(now, r.daemons, now.Sub(r.lastDeal) < dealTTL)
 		if r.queue.Len() > 0 {
 			r.refuseQuarantined(now)
 			r.dispatch(now)
@@ -313,7 +364,7 @@
 		if reason != pick.Found {
 			return false
 		}
-		r.table.Start(c.Upstream.ID, w.query.Key)
+		r.table.Start(now, c.Upstream.ID, w.query.Key)
 		delete(r.waiters, it.ID)
 		w.ready <- c
 		return true
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -32,6 +32,8 @@
 		TakeDemand(now time.Time) fleet.Demand
 		// HasWaiting reports whether a request waits.
 		HasWaiting() bool
+		// ApplyTellReply applies the holder's reply to a report.
+		ApplyTellReply(now time.Time, r *hub.TellReply)
 		// ApplyWatchReply applies a reply of the holder.
 		ApplyWatchReply(now time.Time, r *hub.WatchReply)
 	}
@@ -67,6 +69,7 @@
 		// position in the holder's crash histories.
 		fence     int64
 		rev       uint64
+		limitsRev uint64
 		crashesAt poison.Cursor
 		// replies counts the replies to Watch.
 		replies uint64
@@ -127,8 +130,7 @@
 
 // Tell reports to the holder in this process.
 func (h localHolder) Tell(_ context.Context, a *hub.TellArgs) (*hub.TellReply, error) {
-	fence, err := h.holder.Tell(h.now(), a)
-	return &hub.TellReply{Fence: fence}, err
+	return h.holder.Tell(h.now(), a)
 }
 
 // Watch asks the holder in this process.
@@ -232,9 +234,11 @@
 				a.Cleared = append(a.Cleared, e.Fingerprint)
 			}
 		}
-		if _, err := c.Tell(ctx, a); err != nil {
+		r, err := c.Tell(ctx, a)
+		if err != nil {
 			return err
 		}
+		s.local.ApplyTellReply(s.now(), r)
 		told = next
 		timer := time.NewTimer(s.gapForFleet(tellInterval, tellGapPerDaemon))
 		select {
@@ -255,7 +259,7 @@
 	var loadAt time.Time
 	for {
 		asked := s.now()
-		a := &hub.WatchArgs{Host: s.host, Fence: s.fence, Rev: s.rev, Crashes: s.crashesAt}
+		a := &hub.WatchArgs{Host: s.host, Fence: s.fence, Rev: s.rev, LimitsRev: s.limitsRev, Crashes: s.crashesAt}
 		a.Register, a.Config = s.topics.KnownOffsets()
 		if asked.Sub(loadAt) >= loadInterval {
 			a.Load, loadAt = true, asked
@@ -273,7 +277,7 @@
 		}
 		s.replies++
 		s.elector.HolderSeen()
-		s.fence, s.rev = r.Fence, r.Rev
+		s.fence, s.rev, s.limitsRev = r.Fence, r.Rev, r.LimitsRev
 		s.setStoreAtOnce(r.StoreAtOnce)
 		s.mergeCrashes(r)
 		// The register first: inventories of unknown upstreams are ignored.
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -33,8 +33,10 @@
 
 func (s *fakeDaemon) Apply(time.Time, *hub.WatchReply) { s.taken.Add(1) }
 
-func (s *fakeDaemon) TakeDemand(time.Time) fleet.Demand          { return fleet.Demand{} }
-func (s *fakeDaemon) HasWaiting() bool                           { return false }
+func (s *fakeDaemon) TakeDemand(time.Time) fleet.Demand        { return fleet.Demand{} }
+func (s *fakeDaemon) HasWaiting() bool                         { return false }
+func (s *fakeDaemon) ApplyTellReply(time.Time, *hub.TellReply) {}
+
 func (s *fakeDaemon) ApplyWatchReply(time.Time, *hub.WatchReply) { s.heard.Add(1) }
 
 func run(t *testing.T, s *fakeDaemon) *poison.Table {
@@ -63,17 +65,17 @@
 	address   string
 }
 
-func (h *fakeHolder) Tell(now time.Time, a *hub.TellArgs) (int64, error) {
+func (h *fakeHolder) Tell(now time.Time, a *hub.TellArgs) (*hub.TellReply, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.rejecting {
 		h.rejected++
-		return 0, &hub.NotHolderError{Host: "h"}
+		return nil, &hub.NotHolderError{Host: "h"}
 	}
 	for _, e := range a.Crashes {
 		h.crashes.Merge(now, e)
 	}
-	return 1, nil
+	return &hub.TellReply{Fence: 1}, nil
 }
 
 func (h *fakeHolder) Watch(ctx context.Context, a *hub.WatchArgs) (*hub.WatchReply, error) {
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -14,6 +14,8 @@
 	median := t.medianFirstByte(q.Key.Service)
 	partitioned := t.partitionedDomain(now, q.Key.Service)
 	t.candidates = t.candidates[:0]
+	q.Limited = ""
+	limitedCostSeen := 0.0
 	for _, u := range t.byService[q.Key.Service] {
 		if u.info.Leaving || tried(q.Tried, u.info.ID) {
 			continue
@@ -31,10 +33,20 @@
 		if u.info.FailureDomain == partitioned && !now.Before(u.ejectedUntil) {
 			cost += suspectCost
 		}
+		if t.limits.Limited(u.info) {
+			if !t.limits.Allows(now, u.info) {
+				if q.Limited == "" || cost < limitedCostSeen {
+					q.Limited, limitedCostSeen = u.info.ID, cost
+				}
+				continue
+			}
+			cost += limitedCost
+		}
 		t.candidates = append(t.candidates, candidate{u, cost})
 	}
 	switch {
 	case len(t.candidates) > 0:
+		q.Limited = ""
 		u := t.drawCandidate()
 		return Choice{Upstream: u.info, Load: t.load(u), Candidates: len(t.candidates), Ejected: now.Before(u.ejectedUntil)}, Found
 	case !usable:
--- a/internal/rule/pick/outcome.go
+++ b/internal/rule/pick/outcome.go
@@ -6,9 +6,10 @@
 	"github.com/azurespan/azurespan/internal/core/fleet"
 )
 
-// Start records that a request was sent to an upstream.
-func (t *Table) Start(id string, k fleet.Key) {
+// Start records that a request is sent to an upstream.
+func (t *Table) Start(now time.Time, id string, k fleet.Key) {
 	if u := t.upstreams[id]; u != nil {
+		t.limits.Take(now, u.info)
 		u.localRunning++
 		u.running[k]++
 		if u.consecutiveFailures > 0 {
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/rule/quota"
 )
 
 type (
@@ -18,6 +19,7 @@
 	// Table is the load balancing state of one daemon.
 	Table struct {
 		settings  Settings
+		limits    *quota.Table
 		rng       *rand.Rand
 		upstreams map[string]*upstream
 		byService map[string][]*upstream
@@ -40,6 +42,9 @@
 		Tried []string
 		// NoRetry is set for a request that can't be repeated.
 		NoRetry bool
+		// Limited is set by Choose: the upstream that could have run the
+		// request but for its rate limit, empty if another one was chosen.
+		Limited string
 	}
 
 	// Choice is the result of Choose.
@@ -171,6 +176,9 @@
 	errorCost = 3.0
 	// ejectedCost and suspectCost rank an upstream behind all healthy ones.
 	ejectedCost = 100.0
+	// limitedCost is added for an upstream with a rate limit, which is in need:
+	// it comes after all healthy ones that aren't full.
+	limitedCost = 10.0
 	suspectCost = 50.0
 	// unseenPerDaemon is the load that another daemon may have added to an
 	// upstream since its last report; maxUnseen bounds the sum over daemons,
@@ -190,9 +198,9 @@
 	return [...]string{"good", "failed", "broken", "refused", "unconnected", "neutral"}[o]
 }
 
-// New returns an empty Table.
-func New(settings Settings, rng *rand.Rand) *Table {
-	return &Table{settings: settings, rng: rng, upstreams: map[string]*upstream{}, byService: map[string][]*upstream{}, slots: map[string]int{}, daemons: 1}
+// New returns an empty Table that respects limits.
+func New(settings Settings, limits *quota.Table, rng *rand.Rand) *Table {
+	return &Table{settings: settings, limits: limits, rng: rng, upstreams: map[string]*upstream{}, byService: map[string][]*upstream{}, slots: map[string]int{}, daemons: 1}
 }
 
 // Configure replaces the engines' slots by those of cfg.
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/rule/quota"
 )
 
 func at(s float64) time.Time { return time.Unix(0, int64(s*float64(time.Second))) }
@@ -17,7 +18,7 @@
 // m and adapter a1. Engines with an even index are in the failure domain "near",
 // which is the Table's, the others in "far".
 func engines(n int) (*Table, []fleet.Upstream) {
-	t := New(Settings{FailureDomain: "near"}, rand.New(rand.NewPCG(1, 2)))
+	t := New(Settings{FailureDomain: "near"}, quota.New(), rand.New(rand.NewPCG(1, 2)))
 	t.Configure(&fleet.Config{Services: map[string]fleet.Service{"llm": {Name: "llm", Engine: &fleet.Engine{Slots: 4}}}})
 	var ups []fleet.Upstream
 	for i := range n {
@@ -43,7 +44,7 @@
 	for range n {
 		c, why := tab.Choose(now, q)
 		must.Eq(t, Found, why)
-		tab.Start(c.Upstream.ID, q.Key)
+		tab.Start(now, c.Upstream.ID, q.Key)
 		got[c.Upstream.ID]++
 	}
 	return got
@@ -120,12 +121,12 @@
 func TestConnectFailureEjects(t *testing.T) {
 	tab, ups := engines(2)
 	k := query("m", "").Key
-	tab.Start("e0", k)
+	tab.Start(at(0), "e0", k)
 	tab.Finish(at(0), ups[0], k, ConnectFailed, 0)
 	must.Eq(t, []string{"e0"}, tab.Ejected(at(0.1)))
 	must.Eq(t, 2, send(t, tab, at(0.1), 2, query("m", ""))["e1"])
 	must.SliceEmpty(t, tab.Ejected(at(1)))
-	tab.Start("e0", k)
+	tab.Start(at(0), "e0", k)
 	tab.Finish(at(1), ups[0], k, ConnectFailed, 0)
 	must.Eq(t, []string{"e0"}, tab.Ejected(at(1.7)))
 }
@@ -136,7 +137,7 @@
 func TestSingleProbeAfterEjection(t *testing.T) {
 	tab, ups := engines(2)
 	k := query("m", "").Key
-	tab.Start("e0", k)
+	tab.Start(at(0), "e0", k)
 	tab.Finish(at(0), ups[0], k, ConnectFailed, 0)
 	noRetry := query("m", "")
 	noRetry.NoRetry = true
@@ -157,7 +158,7 @@
 			if j == 0 && i%2 == 0 {
 				outcome = Failed
 			}
-			tab.Start(u.ID, k)
+			tab.Start(at(0), u.ID, k)
 			tab.Finish(at(float64(i)), u, k, outcome, 10*time.Millisecond)
 		}
 	}
@@ -176,7 +177,7 @@
 			if j == 0 {
 				firstByte = 100 * time.Millisecond
 			}
-			tab.Start(u.ID, k)
+			tab.Start(at(0), u.ID, k)
 			tab.Finish(at(float64(i)), u, k, Succeeded, firstByte)
 		}
 	}
@@ -242,3 +243,19 @@
 		})
 	}
 }
+
+// TestLimitedUpstreamIsSpared guards against sending to an upstream in need, which has
+// named a rate limit, while others have room, and against sending to it without a
+// permit.
+func TestLimitedUpstreamIsSpared(t *testing.T) {
+	tab, ups := engines(2)
+	tab.limits.Answered(at(0), at(0), ups[0], 2, true)
+	tab.limits.Grant(at(0), map[string]int{"e0": 1})
+	q := query("m", "")
+	must.Eq(t, 4, send(t, tab, at(0), 4, q)["e1"])
+	must.Eq(t, "", q.Limited)
+	must.Eq(t, 1, send(t, tab, at(0), 1, q)["e0"])
+	_, why := tab.Choose(at(0), q)
+	must.Eq(t, Full, why)
+	must.Eq(t, "e0", q.Limited)
+}
