plan: give hot models copies that rate limits allow for

Cause: the planner counted a copy on such an engine like any other.

Now a copy counts only if the model's requests take at most half of the engine's limit, and others are placed elsewhere.

TestHotModelOnLimitedEngines failed before.

--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -207,6 +207,7 @@
 		go l.requestReport(ctx, u, now)
 	}
 	if _, may := l.elector.CanOrder(); may {
+		l.planner.SetLimits(l.dealer.Limits(now))
 		for _, a := range l.planner.Decide(now) {
 			a.Order.Holder, a.Order.Fence = l.host, l.fence
 			go l.sendOrder(ctx, l.planner, a)
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -31,6 +31,8 @@
 		ids     []string
 		demands map[fleet.Key]*demand
 		daemons map[string]*daemonState
+		// limits are the rate limits of engines by ID.
+		limits map[string]fleet.RateLimit
 		// storeStarts are the times at which the store loads of the current
 		// window were ordered.
 		storeStarts      []time.Time
@@ -118,6 +120,9 @@
 	// copyCapacity is the arrival rate, in requests per second, that one copy
 	// serves before prompts queue for it.
 	copyCapacity = 28.0
+	// limitedShare is the share of an engine's rate limit that requests for one
+	// model may take: it holds others as well.
+	limitedShare = 0.5
 	// minDemandRate is the arrival rate, in requests per second, below which a
 	// model without waiting or running requests needs no copy.
 	minDemandRate = 0.01
@@ -300,6 +305,16 @@
 	p.daemons[name] = s
 }
 
+// SetLimits replaces the rate limits that engines name.
+func (p *Planner) SetLimits(limits []fleet.NamedLimit) {
+	p.limits = make(map[string]fleet.RateLimit, len(limits))
+	for _, n := range limits {
+		if !n.Lifted {
+			p.limits[n.Upstream] = n.RateLimit
+		}
+	}
+}
+
 func (p *Planner) demand(k fleet.Key) *demand {
 	d := p.demands[k]
 	if d == nil {
--- a/internal/rule/plan/plan_test.go
+++ b/internal/rule/plan/plan_test.go
@@ -456,6 +456,41 @@
 	must.Eq(t, 2, s.copies("m0"))
 }
 
+// TestHotModelOnLimitedEngines tests a hot model whose only copies are on engines that
+// have named a rate limit: it gets copies on others, and they stay there (the load of
+// the incident LIMIT of issue 25).
+func TestHotModelOnLimitedEngines(t *testing.T) {
+	s := newSim(t, 7, []string{"m0"}, []string{"m0"}, []string{"m1", "m2", "m3"}, []string{"m4", "m5", "m6"})
+	s.engines["e2"].disk["m0"], s.engines["e3"].disk["m0"] = true, true
+	// 2 requests a second for m0: more than an engine limited to 3 can spare for a
+	// model, less than those for which a model has a copy in each failure domain.
+	calls := 0
+	demand := func() fleet.Demand {
+		arrivals := map[fleet.Key]int{}
+		if calls++; calls%5 < 2 {
+			arrivals[key("m0", "")] = 1
+		}
+		if calls%2 == 0 {
+			arrivals[key(fmt.Sprintf("m%d", 1+calls/2%6), "")] = 1
+		}
+		return fleet.Demand{Arrivals: arrivals}
+	}
+	s.run(10*time.Second, demand)
+	must.Eq(t, 2, s.copies("m0"))
+	s.p.SetLimits([]fleet.NamedLimit{
+		{RateLimit: fleet.RateLimit{Upstream: "e0", Born: s.p.engines["e0"].up.Born, PerSecond: 3}},
+		{RateLimit: fleet.RateLimit{Upstream: "e1", Born: s.p.engines["e1"].up.Born, PerSecond: 3}},
+	})
+	s.run(6*time.Second, demand)
+	must.True(t, s.engines["e2"].held["m0"] != nil || s.engines["e3"].held["m0"] != nil)
+	// A model with few requests may stay on a limited engine.
+	c := &modelCount{rate: 1}
+	must.True(t, s.p.serves(s.p.engines["e0"], c))
+	c.rate = 2
+	must.False(t, s.p.serves(s.p.engines["e0"], c))
+	must.True(t, s.p.serves(s.p.engines["e2"], c))
+}
+
 // TestStoreBoundModelsDontBlockOthers guards against many models that only the
 // weight store has, and that wait for its capacity, blocking models that
 // engines have on disk: on figtray-coop-grown trouble-3 no model was loaded for
--- a/internal/rule/plan/snapshot.go
+++ b/internal/rule/plan/snapshot.go
@@ -97,7 +97,7 @@
 	}
 	for _, id := range p.ids {
 		if e := p.engines[id]; !e.up.Leaving {
-			snap.addEngine(e)
+			snap.addEngine(p, e)
 		}
 	}
 	for _, d := range p.daemons {
@@ -106,15 +106,18 @@
 	return snap
 }
 
-// addEngine counts the content of an engine and the loads that will change it.
-func (snap *snapshot) addEngine(e *engine) {
+// addEngine counts the content of an engine and the loads that will change it. A copy
+// doesn't count if the engine's rate limit keeps it from serving the model.
+func (snap *snapshot) addEngine(p *Planner, e *engine) {
 	key := func(model string) fleet.Key { return fleet.Key{Service: e.up.Service, Model: model} }
 	for mn, h := range e.copies {
 		c := snap.counts[key(mn)]
 		if c == nil || !h.unloadAnnouncedAt.IsZero() {
 			continue
 		}
-		c.copies++
+		if p.serves(e, c) {
+			c.copies++
+		}
 		c.addEngine(e)
 		for a := range h.adapters {
 			k := fleet.Key{Service: e.up.Service, Model: mn, Adapter: a}
@@ -138,7 +141,9 @@
 	}
 	for _, mn := range []string{e.loadingModel(), e.plannedModel()} {
 		if c := snap.counts[key(mn)]; c != nil {
-			c.pendingCopies++
+			if p.serves(e, c) {
+				c.pendingCopies++
+			}
 			c.addEngine(e)
 		}
 	}
