poison: keep only what counts of a part's history

Of a part only the last cleared crash is kept now, and the crashes after it: blame counted no others. Join is still independent of order and repetition (TestPartHistoriesConverge, 200 seeds); TestPartHistoriesStayShort failed before.

--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -258,12 +258,11 @@
 	warm := !t.firstSentAt.IsZero() && !now.Before(warmAt)
 	cases := map[string]*verdict{}
 	for _, e := range entries {
-		crashes := uncleared(e)
-		if len(crashes) < clearLimit {
+		if len(e.Crashes) < clearLimit {
 			continue
 		}
 		part, _ := poison.PartOf(e.Fingerprint)
-		c := candidate{part: part, crashes: crashes, answered: !warm, dominant: dominates(crashes, all)}
+		c := candidate{part: part, crashes: e.Crashes, answered: !warm, dominant: dominates(e.Crashes, all)}
 		if u := t.usage[part]; u != nil {
 			c.sent = u.sent
 			c.answered = c.answered || !u.answeredAt.IsZero() && now.Sub(u.answeredAt) < recentAnswer
@@ -273,7 +272,7 @@
 			v = &verdict{}
 		}
 		cases[part] = v
-		v.learn(now, crashes)
+		v.learn(now, e.Crashes)
 		out = append(out, c)
 	}
 	t.cases = cases
@@ -358,14 +357,3 @@
 		t.dueAt = due
 	}
 }
-
-// uncleared returns the crashes of a history since the last one that was cleared. A
-// history keeps a limited number of cleared crashes, so an older crash may have been
-// cleared as well.
-func uncleared(e poison.Entry) []poison.Crash {
-	if len(e.Cleared) == 0 {
-		return e.Crashes
-	}
-	last := e.Cleared[len(e.Cleared)-1].At
-	return slices.DeleteFunc(e.Crashes, func(c poison.Crash) bool { return !c.At.After(last) })
-}
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -209,9 +209,18 @@
 // Join returns the history that has the crashes of both, except those that either
 // has cleared. It depends neither on the order of histories nor on how often one is
 // joined.
+//
+// Of a part of prompts, only the last cleared crash is kept and the crashes after it:
+// a part that most prompts have is involved in nearly every crash, and its history
+// would be long and change often.
 func Join(a, b Entry) Entry {
 	cleared := union(a.Cleared, b.Cleared, nil)
-	return Entry{Fingerprint: a.Fingerprint, Crashes: union(a.Crashes, b.Crashes, cleared), Cleared: cleared}
+	crashes := union(a.Crashes, b.Crashes, cleared)
+	if _, ok := PartOf(a.Fingerprint); ok && len(cleared) > 0 {
+		cleared = cleared[len(cleared)-1:]
+		crashes = slices.DeleteFunc(crashes, func(c Crash) bool { return !c.At.After(cleared[0].At) })
+	}
+	return Entry{Fingerprint: a.Fingerprint, Crashes: crashes, Cleared: cleared}
 }
 
 // Equal reports whether two histories have the same crashes.
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -94,6 +94,25 @@
 	must.Eq(t, []Crash{crash("u2", 9)}, a.Entry("f").Crashes)
 }
 
+// TestPartHistoriesStayShort guards against histories of parts that most prompts have
+// and that grow with every crash (figtray-coop-grown trouble-1: 160 changes a second
+// to each daemon), and against crashes that count again because a history no longer
+// lists that they were cleared.
+func TestPartHistoriesStayShort(t *testing.T) {
+	tab := New(Settings{}, 1)
+	key := PartKey("first")
+	for i := range 20 {
+		tab.Observe(key, crash(fmt.Sprint("u", i), i))
+		known := tab.Entry(key).Crashes
+		tab.Observe(key, crash(fmt.Sprint("v", i), i+1))
+		must.True(t, tab.ClearCrashes(key, known))
+		must.Len(t, 1, tab.Entry(key).Crashes)
+		must.Len(t, 1, tab.Entry(key).Cleared)
+	}
+	_, _, changed := tab.Merge(time.Unix(30, 0), Entry{Fingerprint: key, Crashes: []Crash{crash("u3", 3), crash("v3", 4)}})
+	must.False(t, changed)
+}
+
 // TestHistoriesConverge merges the histories of several tables in random order,
 // with reports that are lost or repeated: all tables must end with the same
 // histories, which contain each crash that was not cleared.
@@ -197,3 +216,45 @@
 	}
 	must.Eq(t, []string{"seen here", "twice"}, names)
 }
+
+// TestPartHistoriesConverge guards against histories of a part that differ for good
+// between tables, whose reports are merged in random order, and against losing a crash
+// that is newer than all cleared ones.
+func TestPartHistoriesConverge(t *testing.T) {
+	key := PartKey("p")
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		now := time.Unix(100, 0)
+		tabs := make([]*Table, 4)
+		for i := range tabs {
+			tabs[i] = New(Settings{}, uint64(i))
+		}
+		lastCleared, seen := -1, map[string]int{}
+		for i := range 12 {
+			tab, u := tabs[rng.IntN(len(tabs))], fmt.Sprint("u", i)
+			tab.Observe(key, crash(u, i))
+			seen[u] = i
+			if rng.IntN(4) == 0 && tab.Clear(key) {
+				lastCleared = i
+			}
+			tabs[rng.IntN(len(tabs))].Merge(now, tab.Entry(key))
+		}
+		for range 2 {
+			for _, from := range tabs {
+				for _, to := range tabs {
+					to.Merge(now, from.Entry(key))
+				}
+			}
+		}
+		for _, tab := range tabs {
+			must.Eq(t, tabs[0].Entry(key), tab.Entry(key), must.Sprint(seed))
+		}
+		for _, c := range tabs[0].Entry(key).Crashes {
+			must.Greater(t, lastCleared, seen[c.ID], must.Sprint(seed))
+			delete(seen, c.ID)
+		}
+		for u, i := range seen {
+			must.LessEq(t, lastCleared, i, must.Sprint(seed, u))
+		}
+	}
+}
