blame: weigh a part's crashes against all that are known

The parts that most prompts have no longer list the crashes that answers have cleared, so a rare part could seem to be involved in most crashes of a wave. The comparison now takes the histories of requests as well. Limits and the state of a candidate are named after what they are (dominantLimit, ambiguousLimit, suspect).

--- a/internal/core/blame/storm_test.go
+++ b/internal/core/blame/storm_test.go
@@ -266,7 +266,7 @@
 	for i, tab := range s.tables {
 		part, _ := tab.Judge(s.now, []string{s.bad})
 		known := part != "" || s.now.Sub(s.restarted[i]) <= contact
-		must.True(t, known || s.bad == "" || s.caused < unclearLimit, must.Sprintf("seed %d: %d crashes", seed, len(s.crashes)))
+		must.True(t, known || s.bad == "" || s.caused < ambiguousLimit, must.Sprintf("seed %d: %d crashes", seed, len(s.crashes)))
 	}
 }
 
--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -22,8 +22,8 @@
 		prunedAt time.Time
 		// firstSentAt is when the first request was sent.
 		firstSentAt time.Time
-		// cases holds what is decided over time about parts.
-		cases map[string]*verdict
+		// suspects holds what is decided over time about candidates.
+		suspects map[string]*suspect
 		// quarantined holds the ends of quarantines by part, as judged at rev.
 		// They are judged again at dueAt, unless it is zero.
 		quarantined map[string]time.Time
@@ -57,8 +57,8 @@
 		dominant bool
 	}
 
-	// verdict is what is learnt and decided over time about a candidate.
-	verdict struct {
+	// suspect is what is learnt and decided over time about a candidate.
+	suspect struct {
 		// knownAt is since when its crashes are known, by ID.
 		knownAt map[string]time.Time
 		// quarantinedAt is when it was quarantined, with so many crashes; zero
@@ -73,15 +73,15 @@
 	// to be taken as unharmed by it. An upstream that is crashed by a part ends
 	// some 100 ms after it has begun to answer.
 	AnsweredAfter = 500 * time.Millisecond
-	// clearLimit is the number of crashes from which a part is quarantined if it
-	// dominates them and no request with it has been answered here recently.
-	// unclearLimit is the same for other parts, of crashes that have been known
-	// for clearTime: answers that are in progress clear a part that many
-	// requests have. The platform counts requests that are sent later than 3 s
-	// after the fifth crash.
-	clearLimit   = 3
-	unclearLimit = 5
-	clearTime    = time.Second
+	// dominantLimit is the number of crashes from which a part is quarantined that
+	// was involved in most crashes of its time, if no request with it has been
+	// answered here recently. ambiguousLimit is the same for other parts, of
+	// crashes that have been known for settleTime: until then, answers in
+	// progress may clear a part that many requests have. The platform counts
+	// requests that are sent later than 3 s after the fifth crash.
+	dominantLimit  = 3
+	ambiguousLimit = 5
+	settleTime     = time.Second
 	// warmUp is the time from the first request until a daemon knows which parts
 	// are answered.
 	warmUp = 5 * time.Second
@@ -100,7 +100,7 @@
 // New returns a Table that judges by the histories in crashes.
 func New(crashes *poison.Table) *Table {
 	return &Table{
-		crashes: crashes, usage: map[string]*usage{}, cases: map[string]*verdict{}, quarantined: map[string]time.Time{},
+		crashes: crashes, usage: map[string]*usage{}, suspects: map[string]*suspect{}, quarantined: map[string]time.Time{},
 	}
 }
 
@@ -247,35 +247,32 @@
 // candidates returns the parts that may be quarantined, the most likely ones first.
 // t.mu must be held.
 func (t *Table) candidates(now time.Time) (out []candidate) {
-	entries := t.crashes.Parts(now)
-	all := map[string]time.Time{}
-	for _, e := range entries {
-		for _, c := range e.Crashes {
-			all[c.ID] = c.At
-		}
-	}
+	var all map[string]time.Time
 	warmAt := t.firstSentAt.Add(warmUp)
 	warm := !t.firstSentAt.IsZero() && !now.Before(warmAt)
-	cases := map[string]*verdict{}
-	for _, e := range entries {
-		if len(e.Crashes) < clearLimit {
+	suspects := map[string]*suspect{}
+	for _, e := range t.crashes.Parts(now) {
+		if len(e.Crashes) < dominantLimit {
 			continue
 		}
+		if all == nil {
+			all = t.crashes.CrashTimes()
+		}
 		part, _ := poison.PartOf(e.Fingerprint)
 		c := candidate{part: part, crashes: e.Crashes, answered: !warm, dominant: dominates(e.Crashes, all)}
 		if u := t.usage[part]; u != nil {
 			c.sent = u.sent
 			c.answered = c.answered || !u.answeredAt.IsZero() && now.Sub(u.answeredAt) < recentAnswer
 		}
-		v := t.cases[part]
+		v := t.suspects[part]
 		if v == nil {
-			v = &verdict{}
+			v = &suspect{}
 		}
-		cases[part] = v
+		suspects[part] = v
 		v.learn(now, e.Crashes)
 		out = append(out, c)
 	}
-	t.cases = cases
+	t.suspects = suspects
 	if len(out) > 0 && now.Before(warmAt) {
 		t.judgeAt(warmAt)
 	}
@@ -310,23 +307,23 @@
 // guilty reports whether a candidate is to be quarantined, given the crashes that
 // are explained by other parts. t.mu must be held.
 func (t *Table) guilty(now time.Time, c candidate, explained map[string]bool) bool {
-	v := t.cases[c.part]
+	v := t.suspects[c.part]
 	left, settled := 0, 0
 	for _, crash := range c.crashes {
 		if explained[crash.ID] {
 			continue
 		}
 		left++
-		if due := v.knownAt[crash.ID].Add(clearTime); now.Before(due) {
+		if due := v.knownAt[crash.ID].Add(settleTime); now.Before(due) {
 			t.judgeAt(due)
 		} else {
 			settled++
 		}
 	}
 	if c.dominant && !c.answered {
-		return left >= clearLimit
+		return left >= dominantLimit
 	}
-	if settled < unclearLimit {
+	if settled < ambiguousLimit {
 		return false
 	}
 	if v.quarantinedAt.IsZero() {
@@ -340,7 +337,7 @@
 }
 
 // learn records since when crashes are known, and forgets others.
-func (v *verdict) learn(now time.Time, crashes []poison.Crash) {
+func (v *suspect) learn(now time.Time, crashes []poison.Crash) {
 	knownAt := make(map[string]time.Time, len(crashes))
 	for _, c := range crashes {
 		knownAt[c.ID] = now
--- a/internal/core/blame/table_test.go
+++ b/internal/core/blame/table_test.go
@@ -73,7 +73,7 @@
 		f.crash([]string{"first", "bad"}, []string{"first", "second"})
 	}
 	must.True(t, f.quarantined("bad"))
-	f.now = f.now.Add(2 * clearTime)
+	f.now = f.now.Add(2 * settleTime)
 	must.False(t, f.quarantined("first"))
 	must.False(t, f.quarantined("second"))
 }
@@ -83,12 +83,12 @@
 func TestPartAnsweredBefore(t *testing.T) {
 	f := newFixture(t)
 	f.answer("first", "bad")
-	for range unclearLimit {
+	for range ambiguousLimit {
 		f.crash([]string{"first", "bad"})
 		must.False(t, f.quarantined("bad"))
 	}
 	f.answer("first", "other")
-	f.now = f.now.Add(clearTime)
+	f.now = f.now.Add(settleTime)
 	must.True(t, f.quarantined("bad"))
 	must.False(t, f.quarantined("first"))
 }
@@ -100,7 +100,7 @@
 func TestWaveOfCrashes(t *testing.T) {
 	for _, bad := range []bool{false, true} {
 		f := newFixture(t)
-		for i := range 4 * unclearLimit {
+		for i := range 4 * ambiguousLimit {
 			if parts := [][]string{{fmt.Sprint("other", i)}, {"rare"}}; i%4 == 0 {
 				f.crash(parts...)
 			} else {
@@ -108,7 +108,7 @@
 			}
 			must.False(t, f.quarantined("rare"))
 		}
-		f.now = f.now.Add(clearTime)
+		f.now = f.now.Add(settleTime)
 		must.True(t, f.quarantined("rare"))
 		f.now = f.now.Add(probationAfter)
 		must.False(t, f.quarantined("rare"))
@@ -153,7 +153,7 @@
 func TestRestartedDaemon(t *testing.T) {
 	f := newFixture(t)
 	f.Table = New(f.crashes)
-	for range clearLimit {
+	for range dominantLimit {
 		f.crash([]string{"first"})
 	}
 	must.False(t, f.quarantined("first"))
@@ -189,7 +189,7 @@
 	f.crash([]string{"a"})
 	f.answer("a")
 	f.crashes.Merge(f.now, poison.Entry{Fingerprint: poison.PartKey("a"), Crashes: old})
-	f.now = f.now.Add(2 * clearTime)
+	f.now = f.now.Add(2 * settleTime)
 	must.False(t, f.quarantined("a"))
 }
 
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -353,6 +353,22 @@
 	return out
 }
 
+// CrashTimes returns the times of all crashes in histories by ID, cleared ones
+// included.
+func (t *Table) CrashTimes() map[string]time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]time.Time{}
+	for _, h := range t.entries {
+		for _, list := range [][]Crash{h.Crashes, h.Cleared} {
+			for _, c := range list {
+				out[c.ID] = c.At
+			}
+		}
+	}
+	return out
+}
+
 // Retention returns how long a history is kept after its last crash.
 func (t *Table) Retention() time.Duration { return t.settings.Retention }
 
