blame: count crashes that come at once as one

The logs show two causes. A daemon that is cut off sees its connections to many upstreams break in the same instant, and has few answers to clear the parts (57 requests for one first part). And a retry in a wave meets the next broken upstream within 5 to 15 ms, so that three crashes of one request lie so close that no other comes between: the part seemed to be involved in all crashes of its time.

Crashes within 50 ms count as one now, and a part is compared with all crashes from 1 s before its first to 1 s after its last one. TestBrokenPath and TestFewOfManyCrashes failed before; TestCrashingPartStorms and TestCrashingPartInWave hold.

--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -52,8 +52,8 @@
 		answered bool
 		// sent is the number of requests with the part that were sent here.
 		sent int
-		// dominant is set if the part was involved in most of the crashes
-		// between its first and its last one.
+		// dominant is set if the part was involved in at least half of the
+		// crashes of its time.
 		dominant bool
 	}
 
@@ -82,6 +82,13 @@
 	dominantLimit  = 3
 	ambiguousLimit = 5
 	settleTime     = time.Second
+	// sameCause is the time within which crashes count as one: a part crashes an
+	// upstream only once it answers, while a lost network path or a wave of
+	// crashes breaks several connections at once, those of a retry among them.
+	sameCause = 50 * time.Millisecond
+	// dominanceMargin is added to the time between a part's first and last crash
+	// for which it is compared with all crashes.
+	dominanceMargin = time.Second
 	// warmUp is the time from the first request until a daemon knows which parts
 	// are answered.
 	warmUp = 5 * time.Second
@@ -280,10 +287,10 @@
 	return out
 }
 
-// dominates reports whether crashes are at least half of all crashes, given by the
-// time of each, between the first and the last of them.
+// dominates reports whether crashes are at least half of all crashes of their time.
+// all holds the time of each.
 func dominates(crashes []poison.Crash, all map[string]time.Time) bool {
-	first, last := crashes[0].At, crashes[len(crashes)-1].At
+	first, last := crashes[0].At.Add(-dominanceMargin), crashes[len(crashes)-1].At.Add(dominanceMargin)
 	n := 0
 	for _, at := range all {
 		if !at.Before(first) && !at.After(last) {
@@ -309,10 +316,12 @@
 func (t *Table) guilty(now time.Time, c candidate, explained map[string]bool) bool {
 	v := t.suspects[c.part]
 	left, settled := 0, 0
+	var previous time.Time
 	for _, crash := range c.crashes {
-		if explained[crash.ID] {
+		if explained[crash.ID] || crash.At.Sub(previous) < sameCause {
 			continue
 		}
+		previous = crash.At
 		left++
 		if due := v.knownAt[crash.ID].Add(settleTime); now.Before(due) {
 			t.judgeAt(due)
--- a/internal/core/blame/table_test.go
+++ b/internal/core/blame/table_test.go
@@ -125,6 +125,35 @@
 	}
 }
 
+// TestBrokenPath guards against refusing parts on a daemon that loses the network path
+// to many upstreams at once, or whose retries meet one broken upstream after the other
+// within milliseconds (figtray-coop-grown and kwb-kyushu-grown trouble-1).
+func TestBrokenPath(t *testing.T) {
+	f := newFixture(t)
+	for i := range 8 {
+		f.Crashed([]string{"first", "rare"}, poison.Crash{ID: fmt.Sprint("u", i), At: f.now.Add(time.Duration(i) * 6 * time.Millisecond)})
+	}
+	must.False(t, f.quarantined("rare"))
+	f.now = f.now.Add(2 * settleTime)
+	must.False(t, f.quarantined("rare"))
+	must.False(t, f.quarantined("first"))
+}
+
+// TestFewOfManyCrashes guards against taking a part for the cause of a wave of crashes,
+// because no other crash lies between the three that it was involved in.
+func TestFewOfManyCrashes(t *testing.T) {
+	f := newFixture(t)
+	for i := range 12 {
+		if i >= 4 && i < 7 {
+			f.crash([]string{"rare"}, []string{fmt.Sprint("other", i)})
+		} else {
+			f.crash([]string{fmt.Sprint("other", i)})
+		}
+	}
+	f.now = f.now.Add(2 * settleTime)
+	must.False(t, f.quarantined("rare"))
+}
+
 // TestPopularPartInWave guards against refusing a part that most requests have, because
 // crashes with another cause follow each other faster than answers clear it
 // (figtray-coop-grown trouble-1).
