--- a/internal/core/poison/doc.go
+++ b/internal/core/poison/doc.go
@@ -9,6 +9,9 @@
 // far, while a long response may well lose two engines for other reasons. The
 // quarantine then takes four crashes. A suspect that completes is cleared.
 //
+// A history may also be that of a part of prompts (PartKey), which package blame
+// judges.
+//
 // Daemons exchange histories: each merges what it is told into what it knows, so
 // that neither the order of messages nor a sender that knows less takes a crash
 // away. Cursor and Since give the changes that another daemon lacks.
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -11,28 +11,6 @@
 	// Verdict classifies a request by its crash history.
 	Verdict uint8
 
-	// Crash is one crash of an upstream while it ran a request.
-	Crash struct {
-		// ID names the upstream and its incarnation, so that reports of the
-		// same crash by several daemons count once.
-		ID string
-		At time.Time
-		// Progress is set if the request had produced tokens on the upstream
-		// in this attempt.
-		Progress bool
-	}
-
-	// Entry is the history of one fingerprint.
-	Entry struct {
-		// Fingerprint identifies a request or, as a PartKey, a part of prompts.
-		Fingerprint string
-		Crashes     []Crash
-		// Cleared are crashes that do not count, because the request has
-		// completed since. They are kept so that a daemon which has not
-		// learnt of that can't restore them.
-		Cleared []Crash
-	}
-
 	// Cursor is a position in the sequence of a Table's changes. The zero value
 	// is the position before the first one.
 	Cursor struct{ Table, Rev uint64 }
@@ -83,10 +61,6 @@
 	Quarantined
 )
 
-// partPrefix distinguishes the key of a part from the fingerprint of a request,
-// which is hexadecimal.
-const partPrefix = "part:"
-
 const (
 	// DefaultQuarantine is how long a quarantine lasts by default.
 	DefaultQuarantine = 10 * time.Minute
@@ -98,20 +72,8 @@
 	// expireInterval is the least time between two removals of old histories,
 	// since each goes over all of them.
 	expireInterval = time.Second
-	// maxCrashes bounds the crashes, and the cleared ones, that are kept for
-	// one fingerprint; the newest are kept. It exceeds the upstreams that may
-	// crash before a quarantine is known everywhere, so that the part of a
-	// prompt that caused them still explains all of them.
-	maxCrashes = 24
 )
 
-// PartKey returns the key of the history of a part of prompts.
-func PartKey(part string) string { return partPrefix + part }
-
-// PartOf returns the part of prompts whose history has a key, and false for that of
-// a request.
-func PartOf(key string) (part string, ok bool) { return strings.CutPrefix(key, partPrefix) }
-
 // String returns the verdict's name in logs.
 func (v Verdict) String() string {
 	switch v {
@@ -194,74 +156,6 @@
 	return h.clone()
 }
 
-// contains reports whether list has all of crashes, as they are.
-func contains(list, crashes []Crash) bool {
-	for _, c := range crashes {
-		if !slices.ContainsFunc(list, func(d Crash) bool {
-			return c.ID == d.ID && !c.At.Before(d.At) && (c.Progress || !d.Progress)
-		}) {
-			return false
-		}
-	}
-	return true
-}
-
-// Join returns the history that has the crashes of both, except those that either
-// has cleared. It depends neither on the order of histories nor on how often one is
-// joined.
-//
-// Of a part of prompts, only the last cleared crash is kept and the crashes after it:
-// a part that most prompts have is involved in nearly every crash, and its history
-// would be long and change often.
-func Join(a, b Entry) Entry {
-	cleared := union(a.Cleared, b.Cleared, nil)
-	crashes := union(a.Crashes, b.Crashes, cleared)
-	if _, ok := PartOf(a.Fingerprint); ok && len(cleared) > 0 {
-		cleared = cleared[len(cleared)-1:]
-		crashes = slices.DeleteFunc(crashes, func(c Crash) bool { return !c.At.After(cleared[0].At) })
-	}
-	return Entry{Fingerprint: a.Fingerprint, Crashes: crashes, Cleared: cleared}
-}
-
-// Equal reports whether two histories have the same crashes.
-func (e Entry) Equal(o Entry) bool { return equal(e.Crashes, o.Crashes) && equal(e.Cleared, o.Cleared) }
-
-// union returns the newest crashes of a and b that are not in except, in the order
-// of time. A crash in both has the earlier time, and progress only if both have it.
-func union(a, b, except []Crash) []Crash {
-	byID := make(map[string]Crash, len(a)+len(b))
-	for _, c := range append(slices.Clone(a), b...) {
-		if old, ok := byID[c.ID]; ok {
-			c.Progress = c.Progress && old.Progress
-			if old.At.Before(c.At) {
-				c.At = old.At
-			}
-		}
-		byID[c.ID] = c
-	}
-	for _, c := range except {
-		delete(byID, c.ID)
-	}
-	out := make([]Crash, 0, len(byID))
-	for _, c := range byID {
-		out = append(out, c)
-	}
-	slices.SortFunc(out, func(x, y Crash) int {
-		if c := x.At.Compare(y.At); c != 0 {
-			return c
-		}
-		return strings.Compare(x.ID, y.ID)
-	})
-	return out[max(len(out)-maxCrashes, 0):]
-}
-
-// equal reports whether two lists have the same crashes in the same order.
-func equal(a, b []Crash) bool {
-	return slices.EqualFunc(a, b, func(x, y Crash) bool {
-		return x.ID == y.ID && x.At.Equal(y.At) && x.Progress == y.Progress
-	})
-}
-
 // clone returns a copy that doesn't share memory with the table.
 func (h *history) clone() Entry {
 	return Entry{Fingerprint: h.Fingerprint, Crashes: slices.Clone(h.Crashes), Cleared: slices.Clone(h.Cleared)}
@@ -291,16 +185,6 @@
 	}
 }
 
-// lastAt returns the time of the last crash, cleared ones included.
-func (e Entry) lastAt() (at time.Time) {
-	for _, list := range [][]Crash{e.Crashes, e.Cleared} {
-		if n := len(list); n > 0 && list[n-1].At.After(at) {
-			at = list[n-1].At
-		}
-	}
-	return at
-}
-
 // Entry returns the history of a fingerprint, empty if it is unknown.
 func (t *Table) Entry(fingerprint string) Entry {
 	t.mu.Lock()
@@ -422,71 +306,3 @@
 	})
 	return out
 }
-
-// Count returns the number of requests with known crashes, and of those that are
-// quarantined at now.
-func (t *Table) Count(now time.Time) (suspects, quarantined int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for key, h := range t.entries {
-		if _, ok := PartOf(key); ok {
-			continue
-		}
-		switch v, _ := t.judge(now, h); v {
-		case Clean:
-		case Suspect:
-			suspects++
-		case Quarantined:
-			suspects++
-			quarantined++
-		}
-	}
-	return suspects, quarantined
-}
-
-// Judge returns the verdict on a fingerprint at now and, if it is quarantined,
-// the time until the quarantine ends.
-func (t *Table) Judge(now time.Time, fingerprint string) (Verdict, time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if h := t.entries[fingerprint]; h != nil {
-		return t.judge(now, h)
-	}
-	return Clean, 0
-}
-
-// judge is Judge for a known history. t.mu must be held.
-func (t *Table) judge(now time.Time, h *history) (Verdict, time.Duration) {
-	if len(h.Crashes) == 0 {
-		return Clean, 0
-	}
-	left := t.left(now, h.Crashes[len(h.Crashes)-1])
-	if left <= 0 {
-		return Clean, 0
-	}
-	if limit := t.settings.CrashLimit; limit > 0 && len(h.Crashes) >= limit {
-		return Quarantined, left
-	}
-	for _, c := range h.Crashes[1:] {
-		if t.soleSuspect(h, c) && (!c.Progress || len(h.Crashes) >= progressCrashLimit) {
-			return Quarantined, left
-		}
-	}
-	return Suspect, 0
-}
-
-// soleSuspect reports whether no other request that was already a suspect was
-// running on the upstream at crash c. t.mu must be held.
-func (t *Table) soleSuspect(h *history, c Crash) bool {
-	for key, o := range t.entries {
-		if _, ok := PartOf(key); ok || o == h || len(o.Crashes) == 0 {
-			continue
-		}
-		for _, d := range o.Crashes[1:] {
-			if d.ID == c.ID {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -3,20 +3,15 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
-	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
-	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
@@ -133,115 +128,6 @@
 	return o
 }
 
-// recordCrash adds the crash of an upstream to the history of the request and, unless
-// the upstream had been answering it for a while, to those of its parts. The caller
-// holds relay.mu.
-func (x *exchange) recordCrash(now time.Time, up fleet.Upstream) {
-	r := x.relay
-	crash := poison.Crash{ID: incarnation(up), At: now, Progress: x.events.EventCount > 0}
-	entry := r.suspects.Observe(x.fingerprint, crash)
-	for _, end := range r.endings.crash(now, crash.ID) {
-		ended := poison.Crash{ID: crash.ID, At: now, Progress: true}
-		r.suspects.Observe(end.fingerprint, ended)
-		r.parts.Crashed(end.parts, ended)
-	}
-	if x.answeredFor(now) < blame.AnsweredAfter {
-		r.parts.Crashed(x.parts, crash)
-	}
-	verdict, _ := r.suspects.Judge(now, x.fingerprint)
-	part, _ := r.parts.Judge(now, x.parts)
-	event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
-		"parts", strings.Join(x.parts, ","), "answered-for", x.answeredFor(now), "quarantined-part", part)
-	r.refuseQuarantined(now)
-	r.requestReport()
-}
-
-// recordUnframedEnd records a response that ended with its connection. If the
-// upstream crashed at that time, the response may have ended with it. The caller
-// holds relay.mu.
-func (x *exchange) recordUnframedEnd(now time.Time, up fleet.Upstream) {
-	end := unframedEnd{at: now, fingerprint: x.fingerprint}
-	if !x.cleared {
-		end.parts = x.parts
-	}
-	if x.relay.endings.end(incarnation(up), end) {
-		x.recordCrash(now, up)
-	}
-}
-
-// incarnation identifies an upstream's process in crash histories.
-func incarnation(up fleet.Upstream) string { return fmt.Sprintf("%s@%d", up.ID, up.Born) }
-
-// beginAnswer records that the present attempt's answer has begun.
-func (x *exchange) beginAnswer() {
-	if x.answeredAt.IsZero() {
-		x.answeredAt, x.known = x.relay.now(), x.relay.parts.Known(x.parts)
-	}
-}
-
-// continueAnswer clears the parts of the prompt once the upstream has been answering
-// for long enough.
-func (x *exchange) continueAnswer() {
-	if x.cleared || len(x.parts) == 0 {
-		return
-	}
-	if now := x.relay.now(); x.answeredFor(now) >= blame.AnsweredAfter {
-		x.clearParts(now)
-	}
-}
-
-// clearParts records that the upstream was not crashed by the parts of the prompt.
-func (x *exchange) clearParts(now time.Time) {
-	if x.cleared || len(x.parts) == 0 {
-		return
-	}
-	x.cleared = true
-	if x.relay.parts.Answered(now, x.parts, x.known) {
-		event.CrashHistoryCleared.Log("request", x.req.ID, "parts", strings.Join(x.parts, ","), "answered-for", x.answeredFor(now))
-		x.relay.requestReport()
-	}
-}
-
-// answeredFor returns the time since the present attempt's answer has begun, 0 if it
-// hasn't.
-func (x *exchange) answeredFor(now time.Time) time.Duration {
-	if x.answeredAt.IsZero() {
-		return 0
-	}
-	return now.Sub(x.answeredAt)
-}
-
-// countLimited counts a request that is sent to an upstream with a rate limit.
-func (r *Relay) countLimited(up fleet.Upstream) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.limits.Limited(up) {
-		r.metrics.LimitedSends.Inc()
-	}
-}
-
-// logSuspect logs and counts the send of a request under which upstreams have
-// crashed.
-func (x *exchange) logSuspect(now time.Time, up fleet.Upstream) {
-	r := x.relay
-	r.mu.Lock()
-	crashes := len(r.suspects.Entry(x.fingerprint).Crashes)
-	holderAge := now.Sub(r.lastReply)
-	r.mu.Unlock()
-	label := metric.CrashesMore
-	switch crashes {
-	case 0:
-		return
-	case 1:
-		label = metric.CrashesOne
-	case 2:
-		label = metric.CrashesTwo
-	}
-	r.metrics.SuspectSends.WithLabelValues(label).Inc()
-	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge,
-		"parts", strings.Join(x.parts, ","))
-}
-
 // roundTrip sends the request on a connection and forwards the response.
 func (x *exchange) roundTrip(ctx context.Context, up fleet.Upstream, sent time.Time) outcome {
 	dial, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -284,23 +170,6 @@
 	return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, crashed: connectionEnded(err), cause: err.Error()}
 }
 
-// connectionEnded reports whether err is the end of a connection, not a malformed
-// response.
-func connectionEnded(err error) bool {
-	var op *net.OpError
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
-}
-
-// framed reports whether a response has a length or chunks, so that its end doesn't
-// depend on that of its connection.
-func framed(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
-
-// survived reports whether a complete response proves that its upstream has run
-// the request to its end.
-func survived(res *http.Response) bool {
-	return framed(res) && res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusMultipleChoices
-}
-
 // readResponse reads the response from conn and forwards it. If keep is false,
 // the caller must close the connection.
 func (x *exchange) readResponse(ctx context.Context, conn *http1.Conn, up fleet.Upstream, sent time.Time) (o outcome, keep bool) {
@@ -348,17 +217,6 @@
 	return x.forwardBuffered(conn, res, firstByteTime)
 }
 
-// recordLimit records what a response says of its upstream's rate limit.
-func (x *exchange) recordLimit(res *http.Response, up fleet.Upstream, sent time.Time) {
-	r := x.relay
-	perSecond, named := r.codec.RateLimit(res)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.limits.Answered(r.now(), sent, up, perSecond, named) {
-		event.UpstreamLimit.Log("upstream", up.ID, "born", up.Born, "limited", named, "per-second", perSecond, "source", x.req.ID)
-	}
-}
-
 // firstByteTimeout returns how long to wait for the first byte before a
 // retryable request is sent to another upstream.
 func (x *exchange) firstByteTimeout() time.Duration {
--- /dev/null
+++ b/internal/node/relay/crash.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/core/blame"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/poison"
+)
+
+// logSuspect logs and counts the send of a request under which upstreams have
+// crashed.
+func (x *exchange) logSuspect(now time.Time, up fleet.Upstream) {
+	r := x.relay
+	r.mu.Lock()
+	crashes := len(r.suspects.Entry(x.fingerprint).Crashes)
+	holderAge := now.Sub(r.lastReply)
+	r.mu.Unlock()
+	label := metric.CrashesMore
+	switch crashes {
+	case 0:
+		return
+	case 1:
+		label = metric.CrashesOne
+	case 2:
+		label = metric.CrashesTwo
+	}
+	r.metrics.SuspectSends.WithLabelValues(label).Inc()
+	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge,
+		"parts", strings.Join(x.parts, ","))
+}
+
+// recordCrash adds the crash of an upstream to the history of the request and, unless
+// the upstream had been answering it for a while, to those of its parts. The caller
+// holds relay.mu.
+func (x *exchange) recordCrash(now time.Time, up fleet.Upstream) {
+	r := x.relay
+	crash := poison.Crash{ID: incarnation(up), At: now, Progress: x.events.EventCount > 0}
+	entry := r.suspects.Observe(x.fingerprint, crash)
+	for _, end := range r.endings.crash(now, crash.ID) {
+		ended := poison.Crash{ID: crash.ID, At: now, Progress: true}
+		r.suspects.Observe(end.fingerprint, ended)
+		r.parts.Crashed(end.parts, ended)
+	}
+	if x.answeredFor(now) < blame.AnsweredAfter {
+		r.parts.Crashed(x.parts, crash)
+	}
+	verdict, _ := r.suspects.Judge(now, x.fingerprint)
+	part, _ := r.parts.Judge(now, x.parts)
+	event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
+		"parts", strings.Join(x.parts, ","), "answered-for", x.answeredFor(now), "quarantined-part", part)
+	r.refuseQuarantined(now)
+	r.requestReport()
+}
+
+// recordUnframedEnd records a response that ended with its connection. If the
+// upstream crashed at that time, the response may have ended with it. The caller
+// holds relay.mu.
+func (x *exchange) recordUnframedEnd(now time.Time, up fleet.Upstream) {
+	end := unframedEnd{at: now, fingerprint: x.fingerprint}
+	if !x.cleared {
+		end.parts = x.parts
+	}
+	if x.relay.endings.end(incarnation(up), end) {
+		x.recordCrash(now, up)
+	}
+}
+
+// incarnation identifies an upstream's process in crash histories.
+func incarnation(up fleet.Upstream) string { return fmt.Sprintf("%s@%d", up.ID, up.Born) }
+
+// beginAnswer records that the present attempt's answer has begun.
+func (x *exchange) beginAnswer() {
+	if x.answeredAt.IsZero() {
+		x.answeredAt, x.known = x.relay.now(), x.relay.parts.Known(x.parts)
+	}
+}
+
+// continueAnswer clears the parts of the prompt once the upstream has been answering
+// for long enough.
+func (x *exchange) continueAnswer() {
+	if x.cleared || len(x.parts) == 0 {
+		return
+	}
+	if now := x.relay.now(); x.answeredFor(now) >= blame.AnsweredAfter {
+		x.clearParts(now)
+	}
+}
+
+// clearParts records that the upstream was not crashed by the parts of the prompt.
+func (x *exchange) clearParts(now time.Time) {
+	if x.cleared || len(x.parts) == 0 {
+		return
+	}
+	x.cleared = true
+	if x.relay.parts.Answered(now, x.parts, x.known) {
+		event.CrashHistoryCleared.Log("request", x.req.ID, "parts", strings.Join(x.parts, ","), "answered-for", x.answeredFor(now))
+		x.relay.requestReport()
+	}
+}
+
+// answeredFor returns the time since the present attempt's answer has begun, 0 if it
+// hasn't.
+func (x *exchange) answeredFor(now time.Time) time.Duration {
+	if x.answeredAt.IsZero() {
+		return 0
+	}
+	return now.Sub(x.answeredAt)
+}
+
+// connectionEnded reports whether err is the end of a connection, not a malformed
+// response.
+func connectionEnded(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
+}
+
+// framed reports whether a response has a length or chunks, so that its end doesn't
+// depend on that of its connection.
+func framed(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
+
+// survived reports whether a complete response proves that its upstream has run
+// the request to its end.
+func survived(res *http.Response) bool {
+	return framed(res) && res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusMultipleChoices
+}
--- /dev/null
+++ b/internal/node/relay/limit.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/node/hub"
+)
+
+// countLimited counts a request that is sent to an upstream with a rate limit.
+func (r *Relay) countLimited(up fleet.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limits.Limited(up) {
+		r.metrics.LimitedSends.Inc()
+	}
+}
+
+// recordLimit records what a response says of its upstream's rate limit.
+func (x *exchange) recordLimit(res *http.Response, up fleet.Upstream, sent time.Time) {
+	r := x.relay
+	perSecond, named := r.codec.RateLimit(res)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limits.Answered(r.now(), sent, up, perSecond, named) {
+		event.UpstreamLimit.Log("upstream", up.ID, "born", up.Born, "limited", named, "per-second", perSecond, "source", x.req.ID)
+	}
+}
+
+// ApplyTellReply applies the holder's reply to a report.
+func (r *Relay) ApplyTellReply(now time.Time, reply *hub.TellReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reply.Deals {
+		r.lastDeal = now
+	}
+	if len(reply.Permits) > 0 {
+		r.limits.Grant(now, reply.Permits)
+		r.dispatch(now)
+	}
+}
+
+// addPermits adds to d the permits that queued requests wait for. r.mu must be held.
+func (r *Relay) addPermits(now time.Time, d *fleet.Demand) {
+	for _, w := range r.waiters {
+		id := w.query.Limited
+		if id == "" {
+			continue
+		}
+		if d.Permits == nil {
+			d.Permits = map[string]int{}
+		}
+		d.Permits[id]++
+		if now.Sub(w.since) > limitedWait && !slices.Contains(d.Unreachable, id) {
+			d.Unreachable = append(d.Unreachable, id)
+		}
+	}
+	for id := range d.Permits {
+		d.Permits[id] = max(d.Permits[id]-r.limits.Permits(now, id), 0)
+	}
+}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,19 +191,6 @@
 	r.dispatch(now)
 }
 
-// ApplyTellReply applies the holder's reply to a report.
-func (r *Relay) ApplyTellReply(now time.Time, reply *hub.TellReply) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if reply.Deals {
-		r.lastDeal = now
-	}
-	if len(reply.Permits) > 0 {
-		r.limits.Grant(now, reply.Permits)
-		r.dispatch(now)
-	}
-}
-
 // refuseQuarantined ends the wait of queued requests that have been quarantined
 // since the last call. r.mu must be held.
 func (r *Relay) refuseQuarantined(now time.Time) {
@@ -277,26 +263,6 @@
 	return d
 }
 
-// addPermits adds to d the permits that queued requests wait for. r.mu must be held.
-func (r *Relay) addPermits(now time.Time, d *fleet.Demand) {
-	for _, w := range r.waiters {
-		id := w.query.Limited
-		if id == "" {
-			continue
-		}
-		if d.Permits == nil {
-			d.Permits = map[string]int{}
-		}
-		d.Permits[id]++
-		if now.Sub(w.since) > limitedWait && !slices.Contains(d.Unreachable, id) {
-			d.Unreachable = append(d.Unreachable, id)
-		}
-	}
-	for id := range d.Permits {
-		d.Permits[id] = max(d.Permits[id]-r.limits.Permits(now, id), 0)
-	}
-}
-
 // Stop refuses queued requests, now and later, since the daemon exits before they
 // could be served.
 func (r *Relay) Stop() { close(r.stopped) }
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -305,16 +305,6 @@
 	p.daemons[name] = s
 }
 
-// SetLimits replaces the rate limits that engines name.
-func (p *Planner) SetLimits(limits []fleet.NamedLimit) {
-	p.limits = make(map[string]fleet.RateLimit, len(limits))
-	for _, n := range limits {
-		if !n.Lifted {
-			p.limits[n.Upstream] = n.RateLimit
-		}
-	}
-}
-
 func (p *Planner) demand(k fleet.Key) *demand {
 	d := p.demands[k]
 	if d == nil {
--- a/internal/rule/plan/value.go
+++ b/internal/rule/plan/value.go
@@ -18,13 +18,6 @@
 	return max(n, int(math.Ceil(c.rate/copyCapacity)))
 }
 
-// serves reports whether the rate limit of an engine, if it has one, allows for the
-// requests for a model.
-func (p *Planner) serves(e *engine, c *modelCount) bool {
-	limit, limited := p.limits[e.up.ID]
-	return !limited || limit.Born != e.up.Born || c.rate <= limitedShare*limit.PerSecond
-}
-
 // copiesWanted returns the number of copies that a model should have: those
 // that its load requires, and for a hot model at least one in each failure
 // domain.
