--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -85,7 +85,7 @@
 	// sameCause is the time within which crashes count as one: a part crashes an
 	// upstream only once it answers, while a lost network path or a wave of
 	// crashes breaks several connections at once, those of a retry among them.
-	sameCause = 50 * time.Millisecond
+	sameCause = 20 * time.Millisecond
 	// dominanceMargin is added to the time between a part's first and last crash
 	// for which it is compared with all crashes.
 	dominanceMargin = time.Second
