dealer, pick: try an upstream that may have no limit any more

Found on reading: an upstream that has named a limit comes after all others, so while those serve every request none of its answers can say that the limit is gone, and it is spared for ten minutes.

Once a limit hasn't been named for 2 s, the holder gives one permit to a daemon that has callers, out of the same bucket, so the bound stays as it was; with it the upstream is chosen first. TestStaleLimitIsTried and TestProbeOfSparedUpstream cover both.

--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -31,11 +31,11 @@
 	l.mergeCrashes(now, a)
 	if l.dealer.Learn(now, a.Demand.Limits) {
 		l.limitsRev++
-		event.UpstreamLimit.Log("limited", len(l.dealer.Limits(now)), "source", a.Host, "fence", l.fence)
+		event.UpstreamLimit.Log("limited", l.dealer.Count(), "source", a.Host, "fence", l.fence)
 		l.notifyWatchers()
 	}
 	l.wake()
-	return &hub.TellReply{Fence: l.fence, Deals: true, Permits: l.dealer.Deal(now, a.Demand.Permits)}, nil
+	return &hub.TellReply{Fence: l.fence, Deals: true, Permits: l.dealer.Deal(now, a.Demand.Permits, len(a.Demand.Arrivals) > 0)}, nil
 }
 
 // mergeCrashes merges the crash histories of a daemon's report, and notifies the
--- a/internal/rule/dealer/dealer.go
+++ b/internal/rule/dealer/dealer.go
@@ -20,6 +20,8 @@
 	bucket struct {
 		permits  float64
 		filledAt time.Time
+		// probedAt is when a permit was last given unasked.
+		probedAt time.Time
 	}
 )
 
@@ -43,29 +45,27 @@
 // Limits returns the known limits, for daemons.
 func (d *Dealer) Limits(now time.Time) []fleet.NamedLimit { return d.limits.Named(now) }
 
-// Deal returns the permits for a daemon that wants a number of them by upstream.
-func (d *Dealer) Deal(now time.Time, wants map[string]int) map[string]int {
-	var permits map[string]int
+// Count returns the number of upstreams that have a limit.
+func (d *Dealer) Count() int { return d.limits.Count() }
+
+// Deal returns the permits for a daemon that wants a number of them by upstream. If
+// callers send it requests, it also gets one for an upstream of whose limit there has
+// been no news, because other upstreams served all requests.
+func (d *Dealer) Deal(now time.Time, wants map[string]int, hasCallers bool) map[string]int {
+	permits := map[string]int{}
 	for _, id := range slices.Sorted(maps.Keys(wants)) {
-		perSecond, limited := d.limits.PerSecond(id)
-		if !limited {
-			continue
-		}
-		b := d.buckets[id]
-		if b == nil {
-			b = &bucket{filledAt: now}
-			d.buckets[id] = b
+		if perSecond, limited := d.limits.PerSecond(id); limited {
+			d.bucket(now, id, perSecond).take(wants[id], id, permits)
 		}
-		b.fill(now, perSecond)
-		n := min(wants[id], int(b.permits))
-		if n <= 0 {
+	}
+	for _, n := range d.limits.Named(now) {
+		if !hasCallers || !d.limits.Stale(now, n.Upstream) {
 			continue
 		}
-		b.permits -= float64(n)
-		if permits == nil {
-			permits = map[string]int{}
+		if b := d.bucket(now, n.Upstream, n.PerSecond); now.Sub(b.probedAt) > quota.StaleAfter {
+			b.probedAt = now
+			b.take(1, n.Upstream, permits)
 		}
-		permits[id] = n
 	}
 	for id, b := range d.buckets {
 		if now.Sub(b.filledAt) > idleTime {
@@ -75,6 +75,25 @@
 	return permits
 }
 
+// bucket returns the bucket of an upstream, filled until now.
+func (d *Dealer) bucket(now time.Time, id string, perSecond float64) *bucket {
+	b := d.buckets[id]
+	if b == nil {
+		b = &bucket{filledAt: now}
+		d.buckets[id] = b
+	}
+	b.fill(now, perSecond)
+	return b
+}
+
+// take takes up to n permits and adds them to permits.
+func (b *bucket) take(n int, id string, permits map[string]int) {
+	if n = min(n, int(b.permits)); n > 0 {
+		b.permits -= float64(n)
+		permits[id] += n
+	}
+}
+
 // fill adds the permits that have accrued.
 func (b *bucket) fill(now time.Time, perSecond float64) {
 	if now.After(b.filledAt) {
--- a/internal/rule/dealer/dealer_test.go
+++ b/internal/rule/dealer/dealer_test.go
@@ -59,7 +59,7 @@
 				for i, tab := range tables {
 					if due := (at+time.Duration(i)*step)%interval == 0; due && !gap {
 						holder.Learn(now, tab.Named(now))
-						permits := holder.Deal(now, map[string]int{"u": 1 + rng.IntN(3)})
+						permits := holder.Deal(now, map[string]int{"u": 1 + rng.IntN(3)}, true)
 						if rng.IntN(10) > 0 {
 							tab.Grant(now, permits)
 							dealtAt[i] = now
@@ -94,5 +94,25 @@
 
 // TestUnknownLimit guards against permits for an upstream whose limit isn't known.
 func TestUnknownLimit(t *testing.T) {
-	must.MapEmpty(t, New().Deal(time.Unix(1, 0), map[string]int{"u": 3}))
+	must.MapEmpty(t, New().Deal(time.Unix(1, 0), map[string]int{"u": 3}, true))
+}
+
+// TestProbeOfSparedUpstream guards against an upstream that is spared for good after it
+// has stopped naming a limit, because other upstreams serve all requests and none of
+// its answers says so; and against more than one such request at a time.
+func TestProbeOfSparedUpstream(t *testing.T) {
+	d := New()
+	start := time.Unix(1000, 0)
+	d.Learn(start, []fleet.NamedLimit{{RateLimit: fleet.RateLimit{Upstream: "u", Born: 1, PerSecond: 3}}})
+	given := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 50 * time.Millisecond {
+		must.MapEmpty(t, d.Deal(start.Add(at), nil, false))
+		n := d.Deal(start.Add(at), nil, true)["u"]
+		must.LessEq(t, 1, n)
+		must.True(t, n == 0 || at > quota.StaleAfter)
+		given += n
+	}
+	must.Between(t, 2, given, 4)
+	d.Learn(start.Add(10*time.Second), []fleet.NamedLimit{{RateLimit: fleet.RateLimit{Upstream: "u", Born: 1, Lifted: true}}})
+	must.MapEmpty(t, d.Deal(start.Add(15*time.Second), nil, true))
 }
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -40,7 +40,13 @@
 				}
 				continue
 			}
-			cost += limitedCost
+			if t.limits.Stale(now, u.info.ID) {
+				// The permit is for a request that shows whether the upstream
+				// still has the limit.
+				cost -= limitedCost
+			} else {
+				cost += limitedCost
+			}
 		}
 		t.candidates = append(t.candidates, candidate{u, cost})
 	}
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -259,3 +259,14 @@
 	must.Eq(t, Full, why)
 	must.Eq(t, "e0", q.Limited)
 }
+
+// TestStaleLimitIsTried guards against an upstream that is spared for good after it has
+// stopped naming a limit: with a permit, it is chosen first, also if it was slow.
+func TestStaleLimitIsTried(t *testing.T) {
+	tab, ups := engines(2)
+	tab.Finish(at(0), ups[0], query("m", "").Key, Succeeded, time.Second)
+	tab.Finish(at(0), ups[1], query("m", "").Key, Succeeded, 10*time.Millisecond)
+	tab.limits.Answered(at(0), at(0), ups[0], 2, true)
+	tab.limits.Grant(at(3), map[string]int{"e0": 1})
+	must.Eq(t, 1, send(t, tab, at(3), 2, query("m", ""))["e0"])
+}
--- a/internal/rule/quota/table.go
+++ b/internal/rule/quota/table.go
@@ -37,6 +37,9 @@
 	// lifted: longer than news take to reach all daemons.
 	limitTTL  = 10 * time.Minute
 	liftedTTL = 10 * time.Second
+	// StaleAfter is the time without news of a limit from which one request at a
+	// time is sent to find out whether the upstream still names it.
+	StaleAfter = 2 * time.Second
 	// maxPerSecond bounds a limit, since a daemon gives itself a permit for each
 	// request of its share.
 	maxPerSecond = 10_000
@@ -117,6 +120,13 @@
 // Limited reports whether an upstream has a limit.
 func (t *Table) Limited(up fleet.Upstream) bool { return t.limit(up) != nil }
 
+// Stale reports whether an upstream's limit, if it has one, hasn't been named for
+// StaleAfter.
+func (t *Table) Stale(now time.Time, id string) bool {
+	l := t.limits[id]
+	return l != nil && !l.Lifted && now.Sub(l.namedAt) > StaleAfter
+}
+
 // PerSecond returns the limit of the upstream with an id, and false if it has none.
 func (t *Table) PerSecond(id string) (float64, bool) {
 	if l := t.limits[id]; l != nil && !l.Lifted {
