relay: log the silences of upstreams and the configuration of a request

The hypotheses of the incident with a silent upstream can't be told apart by the logs: no line says for how long an upstream had been silent when its connection was given up, whether another one and a retry token were at hand, whether it went on, or which configuration the request began with. Now upstream-silent and upstream-continued say so, relay-ended has the versions of the configuration at its start and end, and azurespan_upstream_silences_total counts. No decision changes.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -25,7 +25,7 @@
 	})
 	RelayEnded = register(Event{
 		Number: 8005, Name: "relay-ended",
-		Meaning: "A request has ended; the outcome, the time to the first byte, the total time and whether the answer ended with its connection are given.",
+		Meaning: "A request has ended; the outcome, the time to the first byte, the total time, whether the answer ended with its connection, and the versions of the configuration at its start and at its end are given.",
 	})
 	RetryBudgetUsed = register(Event{
 		Number: 8006, Name: "relay-retry-budget-used",
@@ -36,6 +36,15 @@
 		Number: 8007, Name: "caller-write-failed",
 		Meaning: "A response could not be written to its caller, which has disconnected or stopped reading.",
 	})
+	UpstreamSilent = register(Event{
+		Number: 8008, Name: "upstream-silent",
+		Meaning: "An upstream has sent nothing of a response for the time given. Whether another one can take the request over, and the tokens of the retry budget, are given.",
+		Action:  "If the silence ends with upstream-continued, the upstream had only paused; if not, look for its end in the register.",
+	})
+	UpstreamContinued = register(Event{
+		Number: 8009, Name: "upstream-continued",
+		Meaning: "An upstream that had been silent goes on with a response; the length of the silence is given.",
+	})
 )
 
 // State of the daemon on an entry host, and what it reads from the log.
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -64,6 +64,9 @@
 	// LimitedUpstreams is the number of such upstreams.
 	LimitedSends     prometheus.Counter
 	LimitedUpstreams prometheus.Gauge
+	// UpstreamSilences counts the silences of upstreams that were longer than the
+	// time after which another upstream is considered.
+	UpstreamSilences prometheus.Counter
 	// ConfigurationOffset is the version of the configuration in force.
 	ConfigurationOffset prometheus.Gauge
 
@@ -152,6 +155,7 @@
 		CrashSuspects:          b.gauge("azurespan_crash_suspects", "Requests, by fingerprint, under which upstreams are known to have crashed recently."),
 		Quarantined:            b.gauge("azurespan_quarantined_requests", "Requests, by fingerprint, that are refused because they crash upstreams."),
 		QuarantinedParts:       b.gauge("azurespan_quarantined_prompt_parts", "Parts of prompts with which requests are refused because they crash upstreams."),
+		UpstreamSilences:       b.counter("azurespan_upstream_silences_total", "Silences of upstreams after which another upstream was considered for the request."),
 		LimitedSends:           b.counter("azurespan_limited_sends_total", "Requests sent to an upstream that had named a rate limit."),
 		LimitedUpstreams:       b.gauge("azurespan_limited_upstreams", "Upstreams that name a rate limit, as far as the daemon knows."),
 		SuspectSends:           b.counterVec("azurespan_suspect_sends_total", "Requests sent to an upstream although upstreams had crashed under them, by the number of crashes known to the daemon (1, 2, 3-or-more).", "crashes"),
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -173,7 +173,7 @@
 // readResponse reads the response from conn and forwards it. If keep is false,
 // the caller must close the connection.
 func (x *exchange) readResponse(ctx context.Context, conn *http1.Conn, up fleet.Upstream, sent time.Time) (o outcome, keep bool) {
-	if o, ok := x.awaitByte(ctx, conn, x.firstByteTimeout(), false); !ok {
+	if o, ok := x.awaitByte(ctx, conn, up, x.firstByteTimeout(), false); !ok {
 		return o, false
 	}
 	res, err := conn.ReadResponse(x.req.Method)
@@ -207,7 +207,7 @@
 	case fleet.Answered:
 	}
 	if x.route.Kind == fleet.Stream && res.StatusCode == http.StatusOK {
-		o := x.forwardStream(ctx, conn, res)
+		o := x.forwardStream(ctx, conn, up, res)
 		o.firstByteTime = firstByteTime
 		if o.done {
 			conn.Release(res)
@@ -229,8 +229,9 @@
 // awaitByte waits for the next byte. If none arrives within the timeout and
 // another upstream can take the request, the attempt fails; otherwise the wait
 // continues. endAllowed is set if the response may end with its connection.
-func (x *exchange) awaitByte(ctx context.Context, conn *http1.Conn, timeout time.Duration, endAllowed bool) (outcome, bool) {
-	for {
+func (x *exchange) awaitByte(ctx context.Context, conn *http1.Conn, up fleet.Upstream, timeout time.Duration, endAllowed bool) (outcome, bool) {
+	began := x.relay.now()
+	for silent := false; ; silent = true {
 		timedOut, err := conn.AwaitByte(x.relay.now().Add(timeout))
 		switch {
 		case err != nil && endAllowed && errors.Is(err, io.EOF):
@@ -238,17 +239,33 @@
 		case err != nil:
 			return interrupted(err, 0), false
 		case !timedOut:
+			if silent {
+				event.UpstreamContinued.Log("request", x.req.ID, "upstream", up.ID, "silent", x.relay.now().Sub(began), "events", x.events.EventCount)
+			}
 			return outcome{}, true
 		}
 		if ctx.Err() != nil {
 			return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: ctx.Err().Error()}, false
 		}
-		if x.canFailOver() {
+		replaceable := x.canFailOver()
+		x.logSilence(up, began, replaceable)
+		if replaceable {
 			return outcome{mayHaveRun: true, result: pick.Interrupted, cause: "no data received for " + timeout.String()}, false
 		}
 	}
 }
 
+// logSilence logs that an upstream has sent nothing since the given time.
+func (x *exchange) logSilence(up fleet.Upstream, since time.Time, replaceable bool) {
+	r, now := x.relay, x.relay.now()
+	r.mu.Lock()
+	tokens := r.budget(now, x.query.Key.Service).Available(now)
+	r.mu.Unlock()
+	r.metrics.UpstreamSilences.Inc()
+	event.UpstreamSilent.Log("request", x.req.ID, "upstream", up.ID, "silent", now.Sub(since), "events", x.events.EventCount,
+		"sends", x.attempts, "replaceable", replaceable, "retry-tokens", tokens)
+}
+
 // canFailOver reports whether the request may be retried and another upstream
 // that is not ejected can take it now.
 func (x *exchange) canFailOver() bool {
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -38,6 +38,8 @@
 		known      blame.Known
 		answeredAt time.Time
 		cleared    bool
+		// configVersion is the version of the configuration that route is from.
+		configVersion int64
 		// deadline is the earlier of the caller's and the route's timeout.
 		arrived, deadline time.Time
 		// attempts counts the requests sent to upstreams, possibleRuns those
@@ -97,7 +99,7 @@
 		r.refuse(w, req.ID, refusal{code: http.StatusNotFound, reason: "no-route"}, arrived)
 		return
 	}
-	x := &exchange{relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, arrived: arrived, events: sse.New()}
+	x := &exchange{relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, arrived: arrived, events: sse.New()}
 	x.deadline = arrived.Add(route.Timeout)
 	if req.CallerTimeout > 0 && req.CallerTimeout < route.Timeout {
 		x.deadline = arrived.Add(req.CallerTimeout)
@@ -312,7 +314,7 @@
 	}
 	event.RelayEnded.Log("request", x.req.ID, "outcome", outcome, "status", code, "route", x.route.Name,
 		"rank", x.route.Rank, "upstream", up.ID, "sends", x.attempts, "events", x.events.EventCount,
-		"first", firstByte, "took", now.Sub(x.arrived), "unframed", x.unframed, "failure", x.lastFailure)
+		"first", firstByte, "took", now.Sub(x.arrived), "unframed", x.unframed, "configuration", x.configVersion, "configuration-now", x.relay.Config().Version, "failure", x.lastFailure)
 	class := fmt.Sprintf("%s-%d", x.route.Kind, x.route.Rank)
 	x.relay.metrics.RequestSeconds.WithLabelValues(class, outcome).Observe(now.Sub(x.arrived).Seconds())
 	if x.headerSent {
