--- /dev/null
+++ b/internal/node/relay/silence_test.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/rule/retry"
+)
+
+// silence is longer than the time after which the relay considers another upstream.
+const silence = 1200 * time.Millisecond
+
+// pauseAfter writes events as streamEvents does, and pauses for silence after the
+// given one; 0 means before the response begins.
+func pauseAfter(last, event int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if event == 0 {
+			time.Sleep(silence)
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		after := 0
+		_, _ = fmt.Sscan(r.Header.Get("After"), &after)
+		for i := after + 1; i <= last; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+			if i == event {
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(silence)
+			}
+		}
+	}
+}
+
+// pauseFirst pauses for silence and then responds.
+func pauseFirst(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(silence)
+	respondOK(w, r)
+}
+
+// spendBudget takes all tokens of the retry budget, now and later.
+func (f *fixture) spendBudget() { f.relay.budgets["s"] = retry.NewBudget(0, 0, 0) }
+
+// TestPauseWithoutReplacement guards against closing the connection of a caller, or
+// answering 502, because an upstream pauses and no other one takes the request over
+// (incident LOST of issue 28).
+func TestPauseWithoutReplacement(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		route        fleet.Route
+		first, other http.HandlerFunc
+		spent        bool
+		want         string
+	}{
+		{"within a stream, no retry token", route(fleet.Stream, 2, true), pauseAfter(3, 1), streamEvents(3, 0), true, wantEvents(3)},
+		{"within a stream, the other upstream refuses", route(fleet.Stream, 2, true), pauseAfter(3, 1), respondNotRun, false, wantEvents(3)},
+		{"within a stream, the other upstream breaks", route(fleet.Stream, 2, true), pauseAfter(3, 1), resetConnection, false, wantEvents(3)},
+		{"before a stream, no retry token", route(fleet.Stream, 2, true), pauseAfter(3, 0), streamEvents(3, 0), true, wantEvents(3)},
+		{"before a stream, the other upstream refuses", route(fleet.Stream, 2, true), pauseAfter(3, 0), respondNotRun, false, wantEvents(3)},
+		{"before a safe response, no retry token", route(fleet.Safe, 2, false), pauseFirst, respondOK, true, "fine"},
+		{"before a safe response, the other upstream breaks", route(fleet.Safe, 2, false), pauseFirst, resetConnection, false, "fine"},
+		{"within a stream that can't be resumed", route(fleet.Stream, 2, false), pauseAfter(3, 1), streamEvents(3, 0), false, wantEvents(3)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, c.route, c.first, c.other)
+			if c.spent {
+				f.spendBudget()
+			}
+			model, method := "", http.MethodGet
+			if c.route.Kind == fleet.Stream {
+				model, method = "m", http.MethodPost
+			}
+			code, body := f.send(method, "1", model)
+			must.Eq(t, http.StatusOK, code)
+			must.Eq(t, c.want, body)
+			must.Eq(t, 1, f.requestCount(0))
+		})
+	}
+}
+
+// TestPauseOfManyRequests guards against requests that end without an answer because
+// an upstream pauses that runs many of them, and the retry budget is all but spent.
+func TestPauseOfManyRequests(t *testing.T) {
+	const requests = 20
+	f := newFixture(t, route(fleet.Stream, 2, true), pauseAfter(3, 1), streamEvents(3, 0), streamEvents(3, 0))
+	f.relay.Configure((&fleet.Config{Version: 2, Routes: []fleet.Route{route(fleet.Stream, 2, true)}, Services: map[string]fleet.Service{
+		"s": {Name: "s", Engine: &fleet.Engine{Slots: 2 * requests, Models: map[string]fleet.Model{"m": {Name: "m"}}}},
+	}}).Index())
+	f.relay.table.SetRemoteRunning(map[string]int{"u1": requests + 5, "u2": requests + 5})
+	f.relay.budgets["s"] = retry.NewBudget(0, 0, 2)
+	var whole atomic.Int32
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			if code, body := f.send(http.MethodPost, fmt.Sprint(i), "m"); code == http.StatusOK && body == wantEvents(3) {
+				whole.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	must.Eq(t, requests, int(whole.Load()))
+}
