relay: keep a silent upstream until another one has the request

Callers saw their connection closed within a stream, or 502, although the upstream only paused for a second. Cause: an attempt was given up after a silence as soon as another upstream could take it, before a retry token was taken and before that upstream had accepted it. With an empty budget (a daemon that has just started has one token), with a refusal or a broken connection there was nothing to go back to.

Now the connection is kept while the replacement is prepared: an upstream is chosen, a token taken, the request sent there; the former is reset once the head of a usable response has come, or after 300 ms without a failure, because the platform allows two upstreams with one request for 400 ms. If the former goes on first, or the replacement fails, the wait for the former continues. A reset or an end is handled as before.

A silent upstream no longer counts as failed once for each of its requests, with ejections that double up to 4 s: it is ejected for as long as its silence has lasted, and at once usable again when it goes on.

Ruled out: keeping the former upstream until the other has answered, however late, which would run the request twice; giving up the replacement after the window, which leaves the caller with an upstream that has been silent for a second.

--- a/internal/link/http1/await.go
+++ b/internal/link/http1/await.go
@@ -27,3 +27,33 @@
 	// The caller reads the rest of the response under its own limits.
 	return false, merry.Wrap(c.SetReadDeadline(time.Time{}))
 }
+
+// AwaitByteOr is AwaitByte that also returns, as after a timeout, once done is closed.
+func (c *Conn) AwaitByteOr(done <-chan struct{}, deadline time.Time) (timedOut bool, err error) {
+	if c.br.Buffered() > 0 {
+		return false, nil
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return false, merry.Wrap(err)
+	}
+	returned, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		select {
+		case <-done:
+			// Fails only if the connection is closed, which ends the read as well.
+			_ = c.SetReadDeadline(time.Unix(1, 0))
+		case <-returned:
+		}
+	}()
+	_, err = c.br.Peek(1)
+	close(returned)
+	<-stopped
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return true, nil
+	}
+	if err != nil {
+		return false, merry.Wrap(err)
+	}
+	return false, merry.Wrap(c.SetReadDeadline(time.Time{}))
+}
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -40,7 +40,9 @@
 	// response is a complete error response, kept in case no later attempt
 	// succeeds.
 	response *response
-	cause    string
+	// replacedBy is the call that goes on with the request.
+	replacedBy *call
+	cause      string
 }
 
 type (
@@ -62,14 +64,14 @@
 	maxRefusalBytes  = 64 << 10
 	// safeTimeoutTargets and streamTimeoutTargets are the time to the first
 	// byte, in multiples of the route's latency target, after which a
-	// retryable request is sent to another upstream. The time is at least
+	// retryable request is sent to another upstream as well. The time is at least
 	// minFirstByteTimeout.
 	safeTimeoutTargets   = 4
 	streamTimeoutTargets = 3
 	minFirstByteTimeout  = 400 * time.Millisecond
 	// gapTimeoutFactor is the time between two reads of a stream, in multiples
-	// of the route's maximum event gap, after which the stream is resumed on
-	// another upstream. The time is at least minGapTimeout.
+	// of the route's maximum event gap, after which another upstream is asked to
+	// resume the stream. The time is at least minGapTimeout.
 	gapTimeoutFactor = 5
 	minGapTimeout    = 700 * time.Millisecond
 	// noPriority sends no priority and so leaves the order of a batch to the
@@ -85,75 +87,64 @@
 	return "response is not an event stream: content type " + e.contentType
 }
 
-// attempt sends the request to the chosen upstream, records the outcome in the
-// routing and crash tables and logs a failure.
-func (x *exchange) attempt(ctx context.Context, c pick.Choice) outcome {
-	x.attempts++
-	x.query.Tried = append(x.query.Tried, c.Upstream.ID)
-	sent := x.relay.now()
-	event.RelaySent.Log("request", x.req.ID, "upstream", c.Upstream.ID, "address", c.Upstream.Address, "send", x.attempts,
-		"service", x.query.Key.Service, "model", fleet.ModelName(x.req.Model, x.req.Adapter), "load", c.Load, "weighed", c.Candidates,
-		"aside", c.Ejected, "waited", sent.Sub(x.arrived), "left", x.deadline.Sub(sent), "after", x.events.LastID)
-	x.logSuspect(sent, c.Upstream)
-	x.relay.countLimited(c.Upstream)
-	x.known, x.answeredAt, x.cleared = nil, time.Time{}, false
-	x.relay.parts.Sent(sent, x.parts)
-	o := x.roundTrip(ctx, c.Upstream, sent)
+// attempt sends the request to the chosen upstream, and to others that replace it
+// while it is silent. It returns the outcome of the last one.
+func (x *exchange) attempt(ctx context.Context, c pick.Choice) (outcome, fleet.Upstream) {
+	x.countAttempt(c, "")
+	up := c.Upstream
+	k, o := x.open(ctx, up, time.Time{})
+	for {
+		x.known, x.answeredAt, x.cleared = nil, time.Time{}, false
+		if k != nil {
+			o = x.receive(ctx, k)
+		}
+		x.recordOutcome(ctx, up, &o, x.answeredFor(x.relay.now()))
+		x.unframed = o.unframed
+		if o.replacedBy == nil {
+			return o, up
+		}
+		if o.mayHaveRun {
+			x.possibleRuns++
+		}
+		k = o.replacedBy
+		up = k.up
+	}
+}
+
+// recordOutcome records the outcome of an attempt, whose answer has taken the given
+// time so far, in the routing and crash tables and logs a failure.
+func (x *exchange) recordOutcome(ctx context.Context, up fleet.Upstream, o *outcome, answeredFor time.Duration) {
 	if ctx.Err() != nil && !o.done {
 		o.result = pick.Inconclusive
 	}
 	r := x.relay
 	now := r.now()
 	r.mu.Lock()
-	r.table.Finish(now, c.Upstream, x.query.Key, o.result, o.firstByteTime)
+	r.table.Finish(now, up, x.query.Key, o.result, o.firstByteTime)
 	switch {
 	case o.crashed && ctx.Err() == nil:
-		x.recordCrash(now, c.Upstream)
+		x.recordCrash(now, up, answeredFor)
 	case o.survived:
 		if r.suspects.Clear(x.fingerprint) {
-			event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", c.Upstream.ID)
+			event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", up.ID)
 		}
 		x.clearParts(now)
 	case o.done && o.unframed:
-		x.recordUnframedEnd(now, c.Upstream)
+		x.recordUnframedEnd(now, up)
 	}
 	r.dispatch(now)
 	r.mu.Unlock()
-	x.unframed = o.unframed
 	if !o.done {
 		x.lastFailure = o.cause
-		event.RelayFailed.Log("request", x.req.ID, "upstream", c.Upstream.ID, "cause", o.cause, "end", o.result,
-			"may-have-run", o.mayHaveRun, "took", now.Sub(sent), "events", x.events.EventCount)
+		event.RelayFailed.Log("request", x.req.ID, "upstream", up.ID, "cause", o.cause, "end", o.result,
+			"may-have-run", o.mayHaveRun, "events", x.events.EventCount)
 	}
-	return o
 }
 
-// roundTrip sends the request on a connection and forwards the response.
-func (x *exchange) roundTrip(ctx context.Context, up fleet.Upstream, sent time.Time) outcome {
-	dial, cancel := context.WithTimeout(ctx, connectTimeout)
-	conn, err := x.relay.pool.Get(dial, up.ID, up.Address, !x.route.Repeatable())
-	cancel()
-	if err != nil {
-		return outcome{result: pick.ConnectFailed, cause: err.Error()}
-	}
-	x.relay.mu.Lock()
-	usable := x.relay.table.Usable(up)
-	x.relay.mu.Unlock()
-	if !usable {
-		conn.Abort()
-		return outcome{result: pick.Inconclusive, cause: "upstream no longer available"}
-	}
-	stop := context.AfterFunc(ctx, conn.Abort)
-	defer stop()
-	raw := x.relay.codec.EncodeRequest(x.req, fleet.Attempt{Upstream: up, TimeLeft: x.deadline.Sub(sent), Priority: noPriority, LastEventID: x.resumeFrom()})
-	if _, err := conn.Write(raw); err != nil {
-		conn.Abort()
-		return outcome{mayHaveRun: true, result: pick.Interrupted, cause: err.Error()}
-	}
-	o, keep := x.readResponse(ctx, conn, up, sent)
-	if !keep {
-		conn.Abort()
-	}
+// receive reads the response and forwards it.
+func (x *exchange) receive(ctx context.Context, k *call) outcome {
+	o, keep := x.readResponse(ctx, k)
+	k.end(keep)
 	return o
 }
 
@@ -170,51 +161,29 @@
 	return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, crashed: connectionEnded(err), cause: err.Error()}
 }
 
-// readResponse reads the response from conn and forwards it. If keep is false,
-// the caller must close the connection.
-func (x *exchange) readResponse(ctx context.Context, conn *http1.Conn, up fleet.Upstream, sent time.Time) (o outcome, keep bool) {
-	if o, ok := x.awaitByte(ctx, conn, up, x.firstByteTimeout(), false); !ok {
-		return o, false
-	}
-	res, err := conn.ReadResponse(x.req.Method)
-	if err != nil {
-		return interrupted(err, 0), false
-	}
-	firstByteTime := x.relay.now().Sub(sent)
-	verdict := x.relay.codec.Classify(x.req, res)
-	if verdict != fleet.Foreign {
-		x.recordLimit(res, up, sent)
-	}
-	switch verdict {
-	case fleet.Foreign:
-		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, cause: "response belongs to another request"}, false
-	case fleet.NotRun, fleet.Misplaced:
-		body, err := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes+1))
-		if keep = err == nil && len(body) <= maxRefusalBytes; keep {
-			conn.Release(res)
-		}
-		o := outcome{result: pick.Rejected, status: res.StatusCode, cause: verdict.String()}
-		if res.StatusCode < http.StatusInternalServerError && res.StatusCode != http.StatusTooManyRequests && verdict == fleet.NotRun && keep {
-			o.response = &response{res, body}
+// readResponse reads the response and forwards it. If keep is false, the caller must
+// close the connection.
+func (x *exchange) readResponse(ctx context.Context, k *call) (o outcome, keep bool) {
+	if k.res == nil {
+		if o, ok := x.awaitByte(ctx, k, x.firstByteTimeout(), false); !ok {
+			return o, false
 		}
-		if verdict == fleet.Misplaced {
-			x.relay.mu.Lock()
-			x.relay.table.MarkMissing(x.relay.now(), up.ID, x.query.Key)
-			x.relay.mu.Unlock()
-			x.relay.requestReport()
+		if err := x.readHead(k); err != nil {
+			return interrupted(err, 0), false
 		}
-		return o, keep
-	case fleet.Answered:
 	}
-	if x.route.Kind == fleet.Stream && res.StatusCode == http.StatusOK {
-		o := x.forwardStream(ctx, conn, up, res)
-		o.firstByteTime = firstByteTime
+	if k.verdict != fleet.Answered {
+		return x.failedHead(k)
+	}
+	if x.route.Kind == fleet.Stream && k.res.StatusCode == http.StatusOK {
+		o := x.forwardStream(ctx, k)
+		o.firstByteTime = k.firstByteTime
 		if o.done {
-			conn.Release(res)
+			k.conn.Release(k.res)
 		}
 		return o, o.done
 	}
-	return x.forwardBuffered(conn, res, firstByteTime)
+	return x.forwardBuffered(k.conn, k.res, k.firstByteTime)
 }
 
 // firstByteTimeout returns how long to wait for the first byte before a
@@ -226,44 +195,65 @@
 	return max(safeTimeoutTargets*x.route.LatencyTarget, minFirstByteTimeout)
 }
 
-// awaitByte waits for the next byte. If none arrives within the timeout and
-// another upstream can take the request, the attempt fails; otherwise the wait
-// continues. endAllowed is set if the response may end with its connection.
-func (x *exchange) awaitByte(ctx context.Context, conn *http1.Conn, up fleet.Upstream, timeout time.Duration, endAllowed bool) (outcome, bool) {
-	began := x.relay.now()
-	for silent := false; ; silent = true {
-		timedOut, err := conn.AwaitByte(x.relay.now().Add(timeout))
+// awaitByte waits for the next byte. If none arrives within the timeout, another
+// upstream is asked to take the request over; the attempt fails once one has it, and
+// the wait continues if none has. endAllowed is set if the response may end with its
+// connection.
+func (x *exchange) awaitByte(ctx context.Context, k *call, timeout time.Duration, endAllowed bool) (outcome, bool) {
+	since := x.relay.now()
+	silent := false
+	for {
+		var next *call
+		timedOut, err := k.conn.AwaitByte(x.relay.now().Add(timeout))
+		if timedOut && ctx.Err() == nil {
+			silent = true
+			c, reason := x.reserveReplacement(k.up, since)
+			x.logSilence(k.up, since, reason)
+			if reason == "" {
+				next, timedOut, err = x.replace(ctx, k, c, endAllowed)
+			}
+		}
 		switch {
-		case err != nil && endAllowed && errors.Is(err, io.EOF):
+		case err != nil && next == nil && endAllowed && errors.Is(err, io.EOF):
 			return outcome{}, true
 		case err != nil:
-			return interrupted(err, 0), false
+			o := interrupted(err, 0)
+			o.replacedBy = next
+			return o, false
+		case next != nil:
+			silence := x.relay.now().Sub(since)
+			return outcome{mayHaveRun: true, result: pick.GivenUp, replacedBy: next, cause: "no data received for " + silence.String()}, false
 		case !timedOut:
 			if silent {
-				event.UpstreamContinued.Log("request", x.req.ID, "upstream", up.ID, "silent", x.relay.now().Sub(began), "events", x.events.EventCount)
+				x.recordContinued(k.up, since)
 			}
 			return outcome{}, true
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: ctx.Err().Error()}, false
 		}
-		replaceable := x.canFailOver()
-		x.logSilence(up, began, replaceable)
-		if replaceable {
-			return outcome{mayHaveRun: true, result: pick.Interrupted, cause: "no data received for " + timeout.String()}, false
-		}
 	}
 }
 
-// logSilence logs that an upstream has sent nothing since the given time.
-func (x *exchange) logSilence(up fleet.Upstream, since time.Time, replaceable bool) {
+// recordContinued records that an upstream goes on after a silence.
+func (x *exchange) recordContinued(up fleet.Upstream, since time.Time) {
+	r, now := x.relay, x.relay.now()
+	r.mu.Lock()
+	r.table.Continued(up)
+	r.dispatch(now)
+	r.mu.Unlock()
+	event.UpstreamContinued.Log("request", x.req.ID, "upstream", up.ID, "silent", now.Sub(since), "events", x.events.EventCount)
+}
+
+// logSilence logs that an upstream has sent nothing since the given time, and why no
+// other one can take the request over, if that is so.
+func (x *exchange) logSilence(up fleet.Upstream, since time.Time, unreplaceable string) {
 	r, now := x.relay, x.relay.now()
 	r.mu.Lock()
 	tokens := r.budget(now, x.query.Key.Service).Available(now)
 	r.mu.Unlock()
 	r.metrics.UpstreamSilences.Inc()
 	event.UpstreamSilent.Log("request", x.req.ID, "upstream", up.ID, "silent", now.Sub(since), "events", x.events.EventCount,
-		"sends", x.attempts, "replaceable", replaceable, "retry-tokens", tokens)
+		"sends", x.attempts, "unreplaceable", unreplaceable, "retry-tokens", tokens)
 }
 
 // canFailOver reports whether the request may be retried and another upstream
--- /dev/null
+++ b/internal/node/relay/call.go
@@ -0,0 +1,251 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/link/http1"
+	"github.com/azurespan/azurespan/internal/rule/pick"
+)
+
+// call is a request that has been sent to an upstream.
+type call struct {
+	up   fleet.Upstream
+	sent time.Time
+	conn *http1.Conn
+	// detach stops the reset of the connection at the end of the request's context.
+	detach func() bool
+	// res is the response once its head has been read, verdict its classification
+	// and firstByteTime the time to its first byte.
+	res           *http.Response
+	verdict       fleet.Verdict
+	firstByteTime time.Duration
+}
+
+// replacementWindow bounds the time for which a silent upstream and its replacement
+// have the same request. The platform allows 400 ms; the rest is for the reset of
+// the former to arrive.
+const replacementWindow = 300 * time.Millisecond
+
+// open sends the request on a connection to up, until the given time at the latest if
+// that isn't zero. The call is nil if it failed.
+func (x *exchange) open(ctx context.Context, up fleet.Upstream, until time.Time) (*call, outcome) {
+	k := &call{up: up, sent: x.relay.now()}
+	timeout := connectTimeout
+	if !until.IsZero() {
+		timeout = until.Sub(k.sent)
+	}
+	dial, cancel := context.WithTimeout(ctx, timeout)
+	conn, err := x.relay.pool.Get(dial, up.ID, up.Address, !x.route.Repeatable())
+	cancel()
+	if err != nil {
+		return nil, outcome{result: pick.ConnectFailed, cause: err.Error()}
+	}
+	x.relay.mu.Lock()
+	usable := x.relay.table.Usable(up)
+	x.relay.mu.Unlock()
+	if !usable {
+		conn.Abort()
+		return nil, outcome{result: pick.Inconclusive, cause: "upstream no longer available"}
+	}
+	k.conn, k.detach = conn, context.AfterFunc(ctx, conn.Abort)
+	raw := x.relay.codec.EncodeRequest(x.req, fleet.Attempt{Upstream: up, TimeLeft: x.deadline.Sub(k.sent), Priority: noPriority, LastEventID: x.resumeFrom()})
+	err = conn.SetWriteDeadline(until)
+	if err == nil {
+		_, err = conn.Write(raw)
+	}
+	if err == nil {
+		err = conn.SetWriteDeadline(time.Time{})
+	}
+	if err != nil {
+		k.abort()
+		return nil, outcome{mayHaveRun: true, result: pick.Interrupted, cause: err.Error()}
+	}
+	return k, outcome{}
+}
+
+// end ends the call. The connection is reset unless it is kept for another request.
+func (k *call) end(keep bool) {
+	if keep {
+		k.detach()
+		return
+	}
+	k.abort()
+}
+
+// abort resets the connection.
+func (k *call) abort() {
+	k.detach()
+	k.conn.Abort()
+}
+
+// readHead reads the head of the response.
+func (x *exchange) readHead(k *call) error {
+	res, err := k.conn.ReadResponse(x.req.Method)
+	if err != nil {
+		return err
+	}
+	k.res, k.firstByteTime = res, x.relay.now().Sub(k.sent)
+	k.verdict = x.relay.codec.Classify(x.req, res)
+	if k.verdict != fleet.Foreign {
+		x.recordLimit(res, k.up, k.sent)
+	}
+	return nil
+}
+
+// failedHead returns the outcome of a response that isn't that of a run of the
+// request, and whether the connection can be used again.
+func (x *exchange) failedHead(k *call) (o outcome, keep bool) {
+	if k.verdict == fleet.Foreign {
+		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: k.firstByteTime, cause: "response belongs to another request"}, false
+	}
+	body, err := io.ReadAll(io.LimitReader(k.res.Body, maxRefusalBytes+1))
+	if keep = err == nil && len(body) <= maxRefusalBytes; keep {
+		k.conn.Release(k.res)
+	}
+	o = outcome{result: pick.Rejected, status: k.res.StatusCode, cause: k.verdict.String()}
+	if k.res.StatusCode < http.StatusInternalServerError && k.res.StatusCode != http.StatusTooManyRequests && k.verdict == fleet.NotRun && keep {
+		o.response = &response{k.res, body}
+	}
+	if k.verdict == fleet.Misplaced {
+		x.relay.mu.Lock()
+		x.relay.table.MarkMissing(x.relay.now(), k.up.ID, x.query.Key)
+		x.relay.mu.Unlock()
+		x.relay.requestReport()
+	}
+	return o, keep
+}
+
+// reserveReplacement chooses an upstream to take the request over from up, which has
+// been silent since the given time, and takes a token of the retry budget for it. If
+// it can't, it returns the reason.
+func (x *exchange) reserveReplacement(up fleet.Upstream, since time.Time) (c pick.Choice, reason string) {
+	r, now := x.relay, x.relay.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Silent(now, up, since)
+	switch {
+	case !x.route.Repeatable():
+		return c, "not-repeatable"
+	case x.possibleRuns+1 >= x.route.MaxAttempts || x.attempts >= x.route.MaxAttempts+extraAttempts:
+		return c, "attempts-used"
+	}
+	if _, ok := x.checkQuarantine(now); !ok {
+		return c, quarantinedReason
+	}
+	c, found := r.table.Choose(now, &x.query)
+	switch {
+	case found != pick.Found:
+		return c, found.String()
+	case c.Ejected:
+		return c, "ejected"
+	case !r.budget(now, x.query.Key.Service).Take(now, 0):
+		return c, "no-token"
+	}
+	r.table.Start(now, c.Upstream.ID, x.query.Key)
+	return c, ""
+}
+
+// replace sends the request to the upstream of c while the connection of k, which is
+// silent, is kept. It returns the new call once that has been accepted, or at the
+// latest after replacementWindow if it hasn't failed; otherwise nil and what
+// AwaitByte returns for k. endAllowed is set if the response of k may end with its
+// connection.
+func (x *exchange) replace(ctx context.Context, k *call, c pick.Choice, endAllowed bool) (next *call, timedOut bool, err error) {
+	until := x.relay.now().Add(replacementWindow)
+	x.countAttempt(c, k.up.ID)
+	inner, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	var failure outcome
+	go func() {
+		defer close(done)
+		next, failure = x.openReplacement(inner, c.Upstream, until)
+	}()
+	timedOut, err = k.conn.AwaitByteOr(done, until)
+	goesOn := !timedOut && (err == nil || endAllowed && errors.Is(err, io.EOF))
+	if goesOn {
+		cancel()
+	}
+	<-done
+	if goesOn && next != nil {
+		next.abort()
+		next, failure = nil, outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "the former upstream goes on"}
+	}
+	if next == nil {
+		if failure.mayHaveRun {
+			x.possibleRuns++
+		}
+		x.recordOutcome(inner, c.Upstream, &failure, 0)
+		cancel()
+		return nil, timedOut, err
+	}
+	// From now on the call ends with the request.
+	next.detach()
+	cancel()
+	next.detach = context.AfterFunc(ctx, next.conn.Abort)
+	return next, timedOut, err
+}
+
+// openReplacement opens a call and waits until a time for the head of its response. The
+// call is nil if it failed or its response can't replace the one in progress.
+func (x *exchange) openReplacement(ctx context.Context, up fleet.Upstream, until time.Time) (*call, outcome) {
+	k, o := x.open(ctx, up, until)
+	if k == nil {
+		return nil, o
+	}
+	timedOut, err := k.conn.AwaitByte(until)
+	if timedOut {
+		return k, outcome{}
+	}
+	if err == nil {
+		err = k.conn.SetReadDeadline(until)
+	}
+	if err == nil {
+		err = x.readHead(k)
+	}
+	if err == nil && k.verdict != fleet.Answered {
+		o, keep := x.failedHead(k)
+		k.end(keep)
+		return nil, o
+	}
+	if err == nil && !x.continues(k.res) {
+		k.abort()
+		return nil, outcome{mayHaveRun: true, result: pick.Failed, status: k.res.StatusCode, firstByteTime: k.firstByteTime, cause: k.res.Status}
+	}
+	if err == nil {
+		err = k.conn.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		k.abort()
+		return nil, interrupted(err, 0)
+	}
+	return k, outcome{}
+}
+
+// continues reports whether the response can take the place of the one in progress.
+func (x *exchange) continues(res *http.Response) bool {
+	if x.headerSent {
+		return res.StatusCode == http.StatusOK && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
+	}
+	return res.StatusCode < http.StatusInternalServerError
+}
+
+// countAttempt counts and logs a request that is sent to the chosen upstream.
+// replaces is the silent upstream that it is to replace, empty if there is none.
+func (x *exchange) countAttempt(c pick.Choice, replaces string) {
+	sent := x.relay.now()
+	x.attempts++
+	x.query.Tried = append(x.query.Tried, c.Upstream.ID)
+	event.RelaySent.Log("request", x.req.ID, "upstream", c.Upstream.ID, "address", c.Upstream.Address, "send", x.attempts,
+		"service", x.query.Key.Service, "model", fleet.ModelName(x.req.Model, x.req.Adapter), "load", c.Load, "weighed", c.Candidates,
+		"aside", c.Ejected, "waited", sent.Sub(x.arrived), "left", x.deadline.Sub(sent), "after", x.events.LastID, "replaces", replaces)
+	x.logSuspect(sent, c.Upstream)
+	x.relay.countLimited(c.Upstream)
+	x.relay.parts.Sent(sent, x.parts)
+}
--- a/internal/node/relay/crash.go
+++ b/internal/node/relay/crash.go
@@ -38,10 +38,10 @@
 		"parts", strings.Join(x.parts, ","))
 }
 
-// recordCrash adds the crash of an upstream to the history of the request and, unless
-// the upstream had been answering it for a while, to those of its parts. The caller
-// holds relay.mu.
-func (x *exchange) recordCrash(now time.Time, up fleet.Upstream) {
+// recordCrash adds the crash of an upstream, which had been answering the request for
+// the given time, to the history of the request and, unless that was a while, to those
+// of its parts. The caller holds relay.mu.
+func (x *exchange) recordCrash(now time.Time, up fleet.Upstream, answeredFor time.Duration) {
 	r := x.relay
 	crash := poison.Crash{ID: incarnation(up), At: now, Progress: x.events.EventCount > 0}
 	entry := r.suspects.Observe(x.fingerprint, crash)
@@ -50,13 +50,13 @@
 		r.suspects.Observe(end.fingerprint, ended)
 		r.parts.Crashed(end.parts, ended)
 	}
-	if x.answeredFor(now) < blame.AnsweredAfter {
+	if answeredFor < blame.AnsweredAfter {
 		r.parts.Crashed(x.parts, crash)
 	}
 	verdict, _ := r.suspects.Judge(now, x.fingerprint)
 	part, _ := r.parts.Judge(now, x.parts)
 	event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
-		"parts", strings.Join(x.parts, ","), "answered-for", x.answeredFor(now), "quarantined-part", part)
+		"parts", strings.Join(x.parts, ","), "answered-for", answeredFor, "quarantined-part", part)
 	r.refuseQuarantined(now)
 	r.requestReport()
 }
@@ -70,7 +70,7 @@
 		end.parts = x.parts
 	}
 	if x.relay.endings.end(incarnation(up), end) {
-		x.recordCrash(now, up)
+		x.recordCrash(now, up, x.answeredFor(now))
 	}
 }
 
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -176,15 +176,15 @@
 			x.fail(ctx, resp)
 			return
 		}
-		o := x.attempt(ctx, c)
+		o, up := x.attempt(ctx, c)
 		if o.done {
-			x.logOutcome(metric.OutcomeOK, c.Upstream, o.status)
+			x.logOutcome(metric.OutcomeOK, up, o.status)
 			return
 		}
 		if x.mayRetry(ctx, o) {
 			continue
 		}
-		x.finishFailed(ctx, o, c.Upstream)
+		x.finishFailed(ctx, o, up)
 		return
 	}
 }
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -12,8 +12,6 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/azurespan/azurespan/internal/base/event"
-	"github.com/azurespan/azurespan/internal/core/fleet"
-	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
 
@@ -27,14 +25,15 @@
 
 // forwardStream forwards events as they arrive. Only complete events are
 // forwarded, so that another upstream can resume after the last one.
-func (x *exchange) forwardStream(ctx context.Context, conn *http1.Conn, up fleet.Upstream, res *http.Response) outcome {
+func (x *exchange) forwardStream(ctx context.Context, k *call) outcome {
+	res := k.res
 	if ct := res.Header.Get("Content-Type"); x.headerSent && !strings.HasPrefix(ct, "text/event-stream") {
 		return interrupted(&contentTypeError{ct}, 0)
 	}
 	gap := max(gapTimeoutFactor*x.route.MaxEventGap, minGapTimeout)
 	buf := make([]byte, streamBufferBytes)
 	for {
-		if o, ok := x.awaitByte(ctx, conn, up, gap, !framed(res)); !ok {
+		if o, ok := x.awaitByte(ctx, k, gap, !framed(res)); !ok {
 			x.events.TakePartial()
 			return o
 		}
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		cost := t.cost(now, u, q, load, median)
-		if u.info.FailureDomain == partitioned && !now.Before(u.ejectedUntil) {
+		if u.info.FailureDomain == partitioned && !u.ejected(now) {
 			cost += suspectCost
 		}
 		if t.limits.Limited(u.info) {
@@ -54,7 +54,7 @@
 	case len(t.candidates) > 0:
 		q.Limited = ""
 		u := t.drawCandidate()
-		return Choice{Upstream: u.info, Load: t.load(u), Candidates: len(t.candidates), Ejected: now.Before(u.ejectedUntil)}, Found
+		return Choice{Upstream: u.info, Load: t.load(u), Candidates: len(t.candidates), Ejected: u.ejected(now)}, Found
 	case !usable:
 		return Choice{}, NoUpstream
 	case !loaded:
@@ -143,9 +143,9 @@
 	if u.info.ColdFor > 0 {
 		c += coldCost
 	}
-	if now.Before(u.ejectedUntil) {
+	if u.ejected(now) {
 		c += ejectedCost
-	} else if u.consecutiveFailures > 0 && (u.probes > 0 || q.NoRetry) {
+	} else if u.suspect() && (u.probes > 0 || q.NoRetry) {
 		// After an ejection a single repeatable request probes the upstream.
 		c += suspectCost
 	}
@@ -198,7 +198,7 @@
 			n++
 		}
 		all[i]++
-		if now.Before(u.ejectedUntil) {
+		if u.ejected(now) {
 			ejected[i]++
 		}
 	}
--- a/internal/rule/pick/outcome.go
+++ b/internal/rule/pick/outcome.go
@@ -12,7 +12,7 @@
 		t.limits.Take(now, u.info)
 		u.localRunning++
 		u.running[k]++
-		if u.consecutiveFailures > 0 {
+		if u.suspect() {
 			u.probes++
 		}
 	}
@@ -36,6 +36,7 @@
 	switch o {
 	case Succeeded:
 		u.consecutiveFailures, u.ejectedUntil = 0, time.Time{}
+		u.silentSince, u.silentUntil = time.Time{}, time.Time{}
 		u.errorRate -= ewmaWeight * u.errorRate
 	case Failed:
 		u.errorRate += ewmaWeight * (1 - u.errorRate)
@@ -69,6 +70,35 @@
 	}
 }
 
+// Silent records that an upstream has sent nothing of a response since a time. It is
+// ejected for as long as its silence has lasted.
+func (t *Table) Silent(now time.Time, up fleet.Upstream, since time.Time) {
+	u := t.upstreams[up.ID]
+	if u == nil || u.info.Born != up.Born {
+		return
+	}
+	if u.silentSince.IsZero() || since.Before(u.silentSince) {
+		u.silentSince = since
+	}
+	u.silentUntil = now.Add(min(now.Sub(u.silentSince), maxEjection))
+}
+
+// Continued records that an upstream that was silent goes on.
+func (t *Table) Continued(up fleet.Upstream) {
+	if u := t.upstreams[up.ID]; u != nil && u.info.Born == up.Born {
+		u.silentSince, u.silentUntil = time.Time{}, time.Time{}
+	}
+}
+
+// ejected reports whether the upstream is excluded from the preferred candidates.
+func (u *upstream) ejected(now time.Time) bool {
+	return now.Before(u.ejectedUntil) || now.Before(u.silentUntil)
+}
+
+// suspect reports whether the upstream has failed, or been silent, and not succeeded
+// since.
+func (u *upstream) suspect() bool { return u.consecutiveFailures > 0 || !u.silentSince.IsZero() }
+
 // MarkMissing records that an engine answered that it lacks a model or adapter.
 func (t *Table) MarkMissing(now time.Time, id string, k fleet.Key) {
 	if u := t.upstreams[id]; u != nil {
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -88,6 +88,9 @@
 		comparedOffset      int64
 		consecutiveFailures int
 		ejectedUntil        time.Time
+		// silentSince is when the upstream, which has been silent since then, last
+		// sent something; it is ejected until silentUntil.
+		silentSince, silentUntil time.Time
 		// probes counts the requests in progress that were sent after a
 		// failure and before a success.
 		probes int
@@ -125,6 +128,9 @@
 	ConnectFailed
 	// Inconclusive means that the caller disconnected or the deadline passed.
 	Inconclusive
+	// GivenUp means that the upstream was silent and another one has taken the
+	// request over. Silent records the silence.
+	GivenUp
 )
 
 const (
@@ -195,7 +201,7 @@
 
 // String returns the name of o for logs.
 func (o Outcome) String() string {
-	return [...]string{"good", "failed", "broken", "refused", "unconnected", "neutral"}[o]
+	return [...]string{"good", "failed", "broken", "refused", "unconnected", "neutral", "given-up"}[o]
 }
 
 // New returns an empty Table that respects limits.
@@ -301,7 +307,7 @@
 // Ejected returns the IDs of the upstreams that are ejected at now, sorted.
 func (t *Table) Ejected(now time.Time) (ids []string) {
 	for id, u := range t.upstreams {
-		if now.Before(u.ejectedUntil) {
+		if u.ejected(now) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -270,3 +270,29 @@
 	tab.limits.Grant(at(3), map[string]int{"e0": 1})
 	must.Eq(t, 1, send(t, tab, at(3), 2, query("m", ""))["e0"])
 }
+
+// TestSilenceEndsEjection guards against an upstream that paused once and counts as
+// failed for longer than its silence lasted, however many requests it was running, and
+// against sending requests to one that stays silent.
+func TestSilenceEndsEjection(t *testing.T) {
+	tab, ups := engines(2)
+	for range 10 {
+		tab.Silent(at(0.75), ups[0], at(0))
+	}
+	must.Eq(t, []string{"e0"}, tab.Ejected(at(1.4)))
+	must.SliceEmpty(t, tab.Ejected(at(1.6)))
+	// A request that isn't repeatable still avoids it, until it goes on.
+	unsafe := query("m", "")
+	unsafe.NoRetry = true
+	must.MapEq(t, map[string]int{"e1": 2}, send(t, tab, at(1.6), 2, unsafe))
+	tab.Silent(at(2.4), ups[0], at(0))
+	must.Eq(t, []string{"e0"}, tab.Ejected(at(4.7)))
+	tab.Continued(ups[0])
+	must.SliceEmpty(t, tab.Ejected(at(2.5)))
+	must.MapEq(t, map[string]int{"e0": 1}, send(t, tab, at(2.5), 1, unsafe))
+	// A longer silence of a former incarnation isn't that of the present one.
+	former := ups[0]
+	former.Born--
+	tab.Silent(at(3), former, at(0))
+	must.SliceEmpty(t, tab.Ejected(at(3.1)))
+}
