relay, entry: log software versions, and which stream a request goes on from

The hypotheses of the incident with streams of two versions can't be told apart by the logs. relay-sent now has the version of the upstream's software, the event after which the stream goes on (also that of a caller that takes a stream up again) and the request that brought its first event; upstream-changed has the version.

--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -30,6 +30,9 @@
 		// LastEventID is the id of the last event that the caller has received,
 		// empty if there is none.
 		LastEventID string
+		// Resumes is the ID of the request that brought the first event of the
+		// stream that the caller takes up again, empty if there is none.
+		Resumes string
 	}
 
 	// Part is a part of a prompt.
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -14,7 +14,10 @@
 		Offset int64
 		// Address is IP:port.
 		Service, Address, FailureDomain string
-		Slots                           int
+		// Version is the version of its software. Streams that one version has
+		// begun can't be continued by another.
+		Version string
+		Slots   int
 		// Leaving is set if the upstream must get no new requests.
 		Leaving bool
 		// LeavesIn is the time left to an upstream that leaves at short notice,
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -145,7 +145,7 @@
 	if c == roster.None {
 		return false
 	}
-	event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "address", up.Address,
+	event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "version", up.Version, "address", up.Address,
 		"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", rec.Offset)
 	return true
 }
--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -92,7 +92,7 @@
 	changed := false
 	v.roster.Apply(asked, n, func(up fleet.Upstream, c roster.Change) {
 		changed = true
-		event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "address", up.Address,
+		event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "version", up.Version, "address", up.Address,
 			"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", up.Offset, "told-as-of", n.AsOf)
 	})
 	v.mu.Unlock()
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -242,9 +242,9 @@
 	sent := x.relay.now()
 	x.attempts++
 	x.query.Tried = append(x.query.Tried, c.Upstream.ID)
-	event.RelaySent.Log("request", x.req.ID, "upstream", c.Upstream.ID, "address", c.Upstream.Address, "send", x.attempts,
+	event.RelaySent.Log("request", x.req.ID, "upstream", c.Upstream.ID, "address", c.Upstream.Address, "version", c.Upstream.Version, "send", x.attempts,
 		"service", x.query.Key.Service, "model", fleet.ModelName(x.req.Model, x.req.Adapter), "load", c.Load, "weighed", c.Candidates,
-		"aside", c.Ejected, "waited", sent.Sub(x.arrived), "left", x.deadline.Sub(sent), "after", x.events.LastID, "replaces", replaces)
+		"aside", c.Ejected, "waited", sent.Sub(x.arrived), "left", x.deadline.Sub(sent), "after", x.resumeFrom(), "resumes", x.req.Resumes, "replaces", replaces)
 	x.logSuspect(sent, c.Upstream)
 	x.relay.countLimited(c.Upstream)
 	x.relay.parts.Sent(sent, x.parts)
