--- a/cmd/azurespan/entry.go
+++ b/cmd/azurespan/entry.go
@@ -82,7 +82,7 @@
 	event.EntryStarted.Log("settings", fmt.Sprintf("%+v", set), "log-address", s.LogAddress, "memory-mb", s.MemoryLimitMB)
 	go watchSettings(ctx, path, s, log)
 	return entry.New(set, entry.Platform{
-		Configuration: log.ConfigTopic(), Upstreams: log.UpstreamTopic(), Holder: log.LeaseTopic(), Quarantine: log.QuarantineTopic(),
+		Configuration: log.ConfigTopic(), Upstreams: log.UpstreamTopic(), Holder: log.LeaseTopic(), Quarantine: log.QuarantineTopic(), Origins: log.OriginTopic(),
 		Engines: platform.NewEngineClient(), Wire: platform.Codec{},
 		DecodeConfig: platform.DecodeConfig, DecodeUpstream: platform.DecodeUpstream,
 		ConfigKey: platform.ConfigKey, BootClock: clock.Boottime,
--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -45,6 +45,10 @@
 		Number: 8009, Name: "upstream-continued",
 		Meaning: "An upstream that had been silent goes on with a response; the length of the silence is given.",
 	})
+	StreamTakenUp = register(Event{
+		Number: 8010, Name: "stream-taken-up",
+		Meaning: "A caller takes a stream up again. The request that brought its first event is given, the software version at which it began, how that is known (own, log or only, if there is no other version), and how long it took to find out. Without a version the request is refused.",
+	})
 )
 
 // State of the daemon on an entry host, and what it reads from the log.
@@ -99,6 +103,11 @@
 		Number: 8122, Name: "upstream-changed",
 		Meaning: "The register changed the state of an upstream: joined, left, lapsed or returned.",
 	})
+	OriginsStored = register(Event{
+		Number: 8124, Name: "origins-stored",
+		Meaning: "A record of the software versions of services was written to the log, or a read or write of the origins of streams failed; they are retried.",
+		Action:  "If it recurs, check the log service: a stream can't be taken up at another daemon while it isn't known at which version it began.",
+	})
 	RegisterEntryIgnored = register(Event{
 		Number: 8123, Name: "register-entry-ignored",
 		Meaning: "An entry of the register does not describe a usable upstream.",
--- /dev/null
+++ b/internal/core/origin/table.go
@@ -0,0 +1,268 @@
+package origin
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+type (
+	// Stream is a stream and the version at which it began.
+	Stream struct {
+		ID               uint64
+		Service, Version string
+	}
+
+	// Table holds the origins of streams. It is safe for concurrent use.
+	Table struct {
+		mu      sync.Mutex
+		streams map[uint64]*entry
+		// versions holds when a version was last registered, by service and
+		// version.
+		versions map[string]map[string]time.Time
+		// versionsRev changes with the set of versions.
+		versionsRev uint64
+		// recorded are the streams that other daemons should know, in the order
+		// in which they became known; dropped is the number of former ones.
+		recorded []recording
+		dropped  int
+		// currentSince is the time since which the daemon's view of the register
+		// has been current, zero if it isn't.
+		currentSince time.Time
+		// readAt is when the versions were last read from the log.
+		readAt   time.Time
+		prunedAt time.Time
+	}
+
+	entry struct {
+		Stream
+		// inProgress is set while the stream is forwarded by this daemon.
+		inProgress bool
+		// recorded is set once the stream is in Table.recorded.
+		recorded bool
+		expires  time.Time
+	}
+
+	recording struct {
+		Stream
+		at time.Time
+	}
+)
+
+const (
+	// Retention is how long streams that have ended, and versions that are no
+	// longer registered, are kept: longer than the timeout of a route with
+	// streams, within which a caller takes a stream up again.
+	Retention = 30 * time.Second
+	// currentAge is the age of a view of the register up to which it is current.
+	// The first stream of a new upstream begins later than that after its
+	// registration, because a model is loaded first.
+	currentAge = 2 * time.Second
+	// pruneInterval is the interval at which expired entries are dropped.
+	pruneInterval = time.Second
+)
+
+// New returns an empty Table.
+func New() *Table {
+	return &Table{streams: map[uint64]*entry{}, versions: map[string]map[string]time.Time{}}
+}
+
+// Registered records that an upstream with a version is registered for a service.
+func (t *Table) Registered(now time.Time, service, version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addVersion(now, service, version)
+	t.versions[service][version] = now
+}
+
+// addVersion adds a version unless it is known. If it is the second one of its
+// service, the streams in progress become recorded. t.mu must be held.
+func (t *Table) addVersion(now time.Time, service, version string) {
+	vs := t.versions[service]
+	if vs == nil {
+		vs = map[string]time.Time{}
+		t.versions[service] = vs
+	}
+	if _, known := vs[version]; known {
+		return
+	}
+	vs[version] = now
+	t.versionsRev++
+	if len(vs) < 2 {
+		return
+	}
+	for _, e := range t.streams {
+		if e.Service == service && e.inProgress {
+			t.record(now, e)
+		}
+	}
+}
+
+// RegisterCurrent records the age of the daemon's view of the register.
+func (t *Table) RegisterCurrent(now time.Time, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case age > currentAge:
+		t.currentSince = time.Time{}
+	case t.currentSince.IsZero():
+		t.currentSince = now
+	}
+}
+
+// Begin records that the daemon forwards the first event of a stream, or goes on with
+// a stream that its caller has taken up again.
+func (t *Table) Begin(now time.Time, s Stream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	e := t.add(now, s)
+	e.inProgress = true
+	if len(t.versions[s.Service]) > 1 {
+		t.record(now, e)
+	}
+}
+
+// End records that the daemon no longer forwards a stream.
+func (t *Table) End(now time.Time, id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.streams[id]; e != nil {
+		e.inProgress, e.expires = false, now.Add(Retention)
+	}
+}
+
+// Learn adds streams that another daemon has told. They are passed on.
+func (t *Table) Learn(now time.Time, streams []Stream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	for _, s := range streams {
+		t.record(now, t.add(now, s))
+	}
+}
+
+// Read adds what was read from the log at a time: streams and the versions of
+// services. It isn't passed on. A version that is read again isn't renewed, so that
+// one that is no longer registered expires.
+func (t *Table) Read(now time.Time, streams []Stream, versions map[string][]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	for _, s := range streams {
+		t.add(now, s).recorded = true
+	}
+	for service, vs := range versions {
+		for _, v := range vs {
+			t.addVersion(now, service, v)
+		}
+	}
+	t.readAt = now
+}
+
+// add returns the entry of a stream. t.mu must be held.
+func (t *Table) add(now time.Time, s Stream) *entry {
+	e := t.streams[s.ID]
+	if e == nil {
+		e = &entry{Stream: s}
+		t.streams[s.ID] = e
+	}
+	e.expires = now.Add(Retention)
+	return e
+}
+
+// record adds a stream to those that other daemons should know. t.mu must be held.
+func (t *Table) record(now time.Time, e *entry) {
+	if !e.recorded {
+		e.recorded = true
+		t.recorded = append(t.recorded, recording{e.Stream, now})
+	}
+}
+
+// Origin returns the stream with an ID, false if it isn't known.
+func (t *Table) Origin(id uint64) (Stream, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.streams[id]
+	if e == nil {
+		return Stream{}, false
+	}
+	return e.Stream, true
+}
+
+// Only returns the version of all streams of a service that may be taken up at now. It
+// returns false if there may be several, or the Table doesn't know all of them.
+func (t *Table) Only(now time.Time, service string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	vs := t.versions[service]
+	if len(vs) != 1 || t.currentSince.IsZero() || t.readAt.Before(t.currentSince) {
+		return "", false
+	}
+	for v := range vs {
+		return v, true
+	}
+	return "", false
+}
+
+// Versions returns the versions of the last Retention by service, sorted, and their
+// revision.
+func (t *Table) Versions(now time.Time) (map[string][]string, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	all := make(map[string][]string, len(t.versions))
+	for service, vs := range t.versions {
+		for v := range vs {
+			all[service] = append(all[service], v)
+		}
+		slices.Sort(all[service])
+	}
+	return all, t.versionsRev
+}
+
+// Since returns the streams that other daemons should know from a position on, at
+// most limit, and the position after them. The first position is 0.
+func (t *Table) Since(now time.Time, position, limit int) ([]Stream, int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	position = max(position, t.dropped)
+	rest := t.recorded[min(position-t.dropped, len(t.recorded)):]
+	streams := make([]Stream, 0, min(len(rest), limit))
+	for _, r := range rest[:min(len(rest), limit)] {
+		streams = append(streams, r.Stream)
+	}
+	return streams, position + len(streams)
+}
+
+// prune drops what is older than Retention. t.mu must be held.
+func (t *Table) prune(now time.Time) {
+	if now.Sub(t.prunedAt) < pruneInterval {
+		return
+	}
+	t.prunedAt = now
+	for id, e := range t.streams {
+		if !e.inProgress && now.After(e.expires) {
+			delete(t.streams, id)
+		}
+	}
+	for service, vs := range t.versions {
+		for v, at := range vs {
+			if now.Sub(at) > Retention {
+				delete(vs, v)
+				t.versionsRev++
+			}
+		}
+		if len(vs) == 0 {
+			delete(t.versions, service)
+		}
+	}
+	n := 0
+	for n < len(t.recorded) && now.Sub(t.recorded[n].at) > Retention {
+		n++
+	}
+	t.recorded = slices.Delete(t.recorded, 0, n)
+	t.dropped += n
+}
--- /dev/null
+++ b/internal/core/origin/table_test.go
@@ -0,0 +1,118 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func at(s float64) time.Time { return time.Unix(1000, int64(s*float64(time.Second))) }
+
+// TestUnknownVersions guards against taking the only version that a daemon knows for
+// that of a stream that began elsewhere, on a daemon that has just started, has lost
+// contact, or has not read the log since.
+func TestUnknownVersions(t *testing.T) {
+	tab := New()
+	tab.Registered(at(0), "s", "v1")
+	only := func(s float64) bool { _, ok := tab.Only(at(s), "s"); return ok }
+	must.False(t, only(0))
+	tab.RegisterCurrent(at(0), 0)
+	must.False(t, only(0), must.Sprint("the log hasn't been read"))
+	tab.Read(at(0.1), nil, nil)
+	v, ok := tab.Only(at(0.1), "s")
+	must.True(t, ok)
+	must.Eq(t, "v1", v)
+	tab.Registered(at(20), "s", "v1")
+	tab.RegisterCurrent(at(20), time.Second)
+	must.True(t, only(20))
+	// While the daemon was out of contact, another version may have come and gone.
+	tab.RegisterCurrent(at(25), 3*time.Second)
+	must.False(t, only(25))
+	tab.RegisterCurrent(at(26), 0)
+	must.False(t, only(26), must.Sprint("the log hasn't been read since"))
+	tab.Read(at(27), nil, map[string][]string{"s": {"v2"}})
+	must.False(t, only(27), must.Sprint("two versions"))
+	for s := 28.0; s < 70; s++ {
+		// Reading the same record again doesn't renew it.
+		if s < 50 {
+			tab.Read(at(s), nil, map[string][]string{"s": {"v2"}})
+		}
+		tab.Registered(at(s), "s", "v1")
+		must.Eq(t, s > 27+Retention.Seconds(), only(s), must.Sprint(s))
+	}
+	_, ok = tab.Only(at(60), "other")
+	must.False(t, ok)
+}
+
+// TestStreamsAreRecorded guards against streams whose version no other daemon can know:
+// those that begin while a service has two versions, and those that are in progress as
+// the second one comes.
+func TestStreamsAreRecorded(t *testing.T) {
+	tab := New()
+	tab.Registered(at(0), "s", "v1")
+	tab.Begin(at(0), Stream{1, "s", "v1"})
+	tab.Begin(at(0), Stream{2, "s", "v1"})
+	tab.End(at(1), 2)
+	streams, pos := tab.Since(at(1), 0, 100)
+	must.SliceEmpty(t, streams)
+	tab.Registered(at(2), "s", "v2")
+	tab.Begin(at(2), Stream{3, "s", "v2"})
+	streams, pos = tab.Since(at(2), pos, 100)
+	must.Eq(t, []Stream{{1, "s", "v1"}, {3, "s", "v2"}}, streams)
+	// What is read from the log isn't sent again, what is told is.
+	tab.Read(at(3), []Stream{{4, "s", "v2"}}, nil)
+	tab.Learn(at(3), []Stream{{3, "s", "v2"}, {4, "s", "v2"}, {5, "s", "v1"}})
+	streams, _ = tab.Since(at(3), pos, 100)
+	must.Eq(t, []Stream{{5, "s", "v1"}}, streams)
+	for id, version := range map[uint64]string{1: "v1", 3: "v2", 4: "v2", 5: "v1"} {
+		s, ok := tab.Origin(id)
+		must.True(t, ok)
+		must.Eq(t, version, s.Version)
+	}
+	_, ok := tab.Origin(9)
+	must.False(t, ok)
+}
+
+// TestTableIsBounded guards against a table that grows with the number of streams ever
+// begun, and against forgetting one that is still in progress.
+func TestTableIsBounded(t *testing.T) {
+	const perSecond = 100
+	tab := New()
+	tab.Registered(at(0), "s", "v2")
+	tab.Begin(at(0), Stream{0, "s", "v1"})
+	for i := range 200 * perSecond {
+		now := at(float64(i) / perSecond)
+		tab.Registered(now, "s", "v1")
+		tab.Registered(now, "s", "v2")
+		id := uint64(i + 1)
+		tab.Begin(now, Stream{id, "s", "v1"})
+		tab.End(now, id)
+	}
+	limit := perSecond * int((Retention+2*pruneInterval)/time.Second)
+	must.LessEq(t, limit, len(tab.streams))
+	must.LessEq(t, limit, len(tab.recorded))
+	_, ok := tab.Origin(0)
+	must.True(t, ok)
+	// A reader that is far behind goes on with what is left.
+	streams, pos := tab.Since(at(200), 5, 10)
+	must.Len(t, 10, streams)
+	must.Greater(t, 100, pos)
+}
+
+// BenchmarkBegin measures the cost of a stream.
+func BenchmarkBegin(b *testing.B) {
+	for _, versions := range []int{1, 2} {
+		b.Run(fmt.Sprint(versions, "-versions"), func(b *testing.B) {
+			tab := New()
+			for v := range versions {
+				tab.Registered(at(0), "s", fmt.Sprint("v", v))
+			}
+			for i := range b.N {
+				tab.Begin(at(0), Stream{uint64(i), "s", "v0"})
+				tab.End(at(0), uint64(i))
+			}
+		})
+	}
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/lease"
+	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/node/elect"
@@ -27,6 +28,7 @@
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/loader"
 	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/node/olog"
 	"github.com/azurespan/azurespan/internal/node/qlog"
 	"github.com/azurespan/azurespan/internal/node/relay"
 	"github.com/azurespan/azurespan/internal/node/syncer"
@@ -65,6 +67,7 @@
 		Configuration, Upstreams feed.Source
 		Holder                   elect.Topic
 		Quarantine               qlog.Topic
+		Origins                  olog.Topic
 		Engines                  loader.Engines
 		Wire                     relay.Codec
 		DecodeConfig             func(b []byte) (*fleet.Config, error)
@@ -83,6 +86,8 @@
 		relay    *relay.Relay
 		crashes  *poison.Table
 		parts    *blame.Table
+		origins  *origin.Table
+		olog     *olog.Store
 		loader   *loader.Loader
 		elector  *elect.Elector
 		syncer   *syncer.Syncer
@@ -141,9 +146,11 @@
 	pool := http1.New(http1.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: idlePerUpstream}, now)
 	e.crashes = poison.New(poison.Settings{CrashLimit: crashLimit}, rng.Uint64())
 	e.parts = blame.New(e.crashes)
+	e.origins = origin.New()
+	e.olog = olog.New(settings.Host, platform.Origins, e.origins, holderView{e}, now)
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
-	}, platform.Wire, pool, e.crashes, e.parts, metrics, rng, now)
+	}, platform.Wire, pool, e.crashes, e.parts, e.olog, metrics, rng, now)
 	earliestRead := now()
 	if settings.FirstStart {
 		earliestRead = earliestRead.Add(firstHolderWait)
@@ -151,6 +158,7 @@
 	e.topics = newTopicView(settings.Drain, settings.ConfigDeadline, earliestRead,
 		func() bool { _, holds := e.elector.Holds(); return holds },
 		func(now time.Time, ups []fleet.Upstream) {
+			e.registerVersions(now, ups)
 			e.relay.SetUpstreams(now, ups)
 			e.loader.SetUpstreams(now, ups)
 		})
@@ -161,8 +169,8 @@
 		Self: settings.Host, Address: settings.Peers, TTL: leaseTTL, Renew: renewInterval, Margin: leaseMargin,
 		Pause: settings.HolderPause + pauseSlack, MaxStagger: maxStagger, FirstStart: settings.FirstStart,
 	}, dispatcher, storeEstimate{e}, platform.BootClock)
-	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, metrics, now)
-	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.loader, e.loader.SetStoreAtOnce, platform.Holder, e.relay.ReportNow, now)
+	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, e.origins, metrics, now)
+	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.loader, e.loader.SetStoreAtOnce, platform.Holder, e.relay.ReportNow, now)
 	e.config = &configSink{entry: e}
 	return e
 }
@@ -189,7 +197,7 @@
 	defer cancel()
 	tree := super.New("entry")
 	tree.Add("configuration", feed.New(feed.Settings{Name: "configuration", Wait: e.topics.configWait, Delay: e.topics.configDelay}, e.platform.Configuration, e.config, e.now).Run)
-	register := &registerSink{e, e.topics}
+	register := &registerSink{entry: e, topics: e.topics}
 	tree.Add("upstreams", feed.New(feed.Settings{Name: "upstreams", Delay: e.topics.registerDelay}, e.platform.Upstreams, register, e.now).Run)
 	tree.Add("right", e.elector.Run)
 	tree.Add("tie", e.syncer.Run)
@@ -197,6 +205,7 @@
 	quarantine := qlog.New(e.settings.Host, e.platform.Quarantine, e.crashes, e.parts, holderView{e}, e.now)
 	tree.Add("quarantine-read", quarantine.RunFeed)
 	tree.Add("quarantine-write", quarantine.Run)
+	tree.Add("origins", e.olog.Run)
 	tree.Add("relay", e.relay.Run)
 	tree.Add("roster", register.expireLoop)
 	tree.Add("peers", func(ctx context.Context) error { return hub.Serve(ctx, peers, e.loader, e.now) })
@@ -222,6 +231,13 @@
 	return nil
 }
 
+// registerVersions records the software versions of the registered upstreams.
+func (e *Entry) registerVersions(now time.Time, ups []fleet.Upstream) {
+	for _, u := range ups {
+		e.origins.Registered(now, u.Service, u.Version)
+	}
+}
+
 // setAgeGauges sets the gauges of the topics' ages.
 func (e *Entry) setAgeGauges(now time.Time) {
 	register, config := e.topics.currentAt()
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -23,6 +23,8 @@
 	registerSink struct {
 		entry  *Entry
 		topics *topicView
+		// versionsAt is when the versions of all upstreams were last recorded.
+		versionsAt time.Time
 	}
 )
 
@@ -31,8 +33,13 @@
 	_ feed.Sink = (*registerSink)(nil)
 )
 
-// expireInterval is the interval at which missing entries are checked.
-const expireInterval = 100 * time.Millisecond
+const (
+	// expireInterval is the interval at which missing entries are checked.
+	expireInterval = 100 * time.Millisecond
+	// versionsInterval is the interval at which the versions of all upstreams are
+	// recorded.
+	versionsInterval = time.Second
+)
 
 // KnownOffset returns 0: the configuration comes from the log alone.
 func (s *configSink) KnownOffset() int64 { return 0 }
@@ -164,6 +171,22 @@
 	s.topics.roster.Reconnected(now)
 }
 
+// trackVersions tells the table of origins how old this daemon's view of the register
+// is and, at intervals, which versions are registered.
+func (s *registerSink) trackVersions(now time.Time) {
+	v := s.topics
+	v.mu.Lock()
+	age := now.Sub(v.roster.ReadAt())
+	var ups []fleet.Upstream
+	if now.Sub(s.versionsAt) >= versionsInterval {
+		s.versionsAt = now
+		ups = v.roster.Append(nil)
+	}
+	v.mu.Unlock()
+	s.entry.registerVersions(now, ups)
+	s.entry.origins.RegisterCurrent(now, age)
+}
+
 // expireLoop sets the age gauges and drops upstreams whose entries are still
 // missing after an outage.
 func (s *registerSink) expireLoop(ctx context.Context) error {
@@ -177,6 +200,7 @@
 		}
 		now := s.entry.now()
 		s.entry.setAgeGauges(now)
+		s.trackVersions(now)
 		s.topics.mu.Lock()
 		left := s.topics.roster.Expire(now)
 		s.topics.mu.Unlock()
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/logjob"
@@ -23,6 +24,9 @@
 		// Crashes are the histories that have changed since the last reply,
 		// all of them after a connection was established.
 		Crashes []poison.Entry
+		// Streams are the streams that began at the daemon since the last reply,
+		// in services with several software versions.
+		Streams []origin.Stream
 		// Cleared are the fingerprints of requests that have completed. Daemons
 		// that don't know Entry.Cleared rely on it.
 		Cleared []string
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -29,6 +29,9 @@
 	}
 	l.daemons[a.Host] = p
 	l.mergeCrashes(now, a)
+	if a.Host != l.host {
+		l.origins.Learn(now, a.Streams)
+	}
 	if l.dealer.Learn(now, a.Demand.Limits) {
 		l.limitsRev++
 		event.UpstreamLimit.Log("limited", l.dealer.Count(), "source", a.Host, "fence", l.fence)
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -10,6 +10,7 @@
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/hub"
@@ -74,7 +75,9 @@
 		daemons map[string]*daemonState
 		// crashes are the crash histories of this daemon, and crashRev is their
 		// revision of which the other daemons have been notified.
-		crashes  *poison.Table
+		crashes *poison.Table
+		// origins are the origins of streams that this daemon knows.
+		origins  *origin.Table
 		crashRev uint64
 		rev      uint64
 		// dealer shares the rate limits of upstreams among the daemons, and
@@ -123,10 +126,10 @@
 )
 
 // New returns a Loader for the daemon named host.
-func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, crashes *poison.Table, metrics *metric.Metrics, now func() time.Time) *Loader {
+func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, crashes *poison.Table, origins *origin.Table, metrics *metric.Metrics, now func() time.Time) *Loader {
 	return &Loader{
 		host: host, settings: settings, engines: engines, elector: elector, jobs: jobs, topics: topics, metrics: metrics, now: now,
-		daemons: map[string]*daemonState{}, crashes: crashes, dealer: dealer.New(),
+		daemons: map[string]*daemonState{}, crashes: crashes, origins: origins, dealer: dealer.New(),
 		changed: make(chan struct{}), wakeup: make(chan struct{}, 1),
 	}
 }
--- /dev/null
+++ b/internal/node/olog/store.go
@@ -0,0 +1,315 @@
+package olog
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/pause"
+	"github.com/azurespan/azurespan/internal/core/origin"
+	"github.com/azurespan/azurespan/internal/node/feed"
+)
+
+type (
+	// Topic is the keyed topic of the log that holds origins.
+	Topic interface {
+		// Newest returns the newest record of each key.
+		Newest(ctx context.Context) (*feed.Page, error)
+		// Put writes a record. An empty value deletes the key.
+		Put(ctx context.Context, key string, value []byte) error
+	}
+
+	// Holder is what a Store needs to know of the holder, the daemon that all
+	// others are in contact with.
+	Holder interface {
+		// Holds reports whether this daemon is the holder.
+		Holds() bool
+		// LastReply returns the time of the holder's last reply to this daemon.
+		LastReply() time.Time
+	}
+
+	// Store keeps a table of origins and the topic up to date with each other. It
+	// is safe for concurrent use.
+	Store struct {
+		host   string
+		topic  Topic
+		table  *origin.Table
+		holder Holder
+		now    func() time.Time
+
+		// reading serializes reads of the topic.
+		reading sync.Mutex
+
+		mu sync.Mutex
+		// readAt is when the last successful read of the topic began.
+		readAt time.Time
+		// stored holds the versions in the topic by host and service, as far as
+		// they are known.
+		stored map[string]map[string][]string
+		// slot is the number of the next record of streams, and position that up
+		// to which the table's streams are written.
+		slot, position int
+		// writes is set while this daemon writes.
+		writes bool
+	}
+
+	// record is the value of a record. Streams are by service and version.
+	record struct {
+		Versions map[string][]string            `json:"versions,omitempty"`
+		Streams  map[string]map[string][]uint64 `json:"streams,omitempty"`
+	}
+)
+
+const (
+	// writeInterval is the interval at which new streams are written. A stream
+	// whose daemon ends sooner can't be taken up elsewhere.
+	writeInterval = 250 * time.Millisecond
+	// slots is the number of records of streams of one host.
+	slots = int(origin.Retention / writeInterval)
+	// contactTTL is the age of the holder's last reply from which a daemon writes
+	// itself.
+	contactTTL = 1500 * time.Millisecond
+	// maxStreams bounds the streams of one record; one takes up to 21 bytes, and a
+	// record has at most 256 KB on the platform.
+	maxStreams = 10000
+	// minRetryDelay is the delay after a failed call. It doubles with each further
+	// failure up to maxRetryDelay, since refused calls cost as well.
+	minRetryDelay = 300 * time.Millisecond
+	maxRetryDelay = 5 * time.Second
+	// maxRetryShift bounds the doublings of minRetryDelay.
+	maxRetryShift = 5
+	// versionsKey is the last part of the key of a record of versions.
+	versionsKey = "versions"
+)
+
+// New returns the Store of the daemon named host.
+func New(host string, topic Topic, table *origin.Table, holder Holder, now func() time.Time) *Store {
+	return &Store{host: host, topic: topic, table: table, holder: holder, now: now, stored: map[string]map[string][]string{}}
+}
+
+// Table returns the table of origins.
+func (s *Store) Table() *origin.Table { return s.table }
+
+// Run reads the topic and then writes it until ctx ends.
+func (s *Store) Run(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		err := s.step(ctx)
+		if err == nil {
+			failures = 0
+			pause.For(ctx, writeInterval)
+			continue
+		}
+		event.OriginsStored.Log("cause", err.Error())
+		delay := min(minRetryDelay<<min(failures, maxRetryShift), maxRetryDelay)
+		failures++
+		pause.For(ctx, delay/2+rand.N(delay/2))
+	}
+	return ctx.Err()
+}
+
+// step reads the topic if that hasn't been done, and writes what is due.
+func (s *Store) step(ctx context.Context) error {
+	s.mu.Lock()
+	read := !s.readAt.IsZero()
+	s.mu.Unlock()
+	if !read {
+		return s.Refresh(ctx)
+	}
+	now := s.now()
+	holds := s.holder.Holds()
+	if !s.beginWrites(holds || now.Sub(s.holder.LastReply()) > contactTTL) {
+		return nil
+	}
+	if err := s.writeVersions(ctx, now, holds); err != nil {
+		return err
+	}
+	return s.writeStreams(ctx, now)
+}
+
+// beginWrites records whether this daemon writes, and reports it. A daemon that begins
+// to write can't know what the former writer has written, and writes all again.
+func (s *Store) beginWrites(writes bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if writes && !s.writes {
+		s.position = 0
+	}
+	s.writes = writes
+	return writes
+}
+
+// writeVersions writes the versions of all services if the topic lacks some. The
+// holder also removes those that have expired.
+func (s *Store) writeVersions(ctx context.Context, now time.Time, holds bool) error {
+	versions, _ := s.table.Versions(now)
+	s.mu.Lock()
+	missing, expired := s.compare(versions)
+	own := s.stored[s.host]
+	s.mu.Unlock()
+	if missing || holds && !includes(versions, own) {
+		value, err := json.Marshal(record{Versions: versions})
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		if err := s.topic.Put(ctx, s.host+"/"+versionsKey, value); err != nil {
+			return err
+		}
+		event.OriginsStored.Log("key", s.host+"/"+versionsKey, "services", len(versions))
+		s.mu.Lock()
+		s.stored[s.host] = versions
+		s.mu.Unlock()
+	}
+	if !holds {
+		return nil
+	}
+	for _, host := range expired {
+		if err := s.topic.Put(ctx, host+"/"+versionsKey, nil); err != nil {
+			return err
+		}
+		event.OriginsStored.Log("key", host+"/"+versionsKey, "deleted", true)
+		s.mu.Lock()
+		delete(s.stored, host)
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// compare reports whether the topic lacks one of the versions, and returns the other
+// hosts whose records have versions beside them. s.mu must be held.
+func (s *Store) compare(versions map[string][]string) (missing bool, expired []string) {
+	for service, vs := range versions {
+		for _, v := range vs {
+			found := false
+			for _, stored := range s.stored {
+				found = found || slices.Contains(stored[service], v)
+			}
+			missing = missing || !found
+		}
+	}
+	for host, stored := range s.stored {
+		if host != s.host && !includes(versions, stored) {
+			expired = append(expired, host)
+		}
+	}
+	return missing, expired
+}
+
+// includes reports whether all has each version of some.
+func includes(all, some map[string][]string) bool {
+	for service, vs := range some {
+		for _, v := range vs {
+			if !slices.Contains(all[service], v) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// writeStreams writes the streams that began since the last record.
+func (s *Store) writeStreams(ctx context.Context, now time.Time) error {
+	s.mu.Lock()
+	position, slot := s.position, s.slot
+	s.mu.Unlock()
+	streams, next := s.table.Since(now, position, maxStreams)
+	if len(streams) > 0 {
+		rec := record{Streams: map[string]map[string][]uint64{}}
+		for _, st := range streams {
+			if rec.Streams[st.Service] == nil {
+				rec.Streams[st.Service] = map[string][]uint64{}
+			}
+			rec.Streams[st.Service][st.Version] = append(rec.Streams[st.Service][st.Version], st.ID)
+		}
+		value, err := json.Marshal(rec)
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		if err := s.topic.Put(ctx, s.host+"/"+strconv.Itoa(slot), value); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.position = next
+	if len(streams) > 0 {
+		s.slot = (slot + 1) % slots
+	}
+	return nil
+}
+
+// Refresh reads the topic into the table, unless a read that began after the call has
+// done so.
+func (s *Store) Refresh(ctx context.Context) error {
+	asked := s.now()
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	s.mu.Lock()
+	done := s.readAt.After(asked)
+	s.mu.Unlock()
+	if done {
+		return nil
+	}
+	began := s.now()
+	p, err := s.topic.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	s.apply(began, p)
+	return nil
+}
+
+// apply takes over the newest records, which were read from began on.
+func (s *Store) apply(began time.Time, p *feed.Page) {
+	var streams []origin.Stream
+	versions := map[string][]string{}
+	stored := map[string]map[string][]string{}
+	lastSlot, lastOffset := -1, int64(-1)
+	for _, r := range p.Records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		var rec record
+		if err := json.Unmarshal(r.Value, &rec); err != nil {
+			event.RegisterEntryIgnored.Log("topic", "origins", "key", r.Key, "offset", r.Offset, "cause", err.Error())
+			continue
+		}
+		host, part := r.Key, ""
+		if i := strings.LastIndexByte(r.Key, '/'); i >= 0 {
+			host, part = r.Key[:i], r.Key[i+1:]
+		}
+		if part == versionsKey {
+			stored[host] = rec.Versions
+			for service, vs := range rec.Versions {
+				versions[service] = append(versions[service], vs...)
+			}
+			continue
+		}
+		if n, err := strconv.Atoi(part); err == nil && host == s.host && r.Offset > lastOffset {
+			lastSlot, lastOffset = n, r.Offset
+		}
+		for service, byVersion := range rec.Streams {
+			for v, ids := range byVersion {
+				for _, id := range ids {
+					streams = append(streams, origin.Stream{ID: id, Service: service, Version: v})
+				}
+			}
+		}
+	}
+	s.table.Read(began, streams, versions)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readAt.IsZero() {
+		// The records of the former process are overwritten last.
+		s.slot = (lastSlot + 1) % slots
+	}
+	s.readAt, s.stored = began, stored
+}
--- /dev/null
+++ b/internal/node/olog/store_test.go
@@ -0,0 +1,228 @@
+package olog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/origin"
+	"github.com/azurespan/azurespan/internal/node/feed"
+)
+
+type (
+	// testTopic is a keyed topic that several daemons share.
+	testTopic struct {
+		records map[string]feed.Record
+		end     int64
+		reads   int
+		writes  int
+		err     error
+	}
+
+	// daemon is a Store with its table. It implements Holder.
+	daemon struct {
+		*Store
+		table     *origin.Table
+		clock     *time.Time
+		holds     bool
+		lastReply time.Time
+	}
+)
+
+var errUnavailable = errors.New("unavailable")
+
+func (t *testTopic) Newest(context.Context) (*feed.Page, error) {
+	t.reads++
+	p := &feed.Page{Next: t.end, End: t.end}
+	for _, r := range t.records {
+		p.Records = append(p.Records, r)
+	}
+	return p, t.err
+}
+
+func (t *testTopic) Put(_ context.Context, key string, value []byte) error {
+	if t.err != nil {
+		return t.err
+	}
+	t.writes++
+	t.records[key] = feed.Record{Key: key, Value: value, Offset: t.end}
+	t.end++
+	return nil
+}
+
+func (d *daemon) Holds() bool          { return d.holds }
+func (d *daemon) LastReply() time.Time { return d.lastReply }
+
+// newDaemon returns a daemon that has just started, with a current view of a register
+// of the given versions.
+func newDaemon(topic *testTopic, host string, clock *time.Time, versions ...string) *daemon {
+	d := &daemon{table: origin.New(), clock: clock}
+	d.Store = New(host, topic, d.table, d, func() time.Time { return *clock })
+	d.see(versions...)
+	return d
+}
+
+// see records that the register, as this daemon knows it, has the given versions.
+func (d *daemon) see(versions ...string) {
+	for _, v := range versions {
+		d.table.Registered(*d.clock, "s", v)
+	}
+	d.table.RegisterCurrent(*d.clock, 0)
+}
+
+// run lets the daemon do what is due, the first read included.
+func (d *daemon) run(t *testing.T) {
+	t.Helper()
+	for range 2 {
+		must.NoError(t, d.step(context.Background()))
+	}
+}
+
+func (d *daemon) version(t *testing.T, id uint64) string {
+	t.Helper()
+	must.NoError(t, d.Refresh(context.Background()))
+	s, _ := d.table.Origin(id)
+	return s.Version
+}
+
+func newSite() (*testTopic, *time.Time) {
+	now := time.Unix(1000, 0)
+	return &testTopic{records: map[string]feed.Record{}}, &now
+}
+
+// TestStartedDaemonFindsStreams guards against a daemon that has just started and
+// doesn't know at which version a stream began, after all former daemons have ended.
+func TestStartedDaemonFindsStreams(t *testing.T) {
+	topic, now := newSite()
+	holder := newDaemon(topic, "a", now, "v1", "v2")
+	holder.holds = true
+	holder.run(t)
+	holder.table.Begin(*now, origin.Stream{ID: 1, Service: "s", Version: "v2"})
+	// Another daemon's streams, as it tells them.
+	holder.table.Learn(*now, []origin.Stream{{ID: 2, Service: "s", Version: "v1"}})
+	holder.run(t)
+	started := newDaemon(topic, "a", now, "v1")
+	must.Eq(t, "v2", started.version(t, 1))
+	must.Eq(t, "v1", started.version(t, 2))
+	must.Eq(t, "", started.version(t, 3))
+	// All upstreams of v2 are gone, but streams that began there may be taken up.
+	_, only := started.table.Only(*now, "s")
+	must.False(t, only)
+}
+
+// TestDaemonOutOfContactWrites guards against streams that no other daemon can know,
+// because they began at a daemon that isn't in contact with the holder; and against
+// writes of every daemon while the holder writes for all.
+func TestDaemonOutOfContactWrites(t *testing.T) {
+	topic, now := newSite()
+	d := newDaemon(topic, "b", now, "v1", "v2")
+	d.lastReply = *now
+	d.run(t)
+	d.table.Begin(*now, origin.Stream{ID: 1, Service: "s", Version: "v1"})
+	d.run(t)
+	must.Eq(t, 0, topic.writes)
+	*now = now.Add(2 * contactTTL)
+	d.table.Begin(*now, origin.Stream{ID: 2, Service: "s", Version: "v2"})
+	d.run(t)
+	other := newDaemon(topic, "c", now, "v1", "v2")
+	// The holder may have ended before it wrote what it was told.
+	must.Eq(t, "v1", other.version(t, 1))
+	must.Eq(t, "v2", other.version(t, 2))
+}
+
+// TestSingleVersionCostsNothing guards against a write for each stream, or a read for
+// each one that is taken up, while a service has one version.
+func TestSingleVersionCostsNothing(t *testing.T) {
+	topic, now := newSite()
+	d := newDaemon(topic, "a", now, "v1")
+	d.holds = true
+	for i := range 200 {
+		d.see("v1")
+		d.table.Begin(*now, origin.Stream{ID: uint64(i), Service: "s", Version: "v1"})
+		d.run(t)
+		v, only := d.table.Only(*now, "s")
+		must.True(t, only)
+		must.Eq(t, "v1", v)
+		*now = now.Add(writeInterval)
+	}
+	must.Eq(t, 1, topic.writes)
+	must.Eq(t, 1, topic.reads)
+}
+
+// TestRecordsCoverRetention guards against streams that are overwritten in the log
+// while they may still be taken up, also after a restart of the writer, and against a
+// topic that grows without end.
+func TestRecordsCoverRetention(t *testing.T) {
+	topic, now := newSite()
+	var d *daemon
+	id := uint64(0)
+	for i := range 5 * slots {
+		if i%(2*slots) == slots/2 {
+			d = nil // a restart
+		}
+		if d == nil {
+			d = newDaemon(topic, "a", now, "v1", "v2")
+			d.holds = true
+			d.run(t)
+		}
+		d.see("v1", "v2")
+		id++
+		d.table.Begin(*now, origin.Stream{ID: id, Service: "s", Version: fmt.Sprint("v", 1+id%2)})
+		must.NoError(t, d.step(context.Background()))
+		*now = now.Add(writeInterval)
+	}
+	must.LessEq(t, slots+1, len(topic.records))
+	reader := newDaemon(topic, "b", now, "v1", "v2")
+	for known := id; known > id-uint64(slots)+2; known-- {
+		must.Eq(t, fmt.Sprint("v", 1+known%2), reader.version(t, known), must.Sprint(id-known))
+	}
+}
+
+// TestExpiredVersionsAreRemoved guards against a service that counts as one of several
+// versions for ever, because a daemon that is gone has recorded one.
+func TestExpiredVersionsAreRemoved(t *testing.T) {
+	topic, now := newSite()
+	former := newDaemon(topic, "a", now, "v1", "v2")
+	former.holds = true
+	former.run(t)
+	d := newDaemon(topic, "b", now, "v2")
+	d.holds = true
+	for range 2 * int(origin.Retention/time.Second) {
+		d.see("v2")
+		d.run(t)
+		*now = now.Add(time.Second)
+	}
+	v, only := newStarted(t, topic, now).table.Only(*now, "s")
+	must.True(t, only)
+	must.Eq(t, "v2", v)
+}
+
+func newStarted(t *testing.T, topic *testTopic, now *time.Time) *daemon {
+	t.Helper()
+	d := newDaemon(topic, "c", now, "v2")
+	must.NoError(t, d.Refresh(context.Background()))
+	return d
+}
+
+// TestLogOutage guards against streams that are lost because the log was unavailable as
+// they began, and against a daemon that takes what it knows for all while it can't read.
+func TestLogOutage(t *testing.T) {
+	topic, now := newSite()
+	d := newDaemon(topic, "a", now, "v1", "v2")
+	d.holds = true
+	d.run(t)
+	topic.err = errUnavailable
+	d.table.Begin(*now, origin.Stream{ID: 1, Service: "s", Version: "v2"})
+	must.ErrorIs(t, d.step(context.Background()), errUnavailable)
+	started := newDaemon(topic, "b", now, "v1")
+	must.ErrorIs(t, started.Refresh(context.Background()), errUnavailable)
+	_, only := started.table.Only(*now, "s")
+	must.False(t, only)
+	topic.err = nil
+	d.run(t)
+	must.Eq(t, "v2", started.version(t, 1))
+}
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -91,14 +91,14 @@
 // while it is silent. It returns the outcome of the last one.
 func (x *exchange) attempt(ctx context.Context, c pick.Choice) (outcome, fleet.Upstream) {
 	x.countAttempt(c, "")
-	up := c.Upstream
+	up, sent := c.Upstream, x.relay.now()
 	k, o := x.open(ctx, up, time.Time{})
 	for {
 		x.known, x.answeredAt, x.cleared = nil, time.Time{}, false
 		if k != nil {
 			o = x.receive(ctx, k)
 		}
-		x.recordOutcome(ctx, up, &o, x.answeredFor(x.relay.now()))
+		x.recordOutcome(ctx, up, &o, sent, x.answeredFor(x.relay.now()))
 		x.unframed = o.unframed
 		if o.replacedBy == nil {
 			return o, up
@@ -107,13 +107,13 @@
 			x.possibleRuns++
 		}
 		k = o.replacedBy
-		up = k.up
+		up, sent = k.up, k.sent
 	}
 }
 
 // recordOutcome records the outcome of an attempt, whose answer has taken the given
-// time so far, in the routing and crash tables and logs a failure.
-func (x *exchange) recordOutcome(ctx context.Context, up fleet.Upstream, o *outcome, answeredFor time.Duration) {
+// time, in the routing and crash tables and logs a failure.
+func (x *exchange) recordOutcome(ctx context.Context, up fleet.Upstream, o *outcome, sent time.Time, answeredFor time.Duration) {
 	if ctx.Err() != nil && !o.done {
 		o.result = pick.Inconclusive
 	}
@@ -137,7 +137,7 @@
 	if !o.done {
 		x.lastFailure = o.cause
 		event.RelayFailed.Log("request", x.req.ID, "upstream", up.ID, "cause", o.cause, "end", o.result,
-			"may-have-run", o.mayHaveRun, "events", x.events.EventCount)
+			"may-have-run", o.mayHaveRun, "took", now.Sub(sent), "events", x.events.EventCount)
 	}
 }
 
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -158,7 +158,8 @@
 // AwaitByte returns for k. endAllowed is set if the response of k may end with its
 // connection.
 func (x *exchange) replace(ctx context.Context, k *call, c pick.Choice, endAllowed bool) (next *call, timedOut bool, err error) {
-	until := x.relay.now().Add(replacementWindow)
+	sent := x.relay.now()
+	until := sent.Add(replacementWindow)
 	x.countAttempt(c, k.up.ID)
 	inner, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -181,7 +182,7 @@
 		if failure.mayHaveRun {
 			x.possibleRuns++
 		}
-		x.recordOutcome(inner, c.Upstream, &failure, 0)
+		x.recordOutcome(inner, c.Upstream, &failure, sent, 0)
 		cancel()
 		return nil, timedOut, err
 	}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -45,6 +45,10 @@
 		// attempts counts the requests sent to upstreams, possibleRuns those
 		// that may have run.
 		attempts, possibleRuns int
+		// streamID identifies the stream, also over its caller's attempts; begun is
+		// set once an event of it has been forwarded.
+		streamID uint64
+		begun    bool
 		// lastFailure is the cause of the last failed attempt.
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
@@ -114,6 +118,10 @@
 		caller = hr.RemoteAddr
 	}
 	x.fingerprint = fingerprint(req, caller)
+	x.streamID = hash64(req.ID)
+	if req.Resumes != "" {
+		x.streamID = hash64(req.Resumes)
+	}
 	x.parts = req.SharedParts()
 	// A caller that does not read must not hold the request past its deadline.
 	if err := x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
@@ -166,6 +174,11 @@
 		x.fail(ctx, resp)
 		return
 	}
+	if resp, ok := x.takeUp(ctx); !ok {
+		x.fail(ctx, resp)
+		return
+	}
+	defer x.endStream()
 	for {
 		c, resp, ok := x.acquire(ctx)
 		if ok {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/node/hub"
@@ -45,6 +46,14 @@
 		Refuse(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration)
 	}
 
+	// Origins knows at which software versions streams began.
+	Origins interface {
+		// Table returns what is known.
+		Table() *origin.Table
+		// Refresh reads what other daemons have written to the log.
+		Refresh(ctx context.Context) error
+	}
+
 	// Relay is an http.Handler that forwards requests to upstreams. It is safe
 	// for concurrent use.
 	Relay struct {
@@ -60,6 +69,7 @@
 		queue    *queue.Queue
 		suspects *poison.Table
 		parts    *blame.Table
+		origins  Origins
 		endings  *endings
 		limits   *quota.Table
 		rng      *rand.Rand
@@ -137,14 +147,14 @@
 
 // New returns a Relay without configuration and upstreams. suspects holds what is
 // known of requests that crash upstreams, and parts judges the parts of their
-// prompts.
-func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, parts *blame.Table, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
+// prompts. origins keeps streams at the version that began them.
+func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, parts *blame.Table, origins Origins, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
 	limits := quota.New()
 	return &Relay{
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng),
 		queue:    queue.New(),
-		suspects: suspects, parts: parts, endings: newEndings(), limits: limits,
+		suspects: suspects, parts: parts, origins: origins, endings: newEndings(), limits: limits,
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
 		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -21,18 +21,19 @@
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/rule/retry"
 )
 
-// testCodec is a Codec with the headers Id, Model, Parts, After and Not-Run.
+// testCodec is a Codec with the headers Id, Model, Parts, After, Resumes and Not-Run.
 type testCodec struct{}
 
 func (testCodec) DecodeRequest(r *http.Request, _ int) (*fleet.Request, error) {
 	b, err := io.ReadAll(r.Body)
-	q := &fleet.Request{ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Path: r.URL.Path, Body: b, LastEventID: r.Header.Get("After")}
+	q := &fleet.Request{ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Path: r.URL.Path, Body: b, LastEventID: r.Header.Get("After"), Resumes: r.Header.Get("Resumes")}
 	q.Model, q.Adapter, _ = strings.Cut(r.Header.Get("Model"), "/")
 	for _, id := range strings.Fields(r.Header.Get("Parts")) {
 		q.Parts = append(q.Parts, fleet.Part{ID: id, Tokens: 1})
@@ -69,12 +70,37 @@
 	http.Error(w, reason, status)
 }
 
+// testOrigins is an Origins whose reads of the log add what found returns.
+type testOrigins struct {
+	table *origin.Table
+	found func() []origin.Stream
+}
+
+// newTestOrigins returns an Origins of a daemon that has been in contact for a while.
+func newTestOrigins() *testOrigins {
+	o := &testOrigins{table: origin.New()}
+	now := time.Now()
+	o.table.RegisterCurrent(now, 0)
+	o.table.Read(now, nil, nil)
+	return o
+}
+
+func (o *testOrigins) Table() *origin.Table { return o.table }
+
+func (o *testOrigins) Refresh(context.Context) error {
+	if o.found != nil {
+		o.table.Read(time.Now(), o.found(), nil)
+	}
+	return nil
+}
+
 // fixture is a Relay with upstreams.
 type fixture struct {
-	t     *testing.T
-	relay *Relay
-	front *httptest.Server
-	ups   []fleet.Upstream
+	t       *testing.T
+	relay   *Relay
+	front   *httptest.Server
+	ups     []fleet.Upstream
+	origins *testOrigins
 	// requests counts the requests that each upstream received.
 	requests []*atomic.Int32
 }
@@ -90,11 +116,11 @@
 // newFixture returns a Relay with one route, and an upstream for each handler.
 func newFixture(t *testing.T, r fleet.Route, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
-	f := &fixture{t: t}
+	f := &fixture{t: t, origins: newTestOrigins()}
 	set := Settings{FailureDomain: "d", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}
 	pool := http1.New(http1.Settings{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdlePerUpstream: 4}, time.Now)
 	crashes := poison.New(poison.Settings{CrashLimit: crashLimit}, 1)
-	f.relay = New(set, testCodec{}, pool, crashes, blame.New(crashes), metric.New(prometheus.NewRegistry()), rand.New(rand.NewPCG(1, 2)), time.Now)
+	f.relay = New(set, testCodec{}, pool, crashes, blame.New(crashes), f.origins, metric.New(prometheus.NewRegistry()), rand.New(rand.NewPCG(1, 2)), time.Now)
 	cfg := &fleet.Config{Version: 1, Routes: []fleet.Route{r}, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	if r.Kind == fleet.Stream {
 		cfg.Services["s"] = fleet.Service{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m"}}}}
--- /dev/null
+++ b/internal/node/relay/resume_test.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/origin"
+)
+
+// newVersionedFixture returns a fixture whose upstreams have the versions v1, v2 and so
+// on.
+func newVersionedFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
+	t.Helper()
+	f := newFixture(t, route(fleet.Stream, 3, true), handlers...)
+	for i := range f.ups {
+		f.ups[i].Version = "v" + string(rune('1'+i))
+		f.origins.table.Registered(time.Now(), "s", f.ups[i].Version)
+	}
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	return f
+}
+
+// takeUp takes up the stream that the request with the ID first began, after an event.
+func (f *fixture) takeUp(id, first, after string) (int, string) {
+	f.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, f.front.URL+"/x", bytes.NewReader([]byte("body")))
+	must.NoError(f.t, err)
+	req.Header.Set("Id", id)
+	req.Header.Set("Model", "m")
+	req.Header.Set("Resumes", first)
+	req.Header.Set("After", after)
+	res, err := http.DefaultClient.Do(req)
+	must.NoError(f.t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, _ := io.ReadAll(res.Body) // a truncated body is compared by the test
+	return res.StatusCode, string(body)
+}
+
+// TestStreamIsTakenUpAtItsVersion guards against a stream that goes on at another
+// version than began it, whether this daemon, a former holder or nobody knows that one.
+func TestStreamIsTakenUpAtItsVersion(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(3, 0), streamEvents(3, 0))
+	rest := "id: 3\ndata: e3\n\n"
+	// Begun here: at v1, which is preferred.
+	code, body := f.send(http.MethodPost, "a", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	code, body = f.takeUp("b", "a", "2")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, rest, body)
+	must.Eq(t, 2, f.requestCount(0))
+	// Begun elsewhere: the second read of the log has it.
+	var reads atomic.Int32
+	f.origins.found = func() []origin.Stream {
+		if reads.Add(1) < 2 {
+			return nil
+		}
+		return []origin.Stream{{ID: hash64("c"), Service: "s", Version: "v2"}}
+	}
+	code, body = f.takeUp("d", "c", "2")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, rest, body)
+	must.Eq(t, 1, f.requestCount(1))
+	// Taken up once more, it still goes by the request that began it.
+	code, _ = f.takeUp("e", "c", "2")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, 2, f.requestCount(1))
+	// Nobody knows, or the caller doesn't say.
+	for _, first := range []string{"unknown", ""} {
+		code, body = f.takeUp("f", first, "2")
+		must.Eq(t, http.StatusServiceUnavailable, code)
+		must.StrContains(t, body, unknownOriginReason)
+	}
+	must.Eq(t, 2, f.requestCount(0))
+	must.Eq(t, 2, f.requestCount(1))
+}
+
+// TestVersionIsGone guards against queueing a stream whose version no upstream has any
+// more: it must be refused at once, without a run.
+func TestVersionIsGone(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(3, 0), streamEvents(3, 0))
+	f.origins.table.Learn(time.Now(), []origin.Stream{{ID: hash64("a"), Service: "s", Version: "v0"}})
+	began := time.Now()
+	code, body := f.takeUp("b", "a", "2")
+	must.Eq(t, http.StatusServiceUnavailable, code)
+	must.StrContains(t, body, "other-version")
+	must.Less(t, time.Second, time.Since(began))
+	must.Eq(t, 0, f.requestCount(0)+f.requestCount(1))
+}
+
+// TestAnswerKeepsItsVersion guards against an answer that another version continues, and
+// against one that isn't continued although another upstream has its version.
+func TestAnswerKeepsItsVersion(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(3, 1), streamEvents(3, 0))
+	code, body := f.send(http.MethodPost, "a", "m")
+	must.Eq(t, 0, code)
+	must.Eq(t, wantEvents(1), body)
+	must.Eq(t, 0, f.requestCount(1))
+
+	f = newVersionedFixture(t, streamEvents(3, 1), streamEvents(3, 0), streamEvents(3, 0))
+	f.ups[2].Version = f.ups[0].Version
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	code, body = f.send(http.MethodPost, "a", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	must.Eq(t, 0, f.requestCount(1))
+}
+
+// TestSilentUpstreamIsReplacedByItsVersion guards against an upstream of another version
+// that takes a stream over from a silent one.
+func TestSilentUpstreamIsReplacedByItsVersion(t *testing.T) {
+	f := newVersionedFixture(t, pauseAfter(3, 1), streamEvents(3, 0))
+	code, body := f.send(http.MethodPost, "a", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	must.Eq(t, 0, f.requestCount(1))
+	// Before the first event any version will do.
+	f = newVersionedFixture(t, neverRespond, streamEvents(3, 0))
+	code, body = f.send(http.MethodPost, "a", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, 3, strings.Count(body, "data: "))
+}
--- a/internal/node/relay/wait.go
+++ b/internal/node/relay/wait.go
@@ -77,6 +77,8 @@
 		if len(x.query.Tried) > 0 {
 			return until, resp, false
 		}
+	case pick.OtherVersion:
+		return until, resp, false
 	case pick.Found, pick.Full:
 	}
 	if until.After(last) {
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -12,6 +12,7 @@
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
@@ -55,6 +56,7 @@
 		local       Local
 		topics      TopicView
 		crashes     *poison.Table
+		origins     *origin.Table
 		localHolder hub.Holder
 		// setStoreAtOnce takes over the holder's estimate of the number of
 		// loads that the weight store serves at a time.
@@ -98,6 +100,8 @@
 	// minimum time between two.
 	tellInterval = 200 * time.Millisecond
 	minTellGap   = 4 * time.Millisecond
+	// maxToldStreams bounds the streams of one report.
+	maxToldStreams = 5000
 	// minRetryDelay and maxRetryDelay bound the delay after failed contacts.
 	// It is jittered so that the daemons don't call a busy holder all at once.
 	minRetryDelay = 100 * time.Millisecond
@@ -124,8 +128,8 @@
 
 // New returns a Syncer. A value from urgent triggers a report, and holder is
 // the one in this process.
-func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, urgent <-chan struct{}, now func() time.Time) *Syncer {
-	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, urgent: urgent, now: now}
+func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, origins *origin.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, urgent <-chan struct{}, now func() time.Time) *Syncer {
+	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, urgent: urgent, now: now}
 }
 
 // Tell reports to the holder in this process.
@@ -220,15 +224,18 @@
 	return err
 }
 
-// tell reports demand and crash histories at intervals, and at once when urgent
-// says so. The holder may be another one than before, so the first report has all
-// histories.
+// tell reports demand, crash histories and the origins of streams at intervals, and
+// at once when urgent says so. The holder may be another one than before, so the first
+// report has all of the latter two.
 func (s *Syncer) tell(ctx context.Context, c holderClient) error {
 	var told poison.Cursor
+	streams := 0
 	for {
 		a := &hub.TellArgs{Host: s.host, Demand: s.local.TakeDemand(s.now())}
 		var next poison.Cursor
 		a.Crashes, next = s.crashes.Since(told, true)
+		var nextStream int
+		a.Streams, nextStream = s.origins.Since(s.now(), streams, maxToldStreams)
 		for _, e := range a.Crashes {
 			if len(e.Crashes) == 0 {
 				a.Cleared = append(a.Cleared, e.Fingerprint)
@@ -239,7 +246,7 @@
 			return err
 		}
 		s.local.ApplyTellReply(s.now(), r)
-		told = next
+		told, streams = next, nextStream
 		timer := time.NewTimer(s.gapForFleet(tellInterval, tellGapPerDaemon))
 		select {
 		case <-timer.C:
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
@@ -41,7 +42,7 @@
 
 func run(t *testing.T, s *fakeDaemon) *poison.Table {
 	crashes := poison.New(poison.Settings{CrashLimit: 3}, 1)
-	syncer := New("d", s, s, s, crashes, nil, func(float64) {}, nil, make(chan struct{}), time.Now)
+	syncer := New("d", s, s, s, crashes, origin.New(), nil, func(float64) {}, nil, make(chan struct{}), time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -10,7 +10,7 @@
 
 // Choose returns the upstream for a request at now.
 func (t *Table) Choose(now time.Time, q *Query) (Choice, Reason) {
-	usable, loaded := false, false
+	usable, loaded, otherVersion := false, false, false
 	median := t.medianFirstByte(q.Key.Service)
 	partitioned := t.partitionedDomain(now, q.Key.Service)
 	t.candidates = t.candidates[:0]
@@ -20,6 +20,10 @@
 		if u.info.Leaving || tried(q.Tried, u.info.ID) {
 			continue
 		}
+		if q.Version != "" && u.info.Version != q.Version {
+			otherVersion = true
+			continue
+		}
 		usable = true
 		if !u.canRun(now, q.Key) {
 			continue
@@ -55,6 +59,8 @@
 		q.Limited = ""
 		u := t.drawCandidate()
 		return Choice{Upstream: u.info, Load: t.load(u), Candidates: len(t.candidates), Ejected: u.ejected(now)}, Found
+	case !usable && otherVersion:
+		return Choice{}, OtherVersion
 	case !usable:
 		return Choice{}, NoUpstream
 	case !loaded:
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -40,6 +40,9 @@
 		PrefixKey string
 		// Tried lists the IDs of upstreams that must not be chosen again.
 		Tried []string
+		// Version is the only software version that may run the request, empty
+		// for any.
+		Version string
 		// NoRetry is set for a request that can't be repeated.
 		NoRetry bool
 		// Limited is set by Choose: the upstream that could have run the
@@ -111,6 +114,9 @@
 	NotLoaded
 	// Full means that every upstream that could run the request is full.
 	Full
+	// OtherVersion means that the service has usable upstreams, but none of the
+	// Query's version.
+	OtherVersion
 )
 
 // Values of Outcome.
@@ -196,7 +202,7 @@
 
 // String returns the name of r for logs.
 func (r Reason) String() string {
-	return [...]string{"found", "no-upstream", "no-copy", "full"}[r]
+	return [...]string{"found", "no-upstream", "no-copy", "full", "other-version"}[r]
 }
 
 // String returns the name of o for logs.
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -296,3 +296,26 @@
 	tab.Silent(at(3), former, at(0))
 	must.SliceEmpty(t, tab.Ejected(at(3.1)))
 }
+
+// TestVersionIsKept guards against an upstream of another software version for a request
+// that only one version may run, also if that one is full, lacks the model or is gone.
+func TestVersionIsKept(t *testing.T) {
+	tab, ups := engines(4)
+	for i := range ups {
+		ups[i].Version = fmt.Sprint("v", i%2)
+	}
+	tab.SetUpstreams(ups, false)
+	q := query("m", "")
+	q.Version = "v1"
+	must.MapEq(t, map[string]int{"e1": 4, "e3": 4}, send(t, tab, at(0), 8, q))
+	_, why := tab.Choose(at(0), q)
+	must.Eq(t, Full, why)
+	lacking := query("n", "")
+	lacking.Version = "v1"
+	_, why = tab.Choose(at(0), lacking)
+	must.Eq(t, NotLoaded, why)
+	q.Version = "v2"
+	_, why = tab.Choose(at(0), q)
+	must.Eq(t, OtherVersion, why)
+	must.Eq(t, "other-version", why.String())
+}
