--- /dev/null
+++ b/internal/node/relay/kept_test.go
@@ -0,0 +1,55 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+)
+
+// TestRefusedOnKeptConnection guards against a request that gets neither an answer nor a
+// refusal: its connection has been kept for longer than the time limit of the request
+// before, and the present one is refused before it has a route, for instance because a
+// new configuration has dropped that.
+func TestRefusedOnKeptConnection(t *testing.T) {
+	r := route(fleet.Safe, 1, false)
+	r.Prefix, r.Timeout = "/x/", 100*time.Millisecond
+	for _, c := range []struct {
+		name, path string
+		configured bool
+		want       int
+	}{
+		{"no route", "/dropped/", true, http.StatusNotFound},
+		{"route", "/x/", true, http.StatusOK},
+		{"no configuration", "/x/", false, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, r, respondOK)
+			conn, err := net.Dial("tcp", f.front.Listener.Addr().String())
+			must.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			br := bufio.NewReader(conn)
+			get := func(path string) int {
+				_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\n\r\n", path)
+				must.NoError(t, err)
+				res, err := http.ReadResponse(br, nil)
+				must.NoError(t, err)
+				_, err = br.Discard(int(res.ContentLength))
+				must.NoError(t, err)
+				return res.StatusCode
+			}
+			must.Eq(t, http.StatusOK, get("/x/"))
+			time.Sleep(r.Timeout + 2*writeGrace)
+			if !c.configured {
+				f.relay.config.Store(nil)
+			}
+			must.Eq(t, c.want, get(c.path))
+		})
+	}
+}
