pick: refuse a stream at once whose model only another version holds

A request for a stream that is taken up waited for a copy of its model at the version that began it. The planner places copies without regard to versions and loads none while another version holds the model, so that the wait only used up the caller's time. Now the reason is other-version, and the request is refused at once without a run. What would be better, a copy at the version in question, stays open.

--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -10,7 +10,10 @@
 
 // Choose returns the upstream for a request at now.
 func (t *Table) Choose(now time.Time, q *Query) (Choice, Reason) {
-	usable, loaded, otherVersion := false, false, false
+	usable, loaded := false, false
+	// other is set if the service has upstreams of other versions than the query's,
+	// otherLoaded if one of them could run the request.
+	other, otherLoaded := false, false
 	median := t.medianFirstByte(q.Key.Service)
 	partitioned := t.partitionedDomain(now, q.Key.Service)
 	t.candidates = t.candidates[:0]
@@ -21,7 +24,7 @@
 			continue
 		}
 		if q.Version != "" && u.info.Version != q.Version {
-			otherVersion = true
+			other, otherLoaded = true, otherLoaded || u.canRun(now, q.Key)
 			continue
 		}
 		usable = true
@@ -59,7 +62,7 @@
 		q.Limited = ""
 		u := t.drawCandidate()
 		return Choice{Upstream: u.info, Load: t.load(u), Candidates: len(t.candidates), Ejected: u.ejected(now)}, Found
-	case !usable && otherVersion:
+	case !usable && other, !loaded && otherLoaded:
 		return Choice{}, OtherVersion
 	case !usable:
 		return Choice{}, NoUpstream
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -114,8 +114,9 @@
 	NotLoaded
 	// Full means that every upstream that could run the request is full.
 	Full
-	// OtherVersion means that the service has usable upstreams, but none of the
-	// Query's version.
+	// OtherVersion means that upstreams of other versions than the Query's could
+	// run the request, and none of its version; or that there is none of its version
+	// at all.
 	OtherVersion
 )
 
