relay: don't reset a connection that has been released

A connection to an upstream was returned to the pool before the function that resets it at the end of the request's context was detached. Until the response had been written to its caller, the end of that caller or of its time limit reset the connection, on which another request could be running by then: that one failed with 502, and a crash of the upstream was recorded for it.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/fleet"
-	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
 
@@ -143,8 +142,8 @@
 
 // receive reads the response and forwards it.
 func (x *exchange) receive(ctx context.Context, k *call) outcome {
-	o, keep := x.readResponse(ctx, k)
-	k.end(keep)
+	o, released := x.readResponse(ctx, k)
+	k.end(released)
 	return o
 }
 
@@ -161,9 +160,9 @@
 	return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, crashed: connectionEnded(err), cause: err.Error()}
 }
 
-// readResponse reads the response and forwards it. If keep is false, the caller must
-// close the connection.
-func (x *exchange) readResponse(ctx context.Context, k *call) (o outcome, keep bool) {
+// readResponse reads the response and forwards it. If released is false, the caller
+// must close the connection.
+func (x *exchange) readResponse(ctx context.Context, k *call) (o outcome, released bool) {
 	if k.res == nil {
 		if o, ok := x.awaitByte(ctx, k, x.firstByteTimeout(), false); !ok {
 			return o, false
@@ -179,11 +178,11 @@
 		o := x.forwardStream(ctx, k)
 		o.firstByteTime = k.firstByteTime
 		if o.done {
-			k.conn.Release(k.res)
+			k.release()
 		}
 		return o, o.done
 	}
-	return x.forwardBuffered(k.conn, k.res, k.firstByteTime)
+	return x.forwardBuffered(k)
 }
 
 // firstByteTimeout returns how long to wait for the first byte before a
@@ -271,7 +270,8 @@
 // forwardBuffered reads the complete response and writes it to the caller. A
 // response with a 5xx status is not written but returned in the outcome, since
 // a retry may succeed.
-func (x *exchange) forwardBuffered(conn *http1.Conn, res *http.Response, firstByteTime time.Duration) (o outcome, keep bool) {
+func (x *exchange) forwardBuffered(k *call) (o outcome, released bool) {
+	res, firstByteTime := k.res, k.firstByteTime
 	x.beginAnswer()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
@@ -280,7 +280,7 @@
 	if len(body) > maxResponseBytes {
 		return outcome{mayHaveRun: true, result: pick.Interrupted, cause: "response larger than 16 MiB"}, false
 	}
-	conn.Release(res)
+	k.release()
 	full := &response{res, body}
 	if res.StatusCode >= http.StatusInternalServerError {
 		o := outcome{status: res.StatusCode, mayHaveRun: true, result: pick.Failed, firstByteTime: firstByteTime, response: full, cause: res.Status}
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -70,13 +70,19 @@
 	return k, outcome{}
 }
 
-// end ends the call. The connection is reset unless it is kept for another request.
-func (k *call) end(keep bool) {
-	if keep {
-		k.detach()
-		return
+// end ends the call. The connection is reset unless it has been released.
+func (k *call) end(released bool) {
+	if !released {
+		k.abort()
+	}
+}
+
+// release returns the connection to the pool, unless the end of the request's context
+// is already resetting it.
+func (k *call) release() {
+	if k.detach() {
+		k.conn.Release(k.res)
 	}
-	k.abort()
 }
 
 // abort resets the connection.
@@ -100,17 +106,17 @@
 }
 
 // failedHead returns the outcome of a response that isn't that of a run of the
-// request, and whether the connection can be used again.
-func (x *exchange) failedHead(k *call) (o outcome, keep bool) {
+// request, and whether the connection has been released.
+func (x *exchange) failedHead(k *call) (o outcome, released bool) {
 	if k.verdict == fleet.Foreign {
 		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: k.firstByteTime, cause: "response belongs to another request"}, false
 	}
 	body, err := io.ReadAll(io.LimitReader(k.res.Body, maxRefusalBytes+1))
-	if keep = err == nil && len(body) <= maxRefusalBytes; keep {
-		k.conn.Release(k.res)
+	if released = err == nil && len(body) <= maxRefusalBytes; released {
+		k.release()
 	}
 	o = outcome{result: pick.Rejected, status: k.res.StatusCode, cause: k.verdict.String()}
-	if k.res.StatusCode < http.StatusInternalServerError && k.res.StatusCode != http.StatusTooManyRequests && k.verdict == fleet.NotRun && keep {
+	if k.res.StatusCode < http.StatusInternalServerError && k.res.StatusCode != http.StatusTooManyRequests && k.verdict == fleet.NotRun && released {
 		o.response = &response{k.res, body}
 	}
 	if k.verdict == fleet.Misplaced {
@@ -119,7 +125,7 @@
 		x.relay.mu.Unlock()
 		x.relay.requestReport()
 	}
-	return o, keep
+	return o, released
 }
 
 // reserveReplacement chooses an upstream to take the request over from up, which has
@@ -210,8 +216,8 @@
 		err = x.readHead(k)
 	}
 	if err == nil && k.verdict != fleet.Answered {
-		o, keep := x.failedHead(k)
-		k.end(keep)
+		o, released := x.failedHead(k)
+		k.end(released)
 		return nil, o
 	}
 	if err == nil && !x.continues(k.res) {
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -348,6 +348,67 @@
 	<-ended
 }
 
+// TestReleasedConnection guards against resetting a request because the caller leaves
+// whose response was read from the same connection before.
+func TestReleasedConnection(t *testing.T) {
+	const largeBytes = 15 << 20
+	var connection atomic.Value
+	reused, proceed := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, route(fleet.Safe, 1, false), func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		switch r.Header.Get("Id") {
+		case "large":
+			connection.Store(r.RemoteAddr)
+			w.Header().Set("Content-Length", strconv.Itoa(largeBytes))
+			_, _ = w.Write(make([]byte, largeBytes))
+			return
+		case "last":
+			must.Eq(t, connection.Load().(string), r.RemoteAddr)
+			close(reused)
+			<-proceed
+		default:
+			if connection.Load() != r.RemoteAddr {
+				// Not kept, so that the next one doesn't use it.
+				w.Header().Set("Connection", "close")
+				_, _ = io.WriteString(w, "other")
+				return
+			}
+		}
+		_, _ = io.WriteString(w, "reused")
+	})
+	caller, err := net.Dial("tcp4", f.front.Listener.Addr().String())
+	must.NoError(t, err)
+	// The caller doesn't read its response.
+	_, err = io.WriteString(caller, "GET /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: large\r\n\r\n")
+	must.NoError(t, err)
+	for body := ""; body != "reused"; {
+		_, body = f.send(http.MethodGet, "probe", "")
+	}
+	go func() {
+		<-reused
+		must.NoError(t, caller.(*net.TCPConn).SetLinger(0))
+		must.NoError(t, caller.Close())
+		for f.relay.active("u0") > 1 {
+			time.Sleep(time.Millisecond)
+		}
+		close(proceed)
+	}()
+	code, _ := f.send(http.MethodGet, "last", "")
+	must.Eq(t, http.StatusOK, code)
+}
+
+// active returns the number of requests in progress on an upstream.
+func (r *Relay) active(id string) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	running := map[string]map[fleet.Key]int{}
+	r.table.Running(running)
+	for _, k := range running[id] {
+		n += k
+	}
+	return n
+}
+
 // TestWaitsForModel guards against refusing the first request for a model that is
 // not loaded: it must be queued and served once the holder reports the model as
 // loaded.
