relay: return the retry token of a replacement that wasn't reached

A replacement of a silent upstream took a token of the retry budget also if no connection could be established, or if it was leaving. With one token, as a daemon that has just started has, no other upstream was asked any more and the request ended with 504, although one was free. Elsewhere such an attempt takes no token.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -86,6 +86,11 @@
 	return "response is not an event stream: content type " + e.contentType
 }
 
+// unsent reports whether the request certainly did not reach the upstream.
+func (o *outcome) unsent() bool {
+	return o.result == pick.ConnectFailed || o.result == pick.Inconclusive && !o.mayHaveRun
+}
+
 // attempt sends the request to the chosen upstream, and to others that replace it
 // while it is silent. It returns the outcome of the last one.
 func (x *exchange) attempt(ctx context.Context, c pick.Choice) (outcome, fleet.Upstream) {
@@ -347,7 +352,7 @@
 	switch {
 	case o.response != nil && o.status < http.StatusInternalServerError:
 		return false
-	case o.result == pick.ConnectFailed || o.result == pick.Inconclusive && !o.mayHaveRun:
+	case o.unsent():
 		return x.attempts < x.route.MaxAttempts+2*extraAttempts
 	case !o.mayHaveRun:
 		return x.attempts < x.route.MaxAttempts+extraAttempts && belowMax && x.relay.takeRetryToken(x.relay.now(), x.query.Key.Service)
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -187,7 +187,12 @@
 		if failure.mayHaveRun {
 			x.possibleRuns++
 		}
+		// recordOutcome changes the result once inner has ended.
+		unsent := failure.unsent()
 		x.recordOutcome(inner, c.Upstream, &failure, 0)
+		if unsent {
+			x.returnRetryToken()
+		}
 		cancel()
 		return nil, timedOut, err
 	}
@@ -198,6 +203,14 @@
 	return next, timedOut, err
 }
 
+// returnRetryToken returns the token that was taken for an attempt that wasn't sent.
+func (x *exchange) returnRetryToken() {
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(r.now(), x.query.Key.Service).Return()
+}
+
 // openReplacement opens a call and waits until a time for the head of its response. The
 // call is nil if it failed or its response can't replace the one in progress.
 func (x *exchange) openReplacement(ctx context.Context, up fleet.Upstream, until time.Time) (*call, outcome) {
--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -109,3 +110,18 @@
 	wg.Wait()
 	must.Eq(t, requests, int(whole.Load()))
 }
+
+// TestReplacementUnreachable guards against losing the last retry token to a
+// replacement that the request did not reach, so that no other one is asked.
+func TestReplacementUnreachable(t *testing.T) {
+	f := newFixture(t, route(fleet.Safe, 2, false), neverRespond, respondOK, respondOK)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+	f.ups[1].Address = l.Addr().String()
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	f.relay.budgets["s"] = retry.NewBudget(0, 0, 1)
+	code, _ := f.send(http.MethodGet, "1", "")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, 1, f.requestCount(2))
+}
--- a/internal/rule/retry/budget.go
+++ b/internal/rule/retry/budget.go
@@ -47,6 +47,9 @@
 	return true
 }
 
+// Return gives back a token that was taken for a retry that wasn't sent.
+func (b *Budget) Return() { b.tokens = min(b.tokens+1, b.maxTokens) }
+
 // Available returns the number of tokens at now.
 func (b *Budget) Available(now time.Time) float64 {
 	if b.refilledAt.IsZero() || !now.After(b.refilledAt) {
