relay: ask the next upstream at once if a replacement fails

After a replacement had refused or broken, the relay waited for a whole further silence of the former upstream before it asked the next one.

Evidence: TestNextReplacement failed in 2 of 2 runs before, as the caller's time ended, and passes; the package's tests pass with the race detector.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -200,21 +200,24 @@
 }
 
 // awaitByte waits for the next byte. If none arrives within the timeout, another
-// upstream is asked to take the request over; the attempt fails once one has it, and
-// the wait continues if none has. endAllowed is set if the response may end with its
+// upstream is asked to take the request over, and further ones if that fails; the
+// attempt fails once one has it, and the wait continues if none has. endAllowed is set if the response may end with its
 // connection.
 func (x *exchange) awaitByte(ctx context.Context, k *call, timeout time.Duration, endAllowed bool) (outcome, bool) {
 	since := x.relay.now()
-	silent := false
+	silent, wait := false, timeout
 	for {
 		var next *call
-		timedOut, err := k.conn.AwaitByte(x.relay.now().Add(timeout))
+		timedOut, err := k.conn.AwaitByte(x.relay.now().Add(wait))
+		wait = timeout
 		if timedOut && ctx.Err() == nil {
 			silent = true
 			c, reason := x.reserveReplacement(k.up, since)
 			x.logSilence(k.up, since, reason)
 			if reason == "" {
 				next, timedOut, err = x.replace(ctx, k, c, endAllowed)
+				// If that failed, another one is asked at once.
+				wait = 0
 			}
 		}
 		switch {
--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -125,3 +126,23 @@
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, 1, f.requestCount(2))
 }
+
+// TestNextReplacement guards against asking another upstream only after a further
+// silence, once the caller has left, when the first replacement refuses.
+func TestNextReplacement(t *testing.T) {
+	const callerGap = 2 * time.Second
+	r := route(fleet.Stream, 2, true)
+	r.LatencyTarget = 500 * time.Millisecond
+	f := newFixture(t, r, neverRespond, respondNotRun, streamEvents(3, 0))
+	ctx, cancel := context.WithTimeout(context.Background(), callerGap)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.front.URL, nil)
+	must.NoError(t, err)
+	req.Header.Set("Id", "1")
+	req.Header.Set("Model", "m")
+	res, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	body, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	must.Eq(t, wantEvents(3), string(body))
+}
