relay: record no crash of a replacement that is slow to send its head

A replacement has 300 ms to complete the head of its response once it has begun to send it. If that time ran out, the error counted as the end of the connection and a crash of the upstream was recorded for the request and for the parts of its prompt, three of which quarantine the request.

--- a/internal/node/relay/crash.go
+++ b/internal/node/relay/crash.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -117,9 +118,12 @@
 }
 
 // connectionEnded reports whether err is the end of a connection, not a malformed
-// response.
+// response or a time limit of the relay.
 func connectionEnded(err error) bool {
 	var op *net.OpError
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
 }
 
--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -146,3 +146,25 @@
 	must.NoError(t, err)
 	must.Eq(t, wantEvents(3), string(body))
 }
+
+// TestSlowHeadIsNoCrash guards against recording a crash of a replacement that the
+// relay gives up because the head of its response is not complete in time.
+func TestSlowHeadIsNoCrash(t *testing.T) {
+	f := newFixture(t, route(fleet.Safe, 2, false), pauseFirst, func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		time.Sleep(silence)
+		_ = c.Close()
+	})
+	// A complete response would clear the crash.
+	r := route(fleet.Safe, 2, false)
+	r.Timeout = silence - 200*time.Millisecond
+	f.relay.Configure((&fleet.Config{Version: 2, Routes: []fleet.Route{r}, Services: map[string]fleet.Service{"s": {Name: "s"}}}).Index())
+	f.send(http.MethodGet, "1", "")
+	must.Eq(t, 1, f.requestCount(1))
+	suspects, _ := f.relay.suspects.Count(time.Now())
+	must.Eq(t, 0, suspects)
+}
