pick: count an upstream as silent only if it sends nothing at all

Each request that waited for a first byte or an event, repeatable or not, ejected its upstream for as long as it had waited, up to 4 s, although the upstream sent the events of other streams meanwhile; the holder was told that the upstream can't be reached. And an upstream that went on after a silence, seen by no request that had waited, got one request at a time until one had ended, which for a stream takes long.

A part of any response now ends the silence of its upstream, recorded at most every 100 ms a stream, and a silence begins with the last one.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -77,6 +77,8 @@
 	// engine: a more urgent request would preempt others in the middle of
 	// their streams.
 	noPriority = -1
+	// heardInterval is the least time between two records that a stream goes on.
+	heardInterval = 100 * time.Millisecond
 	// connectTimeout bounds the connection setup of one attempt.
 	connectTimeout = 500 * time.Millisecond
 )
@@ -179,6 +181,7 @@
 	if k.verdict != fleet.Answered {
 		return x.failedHead(k)
 	}
+	x.heard(x.relay.now(), k.up)
 	if x.route.Kind == fleet.Stream && k.res.StatusCode == http.StatusOK {
 		o := x.forwardStream(ctx, k)
 		o.firstByteTime = k.firstByteTime
@@ -243,12 +246,19 @@
 
 // recordContinued records that an upstream goes on after a silence.
 func (x *exchange) recordContinued(up fleet.Upstream, since time.Time) {
-	r, now := x.relay, x.relay.now()
+	now := x.relay.now()
+	x.heard(now, up)
+	event.UpstreamContinued.Log("request", x.req.ID, "upstream", up.ID, "silent", now.Sub(since), "events", x.events.EventCount)
+}
+
+// heard records that an upstream has sent a part of the response.
+func (x *exchange) heard(now time.Time, up fleet.Upstream) {
+	x.heardAt = now
+	r := x.relay
 	r.mu.Lock()
-	r.table.Continued(up)
+	defer r.mu.Unlock()
+	r.table.Heard(now, up)
 	r.dispatch(now)
-	r.mu.Unlock()
-	event.UpstreamContinued.Log("request", x.req.ID, "upstream", up.ID, "silent", now.Sub(since), "events", x.events.EventCount)
 }
 
 // logSilence logs that an upstream has sent nothing since the given time, and why no
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -54,6 +54,8 @@
 		unframed    bool
 		events      *sse.Splitter
 		firstByteAt time.Time
+		// heardAt is when a part of a response was last recorded.
+		heardAt time.Time
 	}
 
 	// refusal is a final response of azurespan itself.
--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -168,3 +168,90 @@
 	suspects, _ := f.relay.suspects.Count(time.Now())
 	must.Eq(t, 0, suspects)
 }
+
+// flowUntil returns a handler of streams that sends an event every 20 ms until the
+// channel is closed.
+func flowUntil(stop <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; ; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+}
+
+// beginStream sends a request and returns once its first event has arrived.
+func (f *fixture) beginStream(id string) {
+	f.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, f.front.URL, nil)
+	must.NoError(f.t, err)
+	req.Header.Set("Id", id)
+	req.Header.Set("Model", "m")
+	res, err := http.DefaultClient.Do(req)
+	must.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = res.Body.Close() })
+	_, err = res.Body.Read(make([]byte, 1))
+	must.NoError(f.t, err)
+}
+
+// TestSlowRequestEjectsNobody guards against ejecting an upstream that sends the events
+// of other streams because one request waits for its first byte.
+func TestSlowRequestEjectsNobody(t *testing.T) {
+	stop := make(chan struct{})
+	flow := flowUntil(stop)
+	f := newFixture(t, route(fleet.Stream, 1, false), func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "slow" {
+			pauseAfter(3, 0)(w, r)
+			return
+		}
+		flow(w, r)
+	})
+	f.beginStream("flowing")
+	answered := make(chan struct{})
+	go func() {
+		f.send(http.MethodPost, "slow", "m")
+		close(answered)
+	}()
+	var ejected []string
+	for waiting := true; waiting; {
+		select {
+		case <-answered:
+			waiting = false
+		case <-time.After(10 * time.Millisecond):
+			ejected = append(ejected, f.relay.TakeDemand(time.Now()).Unreachable...)
+		}
+	}
+	close(stop)
+	must.SliceEmpty(t, ejected)
+}
+
+// TestAnswerEndsSilence guards against sending only one request at a time, until that
+// has ended, to an upstream that goes on after a silence.
+func TestAnswerEndsSilence(t *testing.T) {
+	stop := make(chan struct{})
+	defer close(stop)
+	flow := flowUntil(stop)
+	f := newFixture(t, route(fleet.Stream, 2, true), func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "silent" {
+			neverRespond(w, r)
+			return
+		}
+		flow(w, r)
+	}, streamEvents(3, 0))
+	code, _ := f.send(http.MethodPost, "silent", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, 1, f.requestCount(1))
+	for len(f.relay.TakeDemand(time.Now()).Unreachable) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.beginStream("1")
+	f.beginStream("2")
+	must.Eq(t, 1, f.requestCount(1))
+}
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -42,6 +42,9 @@
 		if whole := x.events.TakeEvents(); len(whole) > 0 {
 			x.beginAnswer()
 			x.continueAnswer()
+			if now := x.relay.now(); now.Sub(x.heardAt) >= heardInterval {
+				x.heard(now, k.up)
+			}
 			if !x.forward(res, whole) {
 				return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 			}
--- a/internal/rule/pick/outcome.go
+++ b/internal/rule/pick/outcome.go
@@ -71,22 +71,30 @@
 }
 
 // Silent records that an upstream has sent nothing of a response since a time. It is
-// ejected for as long as its silence has lasted.
+// ejected for as long as its silence has lasted, unless it has sent something of
+// another response within minSilence.
 func (t *Table) Silent(now time.Time, up fleet.Upstream, since time.Time) {
 	u := t.upstreams[up.ID]
 	if u == nil || u.info.Born != up.Born {
 		return
 	}
+	if u.heardAt.After(since) {
+		since = u.heardAt
+	}
+	if now.Sub(since) < minSilence {
+		return
+	}
 	if u.silentSince.IsZero() || since.Before(u.silentSince) {
 		u.silentSince = since
 	}
 	u.silentUntil = now.Add(min(now.Sub(u.silentSince), maxEjection))
 }
 
-// Continued records that an upstream that was silent goes on.
-func (t *Table) Continued(up fleet.Upstream) {
+// Heard records that an upstream has sent a part of a response, which ends its
+// silence.
+func (t *Table) Heard(now time.Time, up fleet.Upstream) {
 	if u := t.upstreams[up.ID]; u != nil && u.info.Born == up.Born {
-		u.silentSince, u.silentUntil = time.Time{}, time.Time{}
+		u.heardAt, u.silentSince, u.silentUntil = now, time.Time{}, time.Time{}
 	}
 }
 
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -91,6 +91,8 @@
 		// silentSince is when the upstream, which has been silent since then, last
 		// sent something; it is ejected until silentUntil.
 		silentSince, silentUntil time.Time
+		// heardAt is when the upstream last sent a part of a response.
+		heardAt time.Time
 		// probes counts the requests in progress that were sent after a
 		// failure and before a success.
 		probes int
@@ -139,6 +141,9 @@
 	minEjection          = 400 * time.Millisecond
 	maxEjection          = 4 * time.Second
 	maxEjectionDoublings = 5
+	// minSilence is the least time without any response that counts as a silence;
+	// Heard is called less often than a stream's events come.
+	minSilence = 300 * time.Millisecond
 	// interruptionLimit is the number of consecutive failures from which an
 	// interrupted response ejects an upstream; a failed connection ejects it
 	// at once.
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -287,7 +287,7 @@
 	must.MapEq(t, map[string]int{"e1": 2}, send(t, tab, at(1.6), 2, unsafe))
 	tab.Silent(at(2.4), ups[0], at(0))
 	must.Eq(t, []string{"e0"}, tab.Ejected(at(4.7)))
-	tab.Continued(ups[0])
+	tab.Heard(at(2.5), ups[0])
 	must.SliceEmpty(t, tab.Ejected(at(2.5)))
 	must.MapEq(t, map[string]int{"e0": 1}, send(t, tab, at(2.5), 1, unsafe))
 	// A longer silence of a former incarnation isn't that of the present one.
@@ -295,4 +295,11 @@
 	former.Born--
 	tab.Silent(at(3), former, at(0))
 	must.SliceEmpty(t, tab.Ejected(at(3.1)))
+	// A request without an answer isn't a silence of the upstream that answers others.
+	tab.Heard(at(4), ups[0])
+	tab.Silent(at(4.1), ups[0], at(3))
+	must.SliceEmpty(t, tab.Ejected(at(4.1)))
+	tab.Silent(at(4.5), ups[0], at(3))
+	must.Eq(t, []string{"e0"}, tab.Ejected(at(4.9)))
+	must.SliceEmpty(t, tab.Ejected(at(5)))
 }
