relay: keep a stream that waits for an upstream when the daemon is stopped

Relay.Stop ended the wait of every queued request, also that of a stream whose header had been sent and whose upstream had broken off: its connection was closed, with the rest of the grace period unused.

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -273,13 +273,18 @@
 
 	t := time.NewTimer(until.Sub(now))
 	defer t.Stop()
+	stopped := r.stopped
+	if x.headerSent {
+		// The wait is short, and a stream that has begun can't be refused.
+		stopped = nil
+	}
 	select {
 	case c := <-w.ready:
 		return c, refusal{}, true
 	case <-ctx.Done():
 	case <-t.C:
 	case <-w.quarantined:
-	case <-r.stopped:
+	case <-stopped:
 		if x.possibleRuns == 0 {
 			resp.reason, resp.retryAfter = "stopping", stoppingRetryAfter
 		}
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -463,3 +463,25 @@
 	code, _ = f.send(http.MethodPost, "2", "m")
 	must.Eq(t, http.StatusServiceUnavailable, code)
 }
+
+// TestStopKeepsInterruptedStream guards against breaking a stream off that waits for
+// another upstream to resume it, when the daemon is stopped.
+func TestStopKeepsInterruptedStream(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 2, true), streamEvents(5, 2), streamEvents(5, 0))
+	f.relay.mu.Lock()
+	f.relay.table.SetRemoteRunning(map[string]int{"u1": 4})
+	f.relay.mu.Unlock()
+	go func() {
+		for !f.relay.HasWaiting() {
+			time.Sleep(time.Millisecond)
+		}
+		f.relay.Stop()
+		time.Sleep(100 * time.Millisecond)
+		f.relay.mu.Lock()
+		defer f.relay.mu.Unlock()
+		f.relay.table.SetRemoteRunning(nil)
+	}()
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(5), body)
+}
