relay: keep an upstream's error response until a retry brings another one

An error response of an upstream was dropped as soon as a retry was allowed. If the retry was refused, broke or found no upstream any more, the caller got 502 of azurespan itself. outcome.response is documented as kept for that case, but was kept only within an attempt.

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -168,12 +168,19 @@
 		x.fail(ctx, resp)
 		return
 	}
+	// kept is the last attempt that brought an error response.
+	var kept outcome
+	var keptFrom fleet.Upstream
 	for {
 		c, resp, ok := x.acquire(ctx)
 		if ok {
 			// Crashes may have become known during the wait.
 			resp, ok = x.confirm(c)
 		}
+		if !ok && kept.response != nil && !x.headerSent {
+			x.finishFailed(ctx, kept, keptFrom)
+			return
+		}
 		if !ok {
 			x.fail(ctx, resp)
 			return
@@ -183,9 +190,15 @@
 			x.logOutcome(metric.OutcomeOK, up, o.status)
 			return
 		}
+		if o.response != nil {
+			kept, keptFrom = o, up
+		}
 		if x.mayRetry(ctx, o) {
 			continue
 		}
+		if kept.response != nil {
+			o, up = kept, keptFrom
+		}
 		x.finishFailed(ctx, o, up)
 		return
 	}
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -485,3 +485,21 @@
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, wantEvents(5), body)
 }
+
+// TestErrorResponseIsKept guards against azurespan's own refusal instead of the error
+// response of an upstream, when the retry brings no response.
+func TestErrorResponseIsKept(t *testing.T) {
+	fail := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "broken")
+	}
+	for name, other := range map[string]http.HandlerFunc{"reset": resetConnection, "not run": respondNotRun} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, route(fleet.Safe, 2, false), fail, other)
+			code, body := f.send(http.MethodGet, "1", "")
+			must.Eq(t, http.StatusInternalServerError, code)
+			must.Eq(t, "broken", body)
+		})
+	}
+}
