--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/fleet"
-	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
 
@@ -78,6 +77,8 @@
 	// engine: a more urgent request would preempt others in the middle of
 	// their streams.
 	noPriority = -1
+	// heardInterval is the least time between two records that a stream goes on.
+	heardInterval = 100 * time.Millisecond
 	// connectTimeout bounds the connection setup of one attempt.
 	connectTimeout = 500 * time.Millisecond
 )
@@ -87,6 +88,11 @@
 	return "response is not an event stream: content type " + e.contentType
 }
 
+// unsent reports whether the request certainly did not reach the upstream.
+func (o *outcome) unsent() bool {
+	return o.result == pick.ConnectFailed || o.result == pick.Inconclusive && !o.mayHaveRun
+}
+
 // attempt sends the request to the chosen upstream, and to others that replace it
 // while it is silent. It returns the outcome of the last one.
 func (x *exchange) attempt(ctx context.Context, c pick.Choice) (outcome, fleet.Upstream) {
@@ -143,8 +149,8 @@
 
 // receive reads the response and forwards it.
 func (x *exchange) receive(ctx context.Context, k *call) outcome {
-	o, keep := x.readResponse(ctx, k)
-	k.end(keep)
+	o, released := x.readResponse(ctx, k)
+	k.end(released)
 	return o
 }
 
@@ -161,9 +167,9 @@
 	return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, crashed: connectionEnded(err), cause: err.Error()}
 }
 
-// readResponse reads the response and forwards it. If keep is false, the caller must
-// close the connection.
-func (x *exchange) readResponse(ctx context.Context, k *call) (o outcome, keep bool) {
+// readResponse reads the response and forwards it. If released is false, the caller
+// must close the connection.
+func (x *exchange) readResponse(ctx context.Context, k *call) (o outcome, released bool) {
 	if k.res == nil {
 		if o, ok := x.awaitByte(ctx, k, x.firstByteTimeout(), false); !ok {
 			return o, false
@@ -175,15 +181,16 @@
 	if k.verdict != fleet.Answered {
 		return x.failedHead(k)
 	}
+	x.heard(x.relay.now(), k.up)
 	if x.route.Kind == fleet.Stream && k.res.StatusCode == http.StatusOK {
 		o := x.forwardStream(ctx, k)
 		o.firstByteTime = k.firstByteTime
 		if o.done {
-			k.conn.Release(k.res)
+			k.release()
 		}
 		return o, o.done
 	}
-	return x.forwardBuffered(k.conn, k.res, k.firstByteTime)
+	return x.forwardBuffered(k)
 }
 
 // firstByteTimeout returns how long to wait for the first byte before a
@@ -196,21 +203,24 @@
 }
 
 // awaitByte waits for the next byte. If none arrives within the timeout, another
-// upstream is asked to take the request over; the attempt fails once one has it, and
-// the wait continues if none has. endAllowed is set if the response may end with its
+// upstream is asked to take the request over, and further ones if that fails; the
+// attempt fails once one has it, and the wait continues if none has. endAllowed is set if the response may end with its
 // connection.
 func (x *exchange) awaitByte(ctx context.Context, k *call, timeout time.Duration, endAllowed bool) (outcome, bool) {
 	since := x.relay.now()
-	silent := false
+	silent, wait := false, timeout
 	for {
 		var next *call
-		timedOut, err := k.conn.AwaitByte(x.relay.now().Add(timeout))
+		timedOut, err := k.conn.AwaitByte(x.relay.now().Add(wait))
+		wait = timeout
 		if timedOut && ctx.Err() == nil {
 			silent = true
 			c, reason := x.reserveReplacement(k.up, since)
 			x.logSilence(k.up, since, reason)
 			if reason == "" {
 				next, timedOut, err = x.replace(ctx, k, c, endAllowed)
+				// If that failed, another one is asked at once.
+				wait = 0
 			}
 		}
 		switch {
@@ -236,14 +246,22 @@
 
 // recordContinued records that an upstream goes on after a silence.
 func (x *exchange) recordContinued(up fleet.Upstream, since time.Time) {
-	r, now := x.relay, x.relay.now()
-	r.mu.Lock()
-	r.table.Continued(up)
-	r.dispatch(now)
-	r.mu.Unlock()
+	now := x.relay.now()
+	x.heard(now, up)
 	event.UpstreamContinued.Log("request", x.req.ID, "upstream", up.ID, "silent", now.Sub(since), "events", x.events.EventCount)
 }
 
+// heard records that an upstream has sent a part of the response.
+func (x *exchange) heard(now time.Time, up fleet.Upstream) {
+	x.heardAt = now
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table.Heard(now, up) {
+		r.dispatch(now)
+	}
+}
+
 // logSilence logs that an upstream has sent nothing since the given time, and why no
 // other one can take the request over, if that is so.
 func (x *exchange) logSilence(up fleet.Upstream, since time.Time, unreplaceable string) {
@@ -271,7 +289,8 @@
 // forwardBuffered reads the complete response and writes it to the caller. A
 // response with a 5xx status is not written but returned in the outcome, since
 // a retry may succeed.
-func (x *exchange) forwardBuffered(conn *http1.Conn, res *http.Response, firstByteTime time.Duration) (o outcome, keep bool) {
+func (x *exchange) forwardBuffered(k *call) (o outcome, released bool) {
+	res, firstByteTime := k.res, k.firstByteTime
 	x.beginAnswer()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
@@ -280,7 +299,7 @@
 	if len(body) > maxResponseBytes {
 		return outcome{mayHaveRun: true, result: pick.Interrupted, cause: "response larger than 16 MiB"}, false
 	}
-	conn.Release(res)
+	k.release()
 	full := &response{res, body}
 	if res.StatusCode >= http.StatusInternalServerError {
 		o := outcome{status: res.StatusCode, mayHaveRun: true, result: pick.Failed, firstByteTime: firstByteTime, response: full, cause: res.Status}
@@ -347,7 +366,7 @@
 	switch {
 	case o.response != nil && o.status < http.StatusInternalServerError:
 		return false
-	case o.result == pick.ConnectFailed || o.result == pick.Inconclusive && !o.mayHaveRun:
+	case o.unsent():
 		return x.attempts < x.route.MaxAttempts+2*extraAttempts
 	case !o.mayHaveRun:
 		return x.attempts < x.route.MaxAttempts+extraAttempts && belowMax && x.relay.takeRetryToken(x.relay.now(), x.query.Key.Service)
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -70,13 +70,19 @@
 	return k, outcome{}
 }
 
-// end ends the call. The connection is reset unless it is kept for another request.
-func (k *call) end(keep bool) {
-	if keep {
-		k.detach()
-		return
+// end ends the call. The connection is reset unless it has been released.
+func (k *call) end(released bool) {
+	if !released {
+		k.abort()
+	}
+}
+
+// release returns the connection to the pool, unless the end of the request's context
+// is already resetting it.
+func (k *call) release() {
+	if k.detach() {
+		k.conn.Release(k.res)
 	}
-	k.abort()
 }
 
 // abort resets the connection.
@@ -100,17 +106,17 @@
 }
 
 // failedHead returns the outcome of a response that isn't that of a run of the
-// request, and whether the connection can be used again.
-func (x *exchange) failedHead(k *call) (o outcome, keep bool) {
+// request, and whether the connection has been released.
+func (x *exchange) failedHead(k *call) (o outcome, released bool) {
 	if k.verdict == fleet.Foreign {
 		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: k.firstByteTime, cause: "response belongs to another request"}, false
 	}
 	body, err := io.ReadAll(io.LimitReader(k.res.Body, maxRefusalBytes+1))
-	if keep = err == nil && len(body) <= maxRefusalBytes; keep {
-		k.conn.Release(k.res)
+	if released = err == nil && len(body) <= maxRefusalBytes; released {
+		k.release()
 	}
 	o = outcome{result: pick.Rejected, status: k.res.StatusCode, cause: k.verdict.String()}
-	if k.res.StatusCode < http.StatusInternalServerError && k.res.StatusCode != http.StatusTooManyRequests && k.verdict == fleet.NotRun && keep {
+	if k.res.StatusCode < http.StatusInternalServerError && k.res.StatusCode != http.StatusTooManyRequests && k.verdict == fleet.NotRun && released {
 		o.response = &response{k.res, body}
 	}
 	if k.verdict == fleet.Misplaced {
@@ -119,7 +125,7 @@
 		x.relay.mu.Unlock()
 		x.relay.requestReport()
 	}
-	return o, keep
+	return o, released
 }
 
 // reserveReplacement chooses an upstream to take the request over from up, which has
@@ -182,7 +188,12 @@
 		if failure.mayHaveRun {
 			x.possibleRuns++
 		}
+		// recordOutcome changes the result once inner has ended.
+		unsent := failure.unsent()
 		x.recordOutcome(inner, c.Upstream, &failure, sent, 0)
+		if unsent {
+			x.returnRetryToken()
+		}
 		cancel()
 		return nil, timedOut, err
 	}
@@ -193,6 +204,14 @@
 	return next, timedOut, err
 }
 
+// returnRetryToken returns the token that was taken for an attempt that wasn't sent.
+func (x *exchange) returnRetryToken() {
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(r.now(), x.query.Key.Service).Return()
+}
+
 // openReplacement opens a call and waits until a time for the head of its response. The
 // call is nil if it failed or its response can't replace the one in progress.
 func (x *exchange) openReplacement(ctx context.Context, up fleet.Upstream, until time.Time) (*call, outcome) {
@@ -211,8 +230,8 @@
 		err = x.readHead(k)
 	}
 	if err == nil && k.verdict != fleet.Answered {
-		o, keep := x.failedHead(k)
-		k.end(keep)
+		o, released := x.failedHead(k)
+		k.end(released)
 		return nil, o
 	}
 	if err == nil && !x.continues(k.res) {
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -58,6 +58,8 @@
 		unframed    bool
 		events      *sse.Splitter
 		firstByteAt time.Time
+		// heardAt is when a part of a response was last recorded.
+		heardAt time.Time
 	}
 
 	// refusal is a final response of azurespan itself.
@@ -179,12 +181,19 @@
 		return
 	}
 	defer x.endStream()
+	// kept is the last attempt that brought an error response.
+	var kept outcome
+	var keptFrom fleet.Upstream
 	for {
 		c, resp, ok := x.acquire(ctx)
 		if ok {
 			// Crashes may have become known during the wait.
 			resp, ok = x.confirm(c)
 		}
+		if !ok && kept.response != nil && !x.headerSent {
+			x.finishFailed(ctx, kept, keptFrom)
+			return
+		}
 		if !ok {
 			x.fail(ctx, resp)
 			return
@@ -194,9 +203,15 @@
 			x.logOutcome(metric.OutcomeOK, up, o.status)
 			return
 		}
+		if o.response != nil {
+			kept, keptFrom = o, up
+		}
 		if x.mayRetry(ctx, o) {
 			continue
 		}
+		if kept.response != nil {
+			o, up = kept, keptFrom
+		}
 		x.finishFailed(ctx, o, up)
 		return
 	}
@@ -284,13 +299,18 @@
 
 	t := time.NewTimer(until.Sub(now))
 	defer t.Stop()
+	stopped := r.stopped
+	if x.headerSent {
+		// The wait is short, and a stream that has begun can't be refused.
+		stopped = nil
+	}
 	select {
 	case c := <-w.ready:
 		return c, refusal{}, true
 	case <-ctx.Done():
 	case <-t.C:
 	case <-w.quarantined:
-	case <-r.stopped:
+	case <-stopped:
 		if x.possibleRuns == 0 {
 			resp.reason, resp.retryAfter = "stopping", stoppingRetryAfter
 		}
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -374,6 +374,67 @@
 	<-ended
 }
 
+// TestReleasedConnection guards against resetting a request because the caller leaves
+// whose response was read from the same connection before.
+func TestReleasedConnection(t *testing.T) {
+	const largeBytes = 15 << 20
+	var connection atomic.Value
+	reused, proceed := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, route(fleet.Safe, 1, false), func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		switch r.Header.Get("Id") {
+		case "large":
+			connection.Store(r.RemoteAddr)
+			w.Header().Set("Content-Length", strconv.Itoa(largeBytes))
+			_, _ = w.Write(make([]byte, largeBytes))
+			return
+		case "last":
+			must.Eq(t, connection.Load().(string), r.RemoteAddr)
+			close(reused)
+			<-proceed
+		default:
+			if connection.Load() != r.RemoteAddr {
+				// Not kept, so that the next one doesn't use it.
+				w.Header().Set("Connection", "close")
+				_, _ = io.WriteString(w, "other")
+				return
+			}
+		}
+		_, _ = io.WriteString(w, "reused")
+	})
+	caller, err := net.Dial("tcp4", f.front.Listener.Addr().String())
+	must.NoError(t, err)
+	// The caller doesn't read its response.
+	_, err = io.WriteString(caller, "GET /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: large\r\n\r\n")
+	must.NoError(t, err)
+	for body := ""; body != "reused"; {
+		_, body = f.send(http.MethodGet, "probe", "")
+	}
+	go func() {
+		<-reused
+		must.NoError(t, caller.(*net.TCPConn).SetLinger(0))
+		must.NoError(t, caller.Close())
+		for f.relay.active("u0") > 1 {
+			time.Sleep(time.Millisecond)
+		}
+		close(proceed)
+	}()
+	code, _ := f.send(http.MethodGet, "last", "")
+	must.Eq(t, http.StatusOK, code)
+}
+
+// active returns the number of requests in progress on an upstream.
+func (r *Relay) active(id string) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	running := map[string]map[fleet.Key]int{}
+	r.table.Running(running)
+	for _, k := range running[id] {
+		n += k
+	}
+	return n
+}
+
 // TestWaitsForModel guards against refusing the first request for a model that is
 // not loaded: it must be queued and served once the holder reports the model as
 // loaded.
@@ -428,3 +489,43 @@
 	code, _ = f.send(http.MethodPost, "2", "m")
 	must.Eq(t, http.StatusServiceUnavailable, code)
 }
+
+// TestStopKeepsInterruptedStream guards against breaking a stream off that waits for
+// another upstream to resume it, when the daemon is stopped.
+func TestStopKeepsInterruptedStream(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 2, true), streamEvents(5, 2), streamEvents(5, 0))
+	f.relay.mu.Lock()
+	f.relay.table.SetRemoteRunning(map[string]int{"u1": 4})
+	f.relay.mu.Unlock()
+	go func() {
+		for !f.relay.HasWaiting() {
+			time.Sleep(time.Millisecond)
+		}
+		f.relay.Stop()
+		time.Sleep(100 * time.Millisecond)
+		f.relay.mu.Lock()
+		defer f.relay.mu.Unlock()
+		f.relay.table.SetRemoteRunning(nil)
+	}()
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(5), body)
+}
+
+// TestErrorResponseIsKept guards against azurespan's own refusal instead of the error
+// response of an upstream, when the retry brings no response.
+func TestErrorResponseIsKept(t *testing.T) {
+	fail := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "broken")
+	}
+	for name, other := range map[string]http.HandlerFunc{"reset": resetConnection, "not run": respondNotRun} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, route(fleet.Safe, 2, false), fail, other)
+			code, body := f.send(http.MethodGet, "1", "")
+			must.Eq(t, http.StatusInternalServerError, code)
+			must.Eq(t, "broken", body)
+		})
+	}
+}
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -43,6 +43,9 @@
 			x.beginAnswer()
 			x.continueAnswer()
 			x.beginStream(k.up)
+			if now := x.relay.now(); now.Sub(x.heardAt) >= heardInterval {
+				x.heard(now, k.up)
+			}
 			if !x.forward(res, whole) {
 				return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 			}
