--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -226,3 +226,25 @@
 	d.run(t)
 	must.Eq(t, "v2", started.version(t, 1))
 }
+
+// TestRecordSize bounds the bytes of a record at the size that azurespan is designed
+// for: 1,800 streams a second of one service with two versions.
+func TestRecordSize(t *testing.T) {
+	const perSecond, maxBytesPerStream, recordBytes = 1800, 22, 256 << 10
+	topic, now := newSite()
+	d := newDaemon(topic, "a", now, "v1", "v2")
+	d.holds = true
+	d.run(t)
+	perWrite := perSecond * int(writeInterval/time.Millisecond) / 1000
+	for i := range perWrite {
+		d.table.Begin(*now, origin.Stream{ID: uint64(1)<<62 + uint64(i), Service: "s", Version: fmt.Sprint("v", 1+i%2)})
+	}
+	d.run(t)
+	largest := 0
+	for _, r := range topic.records {
+		largest = max(largest, len(r.Value))
+	}
+	t.Logf("%d streams in %d bytes", perWrite, largest)
+	must.LessEq(t, perWrite*maxBytesPerStream, largest)
+	must.LessEq(t, recordBytes, maxStreams*maxBytesPerStream)
+}
