http1: report no timeout if a byte has arrived

After a suspension of the process, or when a busy machine runs it late, the deadline of a read has passed before the read sees the bytes that have arrived. AwaitByte took that for a silence: for each stream in progress the relay then took a retry token, asked another upstream and ejected the one in use. After a timeout, what has arrived is now read before it is reported.

Evidence: TestAwaitByteAfterSuspension failed before and passes in 5 of 5 runs with the race detector, as do the tests of node/relay. The effect on streams of a daemon that was really suspended was not run.

--- a/internal/link/http1/await.go
+++ b/internal/link/http1/await.go
@@ -8,6 +8,9 @@
 	"github.com/ansel1/merry/v2"
 )
 
+// pendingReadTimeout bounds the read of what has arrived already.
+const pendingReadTimeout = 10 * time.Millisecond
+
 // AwaitByte waits until a byte of the response has arrived or the deadline has
 // passed. After a timeout the connection is still usable.
 func (c *Conn) AwaitByte(deadline time.Time) (timedOut bool, err error) {
@@ -18,8 +21,23 @@
 		return false, merry.Wrap(err)
 	}
 	_, err = c.br.Peek(1)
+	return c.awaited(err)
+}
+
+// awaited returns the result of a wait whose read ended with err. A read after its
+// deadline, as after a suspension of the process, fails even if a byte has arrived.
+func (c *Conn) awaited(err error) (timedOut bool, _ error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return true, nil
+		if err := c.SetReadDeadline(time.Now().Add(pendingReadTimeout)); err != nil {
+			return false, merry.Wrap(err)
+		}
+		if c.noPendingInput() {
+			return true, nil
+		}
+		_, err = c.br.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return true, nil
+		}
 	}
 	if err != nil {
 		return false, merry.Wrap(err)
@@ -49,11 +67,5 @@
 	_, err = c.br.Peek(1)
 	close(returned)
 	<-stopped
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return true, nil
-	}
-	if err != nil {
-		return false, merry.Wrap(err)
-	}
-	return false, merry.Wrap(c.SetReadDeadline(time.Time{}))
+	return c.awaited(err)
 }
