relay: failing test of a replacement that refuses late

A silent upstream is given up once its replacement has had the request for 300 ms without a failure.

--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -255,3 +255,15 @@
 	f.beginStream("2")
 	must.Eq(t, 1, f.requestCount(1))
 }
+
+// TestLateRefusal guards against breaking a stream off because its upstream pauses and
+// the replacement refuses after the former has been given up.
+func TestLateRefusal(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 2, true), pauseAfter(3, 1), func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(replacementWindow + 100*time.Millisecond)
+		respondNotRun(w, r)
+	})
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+}
