entry: ignore SIGHUP while the daemon drains

watchSettings gave its signal channel back when the daemon began to stop. From then on SIGHUP had its default action, so that one after SIGTERM ended the process at once, with every request in progress, instead of after the grace period.

--- a/cmd/azurespan/entry.go
+++ b/cmd/azurespan/entry.go
@@ -94,7 +94,7 @@
 func watchSettings(ctx context.Context, path string, s *platform.Settings, log *platform.LogClient) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	// Not stopped: while the daemon drains, a SIGHUP would end the process.
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	var seen time.Time
