--- a/cmd/azurespan/entry.go
+++ b/cmd/azurespan/entry.go
@@ -44,6 +44,8 @@
 // serveEntry runs a daemon on an entry host of the users' platform until ctx
 // ends and the daemon has drained.
 func serveEntry(ctx context.Context, out io.Writer) error {
+	// Until watchSettings handles it, a SIGHUP would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	s, err := platform.ReadSettings(path)
 	if err != nil {
