relay: survive a panic while a replacement is prepared

The call that is to replace a silent one runs in a goroutine of its own, whose panic ends the process with all its requests; before it was the handler's, which net/http recovers. The panic now counts as a failed attempt, is logged with its stack, and the request goes on at the former upstream. TestPanicOfReplacement ends the test process without the change and passes with it.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -45,6 +45,11 @@
 		Number: 8009, Name: "upstream-continued",
 		Meaning: "An upstream that had been silent goes on with a response; the length of the silence is given.",
 	})
+	RelayPanicked = register(Event{
+		Number: 8011, Name: "relay-panicked", Severity: Error,
+		Meaning: "A component panicked while another upstream was asked to take a request over; the request goes on where it was.",
+		Action:  "Report the stack; it is a bug in azurespan.",
+	})
 	StreamTakenUp = register(Event{
 		Number: 8010, Name: "stream-taken-up",
 		Meaning: "A caller takes a stream up again. The request that brought its first event is given, the software version at which it began, how that is known (own, log or only, if there is no other version), and how long it took to find out. Without a version the request is refused.",
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -172,6 +174,13 @@
 	var failure outcome
 	go func() {
 		defer close(done)
+		defer func() {
+			// net/http recovers panics of the handler's own goroutine only.
+			if p := recover(); p != nil {
+				next, failure = nil, outcome{mayHaveRun: true, result: pick.Interrupted, cause: fmt.Sprint("panic: ", p)}
+				event.RelayPanicked.Log("request", x.req.ID, "upstream", c.Upstream.ID, "cause", failure.cause, "stack", string(debug.Stack()))
+			}
+		}()
 		next, failure = x.openReplacement(inner, c.Upstream, until)
 	}()
 	timedOut, err = k.conn.AwaitByteOr(done, until)
--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -267,3 +267,25 @@
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, wantEvents(3), body)
 }
+
+// panicCodec panics on responses with the header Panic.
+type panicCodec struct{ testCodec }
+
+func (panicCodec) Classify(q *fleet.Request, res *http.Response) fleet.Verdict {
+	if res.Header.Get("Panic") != "" {
+		panic("classify")
+	}
+	return testCodec{}.Classify(q, res)
+}
+
+// TestPanicOfReplacement guards against a panic that ends the process with all of its
+// requests, because it isn't in the goroutine of a request's handler.
+func TestPanicOfReplacement(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 2, true), pauseAfter(3, 1), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Panic", "1")
+	})
+	f.relay.codec = panicCodec{}
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+}
