origin, entry: know from the holder which versions may serve

Their view of the register was older than 2 s, and a daemon that is cut off alone can't tell that from an outage for all.

Engines serve only what the holder has ordered them to load, so that a daemon in contact with the holder knows of every version that can have begun a stream; after its last reply that holds for the pause between two holders. Services without engines still need a current register. A contact from before a suspension of the machine doesn't count, since the steady clock doesn't show how old it is.

--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -15,6 +15,10 @@
 
 	// Table holds the origins of streams. It is safe for concurrent use.
 	Table struct {
+		// holderTTL is the time since the last contact with the holder in which no
+		// other daemon can have ordered a model to be loaded.
+		holderTTL time.Duration
+
 		mu      sync.Mutex
 		streams map[uint64]*entry
 		// versions holds when a version was last registered, by service and
@@ -26,9 +30,9 @@
 		// in which they became known; dropped is the number of former ones.
 		recorded []recording
 		dropped  int
-		// currentSince is the time since which the daemon's view of the register
-		// has been current, zero if it isn't.
-		currentSince time.Time
+		// register and holder are the contacts by which the daemon knows which
+		// versions may serve.
+		register, holder contact
 		// readAt is when the versions were last read from the log.
 		readAt   time.Time
 		prunedAt time.Time
@@ -43,6 +47,14 @@
 		expires  time.Time
 	}
 
+	// contact is a source of what may serve, and is current for a time after it was
+	// last heard.
+	contact struct {
+		heardAt time.Time
+		// since is when the contact has last become current.
+		since time.Time
+	}
+
 	recording struct {
 		Stream
 		at time.Time
@@ -54,17 +66,18 @@
 	// longer registered, are kept: longer than the timeout of a route with
 	// streams, within which a caller takes a stream up again.
 	Retention = 30 * time.Second
-	// currentAge is the age of a view of the register up to which it is current.
+	// registerTTL is the age of a view of the register up to which it is current.
 	// The first stream of a new upstream begins later than that after its
 	// registration, because a model is loaded first.
-	currentAge = 2 * time.Second
+	registerTTL = 2 * time.Second
 	// pruneInterval is the interval at which expired entries are dropped.
 	pruneInterval = time.Second
 )
 
-// New returns an empty Table.
-func New() *Table {
-	return &Table{streams: map[uint64]*entry{}, versions: map[string]map[string]time.Time{}}
+// New returns an empty Table. holderPause is the least time between the orders of two
+// holders.
+func New(holderPause time.Duration) *Table {
+	return &Table{holderTTL: holderPause, streams: map[uint64]*entry{}, versions: map[string]map[string]time.Time{}}
 }
 
 // Registered records that an upstream with a version is registered for a service.
@@ -98,18 +111,27 @@
 	}
 }
 
-// RegisterCurrent records the age of the daemon's view of the register.
-func (t *Table) RegisterCurrent(now time.Time, age time.Duration) {
+// Contact records when the daemon's view of the register was last complete, and when
+// the holder last replied. The latter knows all upstreams whose models it orders to be
+// loaded.
+func (t *Table) Contact(now, register, holder time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case age > currentAge:
-		t.currentSince = time.Time{}
-	case t.currentSince.IsZero():
-		t.currentSince = now
+	t.register.heard(now, register, registerTTL)
+	t.holder.heard(now, holder, t.holderTTL)
+}
+
+// heard records that the source was last heard at a time. The contact has been current
+// all the while only if it is so until now.
+func (c *contact) heard(now, at time.Time, ttl time.Duration) {
+	if !c.current(now, ttl) {
+		c.since = now
 	}
+	c.heardAt = at
 }
 
+func (c *contact) current(now time.Time, ttl time.Duration) bool { return now.Sub(c.heardAt) <= ttl }
+
 // Begin records that the daemon forwards the first event of a stream, or goes on with
 // a stream that its caller has taken up again.
 func (t *Table) Begin(now time.Time, s Stream) {
@@ -191,13 +213,16 @@
 }
 
 // Only returns the version of all streams of a service that may be taken up at now. It
-// returns false if there may be several, or the Table doesn't know all of them.
-func (t *Table) Only(now time.Time, service string) (string, bool) {
+// returns false if there may be several, or the Table doesn't know all of them. loads is
+// set if the service's upstreams serve only what the holder has ordered them to load.
+func (t *Table) Only(now time.Time, service string, loads bool) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
 	vs := t.versions[service]
-	if len(vs) != 1 || t.currentSince.IsZero() || t.readAt.Before(t.currentSince) {
+	known := t.register.current(now, registerTTL) && !t.readAt.Before(t.register.since) ||
+		loads && t.holder.current(now, t.holderTTL) && !t.readAt.Before(t.holder.since)
+	if len(vs) != 1 || !known {
 		return "", false
 	}
 	for v := range vs {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -146,7 +146,7 @@
 	pool := http1.New(http1.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: idlePerUpstream}, now)
 	e.crashes = poison.New(poison.Settings{CrashLimit: crashLimit}, rng.Uint64())
 	e.parts = blame.New(e.crashes)
-	e.origins = origin.New()
+	e.origins = origin.New(settings.HolderPause)
 	e.olog = olog.New(settings.Host, platform.Origins, e.origins, holderView{e}, now)
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
--- a/internal/node/entry/view_test.go
+++ b/internal/node/entry/view_test.go
@@ -158,3 +158,13 @@
 	register, _ := v.KnownOffsets()
 	must.Eq(t, int64(130), register)
 }
+
+// TestContactBeforeSuspension guards against taking a contact from before a suspension
+// of the machine for a recent one, because the steady clock stood still.
+func TestContactBeforeSuspension(t *testing.T) {
+	var c lastContact
+	must.Eq(t, at(100), c.update(at(100), false))
+	must.True(t, c.update(at(100), true).IsZero())
+	must.True(t, c.update(at(100), false).IsZero())
+	must.Eq(t, at(101), c.update(at(101), false))
+}
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -60,7 +60,7 @@
 // newDaemon returns a daemon that has just started, with a current view of a register
 // of the given versions.
 func newDaemon(topic *testTopic, host string, clock *time.Time, versions ...string) *daemon {
-	d := &daemon{table: origin.New(), clock: clock}
+	d := &daemon{table: origin.New(time.Second), clock: clock}
 	d.Store = New(host, topic, d.table, d, func() time.Time { return *clock })
 	d.see(versions...)
 	return d
@@ -71,7 +71,7 @@
 	for _, v := range versions {
 		d.table.Registered(*d.clock, "s", v)
 	}
-	d.table.RegisterCurrent(*d.clock, 0)
+	d.table.Contact(*d.clock, *d.clock, time.Time{})
 }
 
 // run lets the daemon do what is due, the first read included.
@@ -110,7 +110,7 @@
 	must.Eq(t, "v1", started.version(t, 2))
 	must.Eq(t, "", started.version(t, 3))
 	// All upstreams of v2 are gone, but streams that began there may be taken up.
-	_, only := started.table.Only(*now, "s")
+	_, only := started.table.Only(*now, "s", false)
 	must.False(t, only)
 }
 
@@ -144,7 +144,7 @@
 		d.see("v1")
 		d.table.Begin(*now, origin.Stream{ID: uint64(i), Service: "s", Version: "v1"})
 		d.run(t)
-		v, only := d.table.Only(*now, "s")
+		v, only := d.table.Only(*now, "s", false)
 		must.True(t, only)
 		must.Eq(t, "v1", v)
 		*now = now.Add(writeInterval)
@@ -196,7 +196,7 @@
 		d.run(t)
 		*now = now.Add(time.Second)
 	}
-	v, only := newStarted(t, topic, now).table.Only(*now, "s")
+	v, only := newStarted(t, topic, now).table.Only(*now, "s", false)
 	must.True(t, only)
 	must.Eq(t, "v2", v)
 }
@@ -220,7 +220,7 @@
 	must.ErrorIs(t, d.step(context.Background()), errUnavailable)
 	started := newDaemon(topic, "b", now, "v1")
 	must.ErrorIs(t, started.Refresh(context.Background()), errUnavailable)
-	_, only := started.table.Only(*now, "s")
+	_, only := started.table.Only(*now, "s", false)
 	must.False(t, only)
 	topic.err = nil
 	d.run(t)
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -78,9 +78,9 @@
 
 // newTestOrigins returns an Origins of a daemon that has been in contact for a while.
 func newTestOrigins() *testOrigins {
-	o := &testOrigins{table: origin.New()}
+	o := &testOrigins{table: origin.New(time.Second)}
 	now := time.Now()
-	o.table.RegisterCurrent(now, 0)
+	o.table.Contact(now, now, time.Time{})
 	o.table.Read(now, nil, nil)
 	return o
 }
--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -81,7 +81,8 @@
 		}
 	}
 	service := x.query.Key.Service
-	if v, ok := table.Only(now, service); ok {
+	cfg := x.relay.Config()
+	if v, ok := table.Only(now, service, cfg.Services[service].Engine != nil); ok {
 		return origin.Stream{ID: x.streamID, Service: service, Version: v}, sourceOnly
 	}
 	return origin.Stream{}, ""
