router: keep a silent engine until another stream can take its place

With the timeouts in force (5 s) a pause of a second or so does no harm in azurespan serve: TestPause plays one of 1.2 s, and calls of plain services have no timeout but their deadline (TestPauseOfService); both passed before. Callers were harmed by pauses of more than 5 s to 10 s: a completion was refused or its answer broken off with replica-elsewhere, "the engine lost the answer" (one that its caller had taken up again) or "interrupted 7 times", though its engine went on afterwards.

Cause: as in the relay, the connection to the silent engine was closed before anything could take its place. Then the engine had 5 s to hand the stream out again, or it counted as failed; the request was sent elsewhere without a token of the retry budget, and if no other engine took it, the refusal of the waker ended it. Each silence counted as one of the six recoveries of an answer.

Now the stream of the silent engine, or the request that it hasn't answered yet, is kept while another one is prepared: the same run over another connection, else another engine that isn't silent or suspect itself, for a token of the retry budget. The former is given up once the other has accepted; until then whichever comes first decides, under one lock, so that tokens of two runs are never joined. If there is no other, the wait goes on, and the next attempt follows after another 5 s. A load is ordered only if the silent engine is known to be down. A run that turns out needless is cancelled. A reset or an end is handled as before, after any replacement in preparation.

A silent engine is avoided for as long as its silence lasted, and no longer once it goes on or has finished a request; before, it counted as suspect until its facts changed.

Ruled out: sharing the relay's code, which reads and writes bytes of HTTP/1.1 on its own connections, with a window that the platform prescribes; here the engine keeps the run when a connection ends, and tokens have numbers.

TestEngineGone, TestEngineGoneBeforeAnswer and TestEngineDown, in which the engine is really gone, pass before and after. BenchmarkStream and BenchmarkNext show no difference beyond their spread.

--- a/internal/base/event/router.go
+++ b/internal/base/event/router.go
@@ -18,6 +18,15 @@
 		Number: 2103, Name: "stream-resumed",
 		Meaning: "A response continues from the next token, on the same or another engine.",
 	})
+	SilenceKept = register(Event{
+		Number: 2104, Name: "silent-upstream-kept",
+		Meaning: "No other engine takes the place of one that is silent; the request goes on waiting for it. The reason is given.",
+		Action:  "With no-token, find the upstreams whose failures consumed the retry budget.",
+	})
+	CancelFailed = register(Event{
+		Number: 2105, Name: "engine-cancel-failed",
+		Meaning: "A run that isn't needed, because a silent engine went on, could not be cancelled; it runs to its end.",
+	})
 	CallRouted = register(Event{
 		Number: 2110, Name: "call-routed",
 		Meaning: "A call to a plain service was sent to an upstream.",
--- a/internal/link/engine/client.go
+++ b/internal/link/engine/client.go
@@ -18,14 +18,14 @@
 // selects the default.
 type Client struct {
 	HTTP *http.Client
-	// Timeout limits a call other than an order, and the time to open a
-	// stream; the default is 5 s.
+	// Timeout limits a call other than an order, and the time to open a stream
+	// with a context that has no deadline; the default is 5 s.
 	Timeout time.Duration
 	// OrderTimeout limits an order, whose response arrives when it has been
 	// executed; the default is 15 min.
 	OrderTimeout time.Duration
-	// IdleTimeout is the longest time in which an open stream may send
-	// nothing, not even a comment; the default is 15 s.
+	// IdleTimeout is the longest time in which an open stream without OnSilence
+	// may send nothing, not even a comment; the default is 15 s.
 	IdleTimeout time.Duration
 	// MaxBytes limits the body of a response other than a stream; the default
 	// is 4 MiB.
@@ -60,7 +60,7 @@
 
 // Open starts the completion r on an engine and returns its stream. ctx applies
 // only until the stream is open. The error is an *Error.
-func (c *Client) Open(ctx context.Context, upstream, address string, r calls.Request) (calls.Stream, error) {
+func (c *Client) Open(ctx context.Context, upstream, address string, r calls.Request) (*Stream, error) {
 	body, err := requestBody(r)
 	if err != nil {
 		return nil, &Error{Kind: BadRequest, Op: "open", Address: address, Err: err}
@@ -75,7 +75,7 @@
 
 // Resume reopens a stream that the engine retains, starting at token from. ctx
 // applies only until the stream is open. The error is an *Error.
-func (c *Client) Resume(ctx context.Context, upstream, address, requestID string, from int64) (calls.Stream, error) {
+func (c *Client) Resume(ctx context.Context, upstream, address, requestID string, from int64) (*Stream, error) {
 	call := rest.Call{Method: http.MethodGet, URL: streamURL(address, requestID) + "?from=" + strconv.FormatInt(from, 10)}
 	return c.openStream(ctx, "resume", upstream, address, requestID, from, call)
 }
@@ -166,10 +166,13 @@
 }
 
 // openStream sends a call and returns the stream in the response.
-func (c *Client) openStream(ctx context.Context, op, upstream, address, requestID string, from int64, call rest.Call) (calls.Stream, error) {
+func (c *Client) openStream(ctx context.Context, op, upstream, address, requestID string, from int64, call rest.Call) (*Stream, error) {
 	// The connection outlives ctx, which applies only to the opening.
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	openCtx, done := context.WithTimeout(ctx, orDefault(c.Timeout, defaultTimeout))
+	openCtx, done := ctx, context.CancelFunc(func() {})
+	if _, ok := ctx.Deadline(); !ok {
+		openCtx, done = context.WithTimeout(ctx, orDefault(c.Timeout, defaultTimeout))
+	}
 	defer done()
 	stop := context.AfterFunc(openCtx, cancel)
 	resp, err := call.Open(streamCtx, c.HTTP)
--- a/internal/link/engine/stream.go
+++ b/internal/link/engine/stream.go
@@ -13,9 +13,9 @@
 )
 
 type (
-	// tokenStream reads the tokens of one answer. Next and Close may be called
-	// from different goroutines, but Next from only one at a time.
-	tokenStream struct {
+	// Stream reads the tokens of one answer. Next and Close may be called from
+	// different goroutines, but Next from only one at a time.
+	Stream struct {
 		upstream, address, id string
 		events                *sseReader
 		chunks                chunkDecoder
@@ -24,6 +24,12 @@
 		idleTimeout           time.Duration
 		timer                 *time.Timer
 		stalled               atomic.Bool
+		// onSilence is called after the idle timeout; nil ends the stream then.
+		onSilence func(since time.Time)
+		openedAt  time.Time
+		// readingFor is the time from openedAt to the start of the read in
+		// progress, negative if there is none.
+		readingFor atomic.Int64
 		// ctx is the context of the call of Next in progress.
 		ctx context.Context
 		// watch cancels the stream when the context of Next ends. It is
@@ -51,38 +57,68 @@
 // doneData is the data of the event that ends an answer.
 const doneData = "[DONE]"
 
-var _ calls.Stream = (*tokenStream)(nil)
+// notReading is the value of readingFor between two reads.
+const notReading = -1
 
-func newStream(body io.ReadCloser, cancel context.CancelFunc, upstream, address, id string, from int64, idleTimeout time.Duration) *tokenStream {
-	s := &tokenStream{upstream: upstream, address: address, id: id, body: body, cancel: cancel, idleTimeout: idleTimeout, nextIndex: from}
-	s.timer = time.AfterFunc(idleTimeout, func() {
-		s.stalled.Store(true)
-		cancel()
-	})
+var _ calls.Stream = (*Stream)(nil)
+
+func newStream(body io.ReadCloser, cancel context.CancelFunc, upstream, address, id string, from int64, idleTimeout time.Duration) *Stream {
+	s := &Stream{upstream: upstream, address: address, id: id, body: body, cancel: cancel, idleTimeout: idleTimeout, openedAt: time.Now(), nextIndex: from}
+	s.readingFor.Store(notReading)
+	s.timer = time.AfterFunc(idleTimeout, s.timedOut)
 	s.timer.Stop()
 	s.events = newSSEReader(s)
 	return s
 }
 
+// OnSilence makes the stream call f in a goroutine of its own, instead of ending, when
+// Next has waited for the given time without receiving anything, not even a comment.
+// since is when that read began. It must be called before the first call of Next.
+func (s *Stream) OnSilence(after time.Duration, f func(since time.Time)) {
+	s.idleTimeout, s.onSilence = after, f
+}
+
+// GiveUp makes the call of Next in progress, and all further ones, fail as Stalled.
+func (s *Stream) GiveUp() {
+	s.stalled.Store(true)
+	s.cancel()
+}
+
+// timedOut is called when a read has taken as long as the idle timeout.
+func (s *Stream) timedOut() {
+	if s.onSilence == nil {
+		s.GiveUp()
+		return
+	}
+	reading := s.readingFor.Load()
+	since := s.openedAt.Add(time.Duration(reading))
+	// The read may have ended at the same moment.
+	if reading != notReading && time.Since(since) >= s.idleTimeout {
+		s.onSilence(since)
+	}
+}
+
 // Read reads bytes of the response. The idle timer and the watch of the context
 // are active only during the read, so that a slow caller of Next is not treated
 // as a stalled engine.
-func (s *tokenStream) Read(b []byte) (int, error) {
+func (s *Stream) Read(b []byte) (int, error) {
 	w := s.currentWatch()
 	s.activeWatch.Store(w)
 	if s.ctx.Err() != nil {
 		// The context may have ended before activeWatch was set.
 		s.cancel()
 	}
+	s.readingFor.Store(int64(time.Since(s.openedAt)))
 	s.timer.Reset(s.idleTimeout)
 	n, err := s.body.Read(b)
 	s.timer.Stop()
+	s.readingFor.Store(notReading)
 	s.activeWatch.Store(nil)
 	return n, err
 }
 
 // currentWatch returns the watch of s.ctx, nil for a context that never ends.
-func (s *tokenStream) currentWatch() *contextWatch {
+func (s *Stream) currentWatch() *contextWatch {
 	done, w := s.ctx.Done(), s.watch.Load()
 	if w != nil && w.done == done {
 		return w
@@ -105,11 +141,11 @@
 }
 
 // Upstream returns the name of the engine.
-func (s *tokenStream) Upstream() string { return s.upstream }
+func (s *Stream) Upstream() string { return s.upstream }
 
 // Close closes the connection; the engine continues the run. A stream that was
 // closed before its end can be resumed.
-func (s *tokenStream) Close() error {
+func (s *Stream) Close() error {
 	s.cancel()
 	s.timer.Stop()
 	if w := s.watch.Load(); w != nil {
@@ -121,7 +157,7 @@
 // Next returns the next token, or io.EOF after the token with the finish
 // reason. Any other error is an *Error and final; its NextToken is the index
 // from which to resume. The end of ctx breaks the stream.
-func (s *tokenStream) Next(ctx context.Context) (calls.Token, error) {
+func (s *Stream) Next(ctx context.Context) (calls.Token, error) {
 	if s.finalErr != nil {
 		return calls.Token{}, s.finalErr
 	}
@@ -153,7 +189,7 @@
 }
 
 // nextToken returns the next token that has not been returned before.
-func (s *tokenStream) nextToken() (calls.Token, *Error) {
+func (s *Stream) nextToken() (calls.Token, *Error) {
 	for {
 		ev, err := s.events.next()
 		if err != nil {
@@ -196,6 +232,6 @@
 }
 
 // fail returns the Error of a stream that is broken at the next token.
-func (s *tokenStream) fail(kind Kind, detail string, err error) *Error {
+func (s *Stream) fail(kind Kind, detail string, err error) *Error {
 	return &Error{Kind: kind, Op: "stream", Address: s.address, Reached: true, NextToken: s.nextIndex, Detail: detail, Err: err}
 }
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -76,11 +76,11 @@
 )
 
 const (
-	// engineIdleTimeout bounds the time for which an open stream may send
-	// nothing, not even the comment that a waiting stream sends, before the
-	// answer is continued on another engine. The gap between tokens at the
-	// target is 79 ms.
-	engineIdleTimeout = 5 * time.Second
+	// engineSilenceTimeout bounds the time for which an engine may send nothing,
+	// not even the comment that a waiting stream sends, before the answer is
+	// asked for on another engine as well. The gap between tokens at the target
+	// is 79 ms.
+	engineSilenceTimeout = 5 * time.Second
 	// controlDialTimeout bounds connecting to the platform or an engine.
 	controlDialTimeout = 2 * time.Second
 	// controlIdleConns allows an idle connection for each claims stream and for
@@ -132,7 +132,6 @@
 		Interval: s.Timing.GossipInterval, CrossDomainInterval: s.Timing.CrossDomainInterval, Timeout: s.Timing.PeerTimeout, Seeds: s.Peers.Addresses,
 	}, d.peerClient, rng, d.applied.Load, d.onFacts)
 	eng := engine.New(nil)
-	eng.IdleTimeout = engineIdleTimeout
 	d.engineControl = engine.New(controlClient(d.traffic[metric.SourceEngines]))
 	d.limiter = limit.New(d.name, s.Daemon.FailureDomain, d.gossip)
 	d.owner = owner.New(now, owner.Settings{
@@ -144,7 +143,7 @@
 		Daemon: d.name, Limits: claims.Limits{Window: s.Timing.KeyWindow}, PollWait: s.Timing.LogPollWait, AppendTimeout: s.Timing.LogTimeout,
 	}, claimsLog{log}, crand.Reader)
 	d.claims = claim.New(d.name, d.dedup, d.gossip, d.peerClient)
-	d.router = router.New(router.Settings{FailureDomain: s.Daemon.FailureDomain, QuarantineDuration: s.Timing.Quarantine, MaxQueued: s.Limits.Queue},
+	d.router = router.New(router.Settings{FailureDomain: s.Daemon.FailureDomain, QuarantineDuration: s.Timing.Quarantine, MaxQueued: s.Limits.Queue, SilenceTimeout: engineSilenceTimeout},
 		d.follower, d.gossip, d.waker, eng, d.claims, nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), observer{d})
 	d.front, err = front.New(front.Settings{
 		Secret: secret, MaxBodyBytes: s.Limits.Body, MaxHeaderBytes: int(s.Limits.Headers),
--- a/internal/node/router/attempt.go
+++ b/internal/node/router/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/core/ctrl"
@@ -49,13 +48,7 @@
 		"crosses", choice.CrossDomain, "prefix", choice.PrefixHint, "from-token", c.nextIndex)
 	rt.observer.Decided(time.Now(), r.ID, r.Model, "routed", choice.Upstream, string(choice.Reason))
 	if choice.AdapterLoad && r.Adapter != "" || c.suspect {
-		q := owner.Request{
-			Upstream: choice.Upstream, Model: r.Model, Version: r.Version, Adapter: r.Adapter, Class: r.Class, Deadline: r.Deadline,
-		}
-		if c.suspect {
-			q.Suspect = fingerprint(r)
-		}
-		err := rt.waker.Ensure(ctx, q)
+		err := rt.waker.Ensure(ctx, c.ensureRequest(choice.Upstream))
 		if err != nil {
 			*excluded = append(*excluded, choice.Upstream)
 			return err
@@ -68,65 +61,88 @@
 	return err
 }
 
-// send opens the stream on an upstream.
+// send opens the stream on an upstream. While that is silent, another one may take its
+// place.
 func (c *completion) send(ctx context.Context, upstream string) error {
+	rt := c.router
+	c.req.DeliveredTokens = c.nextIndex
+	c.req.DeliveredText = c.text.String()
+	k, err := c.start(time.Now(), upstream, &c.req)
+	if err != nil {
+		return err
+	}
+	c.run = k
+	c.known, c.answeredAt, c.cleared = nil, time.Time{}, false
+	if c.markSent != nil {
+		c.markSent()
+	}
+	openCtx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	silent := time.AfterFunc(rt.settings.SilenceTimeout, func() { c.watchSilence(k, k.sentAt, giveUp) })
+	c.beginWait(ctx)
+	s, err := rt.engines.Open(openCtx, upstream, k.address, c.req)
+	silent.Stop()
+	if next := c.endWait(err == nil); next != nil {
+		if err == nil {
+			c.stream = s
+		}
+		c.adopt(next)
+		return nil
+	}
+	if err != nil {
+		c.requestEnded(k, false)
+		c.mayHaveRun = c.mayHaveRun || mayHaveRun(err)
+		return c.openFailed(ctx, k, err)
+	}
+	k.stream = s
+	c.receive(k)
+	return nil
+}
+
+// start counts a request as sent to an upstream, and returns its run.
+func (c *completion) start(now time.Time, upstream string, r *calls.Request) (run, error) {
 	rt := c.router
 	d := rt.Config().Upstream(upstream)
 	if d == nil {
-		return fault.New(fault.UpstreamUnavailable, "%s is not declared any more", upstream)
+		return run{}, fault.New(fault.UpstreamUnavailable, "%s is not declared any more", upstream)
 	}
-	c.req.DeliveredTokens = c.nextIndex
-	c.req.DeliveredText = c.text.String()
-	c.incarnation = rt.incarnation(upstream)
-	now := time.Now()
+	k := run{upstream: upstream, address: d.Address, incarnation: rt.incarnation(upstream), sentAt: now}
 	rt.mu.Lock()
+	defer rt.mu.Unlock()
 	// Another suspect may have been sent there since the upstream was chosen,
 	// also by a wake, so this is checked again.
 	if c.suspect && rt.suspectsRunning[upstream] > 0 {
-		rt.mu.Unlock()
-		return fault.New(fault.NoCapacity, "another crash suspect runs on %s", upstream)
+		return run{}, fault.New(fault.NoCapacity, "another crash suspect runs on %s", upstream)
 	}
-	rt.models.RequestSent(now, upstream, c.req.PromptPrefixHash)
-	rt.parts.Sent(now, c.req.Parts)
-	c.known, c.answeredAt, c.cleared = nil, time.Time{}, false
+	rt.models.RequestSent(now, upstream, r.PromptPrefixHash)
+	rt.parts.Sent(now, r.Parts)
 	if c.suspect {
 		rt.suspectsRunning[upstream]++
 	}
-	rt.mu.Unlock()
-	if c.markSent != nil {
-		c.markSent()
-	}
-	s, err := rt.engines.Open(ctx, upstream, d.Address, c.req)
-	if err != nil {
-		c.requestEnded(upstream, false)
-		return c.openFailed(ctx, upstream, d, err)
-	}
-	c.stream, c.upstream, c.address, c.sentAt = s, upstream, d.Address, now
-	return nil
+	return k, nil
 }
 
 // openFailed records why a stream could not be opened and returns the fault.
-func (c *completion) openFailed(ctx context.Context, upstream string, d *declare.Upstream, err error) error {
+func (c *completion) openFailed(ctx context.Context, k run, err error) error {
 	var e *engine.Error
 	if !errors.As(err, &e) {
 		return err
 	}
-	rt, now := c.router, time.Now()
+	rt, now, upstream := c.router, time.Now(), k.upstream
 	switch e.Kind {
 	case engine.NotLoaded:
 		rt.mu.Lock()
 		rt.models.MarkUnloaded(now, upstream, c.req.Model, c.req.Version)
 		rt.mu.Unlock()
 	case engine.Leaving:
-		rt.reportLeaving(now, upstream, d)
+		rt.reportLeaving(now, upstream)
 	case engine.BadRequest:
 		return fault.Wrap(e, fault.BadRequest, "%s refused the request", upstream)
 	case engine.InUse:
 		return fault.Wrap(e, fault.Internal, "%s knows the request already", upstream).WithRun(fault.RunUnknown)
 	default:
-		c.mayHaveRun = c.mayHaveRun || e.MayHaveRun()
 		if e.MayHaveRun() && ctx.Err() == nil {
-			c.checkCrash(ctx, upstream, d.Address)
+			c.checkCrash(ctx, k, false, time.Time{})
 		}
 		rt.mu.Lock()
 		rt.models.MarkFailed(upstream)
@@ -135,16 +151,24 @@
 	return fault.Wrap(e, fault.UpstreamUnavailable, "%s did not take the request", upstream)
 }
 
+// mayHaveRun reports whether an engine that failed to open a stream may have started to
+// run the request.
+func mayHaveRun(err error) bool {
+	var e *engine.Error
+	return errors.As(err, &e) && e.MayHaveRun()
+}
+
 // requestEnded records that the request no longer runs on an upstream.
-func (c *completion) requestEnded(upstream string, finished bool) {
+func (c *completion) requestEnded(k run, finished bool) {
 	rt, now := c.router, time.Now()
 	var latency, service time.Duration
 	if finished {
-		latency, service = c.firstAt.Sub(c.sentAt), now.Sub(c.sentAt)
+		latency, service = c.firstAt.Sub(k.sentAt), now.Sub(k.sentAt)
 	}
 	defer func() { rt.gate.Done(now, c.queueKey(), service) }()
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
+	upstream := k.upstream
 	rt.models.RequestDone(now, upstream, c.req.Model, c.req.Version, latency, service)
 	if c.suspect {
 		if rt.suspectsRunning[upstream]--; rt.suspectsRunning[upstream] <= 0 {
--- a/internal/node/router/complete.go
+++ b/internal/node/router/complete.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/base/pause"
@@ -195,7 +194,11 @@
 
 // reportLeaving reports to the peers that an upstream has refused work because it
 // is leaving.
-func (rt *Router) reportLeaving(now time.Time, upstream string, d *declare.Upstream) {
+func (rt *Router) reportLeaving(now time.Time, upstream string) {
+	d := rt.Config().Upstream(upstream)
+	if d == nil {
+		return
+	}
 	var f member.Fact
 	rt.facts.Do(func(m *member.Set) { f, _ = m.Get(member.Key{Kind: member.Upstream, Name: upstream}) })
 	f.Kind, f.Name, f.Domain, f.Status = member.Upstream, upstream, d.FailureDomain, member.Leaving
--- a/internal/node/router/completion.go
+++ b/internal/node/router/completion.go
@@ -26,15 +26,12 @@
 	router    *Router
 	req       calls.Request
 	startedAt time.Time
-	stream    calls.Stream
 	// markSent tells the queue that the request has been sent or abandoned.
 	markSent func()
-
-	upstream    string
-	address     string
-	incarnation string
-	sentAt      time.Time
-	firstAt     time.Time
+	// run is the present run.
+	run
+	silences silences
+	firstAt  time.Time
 	// answeredAt is the time of the first token of the present attempt, and known
 	// holds the crashes of the prompt's parts at that time; cleared is set once
 	// the parts have been cleared of them.
@@ -59,6 +56,14 @@
 	resumed bool
 }
 
+// run is the run of a request on an engine.
+type run struct {
+	upstream, address, incarnation string
+	sentAt                         time.Time
+	// stream is nil until the engine has accepted the request.
+	stream *engine.Stream
+}
+
 var _ calls.Stream = (*completion)(nil)
 
 // crashReportTimeout bounds the check whether an engine process is still alive.
@@ -86,7 +91,7 @@
 	err := c.stream.Close()
 	c.stream = nil
 	if !c.resumed {
-		c.requestEnded(c.upstream, c.finished && !c.firstAt.IsZero())
+		c.requestEnded(c.run, c.finished && !c.firstAt.IsZero())
 	}
 	return err
 }
@@ -115,7 +120,12 @@
 		if c.stream == nil {
 			return calls.Token{}, c.refuse(fault.New(fault.UpstreamUnavailable, "the answer was interrupted").WithRun(fault.RunYes))
 		}
+		c.beginWait(ctx)
 		t, err := c.stream.Next(ctx)
+		if next := c.endWait(err == nil); next != nil {
+			c.adopt(next)
+			continue
+		}
 		if err == nil && t.Index == c.nextIndex {
 			c.recordToken(t)
 			return t, nil
@@ -198,20 +208,16 @@
 	var e *engine.Error
 	crashed := false
 	if errors.As(cause, &e) && e.Kind == engine.Unreachable {
-		crashed = c.checkCrash(ctx, c.upstream, c.address)
+		crashed = c.checkCrash(ctx, c.run, c.nextIndex > c.req.DeliveredTokens, c.answeredAt)
 	}
-	if !crashed {
-		if s, err := rt.engines.Resume(ctx, c.upstream, c.address, c.req.ID, c.nextIndex); err == nil {
-			event.StreamResumed.Log("request", c.req.ID, "upstream", c.upstream, "next-token", c.nextIndex)
-			c.stream = s
-			return nil
-		}
+	if !crashed && c.reopen(ctx) {
+		return nil
 	}
 	c.stream = nil
 	if c.resumed {
 		return c.refuse(fault.Wrap(cause, fault.UpstreamUnavailable, "the engine lost the answer; send the request again").WithRun(fault.RunYes))
 	}
-	c.requestEnded(c.upstream, false)
+	c.requestEnded(c.run, false)
 	if !crashed {
 		rt.mu.Lock()
 		rt.models.MarkFailed(c.upstream)
@@ -224,9 +230,27 @@
 	return nil
 }
 
+// reopen opens the stream again on the engine that had it, and reports whether that
+// still has it.
+func (c *completion) reopen(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.router.settings.SilenceTimeout)
+	defer cancel()
+	s, err := c.router.engines.Resume(ctx, c.upstream, c.address, c.req.ID, c.nextIndex)
+	if err != nil {
+		return false
+	}
+	event.StreamResumed.Log("request", c.req.ID, "upstream", c.upstream, "next-token", c.nextIndex)
+	again := c.run
+	again.stream = s
+	c.receive(again)
+	return true
+}
+
 // checkCrash reports whether the engine process to which the request was sent has
-// crashed. If so, the request becomes a suspect, and the peers are informed.
-func (c *completion) checkCrash(ctx context.Context, upstream, address string) bool {
+// crashed. If so, the request becomes a suspect, and the peers are informed. progress
+// is set if the process had produced tokens of it, the first of them at answeredAt.
+func (c *completion) checkCrash(ctx context.Context, k run, progress bool, answeredAt time.Time) bool {
+	upstream, address := k.upstream, k.address
 	reportCtx, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	r, err := c.router.engines.Report(reportCtx, address)
 	for range crashReportAttempts - 1 {
@@ -242,13 +266,13 @@
 	now := time.Now()
 	// An unreachable engine may be on the other side of a network partition. It
 	// has crashed if nothing, or another process, listens on its address.
-	crashed := errors.Is(err, syscall.ECONNREFUSED) || err == nil && c.incarnation != "" && incarnation(r) != c.incarnation
+	crashed := errors.Is(err, syscall.ECONNREFUSED) || err == nil && k.incarnation != "" && incarnation(r) != k.incarnation
 	if !crashed {
 		return false
 	}
 	rt, fp := c.router, fingerprint(&c.req)
 	// The peers may already know the restarted process.
-	current := rt.incarnation(upstream) == c.incarnation
+	current := rt.incarnation(upstream) == k.incarnation
 	rt.mu.Lock()
 	if current {
 		rt.models.SetHealth(upstream, route.Down)
@@ -257,12 +281,12 @@
 		rt.mu.Unlock()
 		return true
 	}
-	crash := poison.Crash{ID: upstream + "/" + c.incarnation, At: now, Progress: c.nextIndex > c.req.DeliveredTokens}
+	crash := poison.Crash{ID: upstream + "/" + c.incarnation, At: now, Progress: progress}
 	entry := rt.suspects.Observe(fp, crash)
 	verdict, _ := rt.suspects.Judge(now, fp)
 	rt.mu.Unlock()
 	rt.facts.Report(now, member.SuspectFact(entry))
-	if c.answeredAt.IsZero() || now.Sub(c.answeredAt) < blame.AnsweredAfter {
+	if answeredAt.IsZero() || now.Sub(answeredAt) < blame.AnsweredAfter {
 		rt.parts.Crashed(c.req.Parts, crash)
 		c.reportParts(now)
 	}
--- a/internal/node/router/fake_test.go
+++ b/internal/node/router/fake_test.go
@@ -42,6 +42,8 @@
 		router   *Router
 		claims   fakeClaims
 		wakeErr  error
+		// wakeOn is the only engine on which Wake loads, empty for any.
+		wakeOn string
 	}
 
 	fakeClaims struct {
@@ -102,6 +104,9 @@
 	}
 	var last error
 	for name := range s.engines {
+		if s.wakeOn != "" && name != s.wakeOn {
+			continue
+		}
 		if last = s.Ensure(ctx, owner.Request{Upstream: name, Model: q.Model, Version: q.Version}); last == nil {
 			return name, nil
 		}
--- a/internal/node/router/resume.go
+++ b/internal/node/router/resume.go
@@ -50,10 +50,13 @@
 		if err == nil {
 			event.StreamResumed.Log("request", requestID, "upstream", u.Name, "next-token", from)
 			rt.observer.Decided(time.Now(), requestID, "", "resumed", u.Name, "caller reconnected")
-			return &completion{
-				router: rt, req: calls.Request{ID: requestID, Deadline: time.Now().Add(resumeTimeout)}, startedAt: time.Now(),
-				stream: s, upstream: u.Name, address: u.Address, nextIndex: from, resumed: true, mayHaveRun: true,
-			}, nil
+			now := time.Now()
+			c := &completion{
+				router: rt, req: calls.Request{ID: requestID, Deadline: now.Add(resumeTimeout)}, startedAt: now,
+				nextIndex: from, resumed: true, mayHaveRun: true,
+			}
+			c.receive(run{upstream: u.Name, address: u.Address, sentAt: now, stream: s})
+			return c, nil
 		}
 		var e *engine.Error
 		unreachable = unreachable || errors.As(err, &e) && e.Kind == engine.Unreachable && u == first
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -45,10 +45,11 @@
 		Ensure(ctx context.Context, q owner.Request) error
 	}
 
-	// Engines opens and resumes token streams.
+	// Engines opens, resumes and cancels token streams.
 	Engines interface {
-		Open(ctx context.Context, upstream, address string, r calls.Request) (calls.Stream, error)
-		Resume(ctx context.Context, upstream, address, requestID string, from int64) (calls.Stream, error)
+		Open(ctx context.Context, upstream, address string, r calls.Request) (*engine.Stream, error)
+		Resume(ctx context.Context, upstream, address, requestID string, from int64) (*engine.Stream, error)
+		Cancel(ctx context.Context, address, requestID string) error
 		Report(ctx context.Context, address string) (engine.Report, error)
 	}
 
@@ -81,6 +82,9 @@
 		// MaxRecoveries bounds how often one completion is continued after a
 		// failure; default 6.
 		MaxRecoveries int
+		// SilenceTimeout is how long an engine may send nothing, not even a
+		// comment, before the answer is asked for elsewhere as well; default 5 s.
+		SilenceTimeout time.Duration
 		// MaxResponseBytes bounds the response of a plain service; default
 		// 4 MiB.
 		MaxResponseBytes int64
@@ -125,6 +129,7 @@
 const (
 	defaultReportLag        = time.Second
 	defaultMaxRecoveries    = 6
+	defaultSilenceTimeout   = 5 * time.Second
 	defaultMaxResponseBytes = 4 << 20
 )
 
@@ -144,6 +149,9 @@
 	if s.MaxRecoveries == 0 {
 		s.MaxRecoveries = defaultMaxRecoveries
 	}
+	if s.SilenceTimeout == 0 {
+		s.SilenceTimeout = defaultSilenceTimeout
+	}
 	if s.MaxResponseBytes == 0 {
 		s.MaxResponseBytes = defaultMaxResponseBytes
 	}
--- a/internal/rule/retry/policy.go
+++ b/internal/rule/retry/policy.go
@@ -145,7 +145,7 @@
 		}
 		after = floor + time.Duration(rng.Int64N(int64(slack-floor)))
 	}
-	if !p.takeToken(now, a.Class, b) {
+	if !p.TakeToken(now, a.Class, b) {
 		return Stop{BudgetExhausted}
 	}
 	return Again{After: after}
@@ -161,7 +161,7 @@
 	if !a.Deadline.IsZero() && now.Add(a.MinDuration).After(a.Deadline) {
 		return false
 	}
-	return p.takeToken(now, declare.Background, b)
+	return p.TakeToken(now, declare.Background, b)
 }
 
 // Delay returns the delay before attempt number attempts+1: uniform between 0
@@ -174,9 +174,9 @@
 	return time.Duration(rng.Int64N(int64(min(bound, p.MaxDelay)) + 1))
 }
 
-// takeToken takes a token from b and reports whether there was one. Background
+// TakeToken takes a token from b and reports whether there was one. Background
 // requests and hedges leave the reserve for urgent requests.
-func (p *Policy) takeToken(now time.Time, c declare.Class, b *Budget) bool {
+func (p *Policy) TakeToken(now time.Time, c declare.Class, b *Budget) bool {
 	reserve := 0.0
 	if c != declare.Urgent {
 		reserve = p.UrgentReserve * b.Limit()
--- a/internal/rule/route/pick.go
+++ b/internal/rule/route/pick.go
@@ -53,7 +53,7 @@
 const (
 	// Best means that one of the replicas with the least cost was chosen.
 	Best Reason = "best"
-	// OnlyDegraded means that every available replica is ejected or suspect.
+	// OnlyDegraded means that every available replica is ejected, suspect or silent.
 	OnlyDegraded Reason = "only-slow"
 	// NotLoaded means that no replica of the model version is known.
 	NotLoaded Reason = "not-loaded"
@@ -108,14 +108,14 @@
 	serviceTime time.Duration
 	// reportAge is the age of the oldest report among the candidates.
 	reportAge time.Duration
-	// onlyDegraded is set while all candidates are ejected or suspect.
+	// onlyDegraded is set while all candidates are ejected, suspect or silent.
 	onlyDegraded bool
 	// loaded is set if the model version has any replica.
 	loaded bool
 }
 
-// collect fills t.candidates with eligible replicas and their costs. Ejected and
-// suspect replicas are collected only if there are no others. In a sampled model
+// collect fills t.candidates with eligible replicas and their costs. Ejected,
+// suspect and silent replicas are collected only if there are no others. In a sampled model
 // the replicas that probably cache the prefix are always considered.
 func (t *Table) collect(now time.Time, rng *rand.Rand, m *model, q *Query) scan {
 	s := scan{now: now, q: q, adapterID: t.adapters[q.Adapter], serviceTime: m.serviceTime, onlyDegraded: true}
@@ -157,7 +157,7 @@
 	if u.health >= Leaving || slices.Contains(s.q.Exclude, u.name) {
 		return
 	}
-	if p.ejectedUntil.After(s.now) || u.health == Suspect {
+	if p.ejectedUntil.After(s.now) || u.silentUntil.After(s.now) || u.health == Suspect {
 		if !s.onlyDegraded {
 			return
 		}
--- a/internal/rule/route/table.go
+++ b/internal/rule/route/table.go
@@ -87,9 +87,12 @@
 		inFlight         int
 		deltas           deltas
 		outstanding      int
-		prefixValidFrom  time.Time // earlier hints are ignored
-		prefixGapAt      time.Time // earlier hints count half
-		replicas         []*replica
+		// silentSince is when the upstream, which has been silent since then,
+		// last sent something; it is not preferred until silentUntil.
+		silentSince, silentUntil time.Time
+		prefixValidFrom          time.Time // earlier hints are ignored
+		prefixGapAt              time.Time // earlier hints count half
+		replicas                 []*replica
 	}
 
 	replica struct {
@@ -163,6 +166,7 @@
 			u.prefixValidFrom = r.At
 			u.inFlight = 0
 			u.deltas = deltas{}
+			u.silentSince, u.silentUntil = time.Time{}, time.Time{}
 			for _, p := range u.replicas {
 				p.latency, p.samples, p.ejectedUntil = 0, 0, time.Time{}
 			}
@@ -219,26 +223,6 @@
 	}
 }
 
-// SetHealth records an upstream's health.
-func (t *Table) SetHealth(upstream string, h Health) { t.upstream(upstream).health = h }
-
-// MarkFailed makes an upstream suspect after a request that failed there. The
-// late failure of a request does not change an upstream that is leaving or down.
-func (t *Table) MarkFailed(upstream string) {
-	if u := t.upstream(upstream); u.health < Suspect {
-		u.health = Suspect
-	}
-}
-
-// MarkResponded makes a suspect upstream live again after a response. It does
-// not change one that is leaving or down, since the response may belong to an
-// earlier request.
-func (t *Table) MarkResponded(upstream string) {
-	if u := t.upstream(upstream); u.health == Suspect {
-		u.health = Live
-	}
-}
-
 // Remove removes an upstream and its replicas.
 func (t *Table) Remove(upstream string) {
 	u := t.upstreams[upstream]
@@ -282,6 +266,9 @@
 		u.deltas.add(now, -1)
 		u.updateOutstanding()
 	}
+	if service > 0 {
+		u.silentSince, u.silentUntil = time.Time{}, time.Time{}
+	}
 	p := t.findReplica(u, model, version)
 	if p == nil {
 		return
--- a/internal/rule/route/table_test.go
+++ b/internal/rule/route/table_test.go
@@ -273,3 +273,47 @@
 	tb.MarkResponded("u")
 	must.Eq(t, Live, tb.upstream("u").health)
 }
+
+// TestSilenceEnds guards against an upstream that paused once and counts as failed for
+// longer than its silence lasted, however many requests it was running, and against
+// preferring one that stays silent.
+func TestSilenceEnds(t *testing.T) {
+	at := func(seconds float64) time.Time { return t0.Add(time.Duration(seconds * float64(time.Second))) }
+	m := LoadedModel{Model: "m", Version: "1"}
+	tab, rng := New(Settings{FailureDomain: "d0"}), rand.New(rand.NewPCG(1, 1))
+	for _, name := range []string{"u0", "u1"} {
+		tab.SetReport(report(name, "d0", t0, 8, 0, m))
+	}
+	picked := func(now time.Time) map[string]bool {
+		names := map[string]bool{}
+		for range 100 {
+			names[tab.Pick(now, rng, &Query{Model: "m", Version: "1"}).Upstream] = true
+		}
+		return names
+	}
+	for range 10 {
+		tab.Silent(at(5), "u0", at(0))
+	}
+	must.MapEq(t, map[string]bool{"u1": true}, picked(at(9.9)))
+	must.MapEq(t, map[string]bool{"u0": true, "u1": true}, picked(at(10.1)))
+	tab.Silent(at(12), "u0", at(0))
+	must.MapEq(t, map[string]bool{"u1": true}, picked(at(23.9)))
+	tab.Continued("u0")
+	must.MapEq(t, map[string]bool{"u0": true, "u1": true}, picked(at(12.1)))
+
+	// A later silence doesn't count from the beginning of one that has ended.
+	tab.Silent(at(20), "u0", at(15))
+	tab.RequestSent(at(26), "u0", 0)
+	tab.RequestDone(at(27), "u0", "m", "1", time.Second, time.Second)
+	tab.Silent(at(35), "u0", at(30))
+	must.MapEq(t, map[string]bool{"u0": true, "u1": true}, picked(at(40.1)))
+
+	// The silence of a former process isn't that of the present one.
+	tab.Silent(at(50), "u0", at(41))
+	r := report("u0", "d0", at(51), 8, 0, m)
+	r.Incarnation = "2"
+	tab.SetReport(r)
+	must.MapEq(t, map[string]bool{"u0": true, "u1": true}, picked(at(51.1)))
+	must.Eq(t, Live, tab.Health("u0"))
+	must.Eq(t, Down, tab.Health("unknown"))
+}
