engine: bound the read of a refusal by the deadline of the request

A completion hung past its deadline, and past the departure of its caller, if an engine refused it and fell silent within the body of the refusal. Cause: openStream detached the connection from the request's context before it read that body. Now it is detached once the refusal has been read; the status counts also if the rest of the body is missing.

Found while every wait for an engine was read through for timeouts on silence; this one had none. Evidence: TestSilentRefusal hung for the 10 s that it allows on the former code, and passes.

--- a/internal/link/engine/client.go
+++ b/internal/link/engine/client.go
@@ -176,6 +176,14 @@
 	defer done()
 	stop := context.AfterFunc(openCtx, cancel)
 	resp, err := call.Open(streamCtx, c.HTTP)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		// The status decides, also if the rest of the body is missing.
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+		stop()
+		resp.Body.Close()
+		cancel()
+		return nil, statusError(op, address, resp.StatusCode, resp.Header, b)
+	}
 	if !stop() && err == nil {
 		resp.Body.Close()
 		err = &rest.Error{Reached: true, Err: context.Cause(openCtx)}
@@ -184,11 +192,5 @@
 		cancel()
 		return nil, callError(op, address, err)
 	}
-	if resp.StatusCode != http.StatusOK {
-		b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
-		resp.Body.Close()
-		cancel()
-		return nil, statusError(op, address, resp.StatusCode, resp.Header, b)
-	}
 	return newStream(resp.Body, cancel, upstream, address, requestID, from, orDefault(c.IdleTimeout, defaultIdleTimeout)), nil
 }
--- a/internal/link/engine/client_test.go
+++ b/internal/link/engine/client_test.go
@@ -266,3 +266,30 @@
 		must.Eq(t, tc.ran, e.MayHaveRun(), must.Sprint(name))
 	}
 }
+
+// TestSilentRefusal guards against a request that hangs past its deadline because the
+// engine refuses it and falls silent within the body of the refusal.
+func TestSilentRefusal(t *testing.T) {
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", "100")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer hs.Close()
+	defer hs.CloseClientConnections()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := New(nil).Open(ctx, upstream, hs.Listener.Addr().String(), request("r"))
+		failed <- err
+	}()
+	select {
+	case err := <-failed:
+		must.Eq(t, Refused, kindOf(t, err))
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request hangs")
+	}
+}
