router: don't take an upstream for failed because a caller left

An engine or a plain service that paused while a caller left, or until its deadline had passed, counted as suspect afterwards. A suspect upstream gets requests only if all others are suspect too, and ceases to be so only when its facts change, which those of plain services and idle engines don't. Cause: openFailed and sendCall called MarkFailed for every error, also for that of the request's own context. Now such an end counts as a silence, which is over after as long as it lasted, or once the upstream answers.

Evidence: TestCallerLeavesSilentUpstream failed in both of its cases and passes.

--- a/internal/node/router/attempt.go
+++ b/internal/node/router/attempt.go
@@ -145,7 +145,12 @@
 			c.checkCrash(ctx, k, false, time.Time{})
 		}
 		rt.mu.Lock()
-		rt.models.MarkFailed(upstream)
+		if ctx.Err() == nil {
+			rt.models.MarkFailed(upstream)
+		} else {
+			// The caller has left, or the deadline has passed.
+			rt.models.Silent(now, upstream, k.sentAt)
+		}
 		rt.mu.Unlock()
 	}
 	return fault.Wrap(e, fault.UpstreamUnavailable, "%s did not take the request", upstream)
--- a/internal/node/router/invoke.go
+++ b/internal/node/router/invoke.go
@@ -185,7 +185,12 @@
 	defer rt.mu.Unlock()
 	if err != nil {
 		rt.services.RequestDone(now, d.Name, c.Service, "", 0, 0)
-		rt.services.MarkFailed(d.Name)
+		if ctx.Err() == nil {
+			rt.services.MarkFailed(d.Name)
+		} else {
+			// The caller has left, or the deadline has passed.
+			rt.services.Silent(now, d.Name, began)
+		}
 		return calls.ServiceResponse{}, err
 	}
 	rt.services.RequestDone(now, d.Name, c.Service, "", now.Sub(began), now.Sub(began))
--- a/internal/node/router/silence_test.go
+++ b/internal/node/router/silence_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/azurespan/azurespan/internal/core/member"
 	"github.com/azurespan/azurespan/internal/node/owner"
 	"github.com/azurespan/azurespan/internal/rule/retry"
+	"github.com/azurespan/azurespan/internal/rule/route"
 	"github.com/azurespan/azurespan/standin/engine/engsv"
 	"github.com/azurespan/azurespan/standin/service/servsv"
 )
@@ -377,3 +379,41 @@
 	must.Eq(t, 2, countRuns(v))
 	must.Eq(t, 0, s.claims.withdrawn)
 }
+
+// TestCallerLeavesSilentUpstream guards against taking an engine or a plain service for
+// failed, for good, because a caller has left or its deadline has passed while it
+// paused.
+func TestCallerLeavesSilentUpstream(t *testing.T) {
+	const patience = 50 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		context func(t *testing.T) context.Context
+		in      time.Duration
+	}{
+		{"the caller leaves", func(t *testing.T) context.Context {
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(patience, cancel)
+			return ctx
+		}, time.Minute},
+		{"the deadline passes", (*testing.T).Context, patience},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newPausingSite(t, 1)
+			s.pause("e0")
+			s.services["desk-1"].SetFaults(servsv.Faults{LatencyMS: testPause.Milliseconds()})
+			r := chat("r1", "figs", testStream)
+			r.Deadline = time.Now().Add(c.in)
+			_, err := s.router.Complete(c.context(t), r)
+			must.Error(t, err)
+			call := booking("")
+			call.Method, call.Path, call.Body, call.Deadline = "GET", "/availability", nil, time.Now().Add(c.in)
+			_, err = s.router.Invoke(c.context(t), call)
+			must.Error(t, err)
+			s.router.mu.Lock()
+			defer s.router.mu.Unlock()
+			later := time.Now().Add(testPause)
+			must.Eq(t, route.Best, s.router.models.Pick(later, s.router.rng, &route.Query{Model: "m", Version: "v1"}).Reason)
+			must.Eq(t, route.Best, s.router.services.Pick(later, s.router.rng, &route.Query{Model: "desk"}).Reason)
+		})
+	}
+}
