route: let the suspicion after a failed request end

An upstream on which one request had failed got no others for as long as its peers were well, however long ago that was. Cause: MarkFailed left it suspect until a changed fact set its health, or until it answered a call of a plain service. Facts about plain services and idle engines don't change, and a suspect upstream gets no requests to answer. Now such a suspicion lasts for EjectionTime, 30 s, as that of a slow replica does. One that the peers report still lasts until they report otherwise.

Found while it was checked how long a silence counts against an upstream. Evidence: TestFailureEnds failed and passes. TestLateFailure passes the time to MarkFailed; its assertions are unchanged.

--- a/internal/node/router/attempt.go
+++ b/internal/node/router/attempt.go
@@ -146,7 +146,7 @@
 		}
 		rt.mu.Lock()
 		if ctx.Err() == nil {
-			rt.models.MarkFailed(upstream)
+			rt.models.MarkFailed(now, upstream)
 		} else {
 			// The caller has left, or the deadline has passed.
 			rt.models.Silent(now, upstream, k.sentAt)
--- a/internal/node/router/completion.go
+++ b/internal/node/router/completion.go
@@ -220,7 +220,7 @@
 	c.requestEnded(c.run, false)
 	if !crashed {
 		rt.mu.Lock()
-		rt.models.MarkFailed(c.upstream)
+		rt.models.MarkFailed(time.Now(), c.upstream)
 		rt.mu.Unlock()
 	}
 	if err := c.open(ctx); err != nil {
--- a/internal/node/router/invoke.go
+++ b/internal/node/router/invoke.go
@@ -186,7 +186,7 @@
 	if err != nil {
 		rt.services.RequestDone(now, d.Name, c.Service, "", 0, 0)
 		if ctx.Err() == nil {
-			rt.services.MarkFailed(d.Name)
+			rt.services.MarkFailed(now, d.Name)
 		} else {
 			// The caller has left, or the deadline has passed.
 			rt.services.Silent(now, d.Name, began)
--- a/internal/rule/route/health.go
+++ b/internal/rule/route/health.go
@@ -3,22 +3,37 @@
 import "time"
 
 // SetHealth records an upstream's health.
-func (t *Table) SetHealth(upstream string, h Health) { t.upstream(upstream).health = h }
+func (t *Table) SetHealth(upstream string, h Health) {
+	u := t.upstream(upstream)
+	u.health, u.suspectUntil = h, time.Time{}
+}
 
-// MarkFailed makes an upstream suspect after a request that failed there. The
-// late failure of a request does not change an upstream that is leaving or down.
-func (t *Table) MarkFailed(upstream string) {
-	if u := t.upstream(upstream); u.health < Suspect {
+// MarkFailed makes an upstream suspect for EjectionTime after a request that failed
+// there. The late failure of a request does not change an upstream that is leaving or
+// down.
+func (t *Table) MarkFailed(now time.Time, upstream string) {
+	u := t.upstream(upstream)
+	if u.health < Suspect {
 		u.health = Suspect
+		u.suspectUntil = now
+	}
+	// A suspicion of the peers has no end.
+	if u.health == Suspect && !u.suspectUntil.IsZero() {
+		u.suspectUntil = now.Add(t.settings.EjectionTime)
 	}
 }
 
+// suspect reports whether the upstream is suspect at now.
+func (u *upstream) suspect(now time.Time) bool {
+	return u.health == Suspect && (u.suspectUntil.IsZero() || now.Before(u.suspectUntil))
+}
+
 // MarkResponded makes a suspect upstream live again after a response. It does
 // not change one that is leaving or down, since the response may belong to an
 // earlier request.
 func (t *Table) MarkResponded(upstream string) {
 	if u := t.upstream(upstream); u.health == Suspect {
-		u.health = Live
+		u.health, u.suspectUntil = Live, time.Time{}
 	}
 }
 
--- a/internal/rule/route/pick.go
+++ b/internal/rule/route/pick.go
@@ -157,7 +157,7 @@
 	if u.health >= Leaving || slices.Contains(s.q.Exclude, u.name) {
 		return
 	}
-	if p.ejectedUntil.After(s.now) || u.silentUntil.After(s.now) || u.health == Suspect {
+	if p.ejectedUntil.After(s.now) || u.silentUntil.After(s.now) || u.suspect(s.now) {
 		if !s.onlyDegraded {
 			return
 		}
--- a/internal/rule/route/table.go
+++ b/internal/rule/route/table.go
@@ -38,7 +38,8 @@
 		// SlowFactor is the multiple of the peers' median latency above which
 		// a replica is ejected; default 3.
 		SlowFactor float64
-		// EjectionTime is how long a slow replica is ejected; default 30 s.
+		// EjectionTime is how long a slow replica is ejected, and an upstream is
+		// suspect after a failed request; default 30 s.
 		EjectionTime time.Duration
 	}
 
@@ -77,9 +78,12 @@
 	}
 
 	upstream struct {
-		name             string
-		local            bool
-		health           Health
+		name   string
+		local  bool
+		health Health
+		// suspectUntil is the end of a suspicion after a failed request, zero for
+		// one of the peers.
+		suspectUntil     time.Time
 		incarnation      string
 		reportAt         time.Time
 		sequences        int
--- a/internal/rule/route/table_test.go
+++ b/internal/rule/route/table_test.go
@@ -262,13 +262,13 @@
 	for _, h := range []Health{Leaving, Down} {
 		tb := New(Settings{})
 		tb.SetHealth("u", h)
-		tb.MarkFailed("u")
+		tb.MarkFailed(t0, "u")
 		must.Eq(t, h, tb.upstream("u").health)
 		tb.MarkResponded("u")
 		must.Eq(t, h, tb.upstream("u").health)
 	}
 	tb := New(Settings{})
-	tb.MarkFailed("u")
+	tb.MarkFailed(t0, "u")
 	must.Eq(t, Suspect, tb.upstream("u").health)
 	tb.MarkResponded("u")
 	must.Eq(t, Live, tb.upstream("u").health)
@@ -317,3 +317,25 @@
 	must.Eq(t, Live, tab.Health("u0"))
 	must.Eq(t, Down, tab.Health("unknown"))
 }
+
+// TestFailureEnds guards against an upstream that gets no requests any more after a
+// single failure, because others get them all and no report says anything new about it.
+func TestFailureEnds(t *testing.T) {
+	tab, rng := New(Settings{FailureDomain: "d0"}), rand.New(rand.NewPCG(1, 1))
+	for _, name := range []string{"u0", "u1"} {
+		tab.SetReport(report(name, "d0", t0, 8, 0, LoadedModel{Model: "m", Version: "1"}))
+	}
+	picked := func(now time.Time) map[string]bool {
+		names := map[string]bool{}
+		for range 100 {
+			names[tab.Pick(now, rng, &Query{Model: "m", Version: "1"}).Upstream] = true
+		}
+		return names
+	}
+	tab.MarkFailed(t0, "u0")
+	must.MapEq(t, map[string]bool{"u1": true}, picked(t0.Add(29*time.Second)))
+	must.MapEq(t, map[string]bool{"u0": true, "u1": true}, picked(t0.Add(31*time.Second)))
+	// What the peers say about it holds until they say something else.
+	tab.SetHealth("u0", Suspect)
+	must.MapEq(t, map[string]bool{"u1": true}, picked(t0.Add(time.Hour)))
+}
