peer: let calls in progress outlast an exchange that times out

A load or a claim that a daemon had asked a peer for failed when the gossip with that peer timed out, after a pause of peer-timeout (2 s): the caller of a load then took the next upstream, though the load went on. Cause: Drop closed the connection, which all calls to a peer share, while nothing was in hand for the others. Now the next call opens a new connection, and the calls in progress fail only if the former one delivers nothing for 3 s more; if it delivers something, they go on until they end or reach their own deadlines.

Ruled out: closing only after two failed exchanges, because further calls would go on a dead connection for longer.

--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -25,7 +25,16 @@
 		dialTimeout time.Duration
 		traffic     *Traffic
 		mu          sync.Mutex
-		conns       map[string]*rpc.Client
+		conns       map[string]*clientConn
+	}
+
+	// clientConn is a connection to a peer.
+	clientConn struct {
+		*rpc.Client
+		// calls is the number of calls in progress, received that of the bytes
+		// received.
+		calls    atomic.Int64
+		received *atomic.Uint64
 	}
 
 	// CallError reports a call that failed before its reply arrived. The peer
@@ -36,15 +45,22 @@
 		Cause   error
 	}
 
-	// countingConn counts its bytes in traffic.
+	// countingConn counts its bytes in traffic, and those received also in
+	// received.
 	countingConn struct {
 		net.Conn
-		traffic *Traffic
+		traffic  *Traffic
+		received atomic.Uint64
 	}
 )
 
-// DialTimeout limits the time to connect to a peer.
-const DialTimeout = time.Second
+const (
+	// DialTimeout limits the time to connect to a peer.
+	DialTimeout = time.Second
+	// dropTimeout is how long a dropped connection may deliver nothing before its
+	// calls fail. A peer that only paused has sent its overdue replies by then.
+	dropTimeout = 3 * time.Second
+)
 
 // Error names the call and the cause.
 func (e *CallError) Error() string {
@@ -57,6 +73,7 @@
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.Received.Add(uint64(n))
+	c.received.Add(uint64(n))
 	return n, err
 }
 
@@ -72,7 +89,7 @@
 // NewClient returns a Client that counts its bytes in t. Connections are not
 // encrypted if tlsConf is nil.
 func NewClient(secret []byte, tlsConf *tls.Config, t *Traffic) *Client {
-	return &Client{secret: secret, tls: tlsConf, dialTimeout: DialTimeout, traffic: t, conns: map[string]*rpc.Client{}}
+	return &Client{secret: secret, tls: tlsConf, dialTimeout: DialTimeout, traffic: t, conns: map[string]*clientConn{}}
 }
 
 // Call calls a method of the peer at address and waits for its reply or for the
@@ -85,6 +102,8 @@
 	if err != nil {
 		return &CallError{Address: address, Method: method, Cause: err}
 	}
+	cl.calls.Add(1)
+	defer cl.calls.Add(-1)
 	call := cl.Go("Peer."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
@@ -99,17 +118,30 @@
 	return &CallError{Address: address, Method: method, Cause: call.Error}
 }
 
-// Drop closes the connection to address, so that the next call opens a new one.
-// It is called when exchanges time out, because a connection stays open during a
-// network partition without delivering anything.
+// Drop makes the next call to address open a new connection. It is called when
+// exchanges time out, because a connection stays open during a network partition
+// without delivering anything. Calls in progress fail if the former connection delivers
+// nothing for dropTimeout; else they go on, because the peer has only paused.
 func (c *Client) Drop(address string) {
 	c.mu.Lock()
 	cl := c.conns[address]
 	delete(c.conns, address)
 	c.mu.Unlock()
-	if cl != nil {
-		_ = cl.Close()
+	if cl == nil {
+		return
+	}
+	before := cl.received.Load()
+	time.AfterFunc(dropTimeout, func() { closeDropped(cl, before) })
+}
+
+// closeDropped closes a dropped connection unless it has delivered bytes beyond those
+// before, and waits for its calls if it has.
+func closeDropped(cl *clientConn, before uint64) {
+	if cl.received.Load() > before && cl.calls.Load() > 0 {
+		time.AfterFunc(dropTimeout, func() { closeDropped(cl, before) })
+		return
 	}
+	_ = cl.Close() // it may have failed already
 }
 
 // Close closes all connections.
@@ -122,7 +154,7 @@
 	}
 }
 
-func (c *Client) removeConn(address string, cl *rpc.Client) {
+func (c *Client) removeConn(address string, cl *clientConn) {
 	c.mu.Lock()
 	if c.conns[address] == cl {
 		delete(c.conns, address)
@@ -131,7 +163,7 @@
 	_ = cl.Close()
 }
 
-func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context, address string) (*clientConn, error) {
 	c.mu.Lock()
 	cl := c.conns[address]
 	c.mu.Unlock()
@@ -157,7 +189,8 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	cl = rpc.NewClient(c.traffic.Conn(conn))
+	counting := &countingConn{Conn: conn, traffic: c.traffic}
+	cl = &clientConn{Client: rpc.NewClient(counting), received: &counting.received}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.conns[address]; other != nil {
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -28,6 +28,16 @@
 
 func (echo) Block(_ string, _ *string) error { select {} }
 
+// waiting receives a value when Wait is called, and released lets it return.
+var waiting, released = make(chan struct{}), make(chan struct{})
+
+func (echo) Wait(in string, out *string) error {
+	waiting <- struct{}{}
+	<-released
+	*out = in
+	return nil
+}
+
 func serve(t *testing.T, secret string) string {
 	t.Helper()
 	s, err := NewServer([]byte(secret), nil, echo{}, new(Traffic))
