router: count the crash of a silent engine whose replacement is asked

A request that makes an engine silent and then crashes it could crash one engine more than the quarantine allows: if the engine ended while another one was asked, the completion went on there and the crash of the first wasn't recorded. The crash is now recorded as after any reset.

Evidence: TestCrashAfterSilence failed without the call of recordFormer, and passes.

--- a/internal/node/router/attempt.go
+++ b/internal/node/router/attempt.go
@@ -82,7 +82,7 @@
 	c.beginWait(ctx)
 	s, err := rt.engines.Open(openCtx, upstream, k.address, c.req)
 	silent.Stop()
-	if next := c.endWait(err == nil); next != nil {
+	if next := c.endWait(ctx, err); next != nil {
 		if err == nil {
 			c.stream = s
 		}
--- a/internal/node/router/completion.go
+++ b/internal/node/router/completion.go
@@ -122,7 +122,7 @@
 		}
 		c.beginWait(ctx)
 		t, err := c.stream.Next(ctx)
-		if next := c.endWait(err == nil); next != nil {
+		if next := c.endWait(ctx, err); next != nil {
 			c.adopt(next)
 			continue
 		}
--- a/internal/node/router/silence.go
+++ b/internal/node/router/silence.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/fault"
 	"github.com/azurespan/azurespan/internal/core/poison"
+	"github.com/azurespan/azurespan/internal/link/engine"
 	"github.com/azurespan/azurespan/internal/node/calls"
 	"github.com/azurespan/azurespan/internal/node/owner"
 	"github.com/azurespan/azurespan/internal/node/waker"
@@ -75,18 +77,19 @@
 	c.silences.mu.Unlock()
 }
 
-// endWait ends a wait, after which the former engine goes on or has failed. It returns
-// the run that has taken the place of the former one, nil if there is none. After a
-// failure it waits for the run in preparation.
-func (c *completion) endWait(goesOn bool) *run {
+// endWait ends a wait, after which the former engine goes on or has failed with err. It
+// returns the run that has taken the place of the former one, nil if there is none.
+// After a failure it waits for the run in preparation.
+func (c *completion) endWait(ctx context.Context, err error) *run {
 	s := &c.silences
+	goesOn, failed := err == nil, false
 	s.mu.Lock()
 	s.waiting = false
 	w := s.present
 	s.present = nil
 	if w != nil {
 		w.goesOn = goesOn && w.next == nil
-		goesOn = w.goesOn
+		goesOn, failed = w.goesOn, err != nil && w.next == nil
 		close(w.ended)
 		defer w.cancel()
 	}
@@ -107,6 +110,9 @@
 		return nil
 	}
 	c.mayHaveRun = c.mayHaveRun || w.mayHaveRun
+	if failed && w.next != nil {
+		c.recordFormer(ctx, err)
+	}
 	return w.next
 }
 
@@ -314,6 +320,15 @@
 	}
 }
 
+// recordFormer records a crash of the former engine, which failed with err while
+// another run was prepared.
+func (c *completion) recordFormer(ctx context.Context, err error) {
+	var e *engine.Error
+	if errors.As(err, &e) && e.Kind == engine.Unreachable && e.MayHaveRun() && ctx.Err() == nil {
+		c.checkCrash(ctx, c.run, c.nextIndex > c.req.DeliveredTokens, c.answeredAt)
+	}
+}
+
 // adopt goes on with another run, or with the same one over another connection.
 func (c *completion) adopt(next *run) {
 	former := c.run
