blame: failing tests of parts that callers name

Callers name 20,000 parts after a popular one was answered, and three crashes of upstreams that ran it quarantine it, with every request of its route.

Cause: Table.prune clears the usage of all parts once 8,192 are known and a second has passed. A part without a known answer is quarantined after three crashes instead of five.

TestNamedPartsHidePopularOnes is the case of the issue, and with parts named several times and answered. TestMillionNamedParts plays a minute with a million named parts beside normal traffic and three bursts of three crashes under a route of 2 requests a second.

--- /dev/null
+++ b/internal/core/blame/flood_test.go
@@ -0,0 +1,137 @@
+package blame
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// namedParts is the number of parts that callers name within floodTime, in
+	// requests of partsPerRequest each.
+	namedParts      = 1_000_000
+	partsPerRequest = 50
+	floodTime       = time.Minute
+)
+
+// flood names n parts that no other request has, each in so many requests. It takes
+// the time of the normal traffic into account: a millisecond for 17 parts.
+func (f *fixture) flood(n, times int, answered bool) {
+	for i := range n {
+		if i%17 == 0 {
+			f.now = f.now.Add(time.Millisecond)
+		}
+		parts := []string{fmt.Sprint("named", i)}
+		for range times {
+			f.Sent(f.now, parts)
+			if answered {
+				f.Answered(f.now, parts, nil)
+			}
+		}
+	}
+}
+
+// TestNamedPartsHidePopularOnes guards against a popular part that is quarantined,
+// and with it every request of its route, because callers named so many other parts
+// that its answers were forgotten.
+func TestNamedPartsHidePopularOnes(t *testing.T) {
+	for _, c := range []struct {
+		times    int
+		answered bool
+	}{{1, false}, {1, true}, {2, true}, {5, true}} {
+		f := newFixture(t)
+		for range 20 {
+			f.answer("first", "other")
+		}
+		f.flood(20_000, c.times, c.answered)
+		f.now = f.now.Add(2 * time.Second)
+		f.Sent(f.now, []string{"one more"})
+		for i := range dominantLimit {
+			f.crash([]string{"first", fmt.Sprint("subject", i)})
+		}
+		must.False(t, f.quarantined("first"), must.Sprintf("%+v", c))
+	}
+}
+
+// TestCrashingPartAmongNamedOnes guards against a part that crashes upstreams and is
+// sent on because callers name so many other parts that nothing is known of it.
+func TestCrashingPartAmongNamedOnes(t *testing.T) {
+	f := newFixture(t)
+	for range ambiguousLimit {
+		f.answer("first", "other")
+		f.flood(20_000, 2, true)
+		f.crash([]string{"first", "bad"})
+	}
+	f.answer("first", "other")
+	f.now = f.now.Add(settleTime)
+	must.True(t, f.quarantined("bad"))
+	must.False(t, f.quarantined("first"))
+}
+
+// TestMillionNamedParts plays a minute in which callers name a million parts beside
+// normal traffic, with and without a part that crashes upstreams. Three times, three
+// upstreams crash one after the other while they run requests of a route with few
+// requests. It guards against the quarantine of a part that crashes nothing, and
+// against the faults that TestCrashingPartStorms names.
+func TestMillionNamedParts(t *testing.T) {
+	const (
+		requests      = namedParts / partsPerRequest
+		quietInterval = 500 * time.Millisecond
+		waveInterval  = 15 * time.Second
+		crashInterval = 200 * time.Millisecond
+		waveCrashes   = 3
+	)
+	for seed := range uint64(2) {
+		s := newStorm(seed, 4, 12)
+		s.bad = []string{"", "new"}[seed%2]
+		s.end = floodTime
+		named, quiet, wrong := 0, 0, map[string]bool{}
+		s.play(85, 1.5, func(at time.Duration) {
+			for ; named < int((at+stormStep)*requests/floodTime); named++ {
+				s.send(append([]string{fmt.Sprint("l", s.rng.IntN(3))}, namedBy(named)...))
+			}
+			if at%quietInterval == 0 {
+				s.send([]string{"quiet", fmt.Sprint("subject", quiet)})
+				quiet++
+			}
+			if inWave := at % waveInterval; at >= waveInterval && inWave%crashInterval == 0 && inWave < waveCrashes*crashInterval {
+				s.crashUnder("quiet")
+			}
+			if at%exchangeDelay > 0 {
+				return
+			}
+			for _, p := range []string{"quiet", "s", "l0", "l1", "l2", "t0", "t1", "t2"} {
+				for _, tab := range s.tables {
+					if part, _ := tab.Judge(s.now, []string{p}); part != "" {
+						wrong[p] = true
+					}
+				}
+			}
+		})
+		must.Eq(t, namedParts, named*partsPerRequest)
+		must.MapEmpty(t, wrong, must.Sprintf("seed %d: %d crashes, %d due to the part", seed, len(s.crashes), s.caused))
+		s.check(t, seed)
+	}
+}
+
+// crashUnder crashes the upstream to which a request with part has just been sent.
+func (s *storm) crashUnder(part string) {
+	s.attempt(&request{parts: []string{part, "crashed"}, daemon: s.rng.IntN(len(s.tables))})
+	for i, u := range s.upstreams {
+		if n := len(u.running); n > 0 && u.running[n-1].parts[0] == part {
+			s.crash(i)
+			return
+		}
+	}
+}
+
+// namedBy returns the parts that only one request has.
+func namedBy(request int) []string {
+	out := make([]string, partsPerRequest)
+	for i := range out {
+		out[i] = fmt.Sprintf("named%d.%d", request, i)
+	}
+	return out
+}
--- a/internal/core/blame/storm_test.go
+++ b/internal/core/blame/storm_test.go
@@ -15,8 +15,10 @@
 	// storm simulates daemons that send requests to upstreams. Requests with one
 	// part crash each upstream that begins to answer them.
 	storm struct {
-		rng       *rand.Rand
-		now       time.Time
+		rng *rand.Rand
+		now time.Time
+		// end is the length of the day.
+		end       time.Duration
 		tables    []*Table
 		cursors   []poison.Cursor
 		restarted []time.Time
@@ -67,7 +69,7 @@
 )
 
 func newStorm(seed uint64, daemons, upstreams int) *storm {
-	s := &storm{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), upstreams: make([]upstream, upstreams)}
+	s := &storm{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), end: stormEnd, upstreams: make([]upstream, upstreams)}
 	s.tables, s.cursors, s.restarted = make([]*Table, daemons), make([]poison.Cursor, daemons), make([]time.Time, daemons)
 	for i := range s.tables {
 		s.restart(i)
@@ -252,7 +254,7 @@
 func (s *storm) play(rate, badRate float64, each func(at time.Duration)) {
 	start := s.now
 	chance := func(perSecond float64) bool { return s.rng.Float64() < perSecond*stormStep.Seconds() }
-	for at := time.Duration(0); at < stormEnd; at = s.now.Sub(start) {
+	for at := time.Duration(0); at < s.end; at = s.now.Sub(start) {
 		began := at >= stormStart
 		for range int(rate*stormStep.Seconds()) + 1 {
 			if !chance(rate / float64(int(rate*stormStep.Seconds())+1)) {
