blame: keep the uses of parts in a cache with admission

What callers saw: see the test before: a popular part, and with it every request of its route, was quarantined after three crashes once 8,192 other parts had been named.

Cause: Table.prune cleared all usage. Replaced by github.com/maypok86/otter/v2 (W-TinyLFU: a new part is admitted only if it has been used more often than the one it replaces), at most 8,192 parts. It runs in the caller's goroutine and has no expiry, so it starts no goroutine and reads no clock.

Admission alone isn't enough: parts that are named and answered five times each push a part out that was answered 20 times. So the time of the last forgotten answer is kept, and a part that isn't known counts as answered until a minute after it: five crashes instead of three quarantine it.

Ruled out: golang-lru's 2Q cache, which is deterministic: its frequent list is flushed by parts that are named twice, and it doesn't tell what it drops. ristretto: sets are applied by a goroutine and may be dropped. In a trial without InitialCapacity, otter counted no uses until half of its size was reached, and dropped the popular part.

Tests: TestUsageIsBounded asserts at most maxParts = 8,192 instead of 9,192, because the cache has no second in which it grows beyond. The test of a crashing part judges after each crash, as the relay does. New: TestPopularPartsOutliveNamedOnes.

--- a/internal/core/blame/flood_test.go
+++ b/internal/core/blame/flood_test.go
@@ -18,12 +18,12 @@
 
 // flood names n parts that no other request has, each in so many requests. It takes
 // the time of the normal traffic into account: a millisecond for 17 parts.
-func (f *fixture) flood(n, times int, answered bool) {
+func (f *fixture) flood(prefix string, n, times int, answered bool) {
 	for i := range n {
 		if i%17 == 0 {
 			f.now = f.now.Add(time.Millisecond)
 		}
-		parts := []string{fmt.Sprint("named", i)}
+		parts := []string{fmt.Sprint(prefix, i)}
 		for range times {
 			f.Sent(f.now, parts)
 			if answered {
@@ -45,7 +45,7 @@
 		for range 20 {
 			f.answer("first", "other")
 		}
-		f.flood(20_000, c.times, c.answered)
+		f.flood("named", 20_000, c.times, c.answered)
 		f.now = f.now.Add(2 * time.Second)
 		f.Sent(f.now, []string{"one more"})
 		for i := range dominantLimit {
@@ -55,14 +55,39 @@
 	}
 }
 
+// TestPopularPartsOutliveNamedOnes guards against a cache that drops the parts in use
+// before those that were seen once or twice: with the uses of a part, the order in
+// which candidates for quarantine are judged is lost.
+func TestPopularPartsOutliveNamedOnes(t *testing.T) {
+	f := newFixture(t)
+	const rounds, parts = 40, 200
+	for i := range rounds {
+		for j := range parts {
+			second := []string{"first", fmt.Sprint("second", j)}
+			f.Sent(f.now, second)
+			f.Answered(f.now, second, nil)
+		}
+		f.flood(fmt.Sprint("round", i, "."), maxParts/5, 1+i%2, true)
+	}
+	for j := range parts {
+		u, ok := f.usage.GetEntryQuietly(fmt.Sprint("second", j))
+		must.True(t, ok)
+		must.Eq(t, rounds, u.Value.sent)
+	}
+	u, ok := f.usage.GetEntryQuietly("first")
+	must.True(t, ok)
+	must.Eq(t, rounds*parts, u.Value.sent)
+}
+
 // TestCrashingPartAmongNamedOnes guards against a part that crashes upstreams and is
 // sent on because callers name so many other parts that nothing is known of it.
 func TestCrashingPartAmongNamedOnes(t *testing.T) {
 	f := newFixture(t)
 	for range ambiguousLimit {
 		f.answer("first", "other")
-		f.flood(20_000, 2, true)
+		f.flood("named", 20_000, 2, true)
 		f.crash([]string{"first", "bad"})
+		must.False(t, f.quarantined("first"))
 	}
 	f.answer("first", "other")
 	f.now = f.now.Add(settleTime)
--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/maypok86/otter/v2"
+
 	"github.com/azurespan/azurespan/internal/core/poison"
 )
 
@@ -16,10 +18,12 @@
 		crashes *poison.Table
 
 		mu sync.Mutex
-		// usage holds the parts of requests that this daemon has sent.
-		usage map[string]*usage
-		// prunedAt is when parts were last removed from usage.
-		prunedAt time.Time
+		// usage holds the parts of requests that this daemon has sent. The least
+		// frequently used ones are dropped.
+		usage *otter.Cache[string, *usage]
+		// forgottenAt is when the last of the answers to requests with parts that
+		// were dropped from usage was given.
+		forgottenAt time.Time
 		// firstSentAt is when the first request was sent.
 		firstSentAt time.Time
 		// suspects holds what is decided over time about candidates.
@@ -36,10 +40,9 @@
 
 	// usage is how this daemon has used a part.
 	usage struct {
-		// sent is the number of requests sent, the last one at sentAt.
-		sent   int
-		sentAt time.Time
-		// answeredAt is when a request was last answered.
+		// sent is the number of requests sent.
+		sent int
+		// answeredAt is when a request was last answered, or may have been.
 		answeredAt time.Time
 	}
 
@@ -48,7 +51,8 @@
 		part    string
 		crashes []poison.Crash
 		// answered is set if a request with the part was answered here recently,
-		// or may have been before the daemon was started.
+		// or may have been: before the daemon was started, or before its usage was
+		// dropped.
 		answered bool
 		// sent is the number of requests with the part that were sent here.
 		sent int
@@ -98,16 +102,29 @@
 	probationAfter = 10 * time.Second
 	// recentAnswer is how long a part counts as answered recently.
 	recentAnswer = time.Minute
-	// maxParts is the number of parts from which unused ones are forgotten, at
-	// most once in pruneInterval.
-	maxParts      = 4096
-	pruneInterval = time.Second
+	// maxParts is the number of parts whose usage is kept: eight times what a
+	// daemon of the largest deployment is sent in recentAnswer (docs/CAPACITY.md).
+	maxParts = 8192
 )
 
 // New returns a Table that judges by the histories in crashes.
 func New(crashes *poison.Table) *Table {
-	return &Table{
-		crashes: crashes, usage: map[string]*usage{}, suspects: map[string]*suspect{}, quarantined: map[string]time.Time{},
+	t := &Table{crashes: crashes, suspects: map[string]*suspect{}, quarantined: map[string]time.Time{}}
+	t.usage = otter.Must(&otter.Options[string, *usage]{
+		MaximumSize: maxParts,
+		// Otherwise uses aren't counted until half of the size is reached.
+		InitialCapacity: maxParts,
+		OnDeletion:      t.dropped,
+		// In the caller's goroutine, which holds t.mu, so that the size is kept.
+		Executor: func(fn func()) { fn() },
+	})
+	return t
+}
+
+// dropped records that the usage of a part was dropped. t.mu must be held.
+func (t *Table) dropped(e otter.DeletionEvent[string, *usage]) {
+	if at := e.Value.answeredAt; at.After(t.forgottenAt) {
+		t.forgottenAt = at
 	}
 }
 
@@ -119,39 +136,21 @@
 		t.firstSentAt = now
 	}
 	for _, p := range parts {
-		u := t.used(now, p)
-		u.sent, u.sentAt = u.sent+1, now
+		t.used(p).sent++
 	}
 }
 
-// used returns the usage of a part. t.mu must be held.
-func (t *Table) used(now time.Time, part string) *usage {
-	u := t.usage[part]
-	if u == nil {
-		t.prune(now)
-		u = &usage{}
-		t.usage[part] = u
+// used returns the usage of a part. That of a part which isn't known counts as
+// answered when any forgotten one was: it may be among them. t.mu must be held.
+func (t *Table) used(part string) *usage {
+	u, ok := t.usage.GetIfPresent(part)
+	if !ok {
+		u = &usage{answeredAt: t.forgottenAt}
+		t.usage.Set(part, u)
 	}
 	return u
 }
 
-// prune forgets parts that haven't been used recently, and all if there are still
-// too many. t.mu must be held.
-func (t *Table) prune(now time.Time) {
-	if len(t.usage) < maxParts || now.Sub(t.prunedAt) < pruneInterval {
-		return
-	}
-	t.prunedAt = now
-	for p, u := range t.usage {
-		if now.Sub(u.sentAt) > recentAnswer {
-			delete(t.usage, p)
-		}
-	}
-	if len(t.usage) >= 2*maxParts {
-		clear(t.usage)
-	}
-}
-
 // Crashed records that an upstream crashed while it ran a request with parts.
 func (t *Table) Crashed(parts []string, c poison.Crash) {
 	for _, p := range parts {
@@ -180,7 +179,7 @@
 func (t *Table) Answered(now time.Time, parts []string, known Known) bool {
 	t.mu.Lock()
 	for _, p := range parts {
-		t.used(now, p).answeredAt = now
+		t.used(p).answeredAt = now
 		if _, ok := t.quarantined[p]; ok {
 			t.dueAt = now
 		}
@@ -267,10 +266,11 @@
 		}
 		part, _ := poison.PartOf(e.Fingerprint)
 		c := candidate{part: part, crashes: e.Crashes, answered: !warm, dominant: dominates(e.Crashes, all)}
-		if u := t.usage[part]; u != nil {
-			c.sent = u.sent
-			c.answered = c.answered || !u.answeredAt.IsZero() && now.Sub(u.answeredAt) < recentAnswer
+		answeredAt := t.forgottenAt
+		if u, ok := t.usage.GetEntryQuietly(part); ok {
+			c.sent, answeredAt = u.Value.sent, u.Value.answeredAt
 		}
+		c.answered = c.answered || !answeredAt.IsZero() && now.Sub(answeredAt) < recentAnswer
 		v := t.suspects[part]
 		if v == nil {
 			v = &suspect{}
--- a/internal/core/blame/table_test.go
+++ b/internal/core/blame/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -229,5 +230,6 @@
 		f.now = f.now.Add(time.Millisecond)
 		f.Sent(f.now, []string{fmt.Sprint(i)})
 	}
-	must.LessEq(t, 2*maxParts+int(pruneInterval/time.Millisecond), len(f.usage))
+	must.LessEq(t, maxParts, f.usage.EstimatedSize())
+	must.LessEq(t, maxParts, len(slices.Collect(f.usage.Keys())))
 }
