poison: bound the crash histories, those of one crash first

Each request that runs on a crashing upstream, and each part that it names, gets a history for 10 minutes. A prompt's header of 64 KB names some 3,000 parts.

Cause: Table.entries had no bound but time. It has at most 8,192 histories now, in two LRU lists of github.com/hashicorp/golang-lru/v2/simplelru (no goroutine, no clock): 4,096 with one crash, cleared ones included, and 4,096 with more. A history of one crash, which anything gets that runs on a crashing upstream, can't displace one that crashes repeatedly. A request that is judged again is protected.

CrashTimes must not forget crashes with their histories, because a part would then be taken for the cause of most crashes. The times are kept on their own, one for each crash of an upstream within the retention, a number that callers don't choose. Parts returns only the histories that are long enough to be judged; all were copied before.

Ruled out: one LRU list or the 2Q cache for all histories: parts named beside a crash push out those of earlier crashes, or the ones in use.

No assertion changed.

Evidence: TestHistoriesAreBounded on the code before: 12,284 histories after three crashes. Now it passes, and the tests of blame and poison with -race (blame 214 s, nearly all in TestMillionNamedParts; 10 s without -race); relay, router, qlog, syncer, loader and hub without it.

--- a/internal/core/blame/storm_test.go
+++ b/internal/core/blame/storm_test.go
@@ -18,12 +18,14 @@
 		rng *rand.Rand
 		now time.Time
 		// end is the length of the day.
-		end       time.Duration
-		tables    []*Table
-		cursors   []poison.Cursor
-		restarted []time.Time
-		upstreams []upstream
-		bad       string
+		end    time.Duration
+		tables []*Table
+		// told and cursors are the positions up to which a daemon has told the
+		// holder, and the holder a daemon.
+		told, cursors []poison.Cursor
+		restarted     []time.Time
+		upstreams     []upstream
+		bad           string
 		// crashes are the times of all crashes, of which caused are due to bad.
 		crashes []time.Time
 		caused  int
@@ -70,7 +72,8 @@
 
 func newStorm(seed uint64, daemons, upstreams int) *storm {
 	s := &storm{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), end: stormEnd, upstreams: make([]upstream, upstreams)}
-	s.tables, s.cursors, s.restarted = make([]*Table, daemons), make([]poison.Cursor, daemons), make([]time.Time, daemons)
+	s.tables, s.restarted = make([]*Table, daemons), make([]time.Time, daemons)
+	s.told, s.cursors = make([]poison.Cursor, daemons), make([]poison.Cursor, daemons)
 	for i := range s.tables {
 		s.restart(i)
 	}
@@ -80,7 +83,7 @@
 // restart replaces a daemon by one that knows nothing.
 func (s *storm) restart(i int) {
 	s.tables[i] = New(poison.New(poison.Settings{CrashLimit: 3}, s.rng.Uint64()))
-	s.cursors[i] = poison.Cursor{}
+	s.told[i], s.cursors[i] = poison.Cursor{}, poison.Cursor{}
 	s.restarted[i] = s.now
 }
 
@@ -194,11 +197,11 @@
 func (s *storm) exchange() {
 	holder := s.tables[0].crashes
 	for i, t := range s.tables[1:] {
-		told, _ := t.crashes.Since(poison.Cursor{}, true)
+		var told, news []poison.Entry
+		told, s.told[i+1] = t.crashes.Since(s.told[i+1], true)
 		for _, e := range told {
 			holder.Merge(s.now, e)
 		}
-		var news []poison.Entry
 		news, s.cursors[i+1] = holder.Since(s.cursors[i+1], false)
 		for _, e := range news {
 			t.crashes.Merge(s.now, e)
--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -257,10 +257,7 @@
 	warmAt := t.firstSentAt.Add(warmUp)
 	warm := !t.firstSentAt.IsZero() && !now.Before(warmAt)
 	suspects := map[string]*suspect{}
-	for _, e := range t.crashes.Parts(now) {
-		if len(e.Crashes) < dominantLimit {
-			continue
-		}
+	for _, e := range t.crashes.Parts(now, dominantLimit) {
 		if all == nil {
 			all = t.crashes.CrashTimes()
 		}
--- /dev/null
+++ b/internal/core/poison/bound.go
@@ -0,0 +1,68 @@
+package poison
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+type (
+	// bound chooses the histories that a Table drops. Those of one crash, which any
+	// request or part gets that runs on a crashing upstream, can't displace the
+	// others.
+	bound struct {
+		once, repeated *simplelru.LRU[string, struct{}]
+	}
+)
+
+// maxHistories bounds the histories of a Table: half of them may have one crash only,
+// cleared ones included, and half of them more. A failure domain of the largest
+// deployment whose upstreams crash at once leaves 1,400 (docs/CAPACITY.md).
+const maxHistories = 8192
+
+// newBound returns a bound that calls drop with the key of each history that is
+// removed.
+func newBound(drop func(key string)) *bound {
+	removed := func(key string, _ struct{}) { drop(key) }
+	return &bound{once: newLRU(removed), repeated: newLRU(removed)}
+}
+
+func newLRU(removed func(key string, _ struct{})) *simplelru.LRU[string, struct{}] {
+	l, err := simplelru.NewLRU(maxHistories/2, removed)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return l
+}
+
+// add adds or moves a history that has changed. It may remove another one.
+func (b *bound) add(h *history) {
+	if len(h.Crashes)+len(h.Cleared) < 2 {
+		b.repeated.Remove(h.Fingerprint)
+		b.once.Add(h.Fingerprint, struct{}{})
+		return
+	}
+	b.once.Remove(h.Fingerprint)
+	b.repeated.Add(h.Fingerprint, struct{}{})
+}
+
+// use protects a history, since the request is being sent.
+func (b *bound) use(key string) { b.repeated.Get(key) }
+
+// remove removes a history.
+func (b *bound) remove(key string) {
+	b.once.Remove(key)
+	b.repeated.Remove(key)
+}
+
+// crashTimes holds the times of crashes by ID.
+type crashTimes map[string]time.Time
+
+// add adds crashes. Of several times of one crash, the earliest counts.
+func (c crashTimes) add(crashes []Crash) {
+	for _, crash := range crashes {
+		if at, ok := c[crash.ID]; !ok || crash.At.Before(at) {
+			c[crash.ID] = crash.At
+		}
+	}
+}
--- a/internal/core/poison/judge.go
+++ b/internal/core/poison/judge.go
@@ -29,6 +29,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if h := t.entries[fingerprint]; h != nil {
+		t.bound.use(fingerprint)
 		return t.judge(now, h)
 	}
 	return Clean, 0
--- a/internal/core/poison/table.go
+++ b/internal/core/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -35,6 +36,10 @@
 
 		mu      sync.Mutex
 		entries map[string]*history
+		bound   *bound
+		// times holds the crashes of all histories, dropped ones included, that are
+		// not older than the retention.
+		times crashTimes
 		// rev counts changes.
 		rev uint64
 		// expiredAt is when old histories were last removed.
@@ -93,7 +98,9 @@
 	if settings.Retention == 0 {
 		settings.Retention = DefaultQuarantine
 	}
-	return &Table{settings: settings, id: id, entries: map[string]*history{}}
+	t := &Table{settings: settings, id: id, entries: map[string]*history{}, times: crashTimes{}}
+	t.bound = newBound(func(key string) { delete(t.entries, key) })
+	return t
 }
 
 // Observe adds a crash to the history of a fingerprint unless it contains the
@@ -139,6 +146,8 @@
 // merge is Merge without the removal of old crashes. It returns the new history.
 // t.mu must be held.
 func (t *Table) merge(e Entry) Entry {
+	t.times.add(e.Crashes)
+	t.times.add(e.Cleared)
 	h := t.entries[e.Fingerprint]
 	if h == nil {
 		h = &history{Entry: Entry{Fingerprint: e.Fingerprint}}
@@ -152,6 +161,7 @@
 	}
 	t.rev++
 	h.Entry, h.rev = joined, t.rev
+	t.bound.add(h)
 	t.entries[e.Fingerprint] = h
 	return h.clone()
 }
@@ -180,9 +190,10 @@
 	t.expiredAt = now
 	for fp, h := range t.entries {
 		if h.lastAt().Add(t.settings.Retention).Sub(now) <= 0 {
-			delete(t.entries, fp)
+			t.bound.remove(fp)
 		}
 	}
+	maps.DeleteFunc(t.times, func(_ string, at time.Time) bool { return at.Add(t.settings.Retention).Sub(now) <= 0 })
 }
 
 // Entry returns the history of a fingerprint, empty if it is unknown.
@@ -222,14 +233,14 @@
 	return t.rev != rev
 }
 
-// Parts returns the histories of parts of prompts that have a crash which is not
-// older than the retention at now, ordered by key.
-func (t *Table) Parts(now time.Time) []Entry {
+// Parts returns the histories of parts of prompts that have at least so many crashes,
+// one of which is not older than the retention at now, ordered by key.
+func (t *Table) Parts(now time.Time, crashes int) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Entry
 	for key, h := range t.entries {
-		if _, ok := PartOf(key); ok && len(h.Crashes) > 0 && t.left(now, h.Crashes[len(h.Crashes)-1]) > 0 {
+		if _, ok := PartOf(key); ok && len(h.Crashes) >= max(crashes, 1) && t.left(now, h.Crashes[len(h.Crashes)-1]) > 0 {
 			out = append(out, h.clone())
 		}
 	}
@@ -237,20 +248,12 @@
 	return out
 }
 
-// CrashTimes returns the times of all crashes in histories by ID, cleared ones
-// included.
+// CrashTimes returns the times of all crashes in histories by ID, cleared ones and
+// those of dropped histories included.
 func (t *Table) CrashTimes() map[string]time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[string]time.Time{}
-	for _, h := range t.entries {
-		for _, list := range [][]Crash{h.Crashes, h.Cleared} {
-			for _, c := range list {
-				out[c.ID] = c.At
-			}
-		}
-	}
-	return out
+	return maps.Clone(t.times)
 }
 
 // Retention returns how long a history is kept after its last crash.
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -258,3 +258,35 @@
 		}
 	}
 }
+
+// TestHistoriesAreBounded guards against a table that grows with every request, and
+// every part that callers name in it, that is running on a crashing upstream; and
+// against forgetting the history of a request or part that crashes upstreams before
+// those that were involved in one crash only.
+func TestHistoriesAreBounded(t *testing.T) {
+	now := time.Unix(0, 0)
+	tab := New(Settings{CrashLimit: 3}, 1)
+	part := PartKey("bad")
+	for i := range 3 {
+		now = now.Add(time.Second)
+		c := Crash{ID: fmt.Sprint("u", i), At: now}
+		tab.Observe("bad", c)
+		tab.Observe(part, c)
+		// The histories of one crash that are kept beside these two.
+		for j := range maxHistories/4 - 1 {
+			fp := fmt.Sprint("named ", i, ".", j)
+			tab.Observe(fp, c)
+			tab.Observe(PartKey(fp), c)
+		}
+		must.LessEq(t, maxHistories, len(tab.Recent(now)))
+	}
+	must.Len(t, 3, tab.Entry("bad").Crashes)
+	must.Len(t, 3, tab.Entry(part).Crashes)
+	for i := range 4 * maxHistories {
+		tab.Merge(now, Entry{Fingerprint: fmt.Sprint("merged", i), Crashes: []Crash{{ID: "v", At: now}}})
+	}
+	must.LessEq(t, maxHistories, len(tab.Recent(now)))
+	must.Len(t, 3, tab.Entry("bad").Crashes)
+	verdict, _ := tab.Judge(now, "bad")
+	must.Eq(t, Quarantined, verdict)
+}
