blame: judge the first 64 parts of a prompt

What callers saw: nothing yet; found with the bound of poison. One request names some 3,000 parts in a header of 64 KB. In a crash, each gets a history; with the same parts in two crashes, they push the histories of parts that crash upstreams out of the 4,096 that are kept for repeated crashes.

Cause: the number of parts of one request had no bound. Sent, Crashed, Known, Answered and Judge take the first 64, those that are shared most, since a part is cached with all parts before it.

--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -105,6 +105,10 @@
 	// maxParts is the number of parts whose usage is kept: eight times what a
 	// daemon of the largest deployment is sent in recentAnswer (docs/CAPACITY.md).
 	maxParts = 8192
+	// maxPartsPerRequest is the number of the first parts of a prompt that are
+	// judged. Prompts have a few shared parts; a header has room for thousands, each
+	// of which would get a history in a crash.
+	maxPartsPerRequest = 64
 )
 
 // New returns a Table that judges by the histories in crashes.
@@ -135,11 +139,14 @@
 	if t.firstSentAt.IsZero() {
 		t.firstSentAt = now
 	}
-	for _, p := range parts {
+	for _, p := range judged(parts) {
 		t.used(p).sent++
 	}
 }
 
+// judged returns the parts of a prompt that are judged.
+func judged(parts []string) []string { return parts[:min(len(parts), maxPartsPerRequest)] }
+
 // used returns the usage of a part. That of a part which isn't known counts as
 // answered when any forgotten one was: it may be among them. t.mu must be held.
 func (t *Table) used(part string) *usage {
@@ -153,7 +160,7 @@
 
 // Crashed records that an upstream crashed while it ran a request with parts.
 func (t *Table) Crashed(parts []string, c poison.Crash) {
-	for _, p := range parts {
+	for _, p := range judged(parts) {
 		t.crashes.Observe(poison.PartKey(p), c)
 	}
 }
@@ -162,7 +169,7 @@
 // with them begins.
 func (t *Table) Known(parts []string) Known {
 	var out Known
-	for _, p := range parts {
+	for _, p := range judged(parts) {
 		if e := t.crashes.Entry(poison.PartKey(p)); len(e.Crashes) > 0 {
 			if out == nil {
 				out = Known{}
@@ -178,7 +185,7 @@
 // began. It reports whether any crash was cleared.
 func (t *Table) Answered(now time.Time, parts []string, known Known) bool {
 	t.mu.Lock()
-	for _, p := range parts {
+	for _, p := range judged(parts) {
 		t.used(p).answeredAt = now
 		if _, ok := t.quarantined[p]; ok {
 			t.dueAt = now
@@ -198,7 +205,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.refresh(now)
-	for _, p := range parts {
+	for _, p := range judged(parts) {
 		if left := t.quarantined[p].Sub(now); left > 0 {
 			return p, left
 		}
