relay: count arrivals by declared names only

A request is counted by the names of the model and adapter that its caller sends, before it is refused as unknown-model. Each name is a key on the daemon until the holder has the report (without a holder, for good), in the report, and in the holder's plan while its rate is tracked.

Cause: admit counted the caller's key. It counts undeclared models, and models of services without engines, as the service's, and undeclared adapters as the model's.

Ruled out: not counting them at all: the dealer looks at whether a daemon has arrivals, and the model's rate included undeclared adapters before as well.

The test configuration declares the adapter a1, which its upstreams have loaded all along.

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -195,7 +195,7 @@
 	r, now := x.relay, x.relay.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals[x.query.Key]++
+	r.arrivals[r.demandKey(x.query.Key)]++
 	r.budget(now, x.query.Key.Service).AddRequest()
 	return x.checkQuarantine(now)
 }
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -97,7 +97,7 @@
 	f.relay = New(set, testCodec{}, pool, crashes, blame.New(crashes), metric.New(prometheus.NewRegistry()), rand.New(rand.NewPCG(1, 2)), time.Now)
 	cfg := &fleet.Config{Version: 1, Routes: []fleet.Route{r}, Services: map[string]fleet.Service{"s": {Name: "s"}}}
 	if r.Kind == fleet.Stream {
-		cfg.Services["s"] = fleet.Service{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m"}}}}
+		cfg.Services["s"] = fleet.Service{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m", Adapters: []string{"a1"}}}}}
 	}
 	f.relay.Configure(cfg.Index())
 	// The retry budget of a daemon that has run for a while.
--- a/internal/node/relay/wait.go
+++ b/internal/node/relay/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
@@ -99,6 +100,18 @@
 	return last
 }
 
+// demandKey returns what a request for k counts as in the demand: without names that
+// the configuration doesn't declare, which callers choose.
+func (r *Relay) demandKey(k fleet.Key) fleet.Key {
+	if !r.declared(k) {
+		return fleet.Key{Service: k.Service}
+	}
+	if !slices.Contains(r.Config().Services[k.Service].Engine.Models[k.Model].Adapters, k.Adapter) {
+		k.Adapter = ""
+	}
+	return k
+}
+
 // declared reports whether the configuration declares the model.
 func (r *Relay) declared(k fleet.Key) bool {
 	s, ok := r.Config().Services[k.Service]
