--- a/internal/core/blame/storm_test.go
+++ b/internal/core/blame/storm_test.go
@@ -18,8 +18,12 @@
 		rng *rand.Rand
 		now time.Time
 		// end is the length of the day.
-		end    time.Duration
-		tables []*Table
+		end time.Duration
+		// exchangeDelay is the time between two exchanges, and observe is called
+		// with what a daemon tells the holder, or the holder a daemon.
+		exchangeDelay time.Duration
+		observe       func(told bool, entries []poison.Entry)
+		tables        []*Table
 		// told and cursors are the positions up to which a daemon has told the
 		// holder, and the holder a daemon.
 		told, cursors []poison.Cursor
@@ -71,7 +75,7 @@
 )
 
 func newStorm(seed uint64, daemons, upstreams int) *storm {
-	s := &storm{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), end: stormEnd, upstreams: make([]upstream, upstreams)}
+	s := &storm{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), end: stormEnd, exchangeDelay: exchangeDelay, observe: func(bool, []poison.Entry) {}, upstreams: make([]upstream, upstreams)}
 	s.tables, s.restarted = make([]*Table, daemons), make([]time.Time, daemons)
 	s.told, s.cursors = make([]poison.Cursor, daemons), make([]poison.Cursor, daemons)
 	for i := range s.tables {
@@ -199,10 +203,12 @@
 	for i, t := range s.tables[1:] {
 		var told, news []poison.Entry
 		told, s.told[i+1] = t.crashes.Since(s.told[i+1], true)
+		s.observe(true, told)
 		for _, e := range told {
 			holder.Merge(s.now, e)
 		}
 		news, s.cursors[i+1] = holder.Since(s.cursors[i+1], false)
+		s.observe(false, news)
 		for _, e := range news {
 			t.crashes.Merge(s.now, e)
 		}
@@ -276,7 +282,7 @@
 		for i := range s.upstreams {
 			s.run(i)
 		}
-		if at%exchangeDelay == 0 {
+		if at%s.exchangeDelay == 0 {
 			s.exchange()
 		}
 		s.now = s.now.Add(stormStep)
