claim, router: forget the claims of calls with an unknown outcome

A non-idempotent call whose upstream broke off without a response left its granted claim in claim.Client for as long as the daemon ran.

Cause: only Done and Withdraw removed it, and the router calls neither if the outcome is unknown. It calls Forget now. The claim in the log is unchanged: the key stays taken, and repeats are still refused (I6).

No assertion was removed.

--- a/internal/node/claim/claim.go
+++ b/internal/node/claim/claim.go
@@ -193,6 +193,10 @@
 	}
 }
 
+// Forget forgets the claim of a call that may have run without a response, which stays
+// in the log.
+func (c *Client) Forget(call calls.ServiceCall) { c.removeGranted(call.ID) }
+
 func (c *Client) withdraw(ctx context.Context, a dedup.ClaimArgs) error {
 	args := dedup.WithdrawArgs{Key: a.Key, ID: a.ID}
 	return c.reportToOwner(ctx, a.Key, "Withdraw", args, func() error { return c.local.Withdraw(ctx, time.Now(), args) })
--- a/internal/node/router/fake_test.go
+++ b/internal/node/router/fake_test.go
@@ -45,9 +45,9 @@
 	}
 
 	fakeClaims struct {
-		mu              sync.Mutex
-		refuse          error
-		done, withdrawn int
+		mu                         sync.Mutex
+		refuse                     error
+		done, withdrawn, forgotten int
 	}
 
 	nopObserver struct{}
@@ -73,6 +73,12 @@
 	f.withdrawn++
 }
 
+func (f *fakeClaims) Forget(calls.ServiceCall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forgotten++
+}
+
 func (s *site) View(fn func(*ctrl.State)) { fn(s.state) }
 
 func (s *site) Status() (uint64, bool, bool) { return s.state.Applied(), true, true }
--- a/internal/node/router/invoke.go
+++ b/internal/node/router/invoke.go
@@ -69,6 +69,7 @@
 	if f := fault.Of(err); f.Run == fault.RunNo {
 		rt.claims.Withdraw(*c)
 	} else {
+		rt.claims.Forget(*c)
 		event.OutcomeUnknown.Log("request", c.ID, "service", c.Service, "key", c.Key, "err", err)
 	}
 	return calls.ServiceResponse{}, err
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -61,6 +61,9 @@
 		Done(c calls.ServiceCall, r calls.ServiceResponse)
 		// Withdraw releases a claim; only for a call that did not run.
 		Withdraw(c calls.ServiceCall)
+		// Forget is called instead of Done and Withdraw if the outcome of the call
+		// is unknown.
+		Forget(c calls.ServiceCall)
 	}
 
 	// Observer is notified of requests, for metrics and decision records.
--- a/internal/node/router/router_test.go
+++ b/internal/node/router/router_test.go
@@ -259,6 +259,7 @@
 	must.Eq(t, fault.RunUnknown, fault.Of(err).Run)
 	must.Eq(t, 2, countRuns(v))
 	must.Eq(t, 0, s.claims.withdrawn)
+	must.Eq(t, 1, s.claims.forgotten)
 
 	v.Kill()
 	_, err = s.router.Invoke(ctx, booking("k3"))
