--- a/internal/core/poison/bound.go
+++ b/internal/core/poison/bound.go
@@ -16,8 +16,8 @@
 )
 
 // maxHistories bounds the histories of a Table: half of them may have one crash only,
-// cleared ones included, and half of them more. A failure domain of the largest
-// deployment whose upstreams crash at once leaves 1,400 (docs/CAPACITY.md).
+// cleared ones included, and half of them more. The loss of a failure domain of the
+// largest deployment leaves 122 of parts (docs/CAPACITY.md).
 const maxHistories = 8192
 
 // newBound returns a bound that calls drop with the key of each history that is
