--- a/internal/core/blame/storm_test.go
+++ b/internal/core/blame/storm_test.go
@@ -15,13 +15,21 @@
 	// storm simulates daemons that send requests to upstreams. Requests with one
 	// part crash each upstream that begins to answer them.
 	storm struct {
-		rng       *rand.Rand
-		now       time.Time
-		tables    []*Table
-		cursors   []poison.Cursor
-		restarted []time.Time
-		upstreams []upstream
-		bad       string
+		rng *rand.Rand
+		now time.Time
+		// end is the length of the day.
+		end time.Duration
+		// exchangeDelay is the time between two exchanges, and observe is called
+		// with what a daemon tells the holder, or the holder a daemon.
+		exchangeDelay time.Duration
+		observe       func(told bool, entries []poison.Entry)
+		tables        []*Table
+		// told and cursors are the positions up to which a daemon has told the
+		// holder, and the holder a daemon.
+		told, cursors []poison.Cursor
+		restarted     []time.Time
+		upstreams     []upstream
+		bad           string
 		// crashes are the times of all crashes, of which caused are due to bad.
 		crashes []time.Time
 		caused  int
@@ -67,8 +75,9 @@
 )
 
 func newStorm(seed uint64, daemons, upstreams int) *storm {
-	s := &storm{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), upstreams: make([]upstream, upstreams)}
-	s.tables, s.cursors, s.restarted = make([]*Table, daemons), make([]poison.Cursor, daemons), make([]time.Time, daemons)
+	s := &storm{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), end: stormEnd, exchangeDelay: exchangeDelay, observe: func(bool, []poison.Entry) {}, upstreams: make([]upstream, upstreams)}
+	s.tables, s.restarted = make([]*Table, daemons), make([]time.Time, daemons)
+	s.told, s.cursors = make([]poison.Cursor, daemons), make([]poison.Cursor, daemons)
 	for i := range s.tables {
 		s.restart(i)
 	}
@@ -78,7 +87,7 @@
 // restart replaces a daemon by one that knows nothing.
 func (s *storm) restart(i int) {
 	s.tables[i] = New(poison.New(poison.Settings{CrashLimit: 3}, s.rng.Uint64()))
-	s.cursors[i] = poison.Cursor{}
+	s.told[i], s.cursors[i] = poison.Cursor{}, poison.Cursor{}
 	s.restarted[i] = s.now
 }
 
@@ -192,12 +201,14 @@
 func (s *storm) exchange() {
 	holder := s.tables[0].crashes
 	for i, t := range s.tables[1:] {
-		told, _ := t.crashes.Since(poison.Cursor{}, true)
+		var told, news []poison.Entry
+		told, s.told[i+1] = t.crashes.Since(s.told[i+1], true)
+		s.observe(true, told)
 		for _, e := range told {
 			holder.Merge(s.now, e)
 		}
-		var news []poison.Entry
 		news, s.cursors[i+1] = holder.Since(s.cursors[i+1], false)
+		s.observe(false, news)
 		for _, e := range news {
 			t.crashes.Merge(s.now, e)
 		}
@@ -252,7 +263,7 @@
 func (s *storm) play(rate, badRate float64, each func(at time.Duration)) {
 	start := s.now
 	chance := func(perSecond float64) bool { return s.rng.Float64() < perSecond*stormStep.Seconds() }
-	for at := time.Duration(0); at < stormEnd; at = s.now.Sub(start) {
+	for at := time.Duration(0); at < s.end; at = s.now.Sub(start) {
 		began := at >= stormStart
 		for range int(rate*stormStep.Seconds()) + 1 {
 			if !chance(rate / float64(int(rate*stormStep.Seconds())+1)) {
@@ -271,7 +282,7 @@
 		for i := range s.upstreams {
 			s.run(i)
 		}
-		if at%exchangeDelay == 0 {
+		if at%s.exchangeDelay == 0 {
 			s.exchange()
 		}
 		s.now = s.now.Add(stormStep)
