syncer, entry: make the connection to the holder an argument

Entry.addState holds the components that follow the log and the holder without listening, so that a test can run all of them in one process without a network. No change of behaviour. Evidence: go test -race ./internal/node/syncer ./internal/node/entry ./platform passes; syncer_test.go passes Dial to New.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -162,7 +162,7 @@
 		Pause: settings.HolderPause + pauseSlack, MaxStagger: maxStagger, FirstStart: settings.FirstStart,
 	}, dispatcher, storeEstimate{e}, platform.BootClock)
 	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, metrics, now)
-	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.loader, e.loader.SetStoreAtOnce, platform.Holder, e.relay.ReportNow, now)
+	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now)
 	e.config = &configSink{entry: e}
 	return e
 }
@@ -188,17 +188,8 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	tree := super.New("entry")
-	tree.Add("configuration", feed.New(feed.Settings{Name: "configuration", Wait: e.topics.configWait, Delay: e.topics.configDelay}, e.platform.Configuration, e.config, e.now).Run)
-	register := &registerSink{e, e.topics}
-	tree.Add("upstreams", feed.New(feed.Settings{Name: "upstreams", Delay: e.topics.registerDelay}, e.platform.Upstreams, register, e.now).Run)
-	tree.Add("right", e.elector.Run)
-	tree.Add("tie", e.syncer.Run)
-	tree.Add("loader", e.loader.Run)
-	quarantine := qlog.New(e.settings.Host, e.platform.Quarantine, e.crashes, e.parts, holderView{e}, e.now)
-	tree.Add("quarantine-read", quarantine.RunFeed)
-	tree.Add("quarantine-write", quarantine.Run)
+	e.addState(tree)
 	tree.Add("relay", e.relay.Run)
-	tree.Add("roster", register.expireLoop)
 	tree.Add("peers", func(ctx context.Context) error { return hub.Serve(ctx, peers, e.loader, e.now) })
 	tree.Add("metrics", serveHTTP(metrics, promhttp.HandlerFor(e.reg, promhttp.HandlerOpts{})))
 	tree.Add("readiness", serveHTTP(readiness, http.HandlerFunc(e.serveReadiness)))
@@ -222,6 +213,21 @@
 	return nil
 }
 
+// addState adds the components that follow the log and the holder. They don't
+// listen.
+func (e *Entry) addState(tree *super.Tree) {
+	tree.Add("configuration", feed.New(feed.Settings{Name: "configuration", Wait: e.topics.configWait, Delay: e.topics.configDelay}, e.platform.Configuration, e.config, e.now).Run)
+	register := &registerSink{e, e.topics}
+	tree.Add("upstreams", feed.New(feed.Settings{Name: "upstreams", Delay: e.topics.registerDelay}, e.platform.Upstreams, register, e.now).Run)
+	tree.Add("right", e.elector.Run)
+	tree.Add("tie", e.syncer.Run)
+	tree.Add("loader", e.loader.Run)
+	quarantine := qlog.New(e.settings.Host, e.platform.Quarantine, e.crashes, e.parts, holderView{e}, e.now)
+	tree.Add("quarantine-read", quarantine.RunFeed)
+	tree.Add("quarantine-write", quarantine.Run)
+	tree.Add("roster", register.expireLoop)
+}
+
 // setAgeGauges sets the gauges of the topics' ages.
 func (e *Entry) setAgeGauges(now time.Time) {
 	register, config := e.topics.currentAt()
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -62,6 +62,8 @@
 		// topic is the lease topic as this daemon reaches it, for jobs of the
 		// holder.
 		topic logjob.Topic
+		// dial connects to the holder at an address.
+		dial func(ctx context.Context, address string) (Client, error)
 		// urgent ends the wait before the next report.
 		urgent <-chan struct{}
 		now    func() time.Time
@@ -78,8 +80,8 @@
 		daemons atomic.Int64
 	}
 
-	// holderClient calls the holder, which may be this daemon.
-	holderClient interface {
+	// Client calls the holder, which may be this daemon.
+	Client interface {
 		Tell(ctx context.Context, a *hub.TellArgs) (*hub.TellReply, error)
 		Watch(ctx context.Context, a *hub.WatchArgs) (*hub.WatchReply, error)
 		Done(ctx context.Context, r logjob.Result) error
@@ -122,10 +124,19 @@
 	busyGapPerDaemon = 400 * time.Microsecond
 )
 
+// Dial connects to the holder at address over the network.
+func Dial(ctx context.Context, address string) (Client, error) {
+	c, err := hub.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
 // New returns a Syncer. A value from urgent triggers a report, and holder is
 // the one in this process.
-func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, urgent <-chan struct{}, now func() time.Time) *Syncer {
-	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, urgent: urgent, now: now}
+func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, dial func(ctx context.Context, address string) (Client, error), urgent <-chan struct{}, now func() time.Time) *Syncer {
+	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now}
 }
 
 // Tell reports to the holder in this process.
@@ -146,7 +157,7 @@
 	return nil
 }
 
-// Close implements holderClient; there is no connection to close.
+// Close implements Client; there is no connection to close.
 func (localHolder) Close() {}
 
 // Run exchanges state with the holder until ctx ends.
@@ -188,7 +199,7 @@
 
 // exchange runs tell and watch with the present holder until one fails.
 func (s *Syncer) exchange(ctx context.Context) error {
-	var c holderClient
+	var c Client
 	address, _ := s.elector.Holder()
 	if _, mine := s.elector.Holds(); mine {
 		c = localHolder{s.localHolder, s.now}
@@ -196,7 +207,7 @@
 		if address == "" {
 			return nil
 		}
-		client, err := hub.Dial(ctx, address)
+		client, err := s.dial(ctx, address)
 		if err != nil {
 			return err
 		}
@@ -223,7 +234,7 @@
 // tell reports demand and crash histories at intervals, and at once when urgent
 // says so. The holder may be another one than before, so the first report has all
 // histories.
-func (s *Syncer) tell(ctx context.Context, c holderClient) error {
+func (s *Syncer) tell(ctx context.Context, c Client) error {
 	var told poison.Cursor
 	for {
 		a := &hub.TellArgs{Host: s.host, Demand: s.local.TakeDemand(s.now())}
@@ -254,7 +265,7 @@
 }
 
 // watch requests changes and applies them.
-func (s *Syncer) watch(ctx context.Context, c holderClient, address string) error {
+func (s *Syncer) watch(ctx context.Context, c Client, address string) error {
 	connected := false
 	var loadAt time.Time
 	for {
@@ -316,7 +327,7 @@
 }
 
 // runJob makes a call to the log for the holder and sends it the result.
-func (s *Syncer) runJob(ctx context.Context, c holderClient, j *logjob.Job) {
+func (s *Syncer) runJob(ctx context.Context, c Client, j *logjob.Job) {
 	if err := c.Done(ctx, logjob.Do(ctx, s.topic, j)); err != nil {
 		event.LogJobDone.Log("append", j.Append, "at", j.At, "by", s.host, "problem", err.Error())
 	}
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -41,7 +41,7 @@
 
 func run(t *testing.T, s *fakeDaemon) *poison.Table {
 	crashes := poison.New(poison.Settings{CrashLimit: 3}, 1)
-	syncer := New("d", s, s, s, crashes, nil, func(float64) {}, nil, make(chan struct{}), time.Now)
+	syncer := New("d", s, s, s, crashes, nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
