entry: model of a fleet that measures the time to in force

Clocks differ by up to an hour. Both a new configuration and an upstream that starts to drain are changes.

Daemons that are cut off from the log count from the end of the cut.

--- /dev/null
+++ b/internal/node/entry/modelfleet_test.go
@@ -0,0 +1,334 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/azurespan/azurespan/internal/base/pause"
+	"github.com/azurespan/azurespan/internal/base/super"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/node/relay"
+	"github.com/azurespan/azurespan/internal/node/syncer"
+)
+
+type (
+	// modelFleet is a fleet of daemons without a network, for use in a bubble of
+	// testing/synctest. The daemons run all that follows the log and the holder.
+	modelFleet struct {
+		log *modelLog
+
+		mu      sync.Mutex
+		rng     *rand.Rand
+		daemons []*modelDaemon
+		changes []*modelChange
+	}
+
+	// modelDaemon is a daemon of a modelFleet. Its clock is off by skew.
+	modelDaemon struct {
+		*Entry
+		fleet *modelFleet
+		host  string
+		skew  time.Duration
+		// logCut is set while it can't reach the log, peerCut while it and the
+		// other daemons can't reach each other.
+		logCut, peerCut atomic.Bool
+		running         atomic.Bool
+		stop            func()
+
+		// startedAt is when the daemon was last started, contactAt when it last came
+		// into contact with the log, inForce has the changes by their numbers. The
+		// fleet's mu protects them.
+		startedAt, contactAt time.Time
+		inForce              map[int]modelForce
+	}
+
+	// modelChange is a version of the configuration, or the end of an upstream.
+	modelChange struct {
+		version int64
+		leaving string
+		ackedAt time.Time
+	}
+
+	// modelForce is when a change came into force on a daemon, since when the daemon
+	// had been in contact with the log, and whether it was cut off from it.
+	modelForce struct {
+		at, contactAt time.Time
+		cut           bool
+	}
+
+	// modelClient is a connection to a holder.
+	modelClient struct{ from, to *modelDaemon }
+
+	modelCodec struct{ relay.Codec }
+)
+
+const (
+	// modelDeadline is that of both kinds of change, as on the first sites.
+	modelDeadline = 2 * time.Second
+	// hopTime is the duration of a message between daemons, and hopTimeout when a
+	// call without an answer ends.
+	hopTime    = 2 * time.Millisecond
+	hopTimeout = 600 * time.Millisecond
+	// settleDuration is the time in which a fleet settles after its start.
+	settleDuration = 10 * time.Second
+	// maxSkew bounds the difference between a daemon's clock and the log's.
+	maxSkew = time.Hour
+
+	kindConfig, kindDrain = "configuration", "drain"
+)
+
+// runFleet runs f with a fleet of n daemons that have settled.
+func runFleet(t *testing.T, n int, seed uint64, f func(t *testing.T, fl *modelFleet)) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	synctest.Test(t, func(t *testing.T) {
+		fl := &modelFleet{log: newModelLog(seed), rng: rand.New(rand.NewPCG(seed, 1))}
+		fl.configure()
+		for i := range 10 {
+			fl.register(fmt.Sprint("u", i))
+		}
+		defer func() {
+			for _, d := range fl.daemons {
+				d.halt()
+			}
+		}()
+		for range n {
+			fl.start()
+		}
+		time.Sleep(settleDuration)
+		f(t, fl)
+	})
+}
+
+// start adds a daemon and starts it.
+func (fl *modelFleet) start() *modelDaemon {
+	fl.mu.Lock()
+	d := &modelDaemon{fleet: fl, host: fmt.Sprint("d", len(fl.daemons)), skew: randUpTo(fl.rng, 2*maxSkew) - maxSkew, inForce: map[int]modelForce{}}
+	fl.daemons = append(fl.daemons, d)
+	fl.mu.Unlock()
+	d.start()
+	return d
+}
+
+// start starts the daemon without any state.
+func (d *modelDaemon) start() {
+	now := func() time.Time { return time.Now().Add(d.skew) }
+	source := func(topic string) modelSource { return modelSource{d.fleet.log, topic, d} }
+	settings := Settings{Host: d.host, FailureDomain: "a", Peers: d.host, Drain: modelDeadline, ConfigDeadline: modelDeadline, HolderPause: 3 * time.Second, RetryWindow: 10 * time.Second}
+	e := New(settings, Platform{
+		Configuration: source(modelConfig), Upstreams: source(modelUpstreams), Holder: source(modelLease), Quarantine: source(modelQuarantine),
+		Wire: modelCodec{}, DecodeConfig: decodeModelConfig, DecodeUpstream: decodeModelUpstream, ConfigKey: "config", BootClock: now,
+	}, now)
+	e.syncer = syncer.New(d.host, e.elector, e.relay, e.topics, e.crashes, e.loader, e.loader.SetStoreAtOnce, source(modelLease), d.dial, e.relay.ReportNow, now)
+	publish := e.topics.onUpstreams
+	e.topics.onUpstreams = func(now time.Time, ups []fleet.Upstream) {
+		publish(now, ups)
+		d.note(ups)
+	}
+	d.fleet.mu.Lock()
+	d.startedAt, d.contactAt = time.Now(), time.Now()
+	d.Entry = e
+	d.fleet.mu.Unlock()
+	tree := super.New(d.host)
+	e.addState(tree)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = tree.Serve(ctx) // returns only the context's error
+	}()
+	d.running.Store(true)
+	d.stop = func() {
+		cancel()
+		<-done
+	}
+}
+
+// halt ends the daemon as a crash does.
+func (d *modelDaemon) halt() {
+	if d.running.Swap(false) {
+		d.stop()
+	}
+}
+
+// note records which changes are in force.
+func (d *modelDaemon) note(ups []fleet.Upstream) {
+	version := int64(0)
+	if c := d.relay.Config(); c != nil {
+		version = c.Version
+	}
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	now := time.Now()
+	for i, c := range d.fleet.changes {
+		if _, known := d.inForce[i]; known {
+			continue
+		}
+		in := c.leaving == "" && version >= c.version
+		if c.leaving != "" {
+			in = len(ups) > 0 && !slices.ContainsFunc(ups, func(up fleet.Upstream) bool { return up.ID == c.leaving && !up.Leaving })
+		}
+		if in {
+			d.inForce[i] = modelForce{now, d.contactAt, d.logCut.Load()}
+		}
+	}
+}
+
+// setCut cuts the daemon off from the log, the other daemons or both, or ends that.
+func (d *modelDaemon) setCut(log, peers bool) {
+	if d.logCut.Swap(log) && !log {
+		d.fleet.mu.Lock()
+		d.contactAt = time.Now()
+		d.fleet.mu.Unlock()
+	}
+	d.peerCut.Store(peers)
+}
+
+// dial connects to the daemon at an address.
+func (d *modelDaemon) dial(ctx context.Context, address string) (syncer.Client, error) {
+	d.fleet.mu.Lock()
+	i := slices.IndexFunc(d.fleet.daemons, func(o *modelDaemon) bool { return o.host == address })
+	d.fleet.mu.Unlock()
+	c := &modelClient{d, d.fleet.daemons[i]}
+	return c, c.call(ctx, func() error { return nil })
+}
+
+// call runs f at the other daemon.
+func (c *modelClient) call(ctx context.Context, f func() error) error {
+	lost := func() bool { return c.from.peerCut.Load() || c.to.peerCut.Load() || !c.to.running.Load() }
+	giveUp := func() error {
+		pause.For(ctx, hopTimeout)
+		return errModelTimeout
+	}
+	pause.For(ctx, hopTime)
+	if lost() {
+		return giveUp()
+	}
+	if err := f(); err != nil {
+		return err
+	}
+	pause.For(ctx, hopTime)
+	if lost() {
+		return giveUp()
+	}
+	return ctx.Err()
+}
+
+// Tell implements syncer.Client.
+func (c *modelClient) Tell(ctx context.Context, a *hub.TellArgs) (r *hub.TellReply, err error) {
+	err = c.call(ctx, func() error {
+		r, err = c.to.loader.Tell(c.to.now(), a)
+		return err
+	})
+	return r, err
+}
+
+// Watch implements syncer.Client.
+func (c *modelClient) Watch(ctx context.Context, a *hub.WatchArgs) (r *hub.WatchReply, err error) {
+	err = c.call(ctx, func() error {
+		ctx, cancel := context.WithTimeout(ctx, hub.WatchWait)
+		defer cancel()
+		if r, err = c.to.loader.Watch(ctx, a); err != nil || r.WholeRegister == nil {
+			return err
+		}
+		if r.Register, err = r.WholeRegister.Unpack(); err == nil {
+			r.Register.Age += r.WholeAge
+		}
+		return err
+	})
+	return r, err
+}
+
+// Done implements syncer.Client.
+func (c *modelClient) Done(ctx context.Context, r logjob.Result) error {
+	return c.call(ctx, func() error {
+		c.to.loader.Done(r)
+		return nil
+	})
+}
+
+// Close implements syncer.Client.
+func (*modelClient) Close() {}
+
+// holder returns the holder, nil if there is none.
+func (fl *modelFleet) holder() *modelDaemon {
+	for _, d := range fl.daemons {
+		if _, holds := d.elector.Holds(); holds && d.running.Load() {
+			return d
+		}
+	}
+	return nil
+}
+
+// configure publishes a configuration.
+func (fl *modelFleet) configure() {
+	fl.mu.Lock()
+	version := int64(len(fl.changes) + 1)
+	fl.mu.Unlock()
+	fl.log.put(modelConfig, "config", fleet.Config{Version: version, Services: map[string]fleet.Service{"s": {Name: "s", MaxConnections: 10}}})
+	fl.acked(&modelChange{version: version})
+}
+
+// register writes the entry of an upstream.
+func (fl *modelFleet) register(id string) {
+	fl.log.put(modelUpstreams, id, fleet.Upstream{ID: id, Born: 1, Service: "s", Address: id, FailureDomain: "a", Slots: 1})
+}
+
+// drain lets an upstream write that it is leaving.
+func (fl *modelFleet) drain(id string) {
+	fl.log.put(modelUpstreams, id, fleet.Upstream{ID: id, Born: 1, Service: "s", Address: id, FailureDomain: "a", Slots: 1, Leaving: true})
+	fl.acked(&modelChange{leaving: id})
+}
+
+// isLeaving reports whether an upstream has written that it is leaving.
+func (fl *modelFleet) isLeaving(id string) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return slices.ContainsFunc(fl.changes, func(c *modelChange) bool { return c.leaving == id })
+}
+
+func (fl *modelFleet) acked(c *modelChange) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	c.ackedAt = time.Now()
+	fl.changes = append(fl.changes, c)
+}
+
+// times returns, for all daemons, the times from the later of each change's
+// acknowledgement and the daemon's coming into contact with the log until it was in
+// force, and describes those that never were.
+func (fl *modelFleet) times(kind string) (took []time.Duration, never []string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for i, c := range fl.changes {
+		if (c.leaving == "") != (kind == kindConfig) {
+			continue
+		}
+		for _, d := range fl.daemons {
+			f, ok := d.inForce[i]
+			switch {
+			case c.ackedAt.Before(d.startedAt) || f.cut:
+			case !ok:
+				never = append(never, fmt.Sprintf("%s: %+v", d.host, *c))
+			case f.contactAt.After(c.ackedAt):
+				took = append(took, f.at.Sub(f.contactAt))
+			default:
+				took = append(took, f.at.Sub(c.ackedAt))
+			}
+		}
+	}
+	slices.Sort(took)
+	return took, never
+}
