feed, entry: count the age of a topic from when the log looked at it

Callers could be served by an old configuration, or sent to an upstream that is leaving, later than the deadline allows, if an answer of the log was late. Cause: what a read returned counted as known at the end of the call. A record written just after the log had looked waited for the answer, then for 0.6 of the deadline, then for the next read. Now Feed states the earliest time at which the log can have found the end of the topic: the start of the call, or the end of its wait if it waited in full and found nothing; the view and the roster count their ages, also those that the holder tells, from there.

TestEndAt states the rule.

Ruled out: a lower share than 0.6 of the deadline, which costs reads at all times and is still wrong for answers that are later.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -170,15 +170,15 @@
 	return left
 }
 
-// Advance records that the register is known up to the offset next, which is
-// its end if whole is set.
-func (r *Roster) Advance(now time.Time, next int64, whole bool) {
+// Advance records that the register is known up to the offset next. If whole is set,
+// that was its end at the time at or later.
+func (r *Roster) Advance(at time.Time, next int64, whole bool) {
 	r.asOf = max(r.asOf, next)
-	if whole {
-		r.readAt = now
+	if whole && at.After(r.readAt) {
+		r.readAt = at
 	}
 	for id, d := range r.removed {
-		if now.Sub(d.at) > removalRetention {
+		if at.Sub(d.at) > removalRetention {
 			delete(r.removed, id)
 			r.completeFrom = max(r.completeFrom, d.offset+1)
 		}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -241,8 +241,8 @@
 
 // configTopicRead records a read of the configuration's topic and notifies the
 // other daemons of new records.
-func (e *Entry) configTopicRead(now time.Time, p *feed.Page) {
-	e.topics.configRead(now, p.Next, p.End)
+func (e *Entry) configTopicRead(p *feed.Page) {
+	e.topics.configRead(p.EndAt, p.Next, p.End)
 	if len(p.Records) > 0 {
 		e.loader.NotifyWatchers()
 	}
--- a/internal/node/entry/force_test.go
+++ b/internal/node/entry/force_test.go
@@ -195,3 +195,29 @@
 		}
 	}
 }
+
+// TestLateAnswers guards against a daemon that takes what the log answered late for
+// what the log knows now, and reads again too late for a change in between.
+func TestLateAnswers(t *testing.T) {
+	// lateAnswer is the time of an answer's way, within the time after which a call
+	// is given up.
+	const lateAnswer = 650 * time.Millisecond
+	runFleet(t, 4, 1, func(t *testing.T, fl *modelFleet) {
+		holder := fl.holder()
+		must.NotNil(t, holder)
+		holder.setCut(true, false)
+		fl.log.setAnswerTime(lateAnswer)
+		for range 60 {
+			time.Sleep(fl.duration(2 * changeGap))
+			fl.change()
+		}
+		fl.log.setAnswerTime(0)
+		holder.setCut(false, false)
+		time.Sleep(4 * modelDeadline)
+		for _, kind := range []string{kindConfig, kindDrain} {
+			took, never := fl.times(kind)
+			must.SliceEmpty(t, never)
+			must.LessEq(t, modelDeadline, took[len(took)-1], must.Sprint(kind))
+		}
+	})
+}
--- a/internal/node/entry/modellog_test.go
+++ b/internal/node/entry/modellog_test.go
@@ -160,6 +160,13 @@
 	return l.legTime()
 }
 
+// setAnswerTime sets the duration of the answers' way, 0 for the usual one.
+func (l *modelLog) setAnswerTime(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answerTime = d
+}
+
 // randUpTo returns a random duration of up to d.
 func randUpTo(rng *rand.Rand, d time.Duration) time.Duration {
 	return time.Duration(rng.Int64N(int64(d) + 1))
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -42,7 +42,7 @@
 
 // Apply puts the highest version among the records in force.
 func (s *configSink) Apply(now time.Time, p *feed.Page) {
-	defer s.entry.configTopicRead(now, p)
+	defer s.entry.configTopicRead(p)
 	var newest *fleet.Config
 	offset := int64(0)
 	for _, rec := range p.Records {
@@ -96,7 +96,7 @@
 		for _, id := range v.roster.Retain(now, ids, p.Next) {
 			event.UpstreamChanged.Log("upstream", id, "change", roster.Left, "reason", "no entry")
 		}
-		v.roster.Advance(now, p.Next, true)
+		v.roster.Advance(p.EndAt, p.Next, true)
 	}
 	v.mu.Unlock()
 	v.publish(now)
@@ -122,7 +122,7 @@
 			event.UpstreamChanged.Log("upstream", rec.Key, "change", c, "reason", "entry removed", "offset", rec.Offset)
 		}
 	}
-	v.roster.Advance(now, p.Next, p.Next >= p.End)
+	v.roster.Advance(p.EndAt, p.Next, p.Next >= p.End)
 	v.mu.Unlock()
 	if len(p.Records) > 0 {
 		v.publish(now)
--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -160,13 +160,14 @@
 	return time.Duration(maxAgeShare * float64(v.configDeadline))
 }
 
-// configRead records a read of the configuration's topic by this daemon.
-func (v *topicView) configRead(now time.Time, next, end int64) {
+// configRead records a read of the configuration's topic by this daemon. at is the
+// earliest time at which the log can have found the topic's end.
+func (v *topicView) configRead(at time.Time, next, end int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.configAsOf = max(v.configAsOf, next)
-	if next >= end {
-		v.configAt = now
+	if next >= end && at.After(v.configAt) {
+		v.configAt = at
 	}
 }
 
--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -25,8 +25,10 @@
 		// Next is the offset of the next read, End the offset after the newest
 		// record.
 		Next, End int64
-		// Took is the duration of the call, set by Feed.
-		Took time.Duration
+		// Took is the duration of the call and EndAt the earliest time at which the
+		// log can have found End, both set by Feed.
+		Took  time.Duration
+		EndAt time.Time
 	}
 
 	// Source reads a topic.
@@ -158,7 +160,7 @@
 		if err != nil {
 			return err
 		}
-		p.Took = f.now().Sub(began)
+		p.Took, p.EndAt = f.now().Sub(began), began
 		f.sink.Replace(f.now(), p)
 		f.nextOffset, f.loaded = p.Next, true
 		return nil
@@ -180,7 +182,11 @@
 	// Complete records before a truncated one are valid. A response without
 	// records is applied as well: it shows how recent the state is.
 	if p != nil && (len(p.Records) > 0 || err == nil) {
-		p.Took = f.now().Sub(began)
+		p.Took, p.EndAt = f.now().Sub(began), began
+		if len(p.Records) == 0 && p.Took >= wait {
+			// The log has answered at the end of the wait.
+			p.EndAt = began.Add(wait)
+		}
 		f.sink.Apply(f.now(), p)
 		f.nextOffset = p.Next
 	}
--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -173,3 +173,56 @@
 		step{from: 7, next: 7})
 	must.Eq(t, []string{"replace", "a=1", "replace", "a=2"}, s.got)
 }
+
+// timedTopic is a Source whose calls take the given times, and a Sink that records the
+// pages' EndAt.
+type timedTopic struct {
+	scriptedTopic
+	clock time.Time
+	took  []time.Duration
+	ends  []time.Time
+}
+
+func (s *timedTopic) pass() {
+	if len(s.took) > 0 {
+		s.clock, s.took = s.clock.Add(s.took[0]), s.took[1:]
+	}
+}
+
+func (s *timedTopic) Newest(ctx context.Context) (*Page, error) {
+	s.pass()
+	return s.scriptedTopic.Newest(ctx)
+}
+
+func (s *timedTopic) Read(ctx context.Context, from int64, wait time.Duration) (*Page, error) {
+	s.pass()
+	return s.scriptedTopic.Read(ctx, from, wait)
+}
+
+func (s *timedTopic) Replace(now time.Time, p *Page) { s.Apply(now, p) }
+
+func (s *timedTopic) Apply(_ time.Time, p *Page) { s.ends = append(s.ends, p.EndAt) }
+
+// TestEndAt guards against a topic that counts as known up to a later time than the
+// one at which the log looked for its end: an answer may be late.
+func TestEndAt(t *testing.T) {
+	const wait = time.Second
+	start := time.Unix(100, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &timedTopic{clock: start, took: []time.Duration{5 * time.Second, 900 * time.Millisecond, 1700 * time.Millisecond, 1200 * time.Millisecond}}
+	s.scriptedTopic = scriptedTopic{t: t, stop: cancel, steps: []step{
+		{newest: true, next: 3},
+		{from: 3, next: 3},
+		{from: 3, next: 3},
+		{from: 3, next: 4, records: []Record{{Key: "a", Offset: 3}}},
+	}}
+	set := Settings{Name: "test", Wait: func() time.Duration { return wait }, Delay: func(time.Time) time.Duration { return 0 }}
+	must.ErrorIs(t, New(set, s, s, func() time.Time { return s.clock }).Run(ctx), context.Canceled)
+	afterNewest, afterEarly, afterWait := start.Add(5*time.Second), start.Add(5900*time.Millisecond), start.Add(7600*time.Millisecond)
+	must.Eq(t, []time.Time{
+		start,       // whatever the call took
+		afterNewest, // answered before the end of the wait
+		afterEarly.Add(wait),
+		afterWait, // a record may have been there from the start
+	}, s.ends)
+}
