entry, metric: bound the time from acknowledgement to in force

azurespan_configuration_lag_seconds and azurespan_drain_lag_seconds are histograms of each daemon. A record does not say when the log acknowledged it, so a daemon states the time since the log was last known to end before the record: by its own read, counted from when the log looked at the earliest, or by the age that the holder tells, counted from when it was asked. Only durations on one clock are added, so the clocks of the daemons and the log may differ. The first configuration after a start, upstreams first seen as draining and removals are not counted: nothing bounds them.

Evidence: TestLagIsUpperBound compares each observation with the time since the acknowledgement, at 8 daemons with clocks up to an hour apart, disturbances, usual and late answers.

--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -67,6 +67,10 @@
 	// UpstreamSilences counts the silences of upstreams that were longer than the
 	// time after which another upstream is considered.
 	UpstreamSilences prometheus.Counter
+	// ConfigLagSeconds and DrainLagSeconds are upper bounds of the time from the
+	// log's acknowledgement until this daemon put a configuration in force, and no
+	// longer used an upstream that started to drain.
+	ConfigLagSeconds, DrainLagSeconds prometheus.Histogram
 	// ConfigurationOffset is the version of the configuration in force.
 	ConfigurationOffset prometheus.Gauge
 
@@ -123,6 +127,7 @@
 	firstBuckets    = []float64{.01, .05, .1, .25, .5, .75, 1.1, 2, 4, 8, 15, 30, 60, 120, 300}
 	intervalBuckets = []float64{.002, .005, .01, .02, .04, .079, .15, .3, 1, 5}
 	queueBuckets    = []float64{.001, .005, .02, .1, .5, 1.1, 2, 5, 15, 30, 60, 300, 600}
+	lagBuckets      = []float64{.02, .05, .1, .2, .3, .4, .5, .75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 6, 10, 30}
 	loadBuckets     = []float64{.005, .01, .05, .25, 1, 2, 5, 10, 20, 40, 80, 160, 320}
 )
 
@@ -159,6 +164,8 @@
 		LimitedSends:           b.counter("azurespan_limited_sends_total", "Requests sent to an upstream that had named a rate limit."),
 		LimitedUpstreams:       b.gauge("azurespan_limited_upstreams", "Upstreams that name a rate limit, as far as the daemon knows."),
 		SuspectSends:           b.counterVec("azurespan_suspect_sends_total", "Requests sent to an upstream although upstreams had crashed under them, by the number of crashes known to the daemon (1, 2, 3-or-more).", "crashes"),
+		ConfigLagSeconds:       b.histogram("azurespan_configuration_lag_seconds", "Upper bound of the time from the log's acknowledgement of a configuration until this daemon put it in force: the time since the daemon, or the holder for it, last knew that there was no newer one. The first configuration after a start isn't counted.", lagBuckets),
+		DrainLagSeconds:        b.histogram("azurespan_drain_lag_seconds", "Upper bound of the time from the log's acknowledgement that an upstream is draining until this daemon put that in force: the time since the daemon, or the holder for it, last knew the register up to its end.", lagBuckets),
 		ConfigurationOffset:    b.gauge("azurespan_configuration_offset", "Version of the configuration in force, the offset of its record; 0 before the first."),
 	}
 	// Create the series at 0, so that Prometheus sees their first increase.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -153,6 +153,11 @@
 		func(now time.Time, ups []fleet.Upstream) {
 			e.relay.SetUpstreams(now, ups)
 			e.loader.SetUpstreams(now, ups)
+		},
+		func(knownAt time.Time, n int) {
+			for range n {
+				e.metrics.DrainLagSeconds.Observe(e.now().Sub(knownAt).Seconds())
+			}
 		})
 	// The holder calls the log through other daemons if it can't reach it. The
 	// loader's replies bring them the jobs.
--- a/internal/node/entry/force_test.go
+++ b/internal/node/entry/force_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -173,6 +174,20 @@
 	}
 }
 
+// summary describes times in ascending order.
+func summary(times []time.Duration) string {
+	return fmt.Sprintf("%d times, 99th %v, highest %v", len(times), times[len(times)*99/100].Round(time.Millisecond), times[len(times)-1].Round(time.Millisecond))
+}
+
+// stated returns what the metric of a kind of change states, in ascending order.
+func (fl *modelFleet) stated(kind string) (times []time.Duration) {
+	for _, lag := range fl.observed(kind) {
+		times = append(times, lag.stated)
+	}
+	slices.Sort(times)
+	return times
+}
+
 // TestTimeToInForce guards against a change of the configuration, or an upstream that
 // starts to drain, that comes into force after its deadline, whatever disturbs the
 // fleet. With -v it prints the times and the calls to the log that they cost.
@@ -187,7 +202,7 @@
 				for _, kind := range []string{kindConfig, kindDrain} {
 					took, never := fl.times(kind)
 					highest := took[len(took)-1]
-					t.Logf("%d daemons, disturbed %t, %s: %d times, 99th %v, highest %v", n, disturbed, kind, len(took), took[len(took)*99/100].Round(time.Millisecond), highest.Round(time.Millisecond))
+					t.Logf("%d daemons, disturbed %t, %s: %s; stated by the metric: %s", n, disturbed, kind, summary(took), summary(fl.stated(kind)))
 					must.SliceEmpty(t, never)
 					must.LessEq(t, modelDeadline, highest, must.Sprint(kind, " disturbed ", disturbed))
 				}
@@ -221,3 +236,24 @@
 		}
 	})
 }
+
+// TestLagIsUpperBound guards against metrics that state a shorter time than a change
+// took to come into force, whatever the clocks of the daemons and the log show.
+func TestLagIsUpperBound(t *testing.T) {
+	for _, late := range []time.Duration{0, 400 * time.Millisecond} {
+		runFleet(t, 8, 2, func(t *testing.T, fl *modelFleet) {
+			fl.log.setAnswerTime(late)
+			fl.play(true)
+			for _, kind := range []string{kindConfig, kindDrain} {
+				lags := fl.observed(kind)
+				for _, lag := range lags {
+					must.LessEq(t, lag.stated, lag.actual, must.Sprint(kind))
+				}
+				took, _ := fl.times(kind)
+				// Observations lack where a daemon learnt two changes at once, or
+				// missed the start of an upstream that it learnt to be draining.
+				must.Greater(t, len(took)/2, len(lags), must.Sprint(kind))
+			}
+		})
+	}
+}
--- a/internal/node/entry/modelfleet_test.go
+++ b/internal/node/entry/modelfleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"github.com/azurespan/azurespan/internal/base/pause"
@@ -33,6 +35,8 @@
 		rng     *rand.Rand
 		daemons []*modelDaemon
 		changes []*modelChange
+		// version is that of the last configuration.
+		version int64
 	}
 
 	// modelDaemon is a daemon of a modelFleet. Its clock is off by skew.
@@ -52,6 +56,10 @@
 		// fleet's mu protects them.
 		startedAt, contactAt time.Time
 		inForce              map[int]modelForce
+		// latest has, by kind, the earliest acknowledgement of the changes that came
+		// into force last, and lags what the metrics stated of them.
+		latest map[string]time.Time
+		lags   []modelLag
 	}
 
 	// modelChange is a version of the configuration, or the end of an upstream.
@@ -68,6 +76,19 @@
 		cut           bool
 	}
 
+	// modelLag is an observation of a metric and the time that it bounds.
+	modelLag struct {
+		kind           string
+		stated, actual time.Duration
+	}
+
+	// lagRecorder is a Histogram that records observations.
+	lagRecorder struct {
+		prometheus.Histogram
+		daemon *modelDaemon
+		kind   string
+	}
+
 	// modelClient is a connection to a holder.
 	modelClient struct{ from, to *modelDaemon }
 
@@ -108,14 +129,27 @@
 			fl.start()
 		}
 		time.Sleep(settleDuration)
+		fl.forgetChanges()
 		f(t, fl)
 	})
 }
 
+// forgetChanges leaves the changes so far out of what is measured.
+func (fl *modelFleet) forgetChanges() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.changes = nil
+	for _, d := range fl.daemons {
+		clear(d.inForce)
+		clear(d.latest)
+		d.lags = nil
+	}
+}
+
 // start adds a daemon and starts it.
 func (fl *modelFleet) start() *modelDaemon {
 	fl.mu.Lock()
-	d := &modelDaemon{fleet: fl, host: fmt.Sprint("d", len(fl.daemons)), skew: randUpTo(fl.rng, 2*maxSkew) - maxSkew, inForce: map[int]modelForce{}}
+	d := &modelDaemon{fleet: fl, host: fmt.Sprint("d", len(fl.daemons)), skew: randUpTo(fl.rng, 2*maxSkew) - maxSkew, inForce: map[int]modelForce{}, latest: map[string]time.Time{}}
 	fl.daemons = append(fl.daemons, d)
 	fl.mu.Unlock()
 	d.start()
@@ -132,6 +166,8 @@
 		Wire: modelCodec{}, DecodeConfig: decodeModelConfig, DecodeUpstream: decodeModelUpstream, ConfigKey: "config", BootClock: now,
 	}, now)
 	e.syncer = syncer.New(d.host, e.elector, e.relay, e.topics, e.crashes, e.loader, e.loader.SetStoreAtOnce, source(modelLease), d.dial, e.relay.ReportNow, now)
+	e.metrics.ConfigLagSeconds = lagRecorder{e.metrics.ConfigLagSeconds, d, kindConfig}
+	e.metrics.DrainLagSeconds = lagRecorder{e.metrics.DrainLagSeconds, d, kindDrain}
 	publish := e.topics.onUpstreams
 	e.topics.onUpstreams = func(now time.Time, ups []fleet.Upstream) {
 		publish(now, ups)
@@ -172,6 +208,7 @@
 	d.fleet.mu.Lock()
 	defer d.fleet.mu.Unlock()
 	now := time.Now()
+	clear(d.latest)
 	for i, c := range d.fleet.changes {
 		if _, known := d.inForce[i]; known {
 			continue
@@ -181,11 +218,32 @@
 			in = len(ups) > 0 && !slices.ContainsFunc(ups, func(up fleet.Upstream) bool { return up.ID == c.leaving && !up.Leaving })
 		}
 		if in {
+			if ackedAt, ok := d.latest[c.kind()]; !ok || c.ackedAt.Before(ackedAt) {
+				d.latest[c.kind()] = c.ackedAt
+			}
 			d.inForce[i] = modelForce{now, d.contactAt, d.logCut.Load()}
 		}
 	}
 }
 
+// Observe implements prometheus.Histogram.
+func (r lagRecorder) Observe(seconds float64) {
+	d := r.daemon
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	if ackedAt, ok := d.latest[r.kind]; ok {
+		d.lags = append(d.lags, modelLag{r.kind, time.Duration(math.Round(seconds * float64(time.Second))), time.Since(ackedAt)})
+	}
+}
+
+// kind returns the kind of the change.
+func (c *modelChange) kind() string {
+	if c.leaving != "" {
+		return kindDrain
+	}
+	return kindConfig
+}
+
 // setCut cuts the daemon off from the log, the other daemons or both, or ends that.
 func (d *modelDaemon) setCut(log, peers bool) {
 	if d.logCut.Swap(log) && !log {
@@ -275,12 +333,27 @@
 // configure publishes a configuration.
 func (fl *modelFleet) configure() {
 	fl.mu.Lock()
-	version := int64(len(fl.changes) + 1)
+	fl.version++
+	version := fl.version
 	fl.mu.Unlock()
 	fl.log.put(modelConfig, "config", fleet.Config{Version: version, Services: map[string]fleet.Service{"s": {Name: "s", MaxConnections: 10}}})
 	fl.acked(&modelChange{version: version})
 }
 
+// observed returns what the metrics stated of a kind of change.
+func (fl *modelFleet) observed(kind string) (lags []modelLag) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, d := range fl.daemons {
+		for _, lag := range d.lags {
+			if lag.kind == kind {
+				lags = append(lags, lag)
+			}
+		}
+	}
+	return lags
+}
+
 // register writes the entry of an upstream.
 func (fl *modelFleet) register(id string) {
 	fl.log.put(modelUpstreams, id, fleet.Upstream{ID: id, Born: 1, Service: "s", Address: id, FailureDomain: "a", Slots: 1})
@@ -313,7 +386,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	for i, c := range fl.changes {
-		if (c.leaving == "") != (kind == kindConfig) {
+		if c.kind() != kind {
 			continue
 		}
 		for _, d := range fl.daemons {
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -61,10 +61,14 @@
 	if newest == nil || s.loaded && newest.Version <= s.version {
 		return
 	}
+	_, knownAt := s.entry.topics.currentAt()
 	s.version, s.loaded = newest.Version, true
 	s.entry.relay.Configure(newest)
 	s.entry.loader.Configure(newest)
 	s.entry.topics.publish(now)
+	if !knownAt.IsZero() {
+		s.entry.metrics.ConfigLagSeconds.Observe(s.entry.now().Sub(knownAt).Seconds())
+	}
 	event.EntryConfig.Log("version", newest.Version, "offset", offset, "routes", len(newest.Routes), "services", len(newest.Services), "read-took", p.Took)
 }
 
@@ -85,12 +89,15 @@
 func (s *registerSink) Replace(now time.Time, p *feed.Page) {
 	v := s.topics
 	v.mu.Lock()
-	if p.Next >= v.roster.AsOf() {
+	asOf, knownAt, drains := v.roster.AsOf(), v.roster.ReadAt(), 0
+	if p.Next >= asOf {
 		ids := make(map[string]bool, len(p.Records))
 		for _, rec := range p.Records {
 			if len(rec.Value) > 0 {
 				ids[rec.Key] = true
-				s.put(now, rec)
+				if up, c := s.put(now, rec); startsDrain(up, c, asOf) {
+					drains++
+				}
 			}
 		}
 		for _, id := range v.roster.Retain(now, ids, p.Next) {
@@ -100,6 +107,7 @@
 	}
 	v.mu.Unlock()
 	v.publish(now)
+	v.drained(knownAt, drains)
 	s.entry.loader.NotifyWatchers()
 }
 
@@ -109,12 +117,17 @@
 	v := s.topics
 	v.mu.Lock()
 	changed := false
+	asOf, knownAt, drains := v.roster.AsOf(), v.roster.ReadAt(), 0
 	for _, rec := range p.Records {
 		if rec.Key == "" || rec.Offset < v.roster.AsOf() {
 			continue
 		}
 		if len(rec.Value) > 0 {
-			changed = s.put(now, rec) || changed
+			up, c := s.put(now, rec)
+			changed = changed || c != roster.None
+			if startsDrain(up, c, asOf) {
+				drains++
+			}
 			continue
 		}
 		if c := v.roster.Drop(now, rec.Key, rec.Offset); c != roster.None {
@@ -126,28 +139,28 @@
 	v.mu.Unlock()
 	if len(p.Records) > 0 {
 		v.publish(now)
+		v.drained(knownAt, drains)
 	}
 	if changed {
 		s.entry.loader.NotifyWatchers()
 	}
 }
 
-// put applies one entry and reports whether the upstream's state has changed. The
-// caller holds s.topics.mu.
-func (s *registerSink) put(now time.Time, rec feed.Record) bool {
+// put applies one entry and returns the upstream and its change. The caller holds
+// s.topics.mu.
+func (s *registerSink) put(now time.Time, rec feed.Record) (fleet.Upstream, roster.Change) {
 	up, err := s.entry.platform.DecodeUpstream(rec.Key, rec.Value)
 	if err != nil {
 		event.RegisterEntryIgnored.Log("upstream", rec.Key, "offset", rec.Offset, "cause", err.Error())
-		return false
+		return fleet.Upstream{}, roster.None
 	}
 	up.Offset = rec.Offset
 	c := s.topics.roster.Put(now, up)
-	if c == roster.None {
-		return false
+	if c != roster.None {
+		event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "address", up.Address,
+			"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", rec.Offset)
 	}
-	event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "address", up.Address,
-		"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", rec.Offset)
-	return true
+	return up, c
 }
 
 // Failed records that the register can't be read.
--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -28,6 +28,9 @@
 	holds func() bool
 	// onUpstreams is called with all upstreams when they may have changed.
 	onUpstreams func(now time.Time, ups []fleet.Upstream)
+	// onDrain is called after onUpstreams if it was passed n upstreams that have
+	// started to drain. They wrote that after knownAt.
+	onDrain func(knownAt time.Time, n int)
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -63,8 +66,8 @@
 	_ qlog.Holder      = holderView{}
 )
 
-func newTopicView(drainLimit, configDeadline time.Duration, earliestRead time.Time, holds func() bool, onUpstreams func(now time.Time, ups []fleet.Upstream)) *topicView {
-	return &topicView{drainLimit: drainLimit, configDeadline: configDeadline, earliestRead: earliestRead, holds: holds, onUpstreams: onUpstreams, roster: roster.New(roster.Settings{Settle: settleTime})}
+func newTopicView(drainLimit, configDeadline time.Duration, earliestRead time.Time, holds func() bool, onUpstreams func(now time.Time, ups []fleet.Upstream), onDrain func(knownAt time.Time, n int)) *topicView {
+	return &topicView{drainLimit: drainLimit, configDeadline: configDeadline, earliestRead: earliestRead, holds: holds, onUpstreams: onUpstreams, onDrain: onDrain, roster: roster.New(roster.Settings{Settle: settleTime})}
 }
 
 // KnownOffsets returns the offsets up to which the topics are known.
@@ -90,14 +93,32 @@
 		return
 	}
 	changed := false
+	asOf, knownAt, drains := v.roster.AsOf(), v.roster.ReadAt(), 0
 	v.roster.Apply(asked, n, func(up fleet.Upstream, c roster.Change) {
 		changed = true
+		if startsDrain(up, c, asOf) {
+			drains++
+		}
 		event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "address", up.Address,
 			"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", up.Offset, "told-as-of", n.AsOf)
 	})
 	v.mu.Unlock()
 	if changed || len(n.Put) > 0 {
 		v.publish(asked)
+		v.drained(knownAt, drains)
+	}
+}
+
+// startsDrain reports whether an upstream has started to drain with an entry from the
+// offset asOf on. A removal isn't one: it may have no entry, or a late one.
+func startsDrain(up fleet.Upstream, c roster.Change, asOf int64) bool {
+	return c == roster.Left && up.Leaving && up.Offset >= asOf
+}
+
+// drained calls onDrain if there is anything to report.
+func (v *topicView) drained(knownAt time.Time, n int) {
+	if n > 0 && !knownAt.IsZero() {
+		v.onDrain(knownAt, n)
 	}
 }
 
--- a/internal/node/entry/view_test.go
+++ b/internal/node/entry/view_test.go
@@ -17,6 +17,8 @@
 	holder    bool
 	ups       []fleet.Upstream
 	published int
+	// drainsAfter is what onDrain was called with, once for each upstream.
+	drainsAfter []time.Time
 }
 
 const (
@@ -31,6 +33,10 @@
 	v.topicView = newTopicView(drain, deadline, at(100), func() bool { return v.holder }, func(_ time.Time, ups []fleet.Upstream) {
 		v.ups = ups
 		v.published++
+	}, func(knownAt time.Time, n int) {
+		for range n {
+			v.drainsAfter = append(v.drainsAfter, knownAt)
+		}
 	})
 	return v
 }
