--- /dev/null
+++ b/internal/node/entry/cut_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestChangeAfterHistoryCut guards against a change that comes into force after its
+// deadline on daemons that could read the log all the time: the holder, whose reads they
+// rely on, is just back from a cut, the history was deleted meanwhile, and the record is
+// written just after the others looked for it (figtray-coop scale-2, seed 55594420969).
+func TestChangeAfterHistoryCut(t *testing.T) {
+	const (
+		// cutBeforeDrop and cutAfterDrop are the parts of the cut before and after
+		// the history was deleted.
+		cutBeforeDrop, cutAfterDrop = 6 * time.Second, 4 * time.Second
+		// missWindow is the age up to which a read isn't woken by a record.
+		missWindow = 10 * time.Millisecond
+		seeds      = 10
+	)
+	changes := map[string]func(fl *modelFleet){
+		kindConfig: func(fl *modelFleet) {
+			fl.log.awaitLook(modelConfig)
+			fl.configure()
+		},
+		kindDrain: func(fl *modelFleet) {
+			fl.log.awaitLook(modelUpstreams)
+			fl.drain("u1")
+		},
+	}
+	for kind, change := range changes {
+		for seed := range uint64(seeds) {
+			runFleet(t, 4, seed, func(t *testing.T, fl *modelFleet) {
+				fl.log.setMisses(missWindow, 0)
+				holder := fl.holder()
+				must.NotNil(t, holder)
+				holder.setCut(true, false)
+				time.Sleep(cutBeforeDrop)
+				fl.log.dropHistory()
+				time.Sleep(cutAfterDrop)
+				change(fl)
+				holder.setCut(false, false)
+				time.Sleep(4 * modelDeadline)
+				took, never := fl.times(kind)
+				must.SliceEmpty(t, never)
+				must.SliceLen(t, 4, took)
+				must.LessEq(t, modelDeadline, took[len(took)-1], must.Sprint(kind, " seed ", seed))
+				t.Logf("%s, seed %d: %v", kind, seed, took)
+			})
+		}
+	}
+}
--- a/internal/node/entry/modellog_test.go
+++ b/internal/node/entry/modellog_test.go
@@ -34,8 +34,11 @@
 	modelTopic struct {
 		records []feed.Record
 		// first is the offset of the first record that isn't deleted.
-		first   int64
-		newest  map[string]feed.Record
+		first  int64
+		newest map[string]feed.Record
+		// looked is closed and replaced when a read has looked for records and found
+		// none.
+		looked  chan struct{}
 		waiting map[*modelWait]bool
 	}
 
@@ -68,7 +71,7 @@
 func newModelLog(seed uint64) *modelLog {
 	l := &modelLog{rng: rand.New(rand.NewPCG(seed, 0)), topics: map[string]*modelTopic{}, callTime: usualCallTime}
 	for _, name := range []string{modelConfig, modelUpstreams, modelLease, modelQuarantine} {
-		l.topics[name] = &modelTopic{newest: map[string]feed.Record{}, waiting: map[*modelWait]bool{}}
+		l.topics[name] = &modelTopic{newest: map[string]feed.Record{}, waiting: map[*modelWait]bool{}, looked: make(chan struct{})}
 	}
 	return l
 }
@@ -128,6 +131,15 @@
 	return l.calls
 }
 
+// awaitLook waits until a read of a topic has just found no records.
+func (l *modelLog) awaitLook(topic string) {
+	l.mu.Lock()
+	looked := l.topics[topic].looked
+	l.mu.Unlock()
+	<-looked
+	time.Sleep(time.Millisecond)
+}
+
 // setCallTime sets the mean duration of a call.
 func (l *modelLog) setCallTime(d time.Duration) {
 	l.mu.Lock()
@@ -219,6 +231,10 @@
 		s.log.mu.Lock()
 		defer s.log.mu.Unlock()
 		t := s.log.topics[s.topic]
+		if from == t.end() {
+			close(t.looked)
+			t.looked = make(chan struct{})
+		}
 		if from == t.end() && wait > 0 {
 			w := &modelWait{time.Now(), make(chan struct{})}
 			t.waiting[w] = true
--- a/internal/node/entry/view_test.go
+++ b/internal/node/entry/view_test.go
@@ -164,3 +164,19 @@
 	register, _ := v.KnownOffsets()
 	must.Eq(t, int64(130), register)
 }
+
+// TestDrainReported guards against a time to in force that is stated for an upstream
+// without a bound: one that is new, removed, known to drain, or has an old entry.
+func TestDrainReported(t *testing.T) {
+	v := newTestView()
+	put := func(asked float64, asOf int64, ups ...fleet.Upstream) {
+		v.Apply(at(asked), &hub.WatchReply{Register: &roster.Update{AsOf: asOf, Age: 500 * time.Millisecond, Put: ups}})
+	}
+	put(100, 10, fleet.Upstream{ID: "a", Offset: 1}, fleet.Upstream{ID: "b", Offset: 2}, fleet.Upstream{ID: "c", Offset: 3}, fleet.Upstream{ID: "d", Offset: 4, Leaving: true})
+	must.SliceEmpty(t, v.drainsAfter)
+	put(102, 20, fleet.Upstream{ID: "a", Offset: 12, Leaving: true}, fleet.Upstream{ID: "b", Offset: 9, Leaving: true})
+	must.Eq(t, []time.Time{at(99.5)}, v.drainsAfter)
+	put(103, 30, fleet.Upstream{ID: "a", Offset: 22, Leaving: true})
+	v.Apply(at(104), &hub.WatchReply{Register: &roster.Update{AsOf: 40, Gone: []string{"a", "c"}}})
+	must.Eq(t, []time.Time{at(99.5)}, v.drainsAfter)
+}
