entry: model fleets with the deadlines of the grown sites

The first sites have 2 s, the grown ones 3 s and the large one 4 s, and the age at which a daemon reads the log by itself is a share of that.

--- a/internal/node/entry/cut_test.go
+++ b/internal/node/entry/cut_test.go
@@ -32,7 +32,7 @@
 	}
 	for kind, change := range changes {
 		for seed := range uint64(seeds) {
-			runFleet(t, 4, seed, func(t *testing.T, fl *modelFleet) {
+			runFleet(t, 4, modelDeadline, seed, func(t *testing.T, fl *modelFleet) {
 				fl.log.setMisses(missWindow, 0)
 				holder := fl.holder()
 				must.NotNil(t, holder)
--- a/internal/node/entry/force_test.go
+++ b/internal/node/entry/force_test.go
@@ -13,8 +13,9 @@
 )
 
 var (
-	fleetSizes = flag.String("fleet-sizes", "4,30", "sizes of the fleets of TestTimeToInForce, separated by commas")
-	fleetSeed  = flag.Uint64("fleet-seed", 1, "seed of TestTimeToInForce")
+	fleetSizes    = flag.String("fleet-sizes", "4,30", "sizes of the fleets of TestTimeToInForce, separated by commas")
+	fleetDeadline = flag.Duration("fleet-deadline", modelDeadline, "deadline of the changes of TestTimeToInForce")
+	fleetSeed     = flag.Uint64("fleet-seed", 1, "seed of TestTimeToInForce")
 )
 
 const (
@@ -152,7 +153,7 @@
 	<-done
 	<-disturbancesDone
 	rate := float64(fl.log.callCount()-calls) / time.Since(began).Seconds()
-	time.Sleep(4 * modelDeadline)
+	time.Sleep(4 * fl.deadline)
 	return rate
 }
 
@@ -196,7 +197,7 @@
 		n, err := strconv.Atoi(size)
 		must.NoError(t, err)
 		for _, disturbed := range []bool{false, true} {
-			runFleet(t, n, *fleetSeed, func(t *testing.T, fl *modelFleet) {
+			runFleet(t, n, *fleetDeadline, *fleetSeed, func(t *testing.T, fl *modelFleet) {
 				idle, rate := fl.idle(), fl.play(disturbed)
 				t.Logf("%d daemons, disturbed %t: %.1f calls to the log a second without changes, %.1f with %d changes in %v", n, disturbed, idle, rate, len(fl.changes), modelRun)
 				for _, kind := range []string{kindConfig, kindDrain} {
@@ -204,7 +205,7 @@
 					highest := took[len(took)-1]
 					t.Logf("%d daemons, disturbed %t, %s: %s; stated by the metric: %s", n, disturbed, kind, summary(took), summary(fl.stated(kind)))
 					must.SliceEmpty(t, never)
-					must.LessEq(t, modelDeadline, highest, must.Sprint(kind, " disturbed ", disturbed))
+					must.LessEq(t, fl.deadline, highest, must.Sprint(kind, " disturbed ", disturbed))
 				}
 			})
 		}
@@ -217,7 +218,7 @@
 	// lateAnswer is the time of an answer's way, within the time after which a call
 	// is given up.
 	const lateAnswer = 650 * time.Millisecond
-	runFleet(t, 4, 1, func(t *testing.T, fl *modelFleet) {
+	runFleet(t, 4, modelDeadline, 1, func(t *testing.T, fl *modelFleet) {
 		holder := fl.holder()
 		must.NotNil(t, holder)
 		holder.setCut(true, false)
@@ -228,7 +229,7 @@
 		}
 		fl.log.setAnswerTime(0)
 		holder.setCut(false, false)
-		time.Sleep(4 * modelDeadline)
+		time.Sleep(4 * fl.deadline)
 		for _, kind := range []string{kindConfig, kindDrain} {
 			took, never := fl.times(kind)
 			must.SliceEmpty(t, never)
@@ -241,7 +242,7 @@
 // took to come into force, whatever the clocks of the daemons and the log show.
 func TestLagIsUpperBound(t *testing.T) {
 	for _, late := range []time.Duration{0, 400 * time.Millisecond} {
-		runFleet(t, 8, 2, func(t *testing.T, fl *modelFleet) {
+		runFleet(t, 8, modelDeadline, 2, func(t *testing.T, fl *modelFleet) {
 			fl.log.setAnswerTime(late)
 			fl.play(true)
 			for _, kind := range []string{kindConfig, kindDrain} {
--- a/internal/node/entry/modelfleet_test.go
+++ b/internal/node/entry/modelfleet_test.go
@@ -30,6 +30,8 @@
 	// testing/synctest. The daemons run all that follows the log and the holder.
 	modelFleet struct {
 		log *modelLog
+		// deadline is that of both kinds of change.
+		deadline time.Duration
 
 		mu      sync.Mutex
 		rng     *rand.Rand
@@ -96,7 +98,7 @@
 )
 
 const (
-	// modelDeadline is that of both kinds of change, as on the first sites.
+	// modelDeadline is that of both kinds of change on the first sites.
 	modelDeadline = 2 * time.Second
 	// hopTime is the duration of a message between daemons, and hopTimeout when a
 	// call without an answer ends.
@@ -111,11 +113,11 @@
 )
 
 // runFleet runs f with a fleet of n daemons that have settled.
-func runFleet(t *testing.T, n int, seed uint64, f func(t *testing.T, fl *modelFleet)) {
+func runFleet(t *testing.T, n int, deadline time.Duration, seed uint64, f func(t *testing.T, fl *modelFleet)) {
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
 	synctest.Test(t, func(t *testing.T) {
-		fl := &modelFleet{log: newModelLog(seed), rng: rand.New(rand.NewPCG(seed, 1))}
+		fl := &modelFleet{log: newModelLog(seed), deadline: deadline, rng: rand.New(rand.NewPCG(seed, 1))}
 		fl.configure()
 		for i := range 10 {
 			fl.register(fmt.Sprint("u", i))
@@ -160,7 +162,7 @@
 func (d *modelDaemon) start() {
 	now := func() time.Time { return time.Now().Add(d.skew) }
 	source := func(topic string) modelSource { return modelSource{d.fleet.log, topic, d} }
-	settings := Settings{Host: d.host, FailureDomain: "a", Peers: d.host, Drain: modelDeadline, ConfigDeadline: modelDeadline, HolderPause: 3 * time.Second, RetryWindow: 10 * time.Second}
+	settings := Settings{Host: d.host, FailureDomain: "a", Peers: d.host, Drain: d.fleet.deadline, ConfigDeadline: d.fleet.deadline, HolderPause: 3 * time.Second, RetryWindow: 10 * time.Second}
 	e := New(settings, Platform{
 		Configuration: source(modelConfig), Upstreams: source(modelUpstreams), Holder: source(modelLease), Quarantine: source(modelQuarantine),
 		Wire: modelCodec{}, DecodeConfig: decodeModelConfig, DecodeUpstream: decodeModelUpstream, ConfigKey: "config", BootClock: now,
