--- a/internal/node/entry/view_test.go
+++ b/internal/node/entry/view_test.go
@@ -17,6 +17,8 @@
 	holder    bool
 	ups       []fleet.Upstream
 	published int
+	// drainsAfter is what onDrain was called with, once for each upstream.
+	drainsAfter []time.Time
 }
 
 const (
@@ -31,6 +33,10 @@
 	v.topicView = newTopicView(drain, deadline, at(100), func() bool { return v.holder }, func(_ time.Time, ups []fleet.Upstream) {
 		v.ups = ups
 		v.published++
+	}, func(knownAt time.Time, n int) {
+		for range n {
+			v.drainsAfter = append(v.drainsAfter, knownAt)
+		}
 	})
 	return v
 }
@@ -168,3 +174,19 @@
 	must.True(t, c.update(at(100), false).IsZero())
 	must.Eq(t, at(101), c.update(at(101), false))
 }
+
+// TestDrainReported guards against a time to in force that is stated for an upstream
+// without a bound: one that is new, removed, known to drain, or has an old entry.
+func TestDrainReported(t *testing.T) {
+	v := newTestView()
+	put := func(asked float64, asOf int64, ups ...fleet.Upstream) {
+		v.Apply(at(asked), &hub.WatchReply{Register: &roster.Update{AsOf: asOf, Age: 500 * time.Millisecond, Put: ups}})
+	}
+	put(100, 10, fleet.Upstream{ID: "a", Offset: 1}, fleet.Upstream{ID: "b", Offset: 2}, fleet.Upstream{ID: "c", Offset: 3}, fleet.Upstream{ID: "d", Offset: 4, Leaving: true})
+	must.SliceEmpty(t, v.drainsAfter)
+	put(102, 20, fleet.Upstream{ID: "a", Offset: 12, Leaving: true}, fleet.Upstream{ID: "b", Offset: 9, Leaving: true})
+	must.Eq(t, []time.Time{at(99.5)}, v.drainsAfter)
+	put(103, 30, fleet.Upstream{ID: "a", Offset: 22, Leaving: true})
+	v.Apply(at(104), &hub.WatchReply{Register: &roster.Update{AsOf: 40, Gone: []string{"a", "c"}}})
+	must.Eq(t, []time.Time{at(99.5)}, v.drainsAfter)
+}
