fleet, relay, entry: callers' keys and strict revocation

Now: hashes of keys are looked up, and the account's name goes to the upstream in place of what the caller claims. An unknown key gets 401 only while the configuration is known to have been the newest within 0.6 of its deadline and no newer one is announced, otherwise 503. Where revocation is strict, a key is served only while that is known within 0.6 of the time for revocation; without a holder the log is read more often then.

That time counts from the beginning of the read or question whose answer said so, on a clock that counts suspensions. Ruled out: the time of receipt.

No assertion changed.

--- a/cmd/azurespan/entry.go
+++ b/cmd/azurespan/entry.go
@@ -79,6 +79,9 @@
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		StoreWindow: s.Bounds.StoreLoadWindow,
 	}
+	if s.Bounds.StrictRevoke {
+		set.RevokeTime = s.Bounds.RevokeTime
+	}
 	event.EntryStarted.Log("settings", fmt.Sprintf("%+v", set), "log-address", s.LogAddress, "memory-mb", s.MemoryLimitMB)
 	go watchSettings(ctx, path, s, log)
 	return entry.New(set, entry.Platform{
--- a/internal/core/fleet/config.go
+++ b/internal/core/fleet/config.go
@@ -17,8 +17,12 @@
 		Routes   []Route
 		Services map[string]Service
 		Limits   Limits
+		// Accounts are the client accounts. If there are none, requests need no
+		// key.
+		Accounts []Account
 
 		byHost map[string][]*Route
+		byKey  map[KeyHash]*Account
 	}
 
 	// Route maps requests of one host name and path prefix to services.
@@ -41,6 +45,8 @@
 		MaxAttempts int
 		// Resumable is set if streams may be continued by another upstream.
 		Resumable bool
+		// Anonymous is set if requests need no key.
+		Anonymous bool
 	}
 
 	// Target is a service and the weight of its share of a route's requests.
@@ -142,8 +148,9 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// Index prepares c for Match and returns it.
+// Index prepares c for Match and AccountByKey, and returns it.
 func (c *Config) Index() *Config {
+	c.indexAccounts()
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -30,6 +30,11 @@
 		// LastEventID is the id of the last event that the caller has received,
 		// empty if there is none.
 		LastEventID string
+		// Key is the hash of the caller's key, nil if it sent none.
+		Key *KeyHash
+		// Account is the name of the account that the request belongs to, empty
+		// if there is none.
+		Account string
 	}
 
 	// Part is a part of a prompt.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -58,6 +58,10 @@
 		RetrySlack  float64
 		// StoreWindow is the time window of the weight store's rate limit.
 		StoreWindow time.Duration
+		// RevokeTime is the time after which no daemon may serve a key that has
+		// been removed, whether or not it reaches the log; 0 if there is no such
+		// bound.
+		RevokeTime time.Duration
 	}
 
 	// Platform is an Entry's interface to the platform.
@@ -143,12 +147,14 @@
 	e.parts = blame.New(e.crashes)
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
+		ConfigTTL: time.Duration(maxAgeShare * float64(settings.ConfigDeadline)), KeyTTL: time.Duration(maxAgeShare * float64(settings.RevokeTime)),
+		Freshness: func() fleet.Freshness { return e.topics.freshness() },
 	}, platform.Wire, pool, e.crashes, e.parts, metrics, rng, now)
 	earliestRead := now()
 	if settings.FirstStart {
 		earliestRead = earliestRead.Add(firstHolderWait)
 	}
-	e.topics = newTopicView(settings.Drain, settings.ConfigDeadline, earliestRead,
+	e.topics = newTopicView(settings.Drain, settings.ConfigDeadline, settings.RevokeTime, earliestRead, platform.BootClock,
 		func() bool { _, holds := e.elector.Holds(); return holds },
 		func(now time.Time, ups []fleet.Upstream) {
 			e.relay.SetUpstreams(now, ups)
--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -21,9 +21,14 @@
 	// drainLimit and configDeadline are the times within which changes of the
 	// register and of the configuration must take effect.
 	drainLimit, configDeadline time.Duration
+	// revokeTime is the time after which a removed key must not be served, 0 if
+	// there is no such bound.
+	revokeTime time.Duration
 	// earliestRead is when this daemon may first read the whole register
 	// itself.
 	earliestRead time.Time
+	// boot is a clock that counts suspensions of the machine.
+	boot func() time.Time
 	// holds reports whether this daemon is the holder.
 	holds func() bool
 	// onUpstreams is called with all upstreams when they may have changed.
@@ -37,6 +42,11 @@
 	// force was known to be the newest.
 	configAsOf, configAnnounced int64
 	configAt                    time.Time
+	// configProven is a time of boot at which the configuration in force was the
+	// newest: the beginning of the read or question whose answer said so, since
+	// an answer may have waited while this machine or process was suspended.
+	// readBegan and askBegan are when the present ones have begun.
+	configProven, readBegan, askBegan time.Time
 }
 
 const (
@@ -45,6 +55,11 @@
 	// maxAgeShare is the age at which a topic is read, as a share of the time
 	// within which its changes must take effect.
 	maxAgeShare = 0.6
+	// revokeAgeShare is the age of the configuration at which a daemon without a
+	// holder reads it again, and revokeWaitShare how long that read waits, as
+	// shares of the time within which a removed key must not be served. Two waits
+	// and the pause between them are well within maxAgeShare.
+	revokeAgeShare, revokeWaitShare = 0.2, 0.1
 	// holderConfigWait is how long a read of the configuration by the holder, on
 	// whose reads the other daemons rely, waits for a new one.
 	holderConfigWait = 500 * time.Millisecond
@@ -63,8 +78,8 @@
 	_ qlog.Holder      = holderView{}
 )
 
-func newTopicView(drainLimit, configDeadline time.Duration, earliestRead time.Time, holds func() bool, onUpstreams func(now time.Time, ups []fleet.Upstream)) *topicView {
-	return &topicView{drainLimit: drainLimit, configDeadline: configDeadline, earliestRead: earliestRead, holds: holds, onUpstreams: onUpstreams, roster: roster.New(roster.Settings{Settle: settleTime})}
+func newTopicView(drainLimit, configDeadline, revokeTime time.Duration, earliestRead time.Time, boot func() time.Time, holds func() bool, onUpstreams func(now time.Time, ups []fleet.Upstream)) *topicView {
+	return &topicView{drainLimit: drainLimit, configDeadline: configDeadline, revokeTime: revokeTime, earliestRead: earliestRead, boot: boot, holds: holds, onUpstreams: onUpstreams, roster: roster.New(roster.Settings{Settle: settleTime})}
 }
 
 // KnownOffsets returns the offsets up to which the topics are known.
@@ -74,14 +89,30 @@
 	return v.roster.AsOf(), v.configAsOf
 }
 
+// AskBegins records that a question to the holder begins, whose answer is passed to
+// Apply.
+func (v *topicView) AskBegins() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.askBegan = v.boot()
+}
+
+// freshness returns how certain it is that the configuration in force is the newest.
+func (v *topicView) freshness() fleet.Freshness {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return fleet.Freshness{Age: v.boot().Sub(v.configProven), Outdated: v.configAnnounced > v.configAsOf}
+}
+
 // Apply applies what the holder knows of the topics, which was requested at
 // asked.
 func (v *topicView) Apply(asked time.Time, r *hub.WatchReply) {
 	v.mu.Lock()
 	if k := r.Config; k != nil {
 		v.configAnnounced = max(v.configAnnounced, k.AsOf)
-		if at := asked.Add(-k.Age); k.AsOf >= v.configAsOf && v.configAnnounced == v.configAsOf && at.After(v.configAt) {
-			v.configAt = at
+		if k.AsOf >= v.configAsOf && v.configAnnounced == v.configAsOf {
+			v.configAt = later(v.configAt, asked.Add(-k.Age))
+			v.configProven = later(v.configProven, v.askBegan.Add(-k.Age))
 		}
 	}
 	n := r.Register
@@ -117,7 +148,7 @@
 	if v.configAt.IsZero() {
 		return nil
 	}
-	return &hub.TopicState{AsOf: v.configAsOf, Age: now.Sub(v.configAt)}
+	return &hub.TopicState{AsOf: v.configAsOf, Age: max(now.Sub(v.configAt), v.boot().Sub(v.configProven))}
 }
 
 // registerDelay returns the time until the next read of the register is due.
@@ -136,17 +167,19 @@
 
 // configDelay returns the time until the next read of the configuration is due.
 // The holder reads all the time, because its reads wait for the next
-// configuration.
+// configuration. A read begins at once when this returns no delay.
 func (v *topicView) configDelay(now time.Time) time.Duration {
-	if v.holds() {
-		return 0
-	}
+	holds := v.holds()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.readBegan = v.boot()
+	if holds {
+		return 0
+	}
 	if v.configAnnounced > v.configAsOf {
 		return 0
 	}
-	return v.configAt.Add(time.Duration(maxAgeShare * float64(v.configDeadline))).Sub(now)
+	return v.configAt.Add(v.configShare(maxAgeShare, revokeAgeShare)).Sub(now)
 }
 
 // configWait returns how long a read of the configuration waits for a new one. A
@@ -157,7 +190,26 @@
 	if v.holds() {
 		return holderConfigWait
 	}
-	return time.Duration(maxAgeShare * float64(v.configDeadline))
+	return v.configShare(maxAgeShare, revokeWaitShare)
+}
+
+// configShare returns a share of the time within which a new configuration must take
+// effect, or another one of that within which a removed key must not be served,
+// whichever is shorter.
+func (v *topicView) configShare(ofDeadline, ofRevoke float64) time.Duration {
+	d := time.Duration(ofDeadline * float64(v.configDeadline))
+	if v.revokeTime > 0 {
+		d = min(d, time.Duration(ofRevoke*float64(v.revokeTime)))
+	}
+	return d
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // configRead records a read of the configuration's topic by this daemon.
@@ -167,6 +219,7 @@
 	v.configAsOf = max(v.configAsOf, next)
 	if next >= end {
 		v.configAt = now
+		v.configProven = later(v.configProven, v.readBegan)
 	}
 }
 
--- a/internal/node/entry/view_test.go
+++ b/internal/node/entry/view_test.go
@@ -17,6 +17,8 @@
 	holder    bool
 	ups       []fleet.Upstream
 	published int
+	// boot is the clock that counts suspensions.
+	boot time.Time
 }
 
 const (
@@ -28,7 +30,7 @@
 
 func newTestView() *testView {
 	v := &testView{}
-	v.topicView = newTopicView(drain, deadline, at(100), func() bool { return v.holder }, func(_ time.Time, ups []fleet.Upstream) {
+	v.topicView = newTopicView(drain, deadline, 0, at(100), func() time.Time { return v.boot }, func() bool { return v.holder }, func(_ time.Time, ups []fleet.Upstream) {
 		v.ups = ups
 		v.published++
 	})
--- /dev/null
+++ b/internal/node/relay/account.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+)
+
+const (
+	// staleConfigRetryAfter is the Retry-After of a daemon that can't know which
+	// keys hold; other daemons mostly can, and a read of the configuration takes
+	// some hundred ms.
+	staleConfigRetryAfter = 300 * time.Millisecond
+	// unauthorizedReason is the refusal reason of a request without a valid key.
+	unauthorizedReason = "unauthorized"
+	// staleReason is the refusal reason of a request whose key may not hold.
+	staleReason = "configuration-age"
+)
+
+// authorize returns the account that a request belongs to, nil if it needs none. It
+// refuses a request without a key that holds, and one for which that is uncertain.
+func (r *Relay) authorize(cfg *fleet.Config, route *fleet.Route, req *fleet.Request) (*fleet.Account, refusal, bool) {
+	req.Account = ""
+	if len(cfg.Accounts) == 0 || route.Anonymous {
+		return nil, refusal{}, true
+	}
+	var fresh fleet.Freshness
+	if r.settings.Freshness != nil {
+		fresh = r.settings.Freshness()
+	}
+	var account *fleet.Account
+	if req.Key != nil {
+		account = cfg.AccountByKey(*req.Key)
+	}
+	switch {
+	case account == nil && (fresh.Outdated || r.settings.ConfigTTL > 0 && fresh.Age > r.settings.ConfigTTL):
+		// A newer configuration may have the key.
+		return nil, r.staleRefusal(), false
+	case account == nil:
+		return nil, refusal{code: http.StatusUnauthorized, reason: unauthorizedReason}, false
+	case r.settings.KeyTTL > 0 && fresh.Age > r.settings.KeyTTL:
+		// A newer configuration may lack the key.
+		return nil, r.staleRefusal(), false
+	}
+	req.Account = account.Name
+	return account, refusal{}, true
+}
+
+// staleRefusal is the refusal of a request whose key may or may not hold.
+func (r *Relay) staleRefusal() refusal {
+	return refusal{http.StatusServiceUnavailable, staleReason, r.jitter(staleConfigRetryAfter)}
+}
+
+// jitter returns a random delay in [3d/4, 5d/4), so that callers that were refused
+// together don't return together.
+func (r *Relay) jitter(d time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return d*3/4 + time.Duration(r.rng.Int64N(int64(max(d, 2)/2)))
+}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -24,11 +24,13 @@
 type (
 	// exchange is the state of one request.
 	exchange struct {
-		relay       *Relay
-		w           http.ResponseWriter
-		rc          *http.ResponseController
-		req         *fleet.Request
-		route       *fleet.Route
+		relay *Relay
+		w     http.ResponseWriter
+		rc    *http.ResponseController
+		req   *fleet.Request
+		route *fleet.Route
+		// account is nil for a request that needs no key.
+		account     *fleet.Account
 		query       pick.Query
 		fingerprint string
 		// parts are the shared parts of the prompt. known are their crashes as
@@ -99,7 +101,12 @@
 		r.refuse(w, req.ID, refusal{code: http.StatusNotFound, reason: "no-route"}, arrived)
 		return
 	}
-	x := &exchange{relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, arrived: arrived, events: sse.New()}
+	account, resp, ok := r.authorize(cfg, route, req)
+	if !ok {
+		r.refuse(w, req.ID, resp, arrived)
+		return
+	}
+	x := &exchange{account: account, relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, arrived: arrived, events: sse.New()}
 	x.deadline = arrived.Add(route.Timeout)
 	if req.CallerTimeout > 0 && req.CallerTimeout < route.Timeout {
 		x.deadline = arrived.Add(req.CallerTimeout)
@@ -313,7 +320,7 @@
 		firstByte = x.firstByteAt.Sub(x.arrived)
 	}
 	event.RelayEnded.Log("request", x.req.ID, "outcome", outcome, "status", code, "route", x.route.Name,
-		"rank", x.route.Rank, "upstream", up.ID, "sends", x.attempts, "events", x.events.EventCount,
+		"account", x.req.Account, "rank", x.route.Rank, "upstream", up.ID, "sends", x.attempts, "events", x.events.EventCount,
 		"first", firstByte, "took", now.Sub(x.arrived), "unframed", x.unframed, "configuration", x.configVersion, "configuration-now", x.relay.Config().Version, "failure", x.lastFailure)
 	class := fmt.Sprintf("%s-%d", x.route.Kind, x.route.Rank)
 	x.relay.metrics.RequestSeconds.WithLabelValues(class, outcome).Observe(now.Sub(x.arrived).Seconds())
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -31,6 +31,13 @@
 		RetryRatio  float64
 		RetryWindow time.Duration
 		RetrySlack  float64
+		// ConfigTTL is the age of the configuration up to which a key that it
+		// doesn't have is taken for unknown, and KeyTTL the age up to which one
+		// that it has is taken to hold; 0 for any age.
+		ConfigTTL, KeyTTL time.Duration
+		// Freshness returns how certain it is that the configuration is the
+		// newest; nil if it always is.
+		Freshness func() fleet.Freshness
 	}
 
 	// Codec defines the HTTP form of requests and responses.
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -43,6 +43,8 @@
 		// KnownOffsets returns the offsets up to which the register and the
 		// configuration are known.
 		KnownOffsets() (register, config int64)
+		// AskBegins is called before each question whose answer is applied.
+		AskBegins()
 		// Apply applies the holder's knowledge of the topics, which was
 		// requested at asked.
 		Apply(asked time.Time, r *hub.WatchReply)
@@ -259,6 +261,7 @@
 	var loadAt time.Time
 	for {
 		asked := s.now()
+		s.topics.AskBegins()
 		a := &hub.WatchArgs{Host: s.host, Fence: s.fence, Rev: s.rev, LimitsRev: s.limitsRev, Crashes: s.crashesAt}
 		a.Register, a.Config = s.topics.KnownOffsets()
 		if asked.Sub(loadAt) >= loadInterval {
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -25,10 +25,12 @@
 	taken   atomic.Int64
 }
 
-func (s *fakeDaemon) Holder() (string, int64)      { return s.address.Load().(string), 1 }
-func (s *fakeDaemon) Holds() (int64, bool)         { return 0, false }
-func (s *fakeDaemon) HolderSeen()                  {}
-func (s *fakeDaemon) ContactLost()                 { s.lost.Add(1) }
+func (s *fakeDaemon) Holder() (string, int64) { return s.address.Load().(string), 1 }
+func (s *fakeDaemon) Holds() (int64, bool)    { return 0, false }
+func (s *fakeDaemon) HolderSeen()             {}
+func (s *fakeDaemon) ContactLost()            { s.lost.Add(1) }
+func (s *fakeDaemon) AskBegins()              {}
+
 func (s *fakeDaemon) KnownOffsets() (int64, int64) { return 7, 3 }
 
 func (s *fakeDaemon) Apply(time.Time, *hub.WatchReply) { s.taken.Add(1) }
