queue, relay: the priority of an account goes before that of the route

Cause: requests waited in the order of their routes' priorities alone.

Now requests are ordered by account, then route. Ruled out: the account's priority in place of the route's, which would lose the order of routes among accounts of equal priority. A request that belongs to no account has its route's priority in both places.

Evidence: TestAccountRankBeforeRouteRank, the tests of queue and relay, -race.

--- a/internal/node/relay/account.go
+++ b/internal/node/relay/account.go
@@ -59,3 +59,12 @@
 	defer r.mu.Unlock()
 	return d*3/4 + time.Duration(r.rng.Int64N(int64(max(d, 2)/2)))
 }
+
+// accountRank returns the rank of the request's account, or the route's if it belongs
+// to none.
+func (x *exchange) accountRank() int {
+	if x.account != nil {
+		return x.account.Rank
+	}
+	return x.route.Rank
+}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -265,7 +265,7 @@
 	}
 	r.nextID++
 	w := &waiter{
-		item:  &queue.Item{ID: r.nextID, Key: x.query.Key, Rank: x.route.Rank, TargetStart: x.targetStart(), LatestStart: until},
+		item:  &queue.Item{ID: r.nextID, Key: x.query.Key, AccountRank: x.accountRank(), Rank: x.route.Rank, TargetStart: x.targetStart(), LatestStart: until},
 		query: &x.query, fingerprint: x.fingerprint, parts: x.parts, since: now, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
 	}
 	r.waiters[w.item.ID] = w
--- a/internal/rule/queue/queue.go
+++ b/internal/rule/queue/queue.go
@@ -12,8 +12,9 @@
 	Item struct {
 		ID  uint64
 		Key fleet.Key
-		// Rank is the urgency; 0 is the most urgent.
-		Rank int
+		// AccountRank is the urgency of the request's account, or the route's if
+		// it belongs to none, and Rank that of its route; 0 is the most urgent.
+		AccountRank, Rank int
 		// TargetStart is the time until which the request must start to be on
 		// time; LatestStart is the last time at which it may start at all.
 		TargetStart, LatestStart time.Time
@@ -47,8 +48,8 @@
 }
 
 // serviceOrder returns the requests in the order of service at now: those that
-// can still be on time before late ones, and within each group by rank and then
-// LatestStart.
+// can still be on time before late ones, and within each group by the rank of the
+// account, that of the route and then LatestStart.
 func (q *Queue) serviceOrder(now time.Time) []*Item {
 	all := append([]*Item(nil), q.items...)
 	sort.SliceStable(all, func(i, j int) bool {
@@ -56,6 +57,9 @@
 		if la, lb := now.After(a.TargetStart), now.After(b.TargetStart); la != lb {
 			return lb
 		}
+		if a.AccountRank != b.AccountRank {
+			return a.AccountRank < b.AccountRank
+		}
 		if a.Rank != b.Rank {
 			return a.Rank < b.Rank
 		}
--- a/internal/rule/queue/queue_test.go
+++ b/internal/rule/queue/queue_test.go
@@ -53,6 +53,18 @@
 	must.Eq(t, []uint64{2, 3, 1}, order(q, at(5)))
 }
 
+// TestAccountRankBeforeRouteRank guards against an urgent route of a less urgent account
+// that is served before a more urgent account.
+func TestAccountRankBeforeRouteRank(t *testing.T) {
+	q := New()
+	for id, ranks := range [][2]int{{2, 0}, {1, 2}, {1, 1}, {0, 9}} {
+		it := item(uint64(id+1), "m", ranks[1], 9, float64(20+id))
+		it.AccountRank = ranks[0]
+		q.Add(it)
+	}
+	must.Eq(t, []uint64{4, 3, 2, 1}, order(q, at(5)))
+}
+
 // TestLateRequestsAreNotStarved guards against starvation under lasting
 // overload: late requests whose latest start is near take every second place.
 func TestLateRequestsAreNotStarved(t *testing.T) {
