issuer, meter: allowances of accounts over all daemons

Ruled out: answers to questions other than the last one are ignored, so a daemon has one question open at a time. The older of two shares counts until the daemon has confirmed the newer one.

Not wired yet.

--- /dev/null
+++ b/internal/rule/issuer/issuer.go
@@ -0,0 +1,164 @@
+package issuer
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+)
+
+type (
+	// Issuer grants allowances. All times are of a clock that counts
+	// suspensions. It is not safe for concurrent use.
+	Issuer struct {
+		settings Settings
+		began    time.Time
+		accounts map[string]*account
+		daemons  map[string]*daemon
+		// unknown is the sum of the shares that former holders gave and this one
+		// hasn't heard of.
+		unknown  float64
+		filledAt time.Time
+	}
+
+	account struct {
+		fleet.Allowance
+		bounds Bounds
+		level  float64
+	}
+
+	// daemon is what is known of one daemon.
+	daemon struct {
+		// share is the largest that it may hold, next the one of the last
+		// answer, which it has not confirmed.
+		share, next float64
+		// answered is the last question, and answeredAt when it was answered.
+		answered   uint64
+		answeredAt time.Time
+		// askedAfter is a time after which the daemon has sent its last known
+		// question; zero until it has confirmed an answer.
+		askedAfter time.Time
+	}
+)
+
+// pocketFloor is the part of a bucket that is kept for requests that wait.
+const pocketFloor = 0.5
+
+// New returns an Issuer whose tenure begins at now.
+func New(now time.Time, settings Settings) *Issuer {
+	return &Issuer{settings: settings, began: now, filledAt: now, accounts: map[string]*account{}, daemons: map[string]*daemon{}, unknown: 1}
+}
+
+// SetAccounts replaces the accounts. What is saved for an account stays within its new
+// bounds.
+func (i *Issuer) SetAccounts(now time.Time, accounts []fleet.Account) {
+	i.fill(now)
+	kept := make(map[string]*account, len(accounts))
+	for _, a := range accounts {
+		if !a.Allowance.Limited() {
+			continue
+		}
+		k := &account{Allowance: a.Allowance, bounds: i.settings.Bounds(a.Allowance)}
+		if old := i.accounts[a.Name]; old != nil && old.Tokens == a.Allowance.Tokens {
+			k.level = min(old.level, k.bounds.Bucket)
+		}
+		kept[a.Name] = k
+	}
+	i.accounts = kept
+}
+
+// Answer returns the answer to a daemon's question.
+func (i *Issuer) Answer(now time.Time, host string, ask *fleet.AllowanceAsk) *fleet.AllowanceReply {
+	// Before the daemon's state changes, because the time until now counts by it.
+	i.fill(now)
+	d := i.daemons[host]
+	if d == nil {
+		d = &daemon{share: ask.Share}
+		i.daemons[host] = d
+		i.unknown = max(i.unknown-ask.Share, 0)
+	}
+	// A question that was sent before the last one and comes after it confirms
+	// nothing; what it shows of the share may be old.
+	if confirms := d.answered != 0 && ask.Answered == d.answered; confirms {
+		d.share = d.next
+		d.askedAfter = d.answeredAt.Add(ask.Since)
+	}
+	d.share = max(d.share, ask.Share)
+	d.next = max(min(1/float64(len(i.daemons)), 1-i.held(now, host)), 0)
+	d.share = max(d.share, d.next)
+	d.answered, d.answeredAt = ask.ID, now
+	r := &fleet.AllowanceReply{ID: ask.ID, Share: d.next}
+	for _, name := range slices.Sorted(maps.Keys(ask.Wants)) {
+		if a := i.accounts[name]; a != nil {
+			if r.Grants == nil {
+				r.Grants = map[string]fleet.Grant{}
+			}
+			r.Grants[name] = a.grant(ask.Wants[name])
+		}
+	}
+	return r
+}
+
+// grant takes what is wanted from the bucket as far as it is there.
+func (a *account) grant(w fleet.Want) (g fleet.Grant) {
+	switch {
+	case w.Need <= a.level:
+		g.Need = w.Need
+	case w.Least > 0 && w.Least <= a.level:
+		g.Need = a.level
+	}
+	a.level -= g.Need
+	if missing := w.Need - g.Need; missing > 0 {
+		least := min(max(w.Least, 0), a.bounds.Bucket)
+		g.Wait = max(time.Duration(max(least-a.level, 0)/a.PerSecond*float64(time.Second)), time.Millisecond)
+		return g
+	}
+	g.Pocket = max(min(w.Pocket, a.level-pocketFloor*a.bounds.Bucket), 0)
+	a.level -= g.Pocket
+	return g
+}
+
+// held returns the sum of the shares that others than host may hold.
+func (i *Issuer) held(now time.Time, host string) float64 {
+	sum := i.strangers(now)
+	for name, d := range i.daemons {
+		if name != host {
+			sum += d.share
+		}
+	}
+	return sum
+}
+
+// strangers returns the sum of the shares of daemons that this holder hasn't heard.
+func (i *Issuer) strangers(now time.Time) float64 {
+	if now.Sub(i.began) > ShareTTL {
+		i.unknown = 0
+	}
+	return i.unknown
+}
+
+// fill fills the buckets until now, except for the shares of daemons that may have
+// added to their pockets by themselves at any time since the last call.
+func (i *Issuer) fill(now time.Time) {
+	since := now.Sub(i.filledAt).Seconds()
+	if since <= 0 {
+		return
+	}
+	away := i.unknown
+	for name, d := range i.daemons {
+		if now.Sub(d.askedAfter) > FillDelay {
+			away += d.share
+		}
+		if now.Sub(d.answeredAt) > ShareTTL {
+			delete(i.daemons, name)
+		}
+	}
+	i.strangers(now)
+	i.filledAt = now
+	part := math.Max(1-away, 0)
+	for _, a := range i.accounts {
+		a.level = min(a.level+part*a.PerSecond*since, a.bounds.Bucket)
+	}
+}
--- /dev/null
+++ b/internal/rule/issuer/issuer_test.go
@@ -0,0 +1,87 @@
+package issuer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+)
+
+// settings and testAccount are those of the tests.
+var (
+	settings    = Settings{Window: 8 * time.Second, Overshoot: 0.1, Slack: 100}
+	testAccount = fleet.Account{Name: "a", Allowance: fleet.Allowance{PerSecond: 100, Burst: 100, Tokens: true, PlainTokens: 10}}
+)
+
+func at(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+
+// need asks for an amount and returns the grant.
+func need(i *Issuer, s float64, host string, q fleet.AllowanceAsk, amount float64) (*fleet.AllowanceReply, fleet.Grant) {
+	q.Wants = map[string]fleet.Want{"a": {Need: amount, Least: amount}}
+	r := i.Answer(at(s), host, &q)
+	return r, r.Grants["a"]
+}
+
+// TestBounds guards against bounds that break the inequality on which the whole rests,
+// and against a holder that can never save enough for a request.
+func TestBounds(t *testing.T) {
+	for _, s := range []Settings{settings, {Window: 8 * time.Second, Overshoot: 0.1, Slack: 7400}, {Window: time.Second}} {
+		for _, a := range []fleet.Allowance{testAccount.Allowance, {PerSecond: 1, Burst: 1}, {PerSecond: 0.1, Burst: 1}, {PerSecond: 176_326, Burst: 1, Tokens: true, PlainTokens: 200}} {
+			b := s.Bounds(a)
+			w := s.Window.Seconds()
+			must.LessEq(t, (a.PerSecond*w+a.Burst)*(1+s.Overshoot)+s.Slack+1e-9, a.PerSecond*(w+b.GrantTTL.Seconds())+b.Bucket+b.Pocket)
+		}
+	}
+	must.Eq(t, 1.1, Settings{Overshoot: 0.1}.Bounds(fleet.Allowance{PerSecond: 1, Burst: 1}).Bucket)
+}
+
+// TestLateQuestion guards against a question that comes so late that its daemon adds to
+// its pockets by itself already, and counts as contact from its receipt.
+func TestLateQuestion(t *testing.T) {
+	i := New(at(0), settings)
+	i.SetAccounts(at(0), []fleet.Account{testAccount})
+	id := uint64(0)
+	ask := func(s float64, since time.Duration, amount float64) float64 {
+		id++
+		_, g := need(i, s, "h", fleet.AllowanceAsk{ID: id, Answered: id - 1, Since: since, Share: 1}, amount)
+		return g.Need
+	}
+	for s := 4.0; s < 10; s += 0.2 {
+		ask(s, 200*time.Millisecond, 0)
+	}
+	must.Eq(t, 120, ask(10, 200*time.Millisecond, 120))
+	// The next one is sent 0.2 s later and received 2 s later. Since then the daemon
+	// may have used its share.
+	must.Eq(t, 0, ask(12, 200*time.Millisecond, 10))
+	must.Eq(t, 0, ask(12.1, 100*time.Millisecond, 10))
+	must.Eq(t, 20, ask(12.3, 200*time.Millisecond, 20))
+}
+
+// TestDeadDaemonsShare guards against a share that is lost with its daemon, and against
+// one that is given to another daemon before its term is over.
+func TestDeadDaemonsShare(t *testing.T) {
+	i := New(at(0), settings)
+	i.SetAccounts(at(0), []fleet.Account{testAccount})
+	ask := func(s float64, host string, id, answered uint64, share float64) float64 {
+		return i.Answer(at(s), host, &fleet.AllowanceAsk{ID: id, Answered: answered, Share: share}).Share
+	}
+	must.Eq(t, 0, ask(1, "x", 1, 0, 0))
+	must.Eq(t, 1, ask(4, "x", 2, 1, 0))
+	must.Eq(t, 0, ask(4, "y", 1, 0, 0))
+	must.Eq(t, 0.5, ask(4.2, "x", 3, 2, 1))
+	must.Eq(t, 0, ask(4.2, "y", 2, 1, 0))
+	must.Eq(t, 0.5, ask(4.4, "x", 4, 3, 0.5))
+	must.Eq(t, 0.5, ask(4.4, "y", 3, 2, 0))
+	must.Eq(t, 0.5, ask(7.3, "y", 4, 3, 0.5))
+	must.Eq(t, 0.5, ask(7.4, "y", 5, 4, 0.5))
+	must.Eq(t, 1, ask(7.5, "y", 6, 5, 0.5))
+}
+
+// TestUnknownAccount guards against grants for an account that the holder doesn't know.
+func TestUnknownAccount(t *testing.T) {
+	i := New(at(0), settings)
+	r, _ := need(i, 10, "h", fleet.AllowanceAsk{ID: 1}, 1)
+	must.MapEmpty(t, r.Grants)
+}
--- /dev/null
+++ b/internal/rule/meter/meter.go
@@ -0,0 +1,217 @@
+package meter
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
+)
+
+type (
+	// Meter holds what a daemon may use of each account's allowance. All times
+	// are of a clock that counts suspensions. It is not safe for concurrent use.
+	Meter struct {
+		settings issuer.Settings
+		accounts map[string]*account
+		// asked is the ID of the last question and askedAt its time. answered is
+		// the ID of the last one that was answered, answeredAt when the answer
+		// came, and shareUntil the end of the share that it gave.
+		asked, answered                 uint64
+		askedAt, answeredAt, shareUntil time.Time
+		share                           float64
+		filledAt                        time.Time
+	}
+
+	account struct {
+		fleet.Allowance
+		bounds issuer.Bounds
+		pocket float64
+		// lots are what the holder has granted, by the end of their time.
+		lots []lot
+		// deniedUntil is the time before which the holder can't grant more.
+		deniedUntil time.Time
+	}
+
+	lot struct {
+		amount float64
+		until  time.Time
+	}
+
+	// Verdict is whether a request may be served now.
+	Verdict uint8
+
+	// Waiting is what requests that wait for an allowance count for: all
+	// together, and the smallest one.
+	Waiting struct{ Sum, Least float64 }
+)
+
+// Verdicts on a request.
+const (
+	// Taken: the request has been counted.
+	Taken Verdict = iota
+	// Ask: the holder must be asked.
+	Ask
+	// Denied: the account has used its allowance.
+	Denied
+)
+
+// New returns a Meter that has nothing. Its questions are numbered from an id on that
+// no earlier process on this host has used.
+func New(settings issuer.Settings, id uint64) *Meter {
+	return &Meter{settings: settings, accounts: map[string]*account{}, asked: id}
+}
+
+// SetAccounts replaces the accounts. What was saved beyond the new bounds is void.
+func (m *Meter) SetAccounts(now time.Time, accounts []fleet.Account) {
+	m.advance(now)
+	kept := make(map[string]*account, len(accounts))
+	for _, a := range accounts {
+		if !a.Allowance.Limited() {
+			continue
+		}
+		k := &account{Allowance: a.Allowance, bounds: m.settings.Bounds(a.Allowance)}
+		if old := m.accounts[a.Name]; old != nil && old.Tokens == a.Allowance.Tokens {
+			k.pocket, k.lots = old.pocket, old.lots
+			if a.Allowance == old.Allowance {
+				k.deniedUntil = old.deniedUntil
+			}
+		}
+		kept[a.Name] = k
+	}
+	m.accounts = kept
+	m.setShare(m.share)
+}
+
+// setShare sets the share, which bounds the pockets.
+func (m *Meter) setShare(share float64) {
+	m.share = share
+	for _, a := range m.accounts {
+		a.pocket = min(a.pocket, m.share*a.bounds.Pocket)
+	}
+}
+
+// advance fills the pockets until now while there is a share and no holder, and voids
+// them at the end of the share.
+func (m *Meter) advance(now time.Time) {
+	from, to := m.askedAt.Add(issuer.FillDelay), now
+	if m.filledAt.After(from) {
+		from = m.filledAt
+	}
+	if m.shareUntil.Before(to) {
+		to = m.shareUntil
+	}
+	m.filledAt = now
+	if d := to.Sub(from).Seconds(); d > 0 && m.share > 0 {
+		for _, a := range m.accounts {
+			a.pocket += d * m.share * a.PerSecond
+		}
+		m.setShare(m.share)
+	}
+	if !now.Before(m.shareUntil) {
+		m.setShare(0)
+	}
+}
+
+// Take counts a request of a size against an account's allowance if that has room.
+func (m *Meter) Take(now time.Time, name string, size float64) Verdict {
+	a := m.accounts[name]
+	if a == nil {
+		return Taken
+	}
+	m.advance(now)
+	a.lots = slices.DeleteFunc(a.lots, func(l lot) bool { return !now.Before(l.until) || l.amount <= 0 })
+	room := a.pocket
+	for _, l := range a.lots {
+		room += l.amount
+	}
+	switch {
+	case size <= room:
+	case size > a.bounds.Bucket || now.Before(a.deniedUntil):
+		return Denied
+	default:
+		return Ask
+	}
+	for i := range a.lots {
+		part := min(size, a.lots[i].amount)
+		a.lots[i].amount -= part
+		size -= part
+	}
+	a.pocket = max(a.pocket-size, 0)
+	return Taken
+}
+
+// DeniedFor returns the time for which the holder can't grant an account more.
+func (m *Meter) DeniedFor(now time.Time, name string) time.Duration {
+	if a := m.accounts[name]; a != nil && a.deniedUntil.After(now) {
+		return a.deniedUntil.Sub(now)
+	}
+	return 0
+}
+
+// Question returns the next question to the holder, given what waits by account.
+func (m *Meter) Question(now time.Time, waiting map[string]Waiting) fleet.AllowanceAsk {
+	m.advance(now)
+	m.asked++
+	m.askedAt = now
+	q := fleet.AllowanceAsk{ID: m.asked, Answered: m.answered, Share: m.share}
+	if m.answered != 0 {
+		q.Since = now.Sub(m.answeredAt)
+	}
+	for name, a := range m.accounts {
+		w := fleet.Want{Pocket: m.share*a.bounds.Pocket - a.pocket}
+		if n, ok := waiting[name]; ok {
+			// What has been granted already is not enough for the smallest.
+			room := a.pocket
+			for _, l := range a.lots {
+				room += l.amount
+			}
+			w.Need, w.Least = max(n.Sum-room, 0), max(n.Least-room, 0)
+		}
+		if w.Need <= 0 && w.Pocket <= 0 {
+			continue
+		}
+		if q.Wants == nil {
+			q.Wants = map[string]fleet.Want{}
+		}
+		q.Wants[name] = w
+	}
+	return q
+}
+
+// Apply applies the answer to the last question, and ignores others.
+func (m *Meter) Apply(now time.Time, r *fleet.AllowanceReply) {
+	if r.ID == 0 || r.ID != m.asked {
+		return
+	}
+	m.advance(now)
+	if until := m.askedAt.Add(issuer.ShareTTL); now.Before(until) {
+		m.answered, m.answeredAt, m.shareUntil = r.ID, now, until
+		m.setShare(r.Share)
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Grants)) {
+		a, g := m.accounts[name], r.Grants[name]
+		if a == nil {
+			continue
+		}
+		until := m.askedAt.Add(a.bounds.GrantTTL)
+		if now.Before(until) {
+			if g.Need > 0 {
+				a.lots = append(a.lots, lot{g.Need, until})
+			}
+			a.pocket = min(a.pocket+max(g.Pocket, 0), m.share*a.bounds.Pocket)
+		}
+		if g.Wait > 0 {
+			a.deniedUntil = now.Add(g.Wait)
+		} else if g.Need > 0 {
+			a.deniedUntil = time.Time{}
+		}
+	}
+}
+
+// Share returns the share of the allowances that the daemon holds.
+func (m *Meter) Share(now time.Time) float64 {
+	m.advance(now)
+	return m.share
+}
--- /dev/null
+++ b/internal/rule/meter/meter_test.go
@@ -0,0 +1,50 @@
+package meter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
+)
+
+func at(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+
+// newMeter returns a Meter with an account that may use 100 a second.
+func newMeter() *Meter {
+	m := New(issuer.Settings{Window: 8 * time.Second, Overshoot: 0.1}, 5)
+	m.SetAccounts(at(0), []fleet.Account{{Name: "a", Allowance: fleet.Allowance{PerSecond: 100, Burst: 100}}})
+	return m
+}
+
+// TestGrantsExpire guards against a grant that is used later than its time after the
+// question, however late the answer came, and against the answer to an earlier question.
+func TestGrantsExpire(t *testing.T) {
+	m := newMeter()
+	must.Eq(t, Ask, m.Take(at(1), "a", 2))
+	q := m.Question(at(1), map[string]Waiting{"a": {Sum: 5, Least: 2}})
+	must.Eq(t, fleet.Want{Need: 5, Least: 2}, q.Wants["a"])
+	m.Apply(at(1.2), &fleet.AllowanceReply{ID: q.ID - 1, Grants: map[string]fleet.Grant{"a": {Need: 5}}})
+	must.Eq(t, Ask, m.Take(at(1.2), "a", 2))
+	m.Apply(at(1.7), &fleet.AllowanceReply{ID: q.ID, Share: 0.5, Grants: map[string]fleet.Grant{"a": {Need: 5}}})
+	must.Eq(t, Taken, m.Take(at(1.79), "a", 2))
+	must.Eq(t, Ask, m.Take(at(1.81), "a", 2))
+	q = m.Question(at(2), map[string]Waiting{"a": {Sum: 5, Least: 2}})
+	m.Apply(at(2.9), &fleet.AllowanceReply{ID: q.ID, Share: 0.5, Grants: map[string]fleet.Grant{"a": {Need: 5, Pocket: 5}}})
+	must.Eq(t, Ask, m.Take(at(2.9), "a", 2))
+}
+
+// TestDenied guards against a question for each request of an account that has used its
+// allowance, and against denials after the holder can grant again.
+func TestDenied(t *testing.T) {
+	m := newMeter()
+	q := m.Question(at(1), map[string]Waiting{"a": {Sum: 5, Least: 5}})
+	m.Apply(at(1), &fleet.AllowanceReply{ID: q.ID, Share: 0.1, Grants: map[string]fleet.Grant{"a": {Wait: 500 * time.Millisecond}}})
+	must.Eq(t, Denied, m.Take(at(1.1), "a", 5))
+	must.Eq(t, 400*time.Millisecond, m.DeniedFor(at(1.1), "a"))
+	must.Eq(t, Ask, m.Take(at(1.6), "a", 5))
+	// More than can ever be saved.
+	must.Eq(t, Denied, m.Take(at(1.6), "a", 1000))
+}
