relay, loader, hub: enforce the allowances of accounts

Cause: issuer and meter were not wired.

A daemon's report to the holder carries its question, and the reply the answer. A request that the pocket doesn't cover makes the daemon report at once and waits for at most 0.4 s or a quarter of its time; beyond the allowance it gets 429, and 503 if nobody can know, at once if the holder hasn't answered for 1.3 s. The holder answers only while the lease holds, by the clock that counts suspensions. A denied account is not asked for again for 0.1 s at least, so that one far beyond its allowance doesn't keep the holder busy.

Known: a new holder grants nothing for up to 3 s unless daemons show it the shares of the former one, so that after a restart of all daemons accounts with an allowance are refused for that time.

--- a/cmd/azurespan/entry.go
+++ b/cmd/azurespan/entry.go
@@ -19,6 +19,7 @@
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/sink"
 	"github.com/azurespan/azurespan/internal/node/entry"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
 	"github.com/azurespan/azurespan/platform"
 )
 
@@ -78,6 +79,7 @@
 		FirstStart: s.FirstStart, Grace: s.Bounds.GracePeriod, Drain: s.Bounds.DrainDeadline, ConfigDeadline: s.Bounds.ConfigDeadline, HolderPause: s.Bounds.HandoverDelay,
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		StoreWindow: s.Bounds.StoreLoadWindow,
+		Allowances:  issuer.Settings{Window: s.Bounds.AllowanceWindow, Overshoot: s.Bounds.AllowanceOvershoot, Slack: s.Bounds.AllowanceSlack},
 	}
 	if s.Bounds.StrictRevoke {
 		set.RevokeTime = s.Bounds.RevokeTime
--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -173,6 +173,11 @@
 		Number: 8226, Name: "upstream-limit",
 		Meaning: "An upstream named another limit of requests a second, or none any more; the source is the answer to a request, or the holder or a daemon that knew of it.",
 	})
+	AllowanceUnknown = register(Event{
+		Number: 8240, Name: "allowance-unknown",
+		Meaning: "A request of an account with an allowance was refused, because the holder didn't answer in time whether the allowance has room.",
+		Action:  "If it is frequent, look at the holder and the network path to it.",
+	})
 	UpstreamLimitInvalid = register(Event{
 		Number: 8227, Name: "upstream-limit-invalid",
 		Meaning: "An upstream named a limit that is no number, which is ignored.",
--- a/internal/core/fleet/demand.go
+++ b/internal/core/fleet/demand.go
@@ -23,6 +23,8 @@
 		// number of requests by upstream that wait for one to be sent.
 		Limits  []NamedLimit
 		Permits map[string]int
+		// Allowance asks for what requests and pockets of accounts lack.
+		Allowance AllowanceAsk
 	}
 
 	// Inventory is what an engine holds and daemons may use.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/azurespan/azurespan/internal/node/qlog"
 	"github.com/azurespan/azurespan/internal/node/relay"
 	"github.com/azurespan/azurespan/internal/node/syncer"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
 	"github.com/azurespan/azurespan/internal/rule/plan"
 )
 
@@ -62,6 +63,8 @@
 		// been removed, whether or not it reaches the log; 0 if there is no such
 		// bound.
 		RevokeTime time.Duration
+		// Allowances are the bounds on the use of accounts.
+		Allowances issuer.Settings
 	}
 
 	// Platform is an Entry's interface to the platform.
@@ -148,7 +151,7 @@
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
 		ConfigTTL: time.Duration(maxAgeShare * float64(settings.ConfigDeadline)), KeyTTL: time.Duration(maxAgeShare * float64(settings.RevokeTime)),
-		Freshness: func() fleet.Freshness { return e.topics.freshness() },
+		Freshness: func() fleet.Freshness { return e.topics.freshness() }, Allowances: settings.Allowances, BootClock: platform.BootClock,
 	}, platform.Wire, pool, e.crashes, e.parts, metrics, rng, now)
 	earliestRead := now()
 	if settings.FirstStart {
@@ -167,7 +170,7 @@
 		Self: settings.Host, Address: settings.Peers, TTL: leaseTTL, Renew: renewInterval, Margin: leaseMargin,
 		Pause: settings.HolderPause + pauseSlack, MaxStagger: maxStagger, FirstStart: settings.FirstStart,
 	}, dispatcher, storeEstimate{e}, platform.BootClock)
-	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, metrics, now)
+	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, metrics, settings.Allowances, now, platform.BootClock)
 	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.loader, e.loader.SetStoreAtOnce, platform.Holder, e.relay.ReportNow, now)
 	e.config = &configSink{entry: e}
 	return e
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -35,6 +35,8 @@
 		// limit, and Permits are those for this daemon by upstream.
 		Deals   bool
 		Permits map[string]int
+		// Allowance answers Demand.Allowance; nil from a holder that can't.
+		Allowance *fleet.AllowanceReply
 	}
 
 	// WatchArgs requests the changes after a revision of a tenure.
--- a/internal/node/hub/wire_test.go
+++ b/internal/node/hub/wire_test.go
@@ -75,6 +75,12 @@
 	checkWire(t, "tell-reply-limits", TellReply{Fence: 3, Deals: true, Permits: map[string]int{"u": 2}})
 	checkWire(t, "watch-args-limits", WatchArgs{Host: "h1", LimitsRev: 4})
 	checkWire(t, "watch-reply-limits", WatchReply{Limits: limits, LimitsRev: 4})
+	checkWire(t, "tell-args-allowance", TellArgs{Host: "h1", Demand: fleet.Demand{Allowance: fleet.AllowanceAsk{
+		ID: 2, Answered: 1, Since: 3, Share: 0.25, Wants: map[string]fleet.Want{"a": {Need: 4, Least: 5, Pocket: 6}},
+	}}})
+	checkWire(t, "tell-reply-allowance", TellReply{Allowance: &fleet.AllowanceReply{
+		ID: 2, Share: 0.25, Grants: map[string]fleet.Grant{"a": {Need: 4, Pocket: 6, Wait: 7}},
+	}})
 	checkWire(t, "result", logjob.Result{
 		ID: 1, OK: true, Problem: "p",
 		Page: &feed.Page{Records: []feed.Record{{Key: "k", Value: []byte("v"), Offset: 2}}, Next: 3, End: 4},
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -15,6 +15,7 @@
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
 	"github.com/azurespan/azurespan/internal/rule/dealer"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
 	"github.com/azurespan/azurespan/internal/rule/plan"
 )
 
@@ -61,6 +62,10 @@
 		topics   Topics
 		metrics  *metric.Metrics
 		now      func() time.Time
+		// allowances are the bounds on the use of accounts, and boot is a clock
+		// that counts suspensions.
+		allowances issuer.Settings
+		boot       func() time.Time
 
 		mu        sync.Mutex
 		config    *fleet.Config
@@ -81,6 +86,8 @@
 		// limitsRev counts the changes of its limits.
 		dealer    *dealer.Dealer
 		limitsRev uint64
+		// issuer shares the allowances of accounts, in a tenure.
+		issuer *issuer.Issuer
 		// packedInventory and packedUpdate are the complete state for daemons
 		// that know none.
 		packedInventory packCache[[]fleet.Inventory]
@@ -123,9 +130,10 @@
 )
 
 // New returns a Loader for the daemon named host.
-func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, crashes *poison.Table, metrics *metric.Metrics, now func() time.Time) *Loader {
+func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, crashes *poison.Table, metrics *metric.Metrics, allowances issuer.Settings, now, boot func() time.Time) *Loader {
 	return &Loader{
 		host: host, settings: settings, engines: engines, elector: elector, jobs: jobs, topics: topics, metrics: metrics, now: now,
+		allowances: allowances, boot: boot,
 		daemons: map[string]*daemonState{}, crashes: crashes, dealer: dealer.New(),
 		changed: make(chan struct{}), wakeup: make(chan struct{}, 1),
 	}
@@ -136,6 +144,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.config = cfg
+	if l.issuer != nil {
+		l.issuer.SetAccounts(l.boot(), cfg.Accounts)
+	}
 	if l.planner != nil {
 		l.planner.SetConfig(cfg)
 		l.planner.SetUpstreams(l.now(), l.upstreams)
@@ -200,6 +211,10 @@
 		l.planner.SetConfig(l.config)
 		l.planner.SetUpstreams(now, l.upstreams)
 		clear(l.daemons)
+		l.issuer = issuer.New(l.boot(), l.allowances)
+		if l.config != nil {
+			l.issuer.SetAccounts(l.boot(), l.config.Accounts)
+		}
 	}
 	l.active = true
 	for _, u := range l.planner.ReportsDue(now) {
--- /dev/null
+++ b/internal/node/relay/allowance.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/rule/meter"
+)
+
+// meteredRequest is a request that waits for its account's allowance.
+type meteredRequest struct {
+	size float64
+	// verdict gets Taken or Denied.
+	verdict chan meter.Verdict
+}
+
+const (
+	// allowanceWait bounds how long a request waits for the holder's answer to a
+	// question, which takes some ms in contact and up to 0.15 s with 300 daemons,
+	// and allowanceWaitShare does as a share of the time that it has.
+	allowanceWait      = 400 * time.Millisecond
+	allowanceWaitShare = 0.25
+	// deniedRetryAfter is the least Retry-After of a request beyond an allowance.
+	// Many have to come back to an account that needs it.
+	deniedRetryAfter = 500 * time.Millisecond
+	// deniedReason and unmeteredReason are the refusal reasons of a request beyond
+	// its account's allowance, and of one for which that can't be known.
+	deniedReason    = "allowance"
+	unmeteredReason = "allowance-unknown"
+)
+
+// boot returns the time of a clock that counts suspensions.
+func (r *Relay) boot() time.Time {
+	if r.settings.BootClock == nil {
+		return r.now()
+	}
+	return r.settings.BootClock()
+}
+
+// takeAllowance counts the request against its account's allowance. If what this daemon
+// has is not enough, it asks the holder and waits for the answer.
+func (x *exchange) takeAllowance(ctx context.Context) (refusal, bool) {
+	if x.account == nil || !x.account.Allowance.Limited() {
+		return refusal{}, true
+	}
+	r, name := x.relay, x.account.Name
+	w := &meteredRequest{size: x.account.Allowance.Size(x.req), verdict: make(chan meter.Verdict, 1)}
+	r.mu.Lock()
+	verdict := meter.Ask
+	if len(r.metered[name]) == 0 { // requests that wait go first
+		verdict = r.meter.Take(r.boot(), name, w.size)
+	}
+	switch {
+	case verdict == meter.Taken:
+		r.mu.Unlock()
+		return refusal{}, true
+	case verdict == meter.Denied:
+		defer r.mu.Unlock()
+		return x.denied(), false
+	case !r.meter.Reached(r.boot()):
+		defer r.mu.Unlock()
+		return x.unmetered(), false
+	}
+	r.metered[name] = append(r.metered[name], w)
+	r.mu.Unlock()
+	r.requestReport()
+
+	limit := min(allowanceWait, time.Duration(allowanceWaitShare*float64(x.deadline.Sub(x.arrived))))
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case verdict = <-w.verdict:
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.stopped:
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if verdict == meter.Ask && !r.forget(name, w) {
+		verdict = <-w.verdict
+	}
+	switch verdict {
+	case meter.Taken:
+		return refusal{}, true
+	case meter.Denied:
+		return x.denied(), false
+	case meter.Ask:
+	}
+	event.AllowanceUnknown.Log("request", x.req.ID, "account", name, "size", w.size, "waited", limit)
+	return x.unmetered(), false
+}
+
+// denied is the refusal of a request beyond its account's allowance. r.mu must be held.
+func (x *exchange) denied() refusal {
+	r := x.relay
+	wait := max(r.meter.DeniedFor(r.boot(), x.account.Name), deniedRetryAfter)
+	return refusal{http.StatusTooManyRequests, deniedReason, r.jitterRetryAfter(x, wait)}
+}
+
+// unmetered is the refusal of a request for which the holder can't be asked; other
+// daemons mostly can. r.mu must be held.
+func (x *exchange) unmetered() refusal {
+	return refusal{http.StatusServiceUnavailable, unmeteredReason, x.relay.jitterRetryAfter(x, staleConfigRetryAfter)}
+}
+
+// forget removes a request that waits, and reports whether it did. r.mu must be held.
+func (r *Relay) forget(name string, w *meteredRequest) bool {
+	for i, o := range r.metered[name] {
+		if o == w {
+			if r.metered[name] = append(r.metered[name][:i], r.metered[name][i+1:]...); len(r.metered[name]) == 0 {
+				delete(r.metered, name)
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// serveMetered ends the wait of requests for which their accounts' allowances have room
+// now, or are known to have none. r.mu must be held.
+func (r *Relay) serveMetered() {
+	for name, waiting := range r.metered {
+		for len(waiting) > 0 {
+			verdict := r.meter.Take(r.boot(), name, waiting[0].size)
+			if verdict == meter.Ask {
+				break
+			}
+			waiting[0].verdict <- verdict
+			waiting = waiting[1:]
+		}
+		if len(waiting) == 0 {
+			delete(r.metered, name)
+		} else {
+			r.metered[name] = waiting
+		}
+	}
+}
+
+// allowanceQuestion returns the question to the holder for what requests and pockets
+// lack. r.mu must be held.
+func (r *Relay) allowanceQuestion() fleet.AllowanceAsk {
+	var waiting map[string]meter.Waiting
+	for name, requests := range r.metered {
+		var n meter.Waiting
+		for _, w := range requests {
+			if n.Sum += w.size; n.Least == 0 || w.size < n.Least {
+				n.Least = w.size
+			}
+		}
+		if waiting == nil {
+			waiting = map[string]meter.Waiting{}
+		}
+		waiting[name] = n
+	}
+	return r.meter.Question(r.boot(), waiting)
+}
--- /dev/null
+++ b/internal/node/relay/allowance_test.go
@@ -0,0 +1,120 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
+	"github.com/azurespan/azurespan/internal/rule/meter"
+)
+
+// newMetered returns a fixture whose requests belong to an account that may use two
+// requests at a time and next to nothing later, and an exchange of that account and of
+// one without a bound.
+func newMetered(t *testing.T) (f *fixture, exchangeOf func(name string) *exchange) {
+	f = newFixture(t, route(fleet.Safe, 1, false))
+	set := issuer.Settings{Window: 8 * time.Second, Overshoot: 0.1}
+	cfg := accountConfig(route(fleet.Safe, 1, false))
+	cfg.Accounts[0].Allowance = fleet.Allowance{PerSecond: 0.001, Burst: 10}
+	cfg.Accounts = append(cfg.Accounts, fleet.Account{Name: "free"})
+	f.relay.settings.Allowances = set
+	f.relay.mu.Lock()
+	f.relay.meter = meter.New(set, 1)
+	f.relay.mu.Unlock()
+	f.relay.Configure(cfg.Index())
+	return f, func(name string) *exchange {
+		x := &exchange{relay: f.relay, req: &fleet.Request{Account: name}, arrived: time.Now(), deadline: time.Now().Add(5 * time.Second)}
+		for i := range cfg.Accounts {
+			if cfg.Accounts[i].Name == name {
+				x.account = &cfg.Accounts[i]
+			}
+		}
+		return x
+	}
+}
+
+// answer plays a holder that grants two requests and denies the rest.
+func answer(f *fixture, left *float64) {
+	q := f.relay.TakeDemand(time.Now()).Allowance
+	r := &fleet.AllowanceReply{ID: q.ID, Share: 0.5, Grants: map[string]fleet.Grant{}}
+	for name, w := range q.Wants {
+		g := fleet.Grant{Need: min(w.Need, *left)}
+		if *left -= g.Need; g.Need < w.Need {
+			g.Wait = time.Minute
+		}
+		r.Grants[name] = g
+	}
+	f.relay.ApplyTellReply(time.Now(), &hub.TellReply{Allowance: r})
+}
+
+// TestAllowanceOfHolder guards against a request that is served beyond its account's
+// allowance, one within it that is refused, and one of an account without a bound that
+// waits for the other's.
+func TestAllowanceOfHolder(t *testing.T) {
+	f, exchangeOf := newMetered(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	left := 2.0
+	go func() {
+		for ctx.Err() == nil {
+			select {
+			case <-f.relay.ReportNow:
+				answer(f, &left)
+			case <-ctx.Done():
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	results := map[string]int{}
+	for i := range 12 {
+		wg.Go(func() {
+			name := []string{"one", "free"}[i%2]
+			resp, ok := exchangeOf(name).takeAllowance(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			results[fmt.Sprint(name, " ", resp.code, " ", resp.reason)]++
+			must.Eq(t, ok, resp.code == 0)
+			must.Eq(t, ok, resp.retryAfter == 0)
+		})
+	}
+	wg.Wait()
+	must.Eq(t, map[string]int{"one 0 ": 2, "one 429 allowance": 4, "free 0 ": 6}, results)
+	must.MapEmpty(t, f.relay.metered)
+}
+
+// TestAllowanceWithoutHolder guards against a request that is held until its caller
+// leaves, or served, while nobody can know whether its account's allowance has room; and
+// against holding each of them once that is known.
+func TestAllowanceWithoutHolder(t *testing.T) {
+	f, exchangeOf := newMetered(t)
+	resp, ok := exchangeOf("one").takeAllowance(context.Background())
+	must.False(t, ok)
+	must.Eq(t, http.StatusServiceUnavailable, resp.code)
+	must.Eq(t, unmeteredReason, resp.reason)
+	must.MapEmpty(t, f.relay.metered)
+
+	left := 0.0
+	answer(f, &left)
+	f.relay.settings.BootClock = func() time.Time { return time.Now().Add(issuer.FillDelay) }
+	select {
+	case <-f.relay.ReportNow: // of the request above
+	default:
+	}
+	resp, ok = exchangeOf("one").takeAllowance(context.Background())
+	must.False(t, ok)
+	must.Eq(t, unmeteredReason, resp.reason)
+	select {
+	case <-f.relay.ReportNow:
+		t.Fatal("asks a holder that doesn't answer")
+	default:
+	}
+}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -169,6 +169,10 @@
 
 // run makes attempts until one succeeds or no retry is allowed.
 func (x *exchange) run(ctx context.Context) {
+	if resp, ok := x.takeAllowance(ctx); !ok {
+		x.fail(ctx, resp)
+		return
+	}
 	if resp, ok := x.admit(); !ok {
 		x.fail(ctx, resp)
 		return
--- a/internal/node/relay/limit.go
+++ b/internal/node/relay/limit.go
@@ -34,6 +34,10 @@
 func (r *Relay) ApplyTellReply(now time.Time, reply *hub.TellReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if reply.Allowance != nil {
+		r.meter.Apply(r.boot(), reply.Allowance)
+		r.serveMetered()
+	}
 	if reply.Deals {
 		r.lastDeal = now
 	}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -15,6 +15,8 @@
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
+	"github.com/azurespan/azurespan/internal/rule/meter"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 	"github.com/azurespan/azurespan/internal/rule/queue"
 	"github.com/azurespan/azurespan/internal/rule/quota"
@@ -38,6 +40,10 @@
 		// Freshness returns how certain it is that the configuration is the
 		// newest; nil if it always is.
 		Freshness func() fleet.Freshness
+		// Allowances are the bounds on the use of accounts, and BootClock a clock
+		// that counts suspensions of the machine.
+		Allowances issuer.Settings
+		BootClock  func() time.Time
 	}
 
 	// Codec defines the HTTP form of requests and responses.
@@ -69,8 +75,12 @@
 		parts    *blame.Table
 		endings  *endings
 		limits   *quota.Table
-		rng      *rand.Rand
-		budgets  map[string]*retry.Budget
+		// meter counts requests against the allowances of accounts, and metered
+		// are those that wait for theirs, by account in the order of arrival.
+		meter   *meter.Meter
+		metered map[string][]*meteredRequest
+		rng     *rand.Rand
+		budgets map[string]*retry.Budget
 		// daemons is the number of daemons that share the budgets.
 		// daemonsKnown is set once the holder has reported it; fewerSince is
 		// the time since which the holder has reported a lower number.
@@ -152,6 +162,7 @@
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng),
 		queue:    queue.New(),
 		suspects: suspects, parts: parts, endings: newEndings(), limits: limits,
+		meter: meter.New(settings.Allowances, rng.Uint64()), metered: map[string][]*meteredRequest{},
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
 		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
@@ -163,6 +174,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.Configure(cfg)
+	r.meter.SetAccounts(r.boot(), cfg.Accounts)
 	r.config.Store(cfg)
 }
 
@@ -264,6 +276,7 @@
 		Unreachable: r.table.Ejected(now), Limits: r.limits.Named(now),
 	}
 	r.addPermits(now, &d)
+	d.Allowance = r.allowanceQuestion()
 	r.arrivals = map[fleet.Key]int{}
 	r.queue.CountByKey(d.Waiting)
 	r.table.Running(d.Running)
@@ -288,6 +301,7 @@
 		}
 		now := r.now()
 		r.mu.Lock()
+		r.serveMetered()
 		r.limits.Accrue(now, r.daemons, now.Sub(r.lastDeal) < dealTTL)
 		if r.queue.Len() > 0 {
 			r.refuseQuarantined(now)
--- a/internal/rule/issuer/issuer.go
+++ b/internal/rule/issuer/issuer.go
@@ -43,8 +43,14 @@
 	}
 )
 
-// pocketFloor is the part of a bucket that is kept for requests that wait.
-const pocketFloor = 0.5
+const (
+	// pocketFloor is the part of a bucket that is kept for requests that wait.
+	pocketFloor = 0.5
+	// minWait is the shortest time for which a daemon denies requests of an account
+	// without asking again, so that one that demands far beyond its allowance doesn't
+	// keep the holder busy.
+	minWait = 100 * time.Millisecond
+)
 
 // New returns an Issuer whose tenure begins at now.
 func New(now time.Time, settings Settings) *Issuer {
@@ -112,7 +118,7 @@
 	a.level -= g.Need
 	if missing := w.Need - g.Need; missing > 0 {
 		least := min(max(w.Least, 0), a.bounds.Bucket)
-		g.Wait = max(time.Duration(max(least-a.level, 0)/a.PerSecond*float64(time.Second)), time.Millisecond)
+		g.Wait = max(time.Duration(max(least-a.level, 0)/a.PerSecond*float64(time.Second)), minWait)
 		return g
 	}
 	g.Pocket = max(min(w.Pocket, a.level-pocketFloor*a.bounds.Bucket), 0)
--- a/internal/rule/meter/meter.go
+++ b/internal/rule/meter/meter.go
@@ -150,8 +150,18 @@
 	return 0
 }
 
-// Question returns the next question to the holder, given what waits by account.
+// Reached reports whether the holder may still answer: it has done so lately, or not
+// yet.
+func (m *Meter) Reached(now time.Time) bool {
+	return m.answered == 0 || now.Sub(m.answeredAt) <= issuer.FillDelay
+}
+
+// Question returns the next question to the holder, given what waits by account. It is
+// empty if no account has a bound.
 func (m *Meter) Question(now time.Time, waiting map[string]Waiting) fleet.AllowanceAsk {
+	if len(m.accounts) == 0 {
+		return fleet.AllowanceAsk{}
+	}
 	m.advance(now)
 	m.asked++
 	m.askedAt = now
