issuer, elect: the holder's record names the daemons that hold shares

Cause: a new holder took all shares of the former one as held until their term was over, unless daemons showed them.

Now the record that renews the lease names them, and a daemon gets a share only once it is recorded. A new holder that has heard all of them fills its buckets at once.

Ruled out: less than the term (daemons that are cut off hold their shares until its end), the number of daemons in place of their names (a new daemon would stand for one that is cut off).

Evidence: TestFormerHolders, TestShareHoldersAreRecorded, the model with records that fail with and without effect. Giving a share before it is recorded fails TestFormerHolders; the model alone doesn't find it. The stored form is unchanged where no account has an allowance.

--- a/internal/node/elect/elect.go
+++ b/internal/node/elect/elect.go
@@ -25,14 +25,23 @@
 		Append(ctx context.Context, at int64, key string, value []byte) (ok bool, err error)
 	}
 
-	// StoreEstimate is the holder's estimate of the weight store's capacity. It
-	// is stored with the lease, so that the next holder has it even if all
+	// StoreEstimate is the holder's estimate of the weight store's capacity, and
+	// which daemons hold shares of allowances. It is stored with the lease, so that the next holder has it even if all
 	// daemons failed at once.
 	StoreEstimate interface {
 		// StoreAtOnce returns the estimated number of loads that the weight
 		// store serves at a time, 0 for none.
 		StoreAtOnce() float64
 		SetStoreAtOnce(storeAtOnce float64)
+		// ShareHolders returns the daemons that may hold shares of allowances,
+		// nil if they are unknown, and SetShareHolders passes on those of the
+		// newest record.
+		ShareHolders() []string
+		SetShareHolders(hosts []string)
+		// RecordingShares is called before a record with these daemons is
+		// written, and SharesRecorded once it is the newest.
+		RecordingShares(hosts []string)
+		SharesRecorded(hosts []string)
 	}
 
 	// Elector acquires and renews the lease for one daemon. It is safe for
@@ -60,6 +69,9 @@
 		Released bool   `json:"released,omitempty"`
 		// StoreAtOnce is the holder's StoreEstimate.
 		StoreAtOnce float64 `json:"store-at-once,omitempty"`
+		// ShareHolders are the daemons that may hold shares, unknown if there are
+		// none.
+		ShareHolders []string `json:"share-holders,omitempty"`
 	}
 )
 
@@ -194,6 +206,7 @@
 			continue
 		}
 		e.estimate.SetStoreAtOnce(w.StoreAtOnce)
+		e.estimate.SetShareHolders(w.ShareHolders)
 		rec, offset = &lease.Record{Holder: w.Host, Address: w.Address, Released: w.Released}, x.Offset
 	}
 	e.mu.Lock()
@@ -202,16 +215,21 @@
 }
 
 func (e *Elector) write(ctx context.Context, a lease.Write) {
-	value, err := json.Marshal(record{Host: a.Record.Holder, Address: a.Record.Address, Released: a.Record.Released, StoreAtOnce: e.estimate.StoreAtOnce()})
+	hosts := e.estimate.ShareHolders()
+	value, err := json.Marshal(record{Host: a.Record.Holder, Address: a.Record.Address, Released: a.Record.Released, StoreAtOnce: e.estimate.StoreAtOnce(), ShareHolders: hosts})
 	if err != nil {
 		event.HolderWriteFailed.Log("cause", err.Error())
 		return
 	}
 	sent := e.now()
+	e.estimate.RecordingShares(hosts)
 	ok, err := e.topic.Append(ctx, a.At, recordKey, value)
 	e.mu.Lock()
 	e.lease.WriteDone(sent, e.now(), a, ok, err != nil)
 	e.mu.Unlock()
+	if ok && err == nil {
+		e.estimate.SharesRecorded(hosts)
+	}
 	if err != nil {
 		event.HolderWriteFailed.Log("at", a.At, "cause", err.Error())
 		pause.For(ctx, jitter(retryDelay))
--- a/internal/node/elect/elect_test.go
+++ b/internal/node/elect/elect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -29,6 +30,9 @@
 	estimate struct {
 		mu    sync.Mutex
 		value float64
+		// hosts are what the holder records, read what the newest record has, and
+		// recorded what this daemon has last recorded.
+		hosts, read, recorded []string
 	}
 )
 
@@ -83,6 +87,26 @@
 	n.value = v
 }
 
+func (n *estimate) ShareHolders() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hosts
+}
+
+func (n *estimate) SetShareHolders(hosts []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.read = hosts
+}
+
+func (n *estimate) RecordingShares([]string) {}
+
+func (n *estimate) SharesRecorded(hosts []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.recorded = hosts
+}
+
 // start runs an Elector until the test ends or the returned function is called.
 func start(t *testing.T, log *topic, host string, n *estimate) (*Elector, func()) {
 	r := New(lease.Settings{
@@ -182,3 +206,30 @@
 	b, _ := start(t, log, "b", &estimate{})
 	eventually(t, func() bool { return canOrder(b) })
 }
+
+// TestShareHoldersAreRecorded guards against a next holder that doesn't know which
+// daemons hold shares of allowances, one that takes unknown ones for none, and a holder
+// that takes daemons for recorded that are not.
+func TestShareHoldersAreRecorded(t *testing.T) {
+	log := &topic{}
+	first := &estimate{hosts: []string{"a", "b"}}
+	a, stop := start(t, log, "a", first)
+	eventually(t, func() bool { _, ok := a.Holds(); return ok })
+	next := &estimate{}
+	_, _ = start(t, log, "b", next)
+	eventually(t, func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		return slices.Equal(next.read, first.hosts) && slices.Equal(first.recorded, first.hosts)
+	})
+	stop()
+	other := &estimate{read: []string{"x"}}
+	_, _ = start(t, log, "c", other)
+	eventually(t, func() bool {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		return other.read == nil
+	})
+}
--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -268,3 +268,15 @@
 func (e storeEstimate) SetStoreAtOnce(storeAtOnce float64) {
 	e.entry.loader.SetStoreAtOnce(storeAtOnce)
 }
+
+// ShareHolders returns the daemons that may hold shares of allowances.
+func (e storeEstimate) ShareHolders() []string { return e.entry.loader.ShareHolders() }
+
+// SetShareHolders passes those of a previous holder's record to the loader.
+func (e storeEstimate) SetShareHolders(hosts []string) { e.entry.loader.SetShareHolders(hosts) }
+
+// RecordingShares tells the loader which record is being written.
+func (e storeEstimate) RecordingShares(hosts []string) { e.entry.loader.RecordingShares(hosts) }
+
+// SharesRecorded tells the loader which record is the newest.
+func (e storeEstimate) SharesRecorded(hosts []string) { e.entry.loader.SharesRecorded(hosts) }
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -38,17 +38,6 @@
 	return &hub.TellReply{Fence: l.fence, Deals: true, Permits: l.dealer.Deal(now, a.Demand.Permits, len(a.Demand.Arrivals) > 0), Allowance: l.answerAllowance(a)}, nil
 }
 
-// answerAllowance answers a daemon's question for allowances, with nil if there is none
-// or if the tenure is over. The caller holds l.mu.
-func (l *Loader) answerAllowance(a *hub.TellArgs) *fleet.AllowanceReply {
-	q := &a.Demand.Allowance
-	// After a suspension, the tenure may be over although step hasn't noticed.
-	if fence, holds := l.elector.Holds(); q.ID == 0 || !holds || fence != l.fence {
-		return nil
-	}
-	return l.issuer.Answer(l.boot(), a.Host, q)
-}
-
 // mergeCrashes merges the crash histories of a daemon's report, and notifies the
 // other daemons of changes. The caller holds l.mu.
 func (l *Loader) mergeCrashes(now time.Time, a *hub.TellArgs) {
--- a/internal/rule/issuer/issuer.go
+++ b/internal/rule/issuer/issuer.go
@@ -21,6 +21,12 @@
 		// hasn't heard of.
 		unknown  float64
 		filledAt time.Time
+		// former are the daemons that may hold those shares and haven't been
+		// heard, nil if they are unknown.
+		former map[string]bool
+		// recorded are the daemons that the holder's record in the log names,
+		// from which the next holder knows former.
+		recorded map[string]bool
 	}
 
 	account struct {
@@ -52,9 +58,46 @@
 	minWait = 100 * time.Millisecond
 )
 
-// New returns an Issuer whose tenure begins at now.
-func New(now time.Time, settings Settings) *Issuer {
-	return &Issuer{settings: settings, began: now, filledAt: now, accounts: map[string]*account{}, daemons: map[string]*daemon{}, unknown: 1}
+// New returns an Issuer whose tenure begins at now. former are the daemons that the
+// newest record of the former holder names, nil if it is unknown.
+func New(now time.Time, settings Settings, former []string) *Issuer {
+	i := &Issuer{settings: settings, began: now, filledAt: now, accounts: map[string]*account{}, daemons: map[string]*daemon{}, unknown: 1, recorded: map[string]bool{}}
+	if former != nil {
+		i.former = setOf(former)
+	}
+	return i
+}
+
+// Holders returns the daemons that may hold shares, for the holder's record. A daemon
+// gets a share only once it is recorded.
+func (i *Issuer) Holders(now time.Time) []string {
+	i.fill(now)
+	names := setOf(slices.Collect(maps.Keys(i.daemons)))
+	if i.unknown > 0 {
+		if i.former == nil {
+			return nil
+		}
+		maps.Copy(names, i.former)
+	}
+	return slices.AppendSeq([]string{}, maps.Keys(names))
+}
+
+// Recording states that a record with these daemons is being written, so that it or the
+// one before it is the newest.
+func (i *Issuer) Recording(names []string) {
+	next := setOf(names)
+	maps.DeleteFunc(i.recorded, func(name string, _ bool) bool { return !next[name] })
+}
+
+// Recorded states that the newest record has these daemons.
+func (i *Issuer) Recorded(names []string) { i.recorded = setOf(names) }
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
 }
 
 // SetAccounts replaces the accounts. What is saved for an account stays within its new
@@ -84,6 +127,7 @@
 		d = &daemon{share: ask.Share}
 		i.daemons[host] = d
 		i.unknown = max(i.unknown-ask.Share, 0)
+		delete(i.former, host)
 	}
 	// A question that was sent before the last one and comes after it confirms
 	// nothing; what it shows of the share may be old.
@@ -92,7 +136,10 @@
 		d.askedAfter = d.answeredAt.Add(ask.Since)
 	}
 	d.share = max(d.share, ask.Share)
-	d.next = max(min(1/float64(len(i.daemons)), 1-i.held(now, host)), 0)
+	d.next = 0
+	if i.recorded[host] {
+		d.next = max(min(1/float64(len(i.daemons)), 1-i.held(now, host)), 0)
+	}
 	d.share = max(d.share, d.next)
 	d.answered, d.answeredAt = ask.ID, now
 	r := &fleet.AllowanceReply{ID: ask.ID, Share: d.next}
@@ -139,7 +186,7 @@
 
 // strangers returns the sum of the shares of daemons that this holder hasn't heard.
 func (i *Issuer) strangers(now time.Time) float64 {
-	if now.Sub(i.began) > ShareTTL {
+	if now.Sub(i.began) > ShareTTL || i.former != nil && len(i.former) == 0 {
 		i.unknown = 0
 	}
 	return i.unknown
--- a/internal/rule/issuer/issuer_test.go
+++ b/internal/rule/issuer/issuer_test.go
@@ -40,8 +40,9 @@
 // TestLateQuestion guards against a question that comes so late that its daemon adds to
 // its pockets by itself already, and counts as contact from its receipt.
 func TestLateQuestion(t *testing.T) {
-	i := New(at(0), settings)
+	i := New(at(0), settings, nil)
 	i.SetAccounts(at(0), []fleet.Account{testAccount})
+	i.Recorded([]string{"h", "x", "y"})
 	id := uint64(0)
 	ask := func(s float64, since time.Duration, amount float64) float64 {
 		id++
@@ -62,8 +63,9 @@
 // TestDeadDaemonsShare guards against a share that is lost with its daemon, and against
 // one that is given to another daemon before its term is over.
 func TestDeadDaemonsShare(t *testing.T) {
-	i := New(at(0), settings)
+	i := New(at(0), settings, nil)
 	i.SetAccounts(at(0), []fleet.Account{testAccount})
+	i.Recorded([]string{"h", "x", "y"})
 	ask := func(s float64, host string, id, answered uint64, share float64) float64 {
 		return i.Answer(at(s), host, &fleet.AllowanceAsk{ID: id, Answered: answered, Share: share}).Share
 	}
@@ -81,7 +83,40 @@
 
 // TestUnknownAccount guards against grants for an account that the holder doesn't know.
 func TestUnknownAccount(t *testing.T) {
-	i := New(at(0), settings)
+	i := New(at(0), settings, nil)
 	r, _ := need(i, 10, "h", fleet.AllowanceAsk{ID: 1}, 1)
 	must.MapEmpty(t, r.Grants)
 }
+
+// TestFormerHolders guards against daemons that are refused for the whole term of shares
+// after all have restarted, against grants while one of the former daemons may use its
+// share, and against a share of a daemon that the next holder wouldn't know of.
+func TestFormerHolders(t *testing.T) {
+	i := New(at(0), settings, []string{"x", "y"})
+	i.SetAccounts(at(0), []fleet.Account{testAccount})
+	ask := func(s float64, host string, id uint64) (share, granted float64) {
+		r, g := need(i, s, host, fleet.AllowanceAsk{ID: id, Answered: id - 1, Since: time.Millisecond}, 1)
+		return r.Share, g.Need
+	}
+	must.SliceContainsAll(t, []string{"x", "y"}, i.Holders(at(0)))
+	ask(0.1, "x", 1)
+	ask(0.2, "x", 2)
+	share, granted := ask(0.5, "x", 3)
+	must.Eq(t, 0, share+granted)
+	ask(0.5, "y", 1)
+	ask(0.6, "y", 2)
+	ask(0.7, "x", 4)
+	share, granted = ask(0.8, "x", 5)
+	must.Eq(t, 0, share)
+	must.Eq(t, 1, granted)
+	i.Recording([]string{"x", "y"})
+	share, _ = ask(0.9, "x", 6)
+	must.Eq(t, 0, share)
+	i.Recorded([]string{"x", "y"})
+	share, _ = ask(1, "x", 7)
+	must.Eq(t, 0.5, share)
+	i.Recording([]string{"y"})
+	share, _ = ask(1.1, "x", 8)
+	must.Eq(t, 0, share)
+	must.Nil(t, New(at(0), settings, nil).Holders(at(0)))
+}
--- a/internal/rule/meter/model_test.go
+++ b/internal/rule/meter/model_test.go
@@ -28,8 +28,12 @@
 		// the time without a holder.
 		nextID        uint64
 		noHolderUntil time.Time
-		messages      []message
-		uses          map[string][]use
+		// record are the daemons in the newest record, nil if there is none, and
+		// recordAt is the time of the next.
+		record   []string
+		recordAt time.Time
+		messages []message
+		uses     map[string][]use
 		// flow is what has been granted or added to pockets, as the level of a
 		// bucket that empties at the rate of its account.
 		flow   map[string]float64
@@ -104,7 +108,7 @@
 
 // elect begins a tenure.
 func (w *world) elect() {
-	w.holder = issuer.New(w.now, w.settings)
+	w.holder = issuer.New(w.now, w.settings, w.record)
 	w.holder.SetAccounts(w.now, w.accounts)
 }
 
@@ -184,6 +188,7 @@
 		w.fail()
 	}
 	w.advance()
+	w.renew()
 	w.deliver()
 	for i, d := range w.daemons {
 		if w.now.Before(d.frozenUntil) {
@@ -219,6 +224,23 @@
 	}
 }
 
+// renew writes the holder's record, which fails now and then with or without effect.
+func (w *world) renew() {
+	if w.holder == nil || w.now.Before(w.recordAt) {
+		return
+	}
+	w.recordAt = w.now.Add(600 * time.Millisecond)
+	names := w.holder.Holders(w.now)
+	w.holder.Recording(names)
+	failed := !w.calm && w.rng.IntN(5) == 0
+	if !failed || w.rng.IntN(2) == 0 {
+		w.record = names
+	}
+	if !failed {
+		w.holder.Recorded(names)
+	}
+}
+
 // advance lets all daemons fill their pockets, and verifies that they hold no more
 // shares than one and no more in their pockets than these allow.
 func (w *world) advance() {
