--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -162,7 +162,7 @@
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng),
 		queue:    queue.New(),
 		suspects: suspects, parts: parts, endings: newEndings(), limits: limits,
-		meter: meter.New(settings.Allowances, rng.Uint64()), metered: map[string][]*meteredRequest{},
+		meter: meter.New(settings.Allowances, rand.Uint64()>>1), metered: map[string][]*meteredRequest{},
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
 		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
