--- a/internal/node/relay/account.go
+++ b/internal/node/relay/account.go
@@ -20,15 +20,11 @@
 
 // authorize returns the account that a request belongs to, nil if it needs none. It
 // refuses a request without a key that holds, and one for which that is uncertain.
-func (r *Relay) authorize(cfg *fleet.Config, route *fleet.Route, req *fleet.Request) (*fleet.Account, refusal, bool) {
+func (r *Relay) authorize(cfg *fleet.Config, route *fleet.Route, req *fleet.Request, fresh fleet.Freshness) (*fleet.Account, refusal, bool) {
 	req.Account = ""
 	if len(cfg.Accounts) == 0 || route.Anonymous {
 		return nil, refusal{}, true
 	}
-	var fresh fleet.Freshness
-	if r.settings.Freshness != nil {
-		fresh = r.settings.Freshness()
-	}
 	var account *fleet.Account
 	if req.Key != nil {
 		account = cfg.AccountByKey(*req.Key)
@@ -47,6 +43,15 @@
 	return account, refusal{}, true
 }
 
+// freshness returns how certain it is that the configuration is the newest, if it has
+// accounts.
+func (r *Relay) freshness(cfg *fleet.Config) fleet.Freshness {
+	if r.settings.Freshness == nil || len(cfg.Accounts) == 0 {
+		return fleet.Freshness{}
+	}
+	return r.settings.Freshness()
+}
+
 // staleRefusal is the refusal of a request whose key may or may not hold.
 func (r *Relay) staleRefusal() refusal {
 	return refusal{http.StatusServiceUnavailable, staleReason, r.jitter(staleConfigRetryAfter)}
--- a/internal/node/relay/account_test.go
+++ b/internal/node/relay/account_test.go
@@ -48,9 +48,8 @@
 		if c.strict {
 			f.relay.settings.KeyTTL = keyTTL
 		}
-		f.relay.settings.Freshness = func() fleet.Freshness { return c.fresh }
 		req := &fleet.Request{Key: c.key, Account: "forged"}
-		account, resp, ok := f.relay.authorize(cfg, &cfg.Routes[0], req)
+		account, resp, ok := f.relay.authorize(cfg, &cfg.Routes[0], req, c.fresh)
 		must.Eq(t, c.status, resp.code, must.Sprint(c.name))
 		must.Eq(t, c.status == 0, ok, must.Sprint(c.name))
 		must.Eq(t, c.status == http.StatusServiceUnavailable, resp.retryAfter > 0, must.Sprint(c.name))
@@ -62,8 +61,7 @@
 		}
 	}
 	// An anonymous route needs no key, however old the configuration is.
-	f.relay.settings.Freshness = func() fleet.Freshness { return fleet.Freshness{Age: time.Hour} }
-	account, _, ok := f.relay.authorize(cfg, &fleet.Route{Anonymous: true}, &fleet.Request{Key: key("a"), Account: "forged"})
+	account, _, ok := f.relay.authorize(cfg, &fleet.Route{Anonymous: true}, &fleet.Request{Key: key("a"), Account: "forged"}, fleet.Freshness{Age: time.Hour})
 	must.True(t, ok)
 	must.Nil(t, account)
 }
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -101,9 +101,10 @@
 		r.refuse(w, req.ID, refusal{code: http.StatusNotFound, reason: "no-route"}, arrived)
 		return
 	}
-	account, resp, ok := r.authorize(cfg, route, req)
+	fresh := r.freshness(cfg)
+	account, resp, ok := r.authorize(cfg, route, req, fresh)
 	if !ok {
-		r.refuse(w, req.ID, resp, arrived)
+		r.refuse(w, req.ID, resp, arrived, "has-key", req.Key != nil, "configuration", cfg.Version, "age", fresh.Age, "outdated", fresh.Outdated)
 		return
 	}
 	x := &exchange{account: account, relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, arrived: arrived, events: sse.New()}
@@ -160,9 +161,10 @@
 	r.codec.Refuse(w, "", resp.code, resp.reason, 0)
 }
 
-// refuse refuses a request that matched no route.
-func (r *Relay) refuse(w http.ResponseWriter, id string, resp refusal, arrived time.Time) {
-	event.RelayRefused.Log("request", id, "status", resp.code, "reason", resp.reason, "retry-after", resp.retryAfter, "after", r.now().Sub(arrived))
+// refuse refuses a request that matched no route or whose key doesn't hold. Further
+// attributes are logged.
+func (r *Relay) refuse(w http.ResponseWriter, id string, resp refusal, arrived time.Time, attributes ...any) {
+	event.RelayRefused.Log(append([]any{"request", id, "status", resp.code, "reason", resp.reason, "retry-after", resp.retryAfter, "after", r.now().Sub(arrived)}, attributes...)...)
 	r.metrics.Refusals.WithLabelValues(resp.reason).Inc()
 	r.codec.Refuse(w, id, resp.code, resp.reason, resp.retryAfter)
 }
@@ -346,7 +348,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	event.RelayRefused.Log("request", x.req.ID, "status", resp.code, "reason", resp.reason, "retry-after", resp.retryAfter,
-		"after", x.relay.now().Sub(x.arrived), "route", x.route.Name, "model", fleet.ModelName(x.req.Model, x.req.Adapter),
+		"after", x.relay.now().Sub(x.arrived), "route", x.route.Name, "account", x.req.Account, "model", fleet.ModelName(x.req.Model, x.req.Adapter),
 		"service", x.query.Key.Service, "sends", x.attempts, "may-have-run", x.possibleRuns > 0, "failure", x.lastFailure)
 	x.logOutcome(metric.OutcomeRefused, fleet.Upstream{}, resp.code)
 	x.relay.codec.Refuse(x.w, x.req.ID, resp.code, resp.reason, resp.retryAfter)
