issuer, elect: the holder's record has the shares of daemons

Cause: the record named the daemons that may hold shares.

Now the record has the largest share that each daemon may hold until the next record, and no daemon gets more. A new holder leaves out the shares of those that it hasn't heard, one of n for a lost holder. The shares for a record are fixed as they are read, and a daemon that begins another tenure goes on from its own last record.

Ruled out: counting a daemon that isn't heard as 1/n of the present ones; its share may be from a time with fewer.

Evidence: TestFormerShares, TestSharesAreRecorded, the model at 4, 30 and 300 daemons with records that fail.

--- a/internal/node/elect/elect.go
+++ b/internal/node/elect/elect.go
@@ -26,22 +26,20 @@
 	}
 
 	// StoreEstimate is the holder's estimate of the weight store's capacity, and
-	// which daemons hold shares of allowances. It is stored with the lease, so that the next holder has it even if all
+	// which shares of allowances daemons hold. It is stored with the lease, so that the next holder has it even if all
 	// daemons failed at once.
 	StoreEstimate interface {
 		// StoreAtOnce returns the estimated number of loads that the weight
 		// store serves at a time, 0 for none.
 		StoreAtOnce() float64
 		SetStoreAtOnce(storeAtOnce float64)
-		// ShareHolders returns the daemons that may hold shares of allowances,
-		// nil if they are unknown, and SetShareHolders passes on those of the
-		// newest record.
-		ShareHolders() []string
-		SetShareHolders(hosts []string)
-		// RecordingShares is called before a record with these daemons is
-		// written, and SharesRecorded once it is the newest.
-		RecordingShares(hosts []string)
-		SharesRecorded(hosts []string)
+		// Shares returns the largest share of allowances that each daemon may
+		// hold, nil if that is unknown, for the record that is written next.
+		// SetShares passes on those of the newest record, and SharesRecorded
+		// those of one that this daemon has written.
+		Shares() map[string]float64
+		SetShares(shares map[string]float64)
+		SharesRecorded(shares map[string]float64)
 	}
 
 	// Elector acquires and renews the lease for one daemon. It is safe for
@@ -69,9 +67,9 @@
 		Released bool   `json:"released,omitempty"`
 		// StoreAtOnce is the holder's StoreEstimate.
 		StoreAtOnce float64 `json:"store-at-once,omitempty"`
-		// ShareHolders are the daemons that may hold shares, unknown if there are
-		// none.
-		ShareHolders []string `json:"share-holders,omitempty"`
+		// Shares are the largest shares that daemons may hold, unknown if there
+		// are none.
+		Shares map[string]float64 `json:"shares,omitempty"`
 	}
 )
 
@@ -206,7 +204,7 @@
 			continue
 		}
 		e.estimate.SetStoreAtOnce(w.StoreAtOnce)
-		e.estimate.SetShareHolders(w.ShareHolders)
+		e.estimate.SetShares(w.Shares)
 		rec, offset = &lease.Record{Holder: w.Host, Address: w.Address, Released: w.Released}, x.Offset
 	}
 	e.mu.Lock()
@@ -215,20 +213,19 @@
 }
 
 func (e *Elector) write(ctx context.Context, a lease.Write) {
-	hosts := e.estimate.ShareHolders()
-	value, err := json.Marshal(record{Host: a.Record.Holder, Address: a.Record.Address, Released: a.Record.Released, StoreAtOnce: e.estimate.StoreAtOnce(), ShareHolders: hosts})
+	shares := e.estimate.Shares()
+	value, err := json.Marshal(record{Host: a.Record.Holder, Address: a.Record.Address, Released: a.Record.Released, StoreAtOnce: e.estimate.StoreAtOnce(), Shares: shares})
 	if err != nil {
 		event.HolderWriteFailed.Log("cause", err.Error())
 		return
 	}
 	sent := e.now()
-	e.estimate.RecordingShares(hosts)
 	ok, err := e.topic.Append(ctx, a.At, recordKey, value)
 	e.mu.Lock()
 	e.lease.WriteDone(sent, e.now(), a, ok, err != nil)
 	e.mu.Unlock()
 	if ok && err == nil {
-		e.estimate.SharesRecorded(hosts)
+		e.estimate.SharesRecorded(shares)
 	}
 	if err != nil {
 		event.HolderWriteFailed.Log("at", a.At, "cause", err.Error())
--- a/internal/node/elect/elect_test.go
+++ b/internal/node/elect/elect_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"slices"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -30,9 +30,9 @@
 	estimate struct {
 		mu    sync.Mutex
 		value float64
-		// hosts are what the holder records, read what the newest record has, and
+		// shares are what the holder records, read what the newest record has, and
 		// recorded what this daemon has last recorded.
-		hosts, read, recorded []string
+		shares, read, recorded map[string]float64
 	}
 )
 
@@ -87,24 +87,22 @@
 	n.value = v
 }
 
-func (n *estimate) ShareHolders() []string {
+func (n *estimate) Shares() map[string]float64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.hosts
+	return n.shares
 }
 
-func (n *estimate) SetShareHolders(hosts []string) {
+func (n *estimate) SetShares(shares map[string]float64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.read = hosts
+	n.read = shares
 }
 
-func (n *estimate) RecordingShares([]string) {}
-
-func (n *estimate) SharesRecorded(hosts []string) {
+func (n *estimate) SharesRecorded(shares map[string]float64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.recorded = hosts
+	n.recorded = shares
 }
 
 // start runs an Elector until the test ends or the returned function is called.
@@ -207,12 +205,12 @@
 	eventually(t, func() bool { return canOrder(b) })
 }
 
-// TestShareHoldersAreRecorded guards against a next holder that doesn't know which
+// TestSharesAreRecorded guards against a next holder that doesn't know which
 // daemons hold shares of allowances, one that takes unknown ones for none, and a holder
 // that takes daemons for recorded that are not.
-func TestShareHoldersAreRecorded(t *testing.T) {
+func TestSharesAreRecorded(t *testing.T) {
 	log := &topic{}
-	first := &estimate{hosts: []string{"a", "b"}}
+	first := &estimate{shares: map[string]float64{"a": 0.5, "b": 0.25}}
 	a, stop := start(t, log, "a", first)
 	eventually(t, func() bool { _, ok := a.Holds(); return ok })
 	next := &estimate{}
@@ -222,10 +220,10 @@
 		defer next.mu.Unlock()
 		first.mu.Lock()
 		defer first.mu.Unlock()
-		return slices.Equal(next.read, first.hosts) && slices.Equal(first.recorded, first.hosts)
+		return maps.Equal(next.read, first.shares) && maps.Equal(first.recorded, first.shares)
 	})
 	stop()
-	other := &estimate{read: []string{"x"}}
+	other := &estimate{read: map[string]float64{"x": 1}}
 	_, _ = start(t, log, "c", other)
 	eventually(t, func() bool {
 		other.mu.Lock()
--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -269,14 +269,13 @@
 	e.entry.loader.SetStoreAtOnce(storeAtOnce)
 }
 
-// ShareHolders returns the daemons that may hold shares of allowances.
-func (e storeEstimate) ShareHolders() []string { return e.entry.loader.ShareHolders() }
+// Shares returns the largest share of allowances that each daemon may hold.
+func (e storeEstimate) Shares() map[string]float64 { return e.entry.loader.Shares() }
 
-// SetShareHolders passes those of a previous holder's record to the loader.
-func (e storeEstimate) SetShareHolders(hosts []string) { e.entry.loader.SetShareHolders(hosts) }
-
-// RecordingShares tells the loader which record is being written.
-func (e storeEstimate) RecordingShares(hosts []string) { e.entry.loader.RecordingShares(hosts) }
+// SetShares passes those of a previous holder's record to the loader.
+func (e storeEstimate) SetShares(shares map[string]float64) { e.entry.loader.SetShares(shares) }
 
 // SharesRecorded tells the loader which record is the newest.
-func (e storeEstimate) SharesRecorded(hosts []string) { e.entry.loader.SharesRecorded(hosts) }
+func (e storeEstimate) SharesRecorded(shares map[string]float64) {
+	e.entry.loader.SharesRecorded(shares)
+}
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -88,9 +88,9 @@
 		limitsRev uint64
 		// issuer shares the allowances of accounts, in a tenure.
 		issuer *issuer.Issuer
-		// formerHolders are the daemons that may hold shares by the newest record
-		// of another tenure, nil if unknown.
-		formerHolders []string
+		// formerShares are the largest shares that daemons may hold by the newest
+		// record of another tenure, nil if unknown.
+		formerShares map[string]float64
 		// packedInventory and packedUpdate are the complete state for daemons
 		// that know none.
 		packedInventory packCache[[]fleet.Inventory]
@@ -214,7 +214,7 @@
 		l.planner.SetConfig(l.config)
 		l.planner.SetUpstreams(now, l.upstreams)
 		clear(l.daemons)
-		l.issuer = issuer.New(l.boot(), l.allowances, l.formerHolders)
+		l.issuer = issuer.New(l.boot(), l.allowances, l.formerShares)
 		if l.config != nil {
 			l.issuer.SetAccounts(l.boot(), l.config.Accounts)
 		}
--- a/internal/node/loader/shares.go
+++ b/internal/node/loader/shares.go
@@ -22,38 +22,34 @@
 	return l.active && l.issuer != nil && holds && fence == l.fence
 }
 
-// ShareHolders returns the daemons that may hold shares of allowances, for the holder's
-// record; nil if they are unknown.
-func (l *Loader) ShareHolders() []string {
+// Shares returns the largest share of allowances that each daemon may hold, for the holder's
+// record; nil if that is unknown.
+func (l *Loader) Shares() map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.issues() {
-		return l.issuer.Holders(l.boot())
+		shares := l.issuer.Shares(l.boot())
+		l.issuer.Recording(shares)
+		return shares
 	}
-	return l.formerHolders
+	return l.formerShares
 }
 
-// SetShareHolders takes over those of the newest record, which is another tenure's.
-func (l *Loader) SetShareHolders(hosts []string) {
+// SetShares takes over those of the newest record, which is another tenure's.
+func (l *Loader) SetShares(shares map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.formerHolders = hosts
+	l.formerShares = shares
 }
 
-// RecordingShares states that a record with these daemons is being written.
-func (l *Loader) RecordingShares(hosts []string) {
+// SharesRecorded states that this daemon has written the newest record, with these
+// shares.
+func (l *Loader) SharesRecorded(shares map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// A later tenure of this daemon may begin without reading its own record.
+	l.formerShares = shares
 	if l.issuer != nil {
-		l.issuer.Recording(hosts)
-	}
-}
-
-// SharesRecorded states that the newest record has these daemons.
-func (l *Loader) SharesRecorded(hosts []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.issuer != nil {
-		l.issuer.Recorded(hosts)
+		l.issuer.Recorded(shares)
 	}
 }
--- a/internal/rule/issuer/issuer.go
+++ b/internal/rule/issuer/issuer.go
@@ -21,12 +21,12 @@
 		// hasn't heard of.
 		unknown  float64
 		filledAt time.Time
-		// former are the daemons that may hold those shares and haven't been
-		// heard, nil if they are unknown.
-		former map[string]bool
-		// recorded are the daemons that the holder's record in the log names,
-		// from which the next holder knows former.
-		recorded map[string]bool
+		// former are the largest shares that daemons may hold which haven't been
+		// heard, nil if that is unknown.
+		former map[string]float64
+		// recorded are the shares in the holder's record in the log, from which
+		// the next holder knows former.
+		recorded map[string]float64
 	}
 
 	account struct {
@@ -56,48 +56,54 @@
 	// without asking again, so that one that demands far beyond its allowance doesn't
 	// keep the holder busy.
 	minWait = 100 * time.Millisecond
+	// shareUnits is the number of parts to which recorded shares are rounded up.
+	shareUnits = 1e4
 )
 
-// New returns an Issuer whose tenure begins at now. former are the daemons that the
-// newest record of the former holder names, nil if it is unknown.
-func New(now time.Time, settings Settings, former []string) *Issuer {
-	i := &Issuer{settings: settings, began: now, filledAt: now, accounts: map[string]*account{}, daemons: map[string]*daemon{}, unknown: 1, recorded: map[string]bool{}}
+// New returns an Issuer whose tenure begins at now. former are the shares in the newest
+// record of the former holder, nil if they are unknown.
+func New(now time.Time, settings Settings, former map[string]float64) *Issuer {
+	i := &Issuer{settings: settings, began: now, filledAt: now, accounts: map[string]*account{}, daemons: map[string]*daemon{}, unknown: 1, recorded: map[string]float64{}}
 	if former != nil {
-		i.former = setOf(former)
+		i.former = maps.Clone(former)
+		i.unknown = min(sum(former), 1)
 	}
 	return i
 }
 
-// Holders returns the daemons that may hold shares, for the holder's record. A daemon
-// gets a share only once it is recorded.
-func (i *Issuer) Holders(now time.Time) []string {
+// Shares returns the largest share that each daemon may hold until the next record, for
+// the holder's record; nil if that is unknown. No daemon gets more than is recorded.
+func (i *Issuer) Shares(now time.Time) map[string]float64 {
 	i.fill(now)
-	names := setOf(slices.Collect(maps.Keys(i.daemons)))
+	if i.unknown > 0 && i.former == nil {
+		return nil
+	}
+	shares := map[string]float64{}
 	if i.unknown > 0 {
-		if i.former == nil {
-			return nil
-		}
-		maps.Copy(names, i.former)
+		maps.Copy(shares, i.former)
+	}
+	for name, d := range i.daemons {
+		shares[name] = math.Ceil(max(d.share, 1/float64(len(i.daemons)))*shareUnits) / shareUnits
 	}
-	return slices.AppendSeq([]string{}, maps.Keys(names))
+	return shares
 }
 
-// Recording states that a record with these daemons is being written, so that it or the
+// Recording states that a record with these shares is being written, so that it or the
 // one before it is the newest.
-func (i *Issuer) Recording(names []string) {
-	next := setOf(names)
-	maps.DeleteFunc(i.recorded, func(name string, _ bool) bool { return !next[name] })
+func (i *Issuer) Recording(shares map[string]float64) {
+	for name, share := range i.recorded {
+		i.recorded[name] = min(share, shares[name])
+	}
 }
 
-// Recorded states that the newest record has these daemons.
-func (i *Issuer) Recorded(names []string) { i.recorded = setOf(names) }
+// Recorded states that the newest record has these shares.
+func (i *Issuer) Recorded(shares map[string]float64) { i.recorded = maps.Clone(shares) }
 
-func setOf(names []string) map[string]bool {
-	set := make(map[string]bool, len(names))
-	for _, name := range names {
-		set[name] = true
+func sum(shares map[string]float64) (total float64) {
+	for _, share := range shares {
+		total += share
 	}
-	return set
+	return total
 }
 
 // SetAccounts replaces the accounts. What is saved for an account stays within its new
@@ -126,8 +132,10 @@
 	if d == nil {
 		d = &daemon{share: ask.Share}
 		i.daemons[host] = d
-		i.unknown = max(i.unknown-ask.Share, 0)
 		delete(i.former, host)
+		if i.unknown = max(i.unknown-ask.Share, 0); i.former != nil {
+			i.unknown = min(sum(i.former), 1)
+		}
 	}
 	// A question that was sent before the last one and comes after it confirms
 	// nothing; what it shows of the share may be old.
@@ -136,10 +144,7 @@
 		d.askedAfter = d.answeredAt.Add(ask.Since)
 	}
 	d.share = max(d.share, ask.Share)
-	d.next = 0
-	if i.recorded[host] {
-		d.next = max(min(1/float64(len(i.daemons)), 1-i.held(now, host)), 0)
-	}
+	d.next = max(min(1/float64(len(i.daemons)), 1-i.held(now, host), i.recorded[host]), 0)
 	d.share = max(d.share, d.next)
 	d.answered, d.answeredAt = ask.ID, now
 	r := &fleet.AllowanceReply{ID: ask.ID, Share: d.next}
@@ -186,7 +191,7 @@
 
 // strangers returns the sum of the shares of daemons that this holder hasn't heard.
 func (i *Issuer) strangers(now time.Time) float64 {
-	if now.Sub(i.began) > ShareTTL || i.former != nil && len(i.former) == 0 {
+	if now.Sub(i.began) > ShareTTL {
 		i.unknown = 0
 	}
 	return i.unknown
--- a/internal/rule/issuer/issuer_test.go
+++ b/internal/rule/issuer/issuer_test.go
@@ -42,7 +42,7 @@
 func TestLateQuestion(t *testing.T) {
 	i := New(at(0), settings, nil)
 	i.SetAccounts(at(0), []fleet.Account{testAccount})
-	i.Recorded([]string{"h", "x", "y"})
+	i.Recorded(map[string]float64{"h": 1, "x": 1, "y": 1})
 	id := uint64(0)
 	ask := func(s float64, since time.Duration, amount float64) float64 {
 		id++
@@ -65,7 +65,7 @@
 func TestDeadDaemonsShare(t *testing.T) {
 	i := New(at(0), settings, nil)
 	i.SetAccounts(at(0), []fleet.Account{testAccount})
-	i.Recorded([]string{"h", "x", "y"})
+	i.Recorded(map[string]float64{"h": 1, "x": 1, "y": 1})
 	ask := func(s float64, host string, id, answered uint64, share float64) float64 {
 		return i.Answer(at(s), host, &fleet.AllowanceAsk{ID: id, Answered: answered, Share: share}).Share
 	}
@@ -88,35 +88,39 @@
 	must.MapEmpty(t, r.Grants)
 }
 
-// TestFormerHolders guards against daemons that are refused for the whole term of shares
-// after all have restarted, against grants while one of the former daemons may use its
-// share, and against a share of a daemon that the next holder wouldn't know of.
-func TestFormerHolders(t *testing.T) {
-	i := New(at(0), settings, []string{"x", "y"})
+// TestFormerShares guards against daemons that are refused for the whole term of shares
+// after a restart of all or the loss of one, against grants of a share that a former
+// daemon may use, and against a share of which the next holder wouldn't know.
+func TestFormerShares(t *testing.T) {
+	i := New(at(0), settings, map[string]float64{"x": 0.25, "y": 0.5, "dead": 0.25})
 	i.SetAccounts(at(0), []fleet.Account{testAccount})
-	ask := func(s float64, host string, id uint64) (share, granted float64) {
-		r, g := need(i, s, host, fleet.AllowanceAsk{ID: id, Answered: id - 1, Since: time.Millisecond}, 1)
+	id := map[string]uint64{}
+	ask := func(s float64, host string, amount float64) (share, granted float64) {
+		id[host]++
+		r, g := need(i, s, host, fleet.AllowanceAsk{ID: id[host], Answered: id[host] - 1, Since: time.Millisecond}, amount)
 		return r.Share, g.Need
 	}
-	must.SliceContainsAll(t, []string{"x", "y"}, i.Holders(at(0)))
-	ask(0.1, "x", 1)
-	ask(0.2, "x", 2)
-	share, granted := ask(0.5, "x", 3)
-	must.Eq(t, 0, share+granted)
-	ask(0.5, "y", 1)
-	ask(0.6, "y", 2)
-	ask(0.7, "x", 4)
-	share, granted = ask(0.8, "x", 5)
+	must.Eq(t, map[string]float64{"x": 0.25, "y": 0.5, "dead": 0.25}, i.Shares(at(0)))
+	ask(0.1, "x", 0)
+	ask(0.1, "x", 0)
+	ask(0.2, "y", 0)
+	ask(0.2, "y", 0)
+	// Both have restarted. All but the share of the third one is granted.
+	_, granted := ask(0.6, "x", 33)
+	must.Eq(t, 0, granted)
+	_, granted = ask(0.6, "x", 32.4)
+	must.Eq(t, 32.4, granted)
+	share, _ := ask(0.7, "x", 0)
 	must.Eq(t, 0, share)
-	must.Eq(t, 1, granted)
-	i.Recording([]string{"x", "y"})
-	share, _ = ask(0.9, "x", 6)
+	must.Eq(t, map[string]float64{"x": 0.5, "y": 0.5, "dead": 0.25}, i.Shares(at(0.8)))
+	i.Recording(map[string]float64{"x": 0.5})
+	share, _ = ask(0.9, "x", 0)
 	must.Eq(t, 0, share)
-	i.Recorded([]string{"x", "y"})
-	share, _ = ask(1, "x", 7)
-	must.Eq(t, 0.5, share)
-	i.Recording([]string{"y"})
-	share, _ = ask(1.1, "x", 8)
+	i.Recorded(map[string]float64{"x": 0.4, "y": 0.5})
+	share, _ = ask(1, "x", 0)
+	must.Eq(t, 0.4, share)
+	i.Recording(map[string]float64{"y": 0.5})
+	share, _ = ask(1.1, "x", 0)
 	must.Eq(t, 0, share)
-	must.Nil(t, New(at(0), settings, nil).Holders(at(0)))
+	must.Nil(t, New(at(0), settings, nil).Shares(at(0)))
 }
--- a/internal/rule/meter/model_test.go
+++ b/internal/rule/meter/model_test.go
@@ -28,9 +28,9 @@
 		// the time without a holder.
 		nextID        uint64
 		noHolderUntil time.Time
-		// record are the daemons in the newest record, nil if there is none, and
+		// record are the shares in the newest record, nil if there is none, and
 		// recordAt is the time of the next.
-		record   []string
+		record   map[string]float64
 		recordAt time.Time
 		messages []message
 		uses     map[string][]use
@@ -230,14 +230,14 @@
 		return
 	}
 	w.recordAt = w.now.Add(600 * time.Millisecond)
-	names := w.holder.Holders(w.now)
-	w.holder.Recording(names)
+	shares := w.holder.Shares(w.now)
+	w.holder.Recording(shares)
 	failed := !w.calm && w.rng.IntN(5) == 0
 	if !failed || w.rng.IntN(2) == 0 {
-		w.record = names
+		w.record = shares
 	}
 	if !failed {
-		w.holder.Recorded(names)
+		w.holder.Recorded(shares)
 	}
 }
 
