--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -33,6 +33,11 @@
 		// Resumes is the ID of the request that brought the first event of the
 		// stream that the caller takes up again, empty if there is none.
 		Resumes string
+		// Key is the hash of the caller's key, nil if it sent none.
+		Key *KeyHash
+		// Account is the name of the account that the request belongs to, empty
+		// if there is none.
+		Account string
 	}
 
 	// Part is a part of a prompt.
--- a/internal/node/elect/elect.go
+++ b/internal/node/elect/elect.go
@@ -25,14 +25,21 @@
 		Append(ctx context.Context, at int64, key string, value []byte) (ok bool, err error)
 	}
 
-	// StoreEstimate is the holder's estimate of the weight store's capacity. It
-	// is stored with the lease, so that the next holder has it even if all
+	// StoreEstimate is the holder's estimate of the weight store's capacity, and
+	// which shares of allowances daemons hold. It is stored with the lease, so that the next holder has it even if all
 	// daemons failed at once.
 	StoreEstimate interface {
 		// StoreAtOnce returns the estimated number of loads that the weight
 		// store serves at a time, 0 for none.
 		StoreAtOnce() float64
 		SetStoreAtOnce(storeAtOnce float64)
+		// Shares returns the largest share of allowances that each daemon may
+		// hold, nil if that is unknown, for the record that is written next.
+		// SetShares passes on those of the newest record, and SharesRecorded
+		// those of one that this daemon has written.
+		Shares() map[string]float64
+		SetShares(shares map[string]float64)
+		SharesRecorded(shares map[string]float64)
 	}
 
 	// Elector acquires and renews the lease for one daemon. It is safe for
@@ -60,6 +67,9 @@
 		Released bool   `json:"released,omitempty"`
 		// StoreAtOnce is the holder's StoreEstimate.
 		StoreAtOnce float64 `json:"store-at-once,omitempty"`
+		// Shares are the largest shares that daemons may hold, unknown if there
+		// are none.
+		Shares map[string]float64 `json:"shares,omitempty"`
 	}
 )
 
@@ -194,6 +204,7 @@
 			continue
 		}
 		e.estimate.SetStoreAtOnce(w.StoreAtOnce)
+		e.estimate.SetShares(w.Shares)
 		rec, offset = &lease.Record{Holder: w.Host, Address: w.Address, Released: w.Released}, x.Offset
 	}
 	e.mu.Lock()
@@ -202,7 +213,8 @@
 }
 
 func (e *Elector) write(ctx context.Context, a lease.Write) {
-	value, err := json.Marshal(record{Host: a.Record.Holder, Address: a.Record.Address, Released: a.Record.Released, StoreAtOnce: e.estimate.StoreAtOnce()})
+	shares := e.estimate.Shares()
+	value, err := json.Marshal(record{Host: a.Record.Holder, Address: a.Record.Address, Released: a.Record.Released, StoreAtOnce: e.estimate.StoreAtOnce(), Shares: shares})
 	if err != nil {
 		event.HolderWriteFailed.Log("cause", err.Error())
 		return
@@ -212,6 +224,9 @@
 	e.mu.Lock()
 	e.lease.WriteDone(sent, e.now(), a, ok, err != nil)
 	e.mu.Unlock()
+	if ok && err == nil {
+		e.estimate.SharesRecorded(shares)
+	}
 	if err != nil {
 		event.HolderWriteFailed.Log("at", a.At, "cause", err.Error())
 		pause.For(ctx, jitter(retryDelay))
--- a/internal/node/elect/elect_test.go
+++ b/internal/node/elect/elect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -29,6 +30,9 @@
 	estimate struct {
 		mu    sync.Mutex
 		value float64
+		// shares are what the holder records, read what the newest record has, and
+		// recorded what this daemon has last recorded.
+		shares, read, recorded map[string]float64
 	}
 )
 
@@ -83,6 +87,24 @@
 	n.value = v
 }
 
+func (n *estimate) Shares() map[string]float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.shares
+}
+
+func (n *estimate) SetShares(shares map[string]float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.read = shares
+}
+
+func (n *estimate) SharesRecorded(shares map[string]float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.recorded = shares
+}
+
 // start runs an Elector until the test ends or the returned function is called.
 func start(t *testing.T, log *topic, host string, n *estimate) (*Elector, func()) {
 	r := New(lease.Settings{
@@ -182,3 +204,30 @@
 	b, _ := start(t, log, "b", &estimate{})
 	eventually(t, func() bool { return canOrder(b) })
 }
+
+// TestSharesAreRecorded guards against a next holder that doesn't know which
+// daemons hold shares of allowances, one that takes unknown ones for none, and a holder
+// that takes daemons for recorded that are not.
+func TestSharesAreRecorded(t *testing.T) {
+	log := &topic{}
+	first := &estimate{shares: map[string]float64{"a": 0.5, "b": 0.25}}
+	a, stop := start(t, log, "a", first)
+	eventually(t, func() bool { _, ok := a.Holds(); return ok })
+	next := &estimate{}
+	_, _ = start(t, log, "b", next)
+	eventually(t, func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		return maps.Equal(next.read, first.shares) && maps.Equal(first.recorded, first.shares)
+	})
+	stop()
+	other := &estimate{read: map[string]float64{"x": 1}}
+	_, _ = start(t, log, "c", other)
+	eventually(t, func() bool {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		return other.read == nil
+	})
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/azurespan/azurespan/internal/node/qlog"
 	"github.com/azurespan/azurespan/internal/node/relay"
 	"github.com/azurespan/azurespan/internal/node/syncer"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
 	"github.com/azurespan/azurespan/internal/rule/plan"
 )
 
@@ -60,6 +61,12 @@
 		RetrySlack  float64
 		// StoreWindow is the time window of the weight store's rate limit.
 		StoreWindow time.Duration
+		// RevokeTime is the time after which no daemon may serve a key that has
+		// been removed, whether or not it reaches the log; 0 if there is no such
+		// bound.
+		RevokeTime time.Duration
+		// Allowances are the bounds on the use of accounts.
+		Allowances issuer.Settings
 	}
 
 	// Platform is an Entry's interface to the platform.
@@ -150,12 +157,14 @@
 	e.olog = olog.New(settings.Host, platform.Origins, e.origins, holderView{e}, now)
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
+		ConfigTTL: time.Duration(maxAgeShare * float64(settings.ConfigDeadline)), KeyTTL: time.Duration(maxAgeShare * float64(settings.RevokeTime)),
+		Freshness: func() fleet.Freshness { return e.topics.freshness() }, Allowances: settings.Allowances, BootClock: platform.BootClock,
 	}, platform.Wire, pool, e.crashes, e.parts, e.olog, metrics, rng, now)
 	earliestRead := now()
 	if settings.FirstStart {
 		earliestRead = earliestRead.Add(firstHolderWait)
 	}
-	e.topics = newTopicView(settings.Drain, settings.ConfigDeadline, earliestRead,
+	e.topics = newTopicView(settings.Drain, settings.ConfigDeadline, settings.RevokeTime, earliestRead, platform.BootClock,
 		func() bool { _, holds := e.elector.Holds(); return holds },
 		func(now time.Time, ups []fleet.Upstream) {
 			e.registerVersions(now, ups)
@@ -174,7 +183,7 @@
 		Self: settings.Host, Address: settings.Peers, TTL: leaseTTL, Renew: renewInterval, Margin: leaseMargin,
 		Pause: settings.HolderPause + pauseSlack, MaxStagger: maxStagger, FirstStart: settings.FirstStart,
 	}, dispatcher, storeEstimate{e}, platform.BootClock)
-	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, e.origins, metrics, now)
+	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, e.origins, metrics, settings.Allowances, now, platform.BootClock)
 	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now)
 	e.config = &configSink{entry: e}
 	return e
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -16,6 +16,7 @@
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
 	"github.com/azurespan/azurespan/internal/rule/dealer"
+	"github.com/azurespan/azurespan/internal/rule/issuer"
 	"github.com/azurespan/azurespan/internal/rule/plan"
 )
 
@@ -62,6 +63,10 @@
 		topics   Topics
 		metrics  *metric.Metrics
 		now      func() time.Time
+		// allowances are the bounds on the use of accounts, and boot is a clock
+		// that counts suspensions.
+		allowances issuer.Settings
+		boot       func() time.Time
 
 		mu        sync.Mutex
 		config    *fleet.Config
@@ -84,6 +89,11 @@
 		// limitsRev counts the changes of its limits.
 		dealer    *dealer.Dealer
 		limitsRev uint64
+		// issuer shares the allowances of accounts, in a tenure.
+		issuer *issuer.Issuer
+		// formerShares are the largest shares that daemons may hold by the newest
+		// record of another tenure, nil if unknown.
+		formerShares map[string]float64
 		// packedInventory and packedUpdate are the complete state for daemons
 		// that know none.
 		packedInventory packCache[[]fleet.Inventory]
@@ -126,9 +136,10 @@
 )
 
 // New returns a Loader for the daemon named host.
-func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, crashes *poison.Table, origins *origin.Table, metrics *metric.Metrics, now func() time.Time) *Loader {
+func New(host string, settings plan.Settings, engines Engines, elector Elector, jobs JobQueue, topics Topics, crashes *poison.Table, origins *origin.Table, metrics *metric.Metrics, allowances issuer.Settings, now, boot func() time.Time) *Loader {
 	return &Loader{
 		host: host, settings: settings, engines: engines, elector: elector, jobs: jobs, topics: topics, metrics: metrics, now: now,
+		allowances: allowances, boot: boot,
 		daemons: map[string]*daemonState{}, crashes: crashes, origins: origins, dealer: dealer.New(),
 		changed: make(chan struct{}), wakeup: make(chan struct{}, 1),
 	}
@@ -139,6 +150,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.config = cfg
+	if l.issuer != nil {
+		l.issuer.SetAccounts(l.boot(), cfg.Accounts)
+	}
 	if l.planner != nil {
 		l.planner.SetConfig(cfg)
 		l.planner.SetUpstreams(l.now(), l.upstreams)
@@ -203,6 +217,10 @@
 		l.planner.SetConfig(l.config)
 		l.planner.SetUpstreams(now, l.upstreams)
 		clear(l.daemons)
+		l.issuer = issuer.New(l.boot(), l.allowances, l.formerShares)
+		if l.config != nil {
+			l.issuer.SetAccounts(l.boot(), l.config.Accounts)
+		}
 	}
 	l.active = true
 	for _, u := range l.planner.ReportsDue(now) {
--- /dev/null
+++ b/internal/node/loader/shares.go
@@ -0,0 +1,55 @@
+package loader
+
+import (
+	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/node/hub"
+)
+
+// answerAllowance answers a daemon's question for allowances, with nil if there is none
+// or if the tenure is over. The caller holds l.mu.
+func (l *Loader) answerAllowance(a *hub.TellArgs) *fleet.AllowanceReply {
+	q := &a.Demand.Allowance
+	if q.ID == 0 || !l.issues() {
+		return nil
+	}
+	return l.issuer.Answer(l.boot(), a.Host, q)
+}
+
+// issues reports whether the issuer is that of the present tenure. After a suspension,
+// the tenure may be over although step hasn't noticed. The caller holds l.mu.
+func (l *Loader) issues() bool {
+	fence, holds := l.elector.Holds()
+	return l.active && l.issuer != nil && holds && fence == l.fence
+}
+
+// Shares returns the largest share of allowances that each daemon may hold, for the holder's
+// record; nil if that is unknown.
+func (l *Loader) Shares() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.issues() {
+		shares := l.issuer.Shares(l.boot())
+		l.issuer.Recording(shares)
+		return shares
+	}
+	return l.formerShares
+}
+
+// SetShares takes over those of the newest record, which is another tenure's.
+func (l *Loader) SetShares(shares map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.formerShares = shares
+}
+
+// SharesRecorded states that this daemon has written the newest record, with these
+// shares.
+func (l *Loader) SharesRecorded(shares map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// A later tenure of this daemon may begin without reading its own record.
+	l.formerShares = shares
+	if l.issuer != nil {
+		l.issuer.Recorded(shares)
+	}
+}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -24,11 +24,13 @@
 type (
 	// exchange is the state of one request.
 	exchange struct {
-		relay       *Relay
-		w           http.ResponseWriter
-		rc          *http.ResponseController
-		req         *fleet.Request
-		route       *fleet.Route
+		relay *Relay
+		w     http.ResponseWriter
+		rc    *http.ResponseController
+		req   *fleet.Request
+		route *fleet.Route
+		// account is nil for a request that needs no key.
+		account     *fleet.Account
 		query       pick.Query
 		fingerprint string
 		// parts are the shared parts of the prompt. known are their crashes as
@@ -105,7 +107,13 @@
 		r.refuse(w, req.ID, refusal{code: http.StatusNotFound, reason: "no-route"}, arrived)
 		return
 	}
-	x := &exchange{relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, arrived: arrived, events: sse.New()}
+	fresh := r.freshness(cfg)
+	account, resp, ok := r.authorize(cfg, route, req, fresh)
+	if !ok {
+		r.refuse(w, req.ID, resp, arrived, "has-key", req.Key != nil, "configuration", cfg.Version, "age", fresh.Age, "outdated", fresh.Outdated)
+		return
+	}
+	x := &exchange{account: account, relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, arrived: arrived, events: sse.New()}
 	x.deadline = arrived.Add(route.Timeout)
 	if req.CallerTimeout > 0 && req.CallerTimeout < route.Timeout {
 		x.deadline = arrived.Add(req.CallerTimeout)
@@ -163,15 +171,20 @@
 	r.codec.Refuse(w, "", resp.code, resp.reason, 0)
 }
 
-// refuse refuses a request that matched no route.
-func (r *Relay) refuse(w http.ResponseWriter, id string, resp refusal, arrived time.Time) {
-	event.RelayRefused.Log("request", id, "status", resp.code, "reason", resp.reason, "retry-after", resp.retryAfter, "after", r.now().Sub(arrived))
+// refuse refuses a request that matched no route or whose key doesn't hold. Further
+// attributes are logged.
+func (r *Relay) refuse(w http.ResponseWriter, id string, resp refusal, arrived time.Time, attributes ...any) {
+	event.RelayRefused.Log(append([]any{"request", id, "status", resp.code, "reason", resp.reason, "retry-after", resp.retryAfter, "after", r.now().Sub(arrived)}, attributes...)...)
 	r.metrics.Refusals.WithLabelValues(resp.reason).Inc()
 	r.codec.Refuse(w, id, resp.code, resp.reason, resp.retryAfter)
 }
 
 // run makes attempts until one succeeds or no retry is allowed.
 func (x *exchange) run(ctx context.Context) {
+	if resp, ok := x.takeAllowance(ctx); !ok {
+		x.fail(ctx, resp)
+		return
+	}
 	if resp, ok := x.admit(); !ok {
 		x.fail(ctx, resp)
 		return
@@ -286,7 +299,7 @@
 	}
 	r.nextID++
 	w := &waiter{
-		item:  &queue.Item{ID: r.nextID, Key: x.query.Key, Rank: x.route.Rank, TargetStart: x.targetStart(), LatestStart: until},
+		item:  &queue.Item{ID: r.nextID, Key: x.query.Key, AccountRank: x.accountRank(), Rank: x.route.Rank, TargetStart: x.targetStart(), LatestStart: until},
 		query: &x.query, fingerprint: x.fingerprint, parts: x.parts, since: now, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
 	}
 	r.waiters[w.item.ID] = w
@@ -346,7 +359,7 @@
 		firstByte = x.firstByteAt.Sub(x.arrived)
 	}
 	event.RelayEnded.Log("request", x.req.ID, "outcome", outcome, "status", code, "route", x.route.Name,
-		"rank", x.route.Rank, "upstream", up.ID, "sends", x.attempts, "events", x.events.EventCount,
+		"account", x.req.Account, "rank", x.route.Rank, "upstream", up.ID, "sends", x.attempts, "events", x.events.EventCount,
 		"first", firstByte, "took", now.Sub(x.arrived), "unframed", x.unframed, "configuration", x.configVersion, "configuration-now", x.relay.Config().Version, "failure", x.lastFailure)
 	class := fmt.Sprintf("%s-%d", x.route.Kind, x.route.Rank)
 	x.relay.metrics.RequestSeconds.WithLabelValues(class, outcome).Observe(now.Sub(x.arrived).Seconds())
@@ -368,7 +381,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	event.RelayRefused.Log("request", x.req.ID, "status", resp.code, "reason", resp.reason, "retry-after", resp.retryAfter,
-		"after", x.relay.now().Sub(x.arrived), "route", x.route.Name, "model", fleet.ModelName(x.req.Model, x.req.Adapter),
+		"after", x.relay.now().Sub(x.arrived), "route", x.route.Name, "account", x.req.Account, "model", fleet.ModelName(x.req.Model, x.req.Adapter),
 		"service", x.query.Key.Service, "sends", x.attempts, "may-have-run", x.possibleRuns > 0, "failure", x.lastFailure)
 	x.logOutcome(metric.OutcomeRefused, fleet.Upstream{}, resp.code)
 	x.relay.codec.Refuse(x.w, x.req.ID, resp.code, resp.reason, resp.retryAfter)
--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -289,3 +289,17 @@
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, wantEvents(3), body)
 }
+
+// TestEmptyFramedStream guards against waiting until the deadline for more of a stream
+// whose length is 0.
+func TestEmptyFramedStream(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 2, true), func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Content-Length", "0")
+	}, streamEvents(3, 0))
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, "", body)
+	must.Eq(t, 0, f.requestCount(1))
+}
