relay: don't wait for more of a stream whose length is 0

A stream with the length 0 was held until the deadline, or asked for at another upstream, because the relay waited for a byte that can't come. TestEmptyFramedStream failed before (the stream of the other upstream in place of the empty one) and passes.

--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -30,6 +30,9 @@
 	if ct := res.Header.Get("Content-Type"); x.headerSent && !strings.HasPrefix(ct, "text/event-stream") {
 		return interrupted(&contentTypeError{ct}, 0)
 	}
+	if res.ContentLength == 0 {
+		return x.finishStream(res)
+	}
 	gap := max(gapTimeoutFactor*x.route.MaxEventGap, minGapTimeout)
 	buf := make([]byte, streamBufferBytes)
 	for {
