olog: end a read of the log with its caller's context

Callers that took a stream up waited for a read that another call had begun, longer than lookupTimeout and even after they had left: a daemon that has just started reads with the time-out of the log's client, and Refresh waited for it on a mutex.

Evidence: TestRefreshEndsWithItsContext failed on (the second call still waited after 5 s) and passes, with the race detector.

Conclusion: a search for an origin ends after lookupTimeout, whoever reads.

--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -45,8 +45,8 @@
 		holder Holder
 		now    func() time.Time
 
-		// reading serializes reads of the topic.
-		reading sync.Mutex
+		// reading is held during a read of the topic.
+		reading chan struct{}
 
 		mu sync.Mutex
 		// readAt is when the last successful read of the topic began.
@@ -92,7 +92,7 @@
 
 // New returns the Store of the daemon named host.
 func New(host string, topic Topic, table *origin.Table, holder Holder, now func() time.Time) *Store {
-	return &Store{host: host, topic: topic, table: table, holder: holder, now: now, stored: map[string]map[string][]string{}}
+	return &Store{host: host, topic: topic, table: table, holder: holder, now: now, reading: make(chan struct{}, 1), stored: map[string]map[string][]string{}}
 }
 
 // Table returns the table of origins.
@@ -250,8 +250,12 @@
 // done so.
 func (s *Store) Refresh(ctx context.Context) error {
 	asked := s.now()
-	s.reading.Lock()
-	defer s.reading.Unlock()
+	select {
+	case s.reading <- struct{}{}:
+	case <-ctx.Done():
+		return merry.Wrap(ctx.Err())
+	}
+	defer func() { <-s.reading }()
 	s.mu.Lock()
 	done := s.readAt.After(asked)
 	s.mu.Unlock()
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -248,3 +248,40 @@
 	must.LessEq(t, perWrite*maxBytesPerStream, largest)
 	must.LessEq(t, recordBytes, maxStreams*maxBytesPerStream)
 }
+
+// blockedTopic is a topic whose reads get no response until their context ends.
+type blockedTopic struct {
+	testTopic
+	began chan struct{}
+}
+
+func (t *blockedTopic) Newest(ctx context.Context) (*feed.Page, error) {
+	t.began <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestRefreshEndsWithItsContext guards against callers that wait for a read of the log
+// by another one, for longer than they allow, while the log doesn't respond.
+func TestRefreshEndsWithItsContext(t *testing.T) {
+	_, now := newSite()
+	topic := &blockedTopic{began: make(chan struct{})}
+	d := newDaemon(&topic.testTopic, "a", now, "v1")
+	d.Store.topic = topic
+	ctx, stop := context.WithCancel(context.Background())
+	first := make(chan error, 1)
+	go func() { first <- d.step(ctx) }()
+	<-topic.began
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	second := make(chan error, 1)
+	go func() { second <- d.Refresh(ended) }()
+	select {
+	case err := <-second:
+		must.ErrorIs(t, err, context.Canceled)
+	case <-time.After(5 * time.Second):
+		t.Error("the second call waits for the read of the first one")
+	}
+	stop()
+	must.ErrorIs(t, <-first, context.Canceled)
+}
