olog: don't reuse the key of a write without a response

A stream could be refused at other daemons although its origin had been written. Cause: a write that got no response was repeated under the same key, with further streams. The log may do the former one seconds later, which replaced the newer record.

Evidence: TestLateWrite failed on (stream 2 unknown to a daemon that has just started) and passes, with the race detector.

Conclusion: the key is used again only if the log has said that nothing was done. Records of versions have one key a host; a late write of an older one is still possible there.

--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -233,16 +234,23 @@
 		if err != nil {
 			return merry.Wrap(err)
 		}
-		if err := s.topic.Put(ctx, s.host+"/"+strconv.Itoa(slot), value); err != nil {
+		err = s.topic.Put(ctx, s.host+"/"+strconv.Itoa(slot), value)
+		var status *feed.StatusError
+		if err != nil && errors.As(err, &status) {
+			return err
+		}
+		// A call without a response may be done later, and must not replace a
+		// newer record then.
+		s.mu.Lock()
+		s.slot = (slot + 1) % slots
+		s.mu.Unlock()
+		if err != nil {
 			return err
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.position = next
-	if len(streams) > 0 {
-		s.slot = (slot + 1) % slots
-	}
 	return nil
 }
 
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -285,3 +285,41 @@
 	stop()
 	must.ErrorIs(t, <-first, context.Canceled)
 }
+
+// lateTopic is a topic on which a write may get no response and be done later.
+type lateTopic struct {
+	testTopic
+	lose bool
+	late []func()
+}
+
+func (t *lateTopic) Put(ctx context.Context, key string, value []byte) error {
+	if t.lose {
+		t.late = append(t.late, func() { _ = t.testTopic.Put(ctx, key, value) })
+		return context.DeadlineExceeded
+	}
+	return t.testTopic.Put(ctx, key, value)
+}
+
+// TestLateWrite guards against a write without a response that is done seconds later and
+// replaces a newer record, so that the streams of that one are lost.
+func TestLateWrite(t *testing.T) {
+	_, now := newSite()
+	topic := &lateTopic{testTopic: testTopic{records: map[string]feed.Record{}}}
+	d := newDaemon(&topic.testTopic, "a", now, "v1", "v2")
+	d.Store.topic = topic
+	d.holds = true
+	d.run(t)
+	topic.lose = true
+	d.table.Begin(*now, origin.Stream{ID: 1, Service: "s", Version: "v1"})
+	must.ErrorIs(t, d.step(context.Background()), context.DeadlineExceeded)
+	topic.lose = false
+	d.table.Begin(*now, origin.Stream{ID: 2, Service: "s", Version: "v2"})
+	d.run(t)
+	for _, do := range topic.late {
+		do()
+	}
+	started := newDaemon(&topic.testTopic, "b", now, "v1")
+	must.Eq(t, "v1", started.version(t, 1))
+	must.Eq(t, "v2", started.version(t, 2))
+}
