olog: read the topic again when what it holds may have changed

Streams were refused with unknown-origin in three cases, of one cause: what a daemon knew of the topic was as old as its first read, or as its first search for an origin. - A version recorded by a daemon out of contact stayed in the topic for ever if the holder never saw it, and each daemon that started counted it as served for 30 s. - A new holder didn't record a version that it had once read from a former one, which had removed it since; a daemon that started took the other version for the only one. - After the log had come back from a copy, what was lost wasn't written again.

Now the holder reads when it becomes the holder, after a failed call and once a minute. If its last record is missing, it writes all streams of the last 30 s again.

TestLostHolderCostsNoReads guards the cost of the change: 33 daemons without a holder read no more than at their start.

Conclusion: costs one read a minute, one for each new holder and one for each failed call. A restored log is noticed only if a call of the holder fails meanwhile, else within a minute; the header Store-Era isn't read anywhere.

--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -1,6 +1,7 @@
 package olog
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -52,14 +53,22 @@
 		mu sync.Mutex
 		// readAt is when the last successful read of the topic began.
 		readAt time.Time
+		// uncertain is set from a failed call to the next read: the log may have
+		// come back from a copy, without what was written last.
+		uncertain bool
 		// stored holds the versions in the topic by host and service, as far as
 		// they are known.
 		stored map[string]map[string][]string
 		// slot is the number of the next record of streams, and position that up
 		// to which the table's streams are written.
 		slot, position int
-		// writes is set while this daemon writes.
-		writes bool
+		// lastKey and lastValue are the last record of streams that was written, and
+		// wroteAt is when.
+		lastKey   string
+		lastValue []byte
+		wroteAt   time.Time
+		// holds is set while this daemon is the holder, writes while it writes.
+		holds, writes bool
 	}
 
 	// record is the value of a record. Streams are by service and version.
@@ -78,6 +87,9 @@
 	// contactTTL is the age of the holder's last reply from which a daemon writes
 	// itself.
 	contactTTL = 1500 * time.Millisecond
+	// rereadInterval is the interval at which the holder reads the topic. It finds
+	// versions that hosts have written that are gone since.
+	rereadInterval = time.Minute
 	// maxStreams bounds the streams of one record; one takes up to 21 bytes, and a
 	// record has at most 256 KB on the platform.
 	maxStreams = 10000
@@ -117,35 +129,47 @@
 	return ctx.Err()
 }
 
-// step reads the topic if that hasn't been done, and writes what is due.
+// step reads the topic and writes it, both if that is due.
 func (s *Store) step(ctx context.Context) error {
-	s.mu.Lock()
-	read := !s.readAt.IsZero()
-	s.mu.Unlock()
-	if !read {
-		return s.Refresh(ctx)
-	}
 	now := s.now()
 	holds := s.holder.Holds()
-	if !s.beginWrites(holds || now.Sub(s.holder.LastReply()) > contactTTL) {
+	writes := holds || now.Sub(s.holder.LastReply()) > contactTTL
+	if s.beginStep(now, holds, writes) {
+		if err := s.Refresh(ctx); err != nil {
+			return err
+		}
+		now = s.now()
+	}
+	if !writes {
 		return nil
 	}
-	if err := s.writeVersions(ctx, now, holds); err != nil {
-		return err
+	err := s.writeVersions(ctx, now, holds)
+	if err == nil {
+		err = s.writeStreams(ctx, now)
+	}
+	if err != nil {
+		s.mu.Lock()
+		s.uncertain = true
+		s.mu.Unlock()
 	}
-	return s.writeStreams(ctx, now)
+	return err
 }
 
-// beginWrites records whether this daemon writes, and reports it. A daemon that begins
-// to write can't know what the former writer has written, and writes all again.
-func (s *Store) beginWrites(writes bool) bool {
+// beginStep records whether this daemon writes, and reports whether it has to read
+// first. A daemon that begins to write can't know what the former writer has written,
+// and writes all streams again. Only the holder reads again: without a holder, all
+// daemons would do so at once.
+func (s *Store) beginStep(now time.Time, holds, writes bool) (read bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	age := now.Sub(s.readAt)
+	begins := !s.holds && age > contactTTL
+	read = s.readAt.IsZero() || holds && (begins || s.uncertain || age > rereadInterval)
 	if writes && !s.writes {
 		s.position = 0
 	}
-	s.writes = writes
-	return writes
+	s.holds, s.writes = holds, writes
+	return read
 }
 
 // writeVersions writes the versions of all services if the topic lacks some. The
@@ -234,7 +258,8 @@
 		if err != nil {
 			return merry.Wrap(err)
 		}
-		err = s.topic.Put(ctx, s.host+"/"+strconv.Itoa(slot), value)
+		key := s.host + "/" + strconv.Itoa(slot)
+		err = s.topic.Put(ctx, key, value)
 		var status *feed.StatusError
 		if err != nil && errors.As(err, &status) {
 			return err
@@ -243,6 +268,9 @@
 		// newer record then.
 		s.mu.Lock()
 		s.slot = (slot + 1) % slots
+		if err == nil {
+			s.lastKey, s.lastValue, s.wroteAt = key, value, s.now()
+		}
 		s.mu.Unlock()
 		if err != nil {
 			return err
@@ -285,7 +313,14 @@
 	versions := map[string][]string{}
 	stored := map[string]map[string][]string{}
 	lastSlot, lastOffset := -1, int64(-1)
+	var last []byte
+	s.mu.Lock()
+	lastKey := s.lastKey
+	s.mu.Unlock()
 	for _, r := range p.Records {
+		if r.Key == lastKey {
+			last = r.Value
+		}
 		if len(r.Value) == 0 {
 			continue
 		}
@@ -323,5 +358,9 @@
 		// The records of the former process are overwritten last.
 		s.slot = (lastSlot + 1) % slots
 	}
-	s.readAt, s.stored = began, stored
+	if s.lastKey != "" && s.lastKey == lastKey && s.wroteAt.Before(began) && !bytes.Equal(last, s.lastValue) {
+		s.position = 0
+		event.OriginsStored.Log("key", lastKey, "lost", true)
+	}
+	s.readAt, s.stored, s.uncertain = began, stored, false
 }
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -323,3 +324,105 @@
 	must.Eq(t, "v1", started.version(t, 1))
 	must.Eq(t, "v2", started.version(t, 2))
 }
+
+// TestRecordOfGoneHostIsRemoved guards against a version that counts as served for ever,
+// so that daemons that start refuse streams: it was recorded by a daemon that was out of
+// contact with the holder and has never become the holder itself.
+func TestRecordOfGoneHostIsRemoved(t *testing.T) {
+	topic, now := newSite()
+	holder := newDaemon(topic, "a", now, "v1")
+	holder.holds = true
+	holder.run(t)
+	apart := newDaemon(topic, "b", now, "v1", "v2")
+	apart.run(t)
+	// The holder never sees v2, which has gone when contact is back; "b" is gone as well.
+	for range 5 * int(origin.Retention/time.Second) {
+		*now = now.Add(time.Second)
+		holder.see("v1")
+		must.NoError(t, holder.step(context.Background()))
+	}
+	started := newDaemon(topic, "c", now, "v1")
+	must.NoError(t, started.Refresh(context.Background()))
+	_, only := started.table.Only(*now, "s")
+	must.True(t, only)
+}
+
+// TestNewHolderKnowsTheTopic guards against a holder that doesn't record a version
+// because it takes a record for present that a former holder has removed.
+func TestNewHolderKnowsTheTopic(t *testing.T) {
+	topic, now := newSite()
+	former := newDaemon(topic, "a", now, "v1", "v2")
+	former.holds = true
+	former.run(t)
+	next := newDaemon(topic, "b", now, "v1")
+	next.lastReply = *now
+	next.run(t)
+	for range 2 * int(origin.Retention/time.Second) {
+		*now = now.Add(time.Second)
+		former.see("v1")
+		former.run(t)
+		next.see("v1")
+		next.lastReply = *now
+		next.run(t)
+	}
+	next.holds = true
+	next.see("v1", "v2")
+	next.run(t)
+	next.run(t)
+	started := newDaemon(topic, "c", now, "v1")
+	must.NoError(t, started.Refresh(context.Background()))
+	_, only := started.table.Only(*now, "s")
+	must.False(t, only)
+}
+
+// TestRestoredLog guards against streams that no other daemon can take up, because the
+// log has come back from a copy without the records of the last seconds.
+func TestRestoredLog(t *testing.T) {
+	topic, now := newSite()
+	d := newDaemon(topic, "a", now, "v1", "v2")
+	d.holds = true
+	d.run(t)
+	copied := maps.Clone(topic.records)
+	for id := range uint64(10) {
+		*now = now.Add(writeInterval)
+		d.table.Begin(*now, origin.Stream{ID: id, Service: "s", Version: "v2"})
+		must.NoError(t, d.step(context.Background()))
+	}
+	topic.err = errUnavailable
+	*now = now.Add(writeInterval)
+	d.table.Begin(*now, origin.Stream{ID: 10, Service: "s", Version: "v2"})
+	must.ErrorIs(t, d.step(context.Background()), errUnavailable)
+	topic.records, topic.err = copied, nil
+	*now = now.Add(writeInterval)
+	d.run(t)
+	started := newDaemon(topic, "b", now, "v1")
+	for id := range uint64(11) {
+		must.Eq(t, "v2", started.version(t, id), must.Sprint("stream ", id))
+	}
+}
+
+// TestLostHolderCostsNoReads guards against reads of all daemons at once when the holder
+// is lost, or after an outage of the log without a holder.
+func TestLostHolderCostsNoReads(t *testing.T) {
+	topic, now := newSite()
+	var daemons []*daemon
+	for i := range 33 {
+		d := newDaemon(topic, fmt.Sprint("d", i), now, "v1", "v2")
+		d.lastReply = *now
+		d.run(t)
+		daemons = append(daemons, d)
+	}
+	must.Eq(t, 33, topic.reads)
+	for i := range 20 {
+		*now = now.Add(time.Second)
+		topic.err = nil
+		if i%4 == 2 {
+			topic.err = errUnavailable
+		}
+		for j, d := range daemons {
+			d.table.Begin(*now, origin.Stream{ID: uint64(100*i + j), Service: "s", Version: "v1"})
+			_ = d.step(context.Background()) // fails in the outage
+		}
+	}
+	must.Eq(t, 33, topic.reads)
+}
