origin: don't count a view of the register as current after a suspension

A daemon that was suspended for some seconds took streams up at the only version that it knew, though another one had begun to serve meanwhile, or had come and gone. Callers' requests that have waited in its sockets are the first thing that it sees as it wakes. Cause: Only went by the age of the register as of the last call of RegisterCurrent (each 0.1 s), however long ago that was; and a gap between two calls was not noticed if the register had been read before the second.

Conclusion: the age is taken at the moment of the question, and a gap of more than currentAge needs another read of the log.

--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -27,8 +27,9 @@
 		recorded []recording
 		dropped  int
 		// currentSince is the time since which the daemon's view of the register
-		// has been current, zero if it isn't.
-		currentSince time.Time
+		// has been current, zero if it isn't, and knownAt is when all of the
+		// register was last known.
+		currentSince, knownAt time.Time
 		// readAt is when the versions were last read from the log.
 		readAt   time.Time
 		prunedAt time.Time
@@ -98,16 +99,20 @@
 	}
 }
 
-// RegisterCurrent records the age of the daemon's view of the register.
+// RegisterCurrent records the age of the daemon's view of the register. A view that was
+// old between two calls wasn't current: the daemon may have been suspended, and a version
+// have come and gone.
 func (t *Table) RegisterCurrent(now time.Time, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	knownAt := now.Add(-age)
 	switch {
 	case age > currentAge:
 		t.currentSince = time.Time{}
-	case t.currentSince.IsZero():
+	case t.currentSince.IsZero() || knownAt.Sub(t.knownAt) > currentAge:
 		t.currentSince = now
 	}
+	t.knownAt = knownAt
 }
 
 // Begin records that the daemon forwards the first event of a stream, or goes on with
@@ -197,7 +202,7 @@
 	defer t.mu.Unlock()
 	t.prune(now)
 	vs := t.versions[service]
-	if len(vs) != 1 || t.currentSince.IsZero() || t.readAt.Before(t.currentSince) {
+	if len(vs) != 1 || t.currentSince.IsZero() || now.Sub(t.knownAt) > currentAge || t.readAt.Before(t.currentSince) {
 		return "", false
 	}
 	for v := range vs {
