entry: take the age of the register from the time its read began

The view of the register counted as younger than it was by the time that the log took to respond, up to its time-out of 0.8 s or the time for which the daemon was suspended before it read the response. Whether a stream may be taken up at the only known version depends on that age. Cause: the time of the view was that at which the response was applied.

Conclusion: as for updates by the holder, which count from their request.

--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -103,7 +103,7 @@
 		for _, id := range v.roster.Retain(now, ids, p.Next) {
 			event.UpstreamChanged.Log("upstream", id, "change", roster.Left, "reason", "no entry")
 		}
-		v.roster.Advance(now, p.Next, true)
+		v.roster.Advance(now.Add(-p.Took), p.Next, true)
 	}
 	v.mu.Unlock()
 	v.publish(now)
@@ -129,7 +129,7 @@
 			event.UpstreamChanged.Log("upstream", rec.Key, "change", c, "reason", "entry removed", "offset", rec.Offset)
 		}
 	}
-	v.roster.Advance(now, p.Next, p.Next >= p.End)
+	v.roster.Advance(now.Add(-p.Took), p.Next, p.Next >= p.End)
 	v.mu.Unlock()
 	if len(p.Records) > 0 {
 		v.publish(now)
--- a/internal/node/entry/view_test.go
+++ b/internal/node/entry/view_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/roster"
+	"github.com/azurespan/azurespan/internal/node/feed"
 	"github.com/azurespan/azurespan/internal/node/hub"
 )
 
@@ -158,3 +159,14 @@
 	register, _ := v.KnownOffsets()
 	must.Eq(t, int64(130), register)
 }
+
+// TestSlowReadIsOld guards against a view of the register that counts as current although
+// its read was answered seconds ago, or the daemon was suspended before it got the answer.
+func TestSlowReadIsOld(t *testing.T) {
+	v := newTestView()
+	s := &registerSink{topics: v.topicView}
+	s.Apply(at(110), &feed.Page{Next: 5, End: 5, Took: 7 * time.Second})
+	must.Eq(t, 7*time.Second, at(110).Sub(v.roster.ReadAt()))
+	s.Apply(at(111), &feed.Page{Next: 6, End: 6, Took: 4 * time.Millisecond})
+	must.Eq(t, 4*time.Millisecond, at(111).Sub(v.roster.ReadAt()))
+}
