origin: go by the last stream that began under an ID

A stream was taken up at the version of a former one if both requests had the same ID. The platform's callers give each attempt an ID of its own; others may not. Cause: Begin kept the version that the table had for the ID.

Evidence: TestStreamBeginsAgain failed on (v1 in place of v2) and passes, with the race detector.

Conclusion: the daemon at which a stream begins goes by it and tells it. Daemons that know the former one from the log or by being told keep that; if IDs are used again at several daemons, streams may still go on at the wrong version.

--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -116,12 +116,15 @@
 }
 
 // Begin records that the daemon forwards the first event of a stream, or goes on with
-// a stream that its caller has taken up again.
+// a stream that its caller has taken up again. A former stream with its ID is forgotten.
 func (t *Table) Begin(now time.Time, s Stream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
 	e := t.add(now, s)
+	if e.Stream != s {
+		e.Stream, e.recorded = s, false
+	}
 	e.inProgress = true
 	if len(t.versions[s.Service]) > 1 {
 		t.record(now, e)
--- a/internal/core/origin/table_test.go
+++ b/internal/core/origin/table_test.go
@@ -145,3 +145,20 @@
 		})
 	}
 }
+
+// TestStreamBeginsAgain guards against a stream that is taken up at the version of a
+// former one, whose request had the same ID.
+func TestStreamBeginsAgain(t *testing.T) {
+	tab := New()
+	tab.Registered(at(0), "s", "v1")
+	tab.Registered(at(0), "s", "v2")
+	tab.Begin(at(0), Stream{1, "s", "v1"})
+	_, pos := tab.Since(at(0), 0, 100)
+	tab.End(at(1), 1)
+	tab.Begin(at(2), Stream{1, "s", "v2"})
+	s, ok := tab.Origin(1)
+	must.True(t, ok)
+	must.Eq(t, "v2", s.Version)
+	streams, _ := tab.Since(at(2), pos, 100)
+	must.Eq(t, []Stream{{1, "s", "v2"}}, streams)
+}
