relay: take a request for part of another stream only if it goes on after an event

A request that names another one in Resumes but no event to go on after begins a stream at any version.

Conclusion: Resumes counts only together with Last-Event-Id.

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -121,7 +121,7 @@
 	}
 	x.fingerprint = fingerprint(req, caller)
 	x.streamID = hash64(req.ID)
-	if req.Resumes != "" {
+	if req.Resumes != "" && req.LastEventID != "" {
 		x.streamID = hash64(req.Resumes)
 	}
 	x.parts = req.SharedParts()
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -128,3 +128,19 @@
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, 3, strings.Count(body, "data: "))
 }
+
+// TestResumesWithoutEvent guards against a stream that changes its version because a
+// request without an event of it names it.
+func TestResumesWithoutEvent(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(3, 0), streamEvents(3, 0))
+	f.origins.table.Learn(time.Now(), []origin.Stream{{ID: hash64("a"), Service: "s", Version: "v2"}})
+	// A stream of its own, at v1, which is preferred.
+	code, body := f.takeUp("b", "a", "")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	must.Eq(t, 1, f.requestCount(0))
+	for id, version := range map[string]string{"a": "v2", "b": "v1"} {
+		s, _ := f.origins.table.Origin(hash64(id))
+		must.Eq(t, version, s.Version)
+	}
+}
