origin: tell other daemons of broken streams once a second version comes

A stream that had broken off just before its service got a second version was refused with unknown-origin at all other daemons for 30 s: its daemon knew its version but told nobody. Cause: when a service gets its second version, only streams that were being forwarded at that moment were told and written to the log, not those whose callers were about to take them up.

Tests changed: TestStreamsAreRecorded says that its stream that isn't told was complete.

Conclusion: broken streams of the last 30 s are told as well, complete ones aren't. What remains: streams whose daemon ended before the second version came.

--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -39,6 +39,8 @@
 		Stream
 		// inProgress is set while the stream is forwarded by this daemon.
 		inProgress bool
+		// complete is set once this daemon has forwarded the stream to its end.
+		complete bool
 		// recorded is set once the stream is in Table.recorded.
 		recorded bool
 		expires  time.Time
@@ -77,7 +79,7 @@
 }
 
 // addVersion adds a version unless it is known. If it is the second one of its
-// service, the streams in progress become recorded. t.mu must be held.
+// service, the streams that aren't complete become recorded. t.mu must be held.
 func (t *Table) addVersion(now time.Time, service, version string) {
 	vs := t.versions[service]
 	if vs == nil {
@@ -93,7 +95,7 @@
 		return
 	}
 	for _, e := range t.streams {
-		if e.Service == service && e.inProgress {
+		if e.Service == service && !e.complete {
 			t.record(now, e)
 		}
 	}
@@ -125,18 +127,18 @@
 	if e.Stream != s {
 		e.Stream, e.recorded = s, false
 	}
-	e.inProgress = true
+	e.inProgress, e.complete = true, false
 	if len(t.versions[s.Service]) > 1 {
 		t.record(now, e)
 	}
 }
 
-// End records that the daemon no longer forwards a stream.
-func (t *Table) End(now time.Time, id uint64) {
+// End records that the daemon no longer forwards a stream, which may be complete.
+func (t *Table) End(now time.Time, id uint64, complete bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.streams[id]; e != nil {
-		e.inProgress, e.expires = false, now.Add(Retention)
+		e.inProgress, e.complete, e.expires = false, complete, now.Add(Retention)
 	}
 }
 
--- a/internal/core/origin/table_test.go
+++ b/internal/core/origin/table_test.go
@@ -51,13 +51,13 @@
 
 // TestStreamsAreRecorded guards against streams whose version no other daemon can know:
 // those that begin while a service has two versions, and those that are in progress as
-// the second one comes.
+// the second one comes. Complete ones aren't taken up again.
 func TestStreamsAreRecorded(t *testing.T) {
 	tab := New()
 	tab.Registered(at(0), "s", "v1")
 	tab.Begin(at(0), Stream{1, "s", "v1"})
 	tab.Begin(at(0), Stream{2, "s", "v1"})
-	tab.End(at(1), 2)
+	tab.End(at(1), 2, true)
 	streams, pos := tab.Since(at(1), 0, 100)
 	must.SliceEmpty(t, streams)
 	tab.Registered(at(2), "s", "v2")
@@ -91,7 +91,7 @@
 		tab.Registered(now, "s", "v2")
 		id := uint64(i + 1)
 		tab.Begin(now, Stream{id, "s", "v1"})
-		tab.End(now, id)
+		tab.End(now, id, true)
 	}
 	limit := perSecond * int((Retention+2*pruneInterval)/time.Second)
 	must.LessEq(t, limit, len(tab.streams))
@@ -114,7 +114,7 @@
 			}
 			for i := range b.N {
 				tab.Begin(at(0), Stream{uint64(i), "s", "v0"})
-				tab.End(at(0), uint64(i))
+				tab.End(at(0), uint64(i), true)
 			}
 		})
 	}
@@ -154,7 +154,7 @@
 	tab.Registered(at(0), "s", "v2")
 	tab.Begin(at(0), Stream{1, "s", "v1"})
 	_, pos := tab.Since(at(0), 0, 100)
-	tab.End(at(1), 1)
+	tab.End(at(1), 1, true)
 	tab.Begin(at(2), Stream{1, "s", "v2"})
 	s, ok := tab.Origin(1)
 	must.True(t, ok)
@@ -162,3 +162,15 @@
 	streams, _ := tab.Since(at(2), pos, 100)
 	must.Eq(t, []Stream{{1, "s", "v2"}}, streams)
 }
+
+// TestBrokenStreamIsRecorded guards against a stream that broke off shortly before its
+// service got a second version, and that no other daemon can take up.
+func TestBrokenStreamIsRecorded(t *testing.T) {
+	tab := New()
+	tab.Registered(at(0), "s", "v1")
+	tab.Begin(at(0), Stream{1, "s", "v1"})
+	tab.End(at(1), 1, false)
+	tab.Registered(at(1.5), "s", "v2")
+	streams, _ := tab.Since(at(2), 0, 100)
+	must.Eq(t, []Stream{{1, "s", "v1"}}, streams)
+}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -46,9 +46,9 @@
 		// that may have run.
 		attempts, possibleRuns int
 		// streamID identifies the stream, also over its caller's attempts; begun is
-		// set once an event of it has been forwarded.
-		streamID uint64
-		begun    bool
+		// set once an event of it has been forwarded, and whole once all of it has.
+		streamID     uint64
+		begun, whole bool
 		// lastFailure is the cause of the last failed attempt.
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
@@ -200,6 +200,7 @@
 		}
 		o, up := x.attempt(ctx, c)
 		if o.done {
+			x.whole = true
 			x.logOutcome(metric.OutcomeOK, up, o.status)
 			return
 		}
--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -101,6 +101,6 @@
 // endStream records that the stream is no longer forwarded.
 func (x *exchange) endStream() {
 	if x.begun {
-		x.relay.origins.Table().End(x.relay.now(), x.streamID)
+		x.relay.origins.Table().End(x.relay.now(), x.streamID, x.whole)
 	}
 }
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -144,3 +144,23 @@
 		must.Eq(t, version, s.Version)
 	}
 }
+
+// TestBrokenStreamIsTold guards against a stream that broke off just before its service
+// got a second version, and that no other daemon is told of; complete ones needn't be.
+func TestBrokenStreamIsTold(t *testing.T) {
+	broken := newVersionedFixture(t, streamEvents(3, 1))
+	code, _ := broken.send(http.MethodPost, "a", "m")
+	must.Eq(t, 0, code)
+	whole := newVersionedFixture(t, streamEvents(3, 0))
+	code, _ = whole.send(http.MethodPost, "b", "m")
+	must.Eq(t, http.StatusOK, code)
+	for f, want := range map[*fixture][]origin.Stream{
+		broken: {{ID: hash64("a"), Service: "s", Version: "v1"}},
+		whole:  {},
+	} {
+		f.front.Close() // waits for the end of the request
+		f.origins.table.Registered(time.Now(), "s", "v2")
+		told, _ := f.origins.table.Since(time.Now(), 0, 10)
+		must.Eq(t, want, told)
+	}
+}
