relay: keep a stream that is taken up at its service of a split route

On a route that is split over several services, a stream could go on at another service than began it. Cause: the service was chosen by the ID of the attempt. An attempt that takes a stream up has another ID than the one that began it, and a daemon that knows only one version of the service chosen went by that version.

Evidence: TestSplitRouteKeepsItsService failed on (sent to the second service) and passes, with the race detector.

Conclusion: the service is chosen by the ID of the attempt that began the stream. After a change of the route's weights the choice may differ, unless the daemon knows the stream.

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -110,8 +110,12 @@
 	if req.CallerTimeout > 0 && req.CallerTimeout < route.Timeout {
 		x.deadline = arrived.Add(req.CallerTimeout)
 	}
+	x.streamID = hash64(req.ID)
+	if req.Resumes != "" && req.LastEventID != "" {
+		x.streamID = hash64(req.Resumes)
+	}
 	x.query = pick.Query{
-		Key:       fleet.Key{Service: route.Pick(hash64(req.ID)), Model: req.Model, Adapter: req.Adapter},
+		Key:       fleet.Key{Service: route.Pick(x.streamID), Model: req.Model, Adapter: req.Adapter},
 		PrefixKey: req.SharedKey(),
 		NoRetry:   !route.Repeatable(),
 	}
@@ -120,10 +124,6 @@
 		caller = hr.RemoteAddr
 	}
 	x.fingerprint = fingerprint(req, caller)
-	x.streamID = hash64(req.ID)
-	if req.Resumes != "" && req.LastEventID != "" {
-		x.streamID = hash64(req.Resumes)
-	}
 	x.parts = req.SharedParts()
 	// A caller that does not read must not hold the request past its deadline.
 	if err := x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -164,3 +165,31 @@
 		must.Eq(t, want, told)
 	}
 }
+
+// TestSplitRouteKeepsItsService guards against a stream that goes on at another service
+// of its route than the one that began it, because the caller's new attempt has an ID
+// that is assigned there.
+func TestSplitRouteKeepsItsService(t *testing.T) {
+	r := route(fleet.Stream, 3, true)
+	r.Targets = []fleet.Target{{Service: "s", Weight: 1}, {Service: "s2", Weight: 1}}
+	f := newFixture(t, r, streamEvents(3, 0), streamEvents(3, 0))
+	f.ups[0].Version, f.ups[1].Version = "v1", "v1"
+	f.ups[1].Service = "s2"
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	for _, u := range f.ups {
+		f.origins.table.Registered(time.Now(), u.Service, u.Version)
+	}
+	// Begun at another daemon, while each service had one version.
+	first := ""
+	for i := 0; first == "" || r.Pick(hash64(first)) != "s"; i++ {
+		first = fmt.Sprint("a", i)
+	}
+	again := ""
+	for i := 0; again == "" || r.Pick(hash64(again)) != "s2"; i++ {
+		again = fmt.Sprint("b", i)
+	}
+	code, _ := f.takeUp(again, first, "2")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, 1, f.requestCount(0))
+	must.Eq(t, 0, f.requestCount(1))
+}
