roster: pass a new version of an upstream's software on

A daemon that follows the holder kept the former version of an upstream whose entry changed its version but not its time of start. Cause: a change of version alone wasn't part of the holder's updates. The platform's upstreams give a new time of start with each start, so that this was seen in the test only.

Conclusion: a version is a field that others need. An entry whose time of start is earlier than the known one, as after a step of the upstream's clock, is still ignored.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -133,7 +133,7 @@
 // needsUpdate reports whether the difference between two entries is relevant to
 // other daemons. They learn what an upstream holds by other means.
 func needsUpdate(a, b *fleet.Upstream) bool {
-	return a.Service != b.Service || a.Address != b.Address || a.FailureDomain != b.FailureDomain || a.Slots != b.Slots ||
+	return a.Service != b.Service || a.Version != b.Version || a.Address != b.Address || a.FailureDomain != b.FailureDomain || a.Slots != b.Slots ||
 		a.Leaving != b.Leaving || (a.ColdFor > 0) != (b.ColdFor > 0)
 }
 
--- a/internal/core/roster/update_test.go
+++ b/internal/core/roster/update_test.go
@@ -57,7 +57,7 @@
 // contents describes the upstreams of r by those fields that are in updates.
 func contents(r *Roster) (out []string) {
 	for _, u := range r.Append(nil) {
-		out = append(out, fmt.Sprint(u.ID, " ", u.Born, " ", u.Address, " leaving ", u.Leaving, " cold ", u.ColdFor > 0))
+		out = append(out, fmt.Sprint(u.ID, " ", u.Born, " ", u.Address, " ", u.Version, " leaving ", u.Leaving, " cold ", u.ColdFor > 0))
 	}
 	sort.Strings(out)
 	return out
@@ -99,7 +99,7 @@
 			id := fmt.Sprint("u", rng.IntN(6))
 			up := ups[id]
 			up.ID, up.Service, up.ColdFor = id, "s", 0
-			switch rng.IntN(9) {
+			switch rng.IntN(10) {
 			case 0:
 				g.write(fleet.Upstream{ID: id})
 			case 1:
@@ -123,6 +123,9 @@
 				}
 			case 8:
 				sendUpdate(now, rs[rng.IntN(len(rs))], rs[rng.IntN(len(rs))])
+			case 9:
+				up.Version = fmt.Sprint("v", rng.IntN(3))
+				g.write(up)
 			}
 			ups[id] = up
 		}
