origin: record a stream again when its caller takes it up late

A stream whose caller took it up twice could be refused the second time, 30 s after it began, though the first time was a moment ago. Cause: a stream was written to the log once, where its record is overwritten after Retention; a daemon that took it up by that record didn't tell it on. No constant bounds the time-outs of routes below Retention.

Conclusion: known for at least 20 s after its caller last took it up. A new contact makes the holder write streams again that it wrote more than 10 s ago.

--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -41,9 +41,12 @@
 		inProgress bool
 		// complete is set once this daemon has forwarded the stream to its end.
 		complete bool
-		// recorded is set once the stream is in Table.recorded.
-		recorded bool
-		expires  time.Time
+		// recordedAt is when the stream was last added to Table.recorded or, if read
+		// is set, read from the log, zero if neither. Its record there may be as old
+		// as Retention.
+		recordedAt time.Time
+		read       bool
+		expires    time.Time
 	}
 
 	recording struct {
@@ -61,6 +64,9 @@
 	// The first stream of a new upstream begins later than that after its
 	// registration, because a model is loaded first.
 	currentAge = 2 * time.Second
+	// renewInterval is the time since a stream was recorded after which it is recorded
+	// again if its caller takes it up: the log keeps it for Retention.
+	renewInterval = Retention / 3
 	// pruneInterval is the interval at which expired entries are dropped.
 	pruneInterval = time.Second
 )
@@ -124,8 +130,8 @@
 	defer t.mu.Unlock()
 	t.prune(now)
 	e := t.add(now, s)
-	if e.Stream != s {
-		e.Stream, e.recorded = s, false
+	if e.Stream != s || e.read {
+		e.Stream, e.read, e.recordedAt = s, false, time.Time{}
 	}
 	e.inProgress, e.complete = true, false
 	if len(t.versions[s.Service]) > 1 {
@@ -160,7 +166,9 @@
 	defer t.mu.Unlock()
 	t.prune(now)
 	for _, s := range streams {
-		t.add(now, s).recorded = true
+		if e := t.add(now, s); e.recordedAt.IsZero() {
+			e.recordedAt, e.read = now, true
+		}
 	}
 	for service, vs := range versions {
 		for _, v := range vs {
@@ -181,10 +189,11 @@
 	return e
 }
 
-// record adds a stream to those that other daemons should know. t.mu must be held.
+// record adds a stream to those that other daemons should know, unless that was done
+// lately. t.mu must be held.
 func (t *Table) record(now time.Time, e *entry) {
-	if !e.recorded {
-		e.recorded = true
+	if e.recordedAt.IsZero() || now.Sub(e.recordedAt) > renewInterval {
+		e.recordedAt = now
 		t.recorded = append(t.recorded, recording{e.Stream, now})
 	}
 }
--- a/internal/core/origin/table_test.go
+++ b/internal/core/origin/table_test.go
@@ -174,3 +174,15 @@
 	streams, _ := tab.Since(at(2), 0, 100)
 	must.Eq(t, []Stream{{1, "s", "v1"}}, streams)
 }
+
+// TestLongStreamIsRecordedAgain guards against a stream whose record has been overwritten
+// in the log, although it was taken up since it was written.
+func TestLongStreamIsRecordedAgain(t *testing.T) {
+	tab := New()
+	tab.Registered(at(0), "s", "v1")
+	tab.Registered(at(0), "s", "v2")
+	tab.Read(at(19.9), []Stream{{1, "s", "v1"}}, nil)
+	tab.Begin(at(20), Stream{1, "s", "v1"})
+	streams, _ := tab.Since(at(20), 0, 100)
+	must.Eq(t, []Stream{{1, "s", "v1"}}, streams)
+}
