olog: keep the order to write streams again that comes during a write

If a search for an origin noticed during a write that the log had lost records, the write set the position forward again, and what was lost stayed lost.

Evidence: TestLossIsSeenDuringWrite failed on the former commit and passes, with the race detector.

Conclusion: the position moves on only if nothing has set it back.

--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -278,7 +278,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.position = next
+	if s.position == position {
+		s.position = next
+	}
 	return nil
 }
 
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -426,3 +426,42 @@
 	}
 	must.Eq(t, 33, topic.reads)
 }
+
+// putHook is a topic that calls before during each write.
+type putHook struct {
+	testTopic
+	before func()
+}
+
+func (t *putHook) Put(ctx context.Context, key string, value []byte) error {
+	t.before()
+	return t.testTopic.Put(ctx, key, value)
+}
+
+// TestLossIsSeenDuringWrite guards against records that a restored log has lost, and that
+// aren't written again because the search for an origin finds that out during a write.
+func TestLossIsSeenDuringWrite(t *testing.T) {
+	_, now := newSite()
+	topic := &putHook{testTopic: testTopic{records: map[string]feed.Record{}}, before: func() {}}
+	d := newDaemon(&topic.testTopic, "a", now, "v1", "v2")
+	d.Store.topic = topic
+	d.holds = true
+	d.run(t)
+	for id := range uint64(2) {
+		*now = now.Add(writeInterval)
+		d.table.Begin(*now, origin.Stream{ID: id, Service: "s", Version: "v2"})
+		d.run(t)
+		topic.before = func() {
+			clear(topic.records)
+			*now = now.Add(writeInterval)
+			must.NoError(t, d.Refresh(context.Background()))
+			topic.before = func() {}
+		}
+	}
+	*now = now.Add(writeInterval)
+	d.run(t)
+	started := newDaemon(&topic.testTopic, "b", now, "v1")
+	for id := range uint64(2) {
+		must.Eq(t, "v2", started.version(t, id), must.Sprint("stream ", id))
+	}
+}
