pick, relay: treat an empty software version as a version

A stream that an upstream with an empty version began went on at any version. Cause: the empty string meant 'any' in pick.Query, and the register's entries may have it.

Tests changed: TestVersionIsKept passes the versions by reference; its assertions are the same.

Conclusion: an absent version and an empty one differ.

--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -65,7 +65,7 @@
 		defer x.relay.mu.Unlock()
 		return refusal{http.StatusServiceUnavailable, unknownOriginReason, x.relay.jitterRetryAfter(x, upstreamRetryAfter)}, false
 	}
-	x.query.Version = s.Version
+	x.query.Version = &s.Version
 	x.query.Key.Service = s.Service
 	return refusal{}, true
 }
@@ -94,7 +94,7 @@
 		return
 	}
 	x.begun = true
-	x.query.Version = up.Version
+	x.query.Version = &up.Version
 	x.relay.origins.Table().Begin(x.relay.now(), origin.Stream{ID: x.streamID, Service: up.Service, Version: up.Version})
 }
 
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -193,3 +193,17 @@
 	must.Eq(t, 1, f.requestCount(0))
 	must.Eq(t, 0, f.requestCount(1))
 }
+
+// TestEmptyVersionIsAVersion guards against a stream that goes on at any version because
+// the upstream that began it is registered with an empty one.
+func TestEmptyVersionIsAVersion(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(3, 1), streamEvents(3, 0))
+	f.ups[0].Version = ""
+	f.origins.table.Registered(time.Now(), "s", "")
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	code, body := f.send(http.MethodPost, "a", "m")
+	must.Eq(t, 0, code)
+	must.Eq(t, wantEvents(1), body)
+	f.takeUp("b", "a", "1")
+	must.Eq(t, 0, f.requestCount(1))
+}
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -23,7 +23,7 @@
 		if u.info.Leaving || tried(q.Tried, u.info.ID) {
 			continue
 		}
-		if q.Version != "" && u.info.Version != q.Version {
+		if q.Version != nil && u.info.Version != *q.Version {
 			other, otherLoaded = true, otherLoaded || u.canRun(now, q.Key)
 			continue
 		}
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -40,9 +40,9 @@
 		PrefixKey string
 		// Tried lists the IDs of upstreams that must not be chosen again.
 		Tried []string
-		// Version is the only software version that may run the request, empty
-		// for any.
-		Version string
+		// Version is the only software version that may run the request, nil if any
+		// may.
+		Version *string
 		// NoRetry is set for a request that can't be repeated.
 		NoRetry bool
 		// Limited is set by Choose: the upstream that could have run the
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -313,19 +313,20 @@
 	}
 	tab.SetUpstreams(ups, false)
 	q := query("m", "")
-	q.Version = "v1"
+	v1, v2 := "v1", "v2"
+	q.Version = &v1
 	must.MapEq(t, map[string]int{"e1": 4, "e3": 4}, send(t, tab, at(0), 8, q))
 	_, why := tab.Choose(at(0), q)
 	must.Eq(t, Full, why)
 	lacking := query("n", "")
-	lacking.Version = "v1"
+	lacking.Version = &v1
 	_, why = tab.Choose(at(0), lacking)
 	must.Eq(t, NotLoaded, why)
 	// A model that only another version holds isn't loaded for the sake of a version.
 	tab.SetCopies([]fleet.Inventory{{ID: "e0", Born: 1, Held: []fleet.LoadedModel{{Model: "n"}}}})
 	_, why = tab.Choose(at(0), lacking)
 	must.Eq(t, OtherVersion, why)
-	q.Version = "v2"
+	q.Version = &v2
 	_, why = tab.Choose(at(0), q)
 	must.Eq(t, OtherVersion, why)
 	must.Eq(t, "other-version", why.String())
