olog: write the versions before removing another host's record of them

The topic lacked the versions of a service for a write interval, and for as long as a write failed after that: a holder that removed a former holder's record, because one version there had expired, wrote its own only at the next step. A daemon that started meanwhile took the only version that it saw for that of all streams.

Evidence: TestVersionsStayInTopic failed on the former commit and passes, with the race detector.

Conclusion: records that the holder is about to remove don't count as present.

--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -177,7 +177,7 @@
 func (s *Store) writeVersions(ctx context.Context, now time.Time, holds bool) error {
 	versions, _ := s.table.Versions(now)
 	s.mu.Lock()
-	missing, expired := s.compare(versions)
+	missing, expired := s.compare(versions, holds)
 	own := s.stored[s.host]
 	s.mu.Unlock()
 	if missing || holds && !includes(versions, own) {
@@ -208,24 +208,28 @@
 	return nil
 }
 
-// compare reports whether the topic lacks one of the versions, and returns the other
-// hosts whose records have versions beside them. s.mu must be held.
-func (s *Store) compare(versions map[string][]string) (missing bool, expired []string) {
+// compare returns the other hosts whose records have versions beside the given ones, and
+// reports whether the topic lacks one of the versions. For the holder, which removes the
+// records of those hosts, their versions don't count. s.mu must be held.
+func (s *Store) compare(versions map[string][]string, holds bool) (missing bool, expired []string) {
+	kept := make([]map[string][]string, 0, len(s.stored))
+	for host, stored := range s.stored {
+		beside := host != s.host && !includes(versions, stored)
+		if beside {
+			expired = append(expired, host)
+		}
+		if !beside || !holds {
+			kept = append(kept, stored)
+		}
+	}
 	for service, vs := range versions {
 		for _, v := range vs {
-			found := false
-			for _, stored := range s.stored {
-				found = found || slices.Contains(stored[service], v)
+			if !slices.ContainsFunc(kept, func(stored map[string][]string) bool { return slices.Contains(stored[service], v) }) {
+				return true, expired
 			}
-			missing = missing || !found
-		}
-	}
-	for host, stored := range s.stored {
-		if host != s.host && !includes(versions, stored) {
-			expired = append(expired, host)
 		}
 	}
-	return missing, expired
+	return false, expired
 }
 
 // includes reports whether all has each version of some.
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -465,3 +465,23 @@
 		must.Eq(t, "v2", started.version(t, id), must.Sprint("stream ", id))
 	}
 }
+
+// TestVersionsStayInTopic guards against a moment in which the topic lacks versions that
+// are served, because the holder removes a former holder's record before it writes its own.
+func TestVersionsStayInTopic(t *testing.T) {
+	topic, now := newSite()
+	former := newDaemon(topic, "a", now, "v1", "v2", "v3")
+	former.holds = true
+	former.run(t)
+	d := newDaemon(topic, "b", now, "v1", "v2")
+	d.holds = true
+	for range 2 * int(origin.Retention/time.Second) {
+		*now = now.Add(time.Second)
+		d.see("v1", "v2")
+		must.NoError(t, d.step(context.Background()))
+		started := newDaemon(topic, "c", now, "v1")
+		must.NoError(t, started.Refresh(context.Background()))
+		_, only := started.table.Only(*now, "s")
+		must.False(t, only)
+	}
+}
