--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -42,9 +42,14 @@
 		Stream
 		// inProgress is set while the stream is forwarded by this daemon.
 		inProgress bool
-		// recorded is set once the stream is in Table.recorded.
-		recorded bool
-		expires  time.Time
+		// complete is set once this daemon has forwarded the stream to its end.
+		complete bool
+		// recordedAt is when the stream was last added to Table.recorded or, if read
+		// is set, read from the log, zero if neither. Its record there may be as old
+		// as Retention.
+		recordedAt time.Time
+		read       bool
+		expires    time.Time
 	}
 
 	// contact is a source of what may serve, and is current for a time after it was
@@ -70,6 +75,9 @@
 	// The first stream of a new upstream begins later than that after its
 	// registration, because a model is loaded first.
 	registerTTL = 2 * time.Second
+	// renewInterval is the time since a stream was recorded after which it is recorded
+	// again if its caller takes it up: the log keeps it for Retention.
+	renewInterval = Retention / 3
 	// pruneInterval is the interval at which expired entries are dropped.
 	pruneInterval = time.Second
 )
@@ -89,7 +97,7 @@
 }
 
 // addVersion adds a version unless it is known. If it is the second one of its
-// service, the streams in progress become recorded. t.mu must be held.
+// service, the streams that aren't complete become recorded. t.mu must be held.
 func (t *Table) addVersion(now time.Time, service, version string) {
 	vs := t.versions[service]
 	if vs == nil {
@@ -105,7 +113,7 @@
 		return
 	}
 	for _, e := range t.streams {
-		if e.Service == service && e.inProgress {
+		if e.Service == service && !e.complete {
 			t.record(now, e)
 		}
 	}
@@ -133,24 +141,27 @@
 func (c *contact) current(now time.Time, ttl time.Duration) bool { return now.Sub(c.heardAt) <= ttl }
 
 // Begin records that the daemon forwards the first event of a stream, or goes on with
-// a stream that its caller has taken up again.
+// a stream that its caller has taken up again. A former stream with its ID is forgotten.
 func (t *Table) Begin(now time.Time, s Stream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
 	e := t.add(now, s)
-	e.inProgress = true
+	if e.Stream != s || e.read {
+		e.Stream, e.read, e.recordedAt = s, false, time.Time{}
+	}
+	e.inProgress, e.complete = true, false
 	if len(t.versions[s.Service]) > 1 {
 		t.record(now, e)
 	}
 }
 
-// End records that the daemon no longer forwards a stream.
-func (t *Table) End(now time.Time, id uint64) {
+// End records that the daemon no longer forwards a stream, which may be complete.
+func (t *Table) End(now time.Time, id uint64, complete bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.streams[id]; e != nil {
-		e.inProgress, e.expires = false, now.Add(Retention)
+		e.inProgress, e.complete, e.expires = false, complete, now.Add(Retention)
 	}
 }
 
@@ -172,7 +183,9 @@
 	defer t.mu.Unlock()
 	t.prune(now)
 	for _, s := range streams {
-		t.add(now, s).recorded = true
+		if e := t.add(now, s); e.recordedAt.IsZero() {
+			e.recordedAt, e.read = now, true
+		}
 	}
 	for service, vs := range versions {
 		for _, v := range vs {
@@ -193,10 +206,11 @@
 	return e
 }
 
-// record adds a stream to those that other daemons should know. t.mu must be held.
+// record adds a stream to those that other daemons should know, unless that was done
+// lately. t.mu must be held.
 func (t *Table) record(now time.Time, e *entry) {
-	if !e.recorded {
-		e.recorded = true
+	if e.recordedAt.IsZero() || now.Sub(e.recordedAt) > renewInterval {
+		e.recordedAt = now
 		t.recorded = append(t.recorded, recording{e.Stream, now})
 	}
 }
--- a/internal/core/origin/table_test.go
+++ b/internal/core/origin/table_test.go
@@ -75,13 +75,13 @@
 
 // TestStreamsAreRecorded guards against streams whose version no other daemon can know:
 // those that begin while a service has two versions, and those that are in progress as
-// the second one comes.
+// the second one comes. Complete ones aren't taken up again.
 func TestStreamsAreRecorded(t *testing.T) {
 	tab := New(3 * time.Second)
 	tab.Registered(at(0), "s", "v1")
 	tab.Begin(at(0), Stream{1, "s", "v1"})
 	tab.Begin(at(0), Stream{2, "s", "v1"})
-	tab.End(at(1), 2)
+	tab.End(at(1), 2, true)
 	streams, pos := tab.Since(at(1), 0, 100)
 	must.SliceEmpty(t, streams)
 	tab.Registered(at(2), "s", "v2")
@@ -115,7 +115,7 @@
 		tab.Registered(now, "s", "v2")
 		id := uint64(i + 1)
 		tab.Begin(now, Stream{id, "s", "v1"})
-		tab.End(now, id)
+		tab.End(now, id, true)
 	}
 	limit := perSecond * int((Retention+2*pruneInterval)/time.Second)
 	must.LessEq(t, limit, len(tab.streams))
@@ -138,8 +138,75 @@
 			}
 			for i := range b.N {
 				tab.Begin(at(0), Stream{uint64(i), "s", "v0"})
-				tab.End(at(0), uint64(i))
+				tab.End(at(0), uint64(i), true)
 			}
 		})
 	}
 }
+
+// TestSuspendedDaemon guards against taking the only version that a daemon knows for that
+// of a stream, after it was suspended: another version may have come and gone.
+func TestSuspendedDaemon(t *testing.T) {
+	for name, wake := range map[string]func(*Table){
+		"request first":       func(*Table) {},
+		"register read first": func(tab *Table) { tab.Contact(at(11.1), at(11.1), time.Time{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tab := New(3 * time.Second)
+			tab.Registered(at(0), "s", "v1")
+			tab.Contact(at(0), at(0), time.Time{})
+			tab.Read(at(0.1), nil, nil)
+			tab.Contact(at(1), at(1), time.Time{})
+			_, only := tab.Only(at(1), "s", false)
+			must.True(t, only)
+			wake(tab)
+			_, only = tab.Only(at(11.1), "s", false)
+			must.False(t, only)
+			tab.Contact(at(11.2), at(11.2), time.Time{})
+			tab.Read(at(11.3), nil, nil)
+			_, only = tab.Only(at(11.3), "s", false)
+			must.True(t, only)
+		})
+	}
+}
+
+// TestStreamBeginsAgain guards against a stream that is taken up at the version of a
+// former one, whose request had the same ID.
+func TestStreamBeginsAgain(t *testing.T) {
+	tab := New(3 * time.Second)
+	tab.Registered(at(0), "s", "v1")
+	tab.Registered(at(0), "s", "v2")
+	tab.Begin(at(0), Stream{1, "s", "v1"})
+	_, pos := tab.Since(at(0), 0, 100)
+	tab.End(at(1), 1, true)
+	tab.Begin(at(2), Stream{1, "s", "v2"})
+	s, ok := tab.Origin(1)
+	must.True(t, ok)
+	must.Eq(t, "v2", s.Version)
+	streams, _ := tab.Since(at(2), pos, 100)
+	must.Eq(t, []Stream{{1, "s", "v2"}}, streams)
+}
+
+// TestBrokenStreamIsRecorded guards against a stream that broke off shortly before its
+// service got a second version, and that no other daemon can take up.
+func TestBrokenStreamIsRecorded(t *testing.T) {
+	tab := New(3 * time.Second)
+	tab.Registered(at(0), "s", "v1")
+	tab.Begin(at(0), Stream{1, "s", "v1"})
+	tab.End(at(1), 1, false)
+	tab.Registered(at(1.5), "s", "v2")
+	streams, _ := tab.Since(at(2), 0, 100)
+	must.Eq(t, []Stream{{1, "s", "v1"}}, streams)
+}
+
+// TestLongStreamIsRecordedAgain guards against a stream whose record has been overwritten
+// in the log, although it was taken up since it was written.
+func TestLongStreamIsRecordedAgain(t *testing.T) {
+	tab := New(3 * time.Second)
+	tab.Registered(at(0), "s", "v1")
+	tab.Registered(at(0), "s", "v2")
+	tab.Read(at(19.9), []Stream{{1, "s", "v1"}}, nil)
+	tab.Begin(at(20), Stream{1, "s", "v1"})
+	streams, _ := tab.Since(at(20), 0, 100)
+	must.Eq(t, []Stream{{1, "s", "v1"}}, streams)
+}
--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -1,8 +1,10 @@
 package olog
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -45,20 +47,28 @@
 		holder Holder
 		now    func() time.Time
 
-		// reading serializes reads of the topic.
-		reading sync.Mutex
+		// reading is held during a read of the topic.
+		reading chan struct{}
 
 		mu sync.Mutex
 		// readAt is when the last successful read of the topic began.
 		readAt time.Time
+		// uncertain is set from a failed call to the next read: the log may have
+		// come back from a copy, without what was written last.
+		uncertain bool
 		// stored holds the versions in the topic by host and service, as far as
 		// they are known.
 		stored map[string]map[string][]string
 		// slot is the number of the next record of streams, and position that up
 		// to which the table's streams are written.
 		slot, position int
-		// writes is set while this daemon writes.
-		writes bool
+		// lastKey and lastValue are the last record of streams that was written, and
+		// wroteAt is when.
+		lastKey   string
+		lastValue []byte
+		wroteAt   time.Time
+		// holds is set while this daemon is the holder, writes while it writes.
+		holds, writes bool
 	}
 
 	// record is the value of a record. Streams are by service and version.
@@ -77,6 +87,9 @@
 	// contactTTL is the age of the holder's last reply from which a daemon writes
 	// itself.
 	contactTTL = 1500 * time.Millisecond
+	// rereadInterval is the interval at which the holder reads the topic. It finds
+	// versions that hosts have written that are gone since.
+	rereadInterval = time.Minute
 	// maxStreams bounds the streams of one record; one takes up to 21 bytes, and a
 	// record has at most 256 KB on the platform.
 	maxStreams = 10000
@@ -92,7 +105,7 @@
 
 // New returns the Store of the daemon named host.
 func New(host string, topic Topic, table *origin.Table, holder Holder, now func() time.Time) *Store {
-	return &Store{host: host, topic: topic, table: table, holder: holder, now: now, stored: map[string]map[string][]string{}}
+	return &Store{host: host, topic: topic, table: table, holder: holder, now: now, reading: make(chan struct{}, 1), stored: map[string]map[string][]string{}}
 }
 
 // Table returns the table of origins.
@@ -116,35 +129,47 @@
 	return ctx.Err()
 }
 
-// step reads the topic if that hasn't been done, and writes what is due.
+// step reads the topic and writes it, both if that is due.
 func (s *Store) step(ctx context.Context) error {
-	s.mu.Lock()
-	read := !s.readAt.IsZero()
-	s.mu.Unlock()
-	if !read {
-		return s.Refresh(ctx)
-	}
 	now := s.now()
 	holds := s.holder.Holds()
-	if !s.beginWrites(holds || now.Sub(s.holder.LastReply()) > contactTTL) {
+	writes := holds || now.Sub(s.holder.LastReply()) > contactTTL
+	if s.beginStep(now, holds, writes) {
+		if err := s.Refresh(ctx); err != nil {
+			return err
+		}
+		now = s.now()
+	}
+	if !writes {
 		return nil
 	}
-	if err := s.writeVersions(ctx, now, holds); err != nil {
-		return err
+	err := s.writeVersions(ctx, now, holds)
+	if err == nil {
+		err = s.writeStreams(ctx, now)
+	}
+	if err != nil {
+		s.mu.Lock()
+		s.uncertain = true
+		s.mu.Unlock()
 	}
-	return s.writeStreams(ctx, now)
+	return err
 }
 
-// beginWrites records whether this daemon writes, and reports it. A daemon that begins
-// to write can't know what the former writer has written, and writes all again.
-func (s *Store) beginWrites(writes bool) bool {
+// beginStep records whether this daemon writes, and reports whether it has to read
+// first. A daemon that begins to write can't know what the former writer has written,
+// and writes all streams again. Only the holder reads again: without a holder, all
+// daemons would do so at once.
+func (s *Store) beginStep(now time.Time, holds, writes bool) (read bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	age := now.Sub(s.readAt)
+	begins := !s.holds && age > contactTTL
+	read = s.readAt.IsZero() || holds && (begins || s.uncertain || age > rereadInterval)
 	if writes && !s.writes {
 		s.position = 0
 	}
-	s.writes = writes
-	return writes
+	s.holds, s.writes = holds, writes
+	return read
 }
 
 // writeVersions writes the versions of all services if the topic lacks some. The
@@ -152,7 +177,7 @@
 func (s *Store) writeVersions(ctx context.Context, now time.Time, holds bool) error {
 	versions, _ := s.table.Versions(now)
 	s.mu.Lock()
-	missing, expired := s.compare(versions)
+	missing, expired := s.compare(versions, holds)
 	own := s.stored[s.host]
 	s.mu.Unlock()
 	if missing || holds && !includes(versions, own) {
@@ -183,24 +208,28 @@
 	return nil
 }
 
-// compare reports whether the topic lacks one of the versions, and returns the other
-// hosts whose records have versions beside them. s.mu must be held.
-func (s *Store) compare(versions map[string][]string) (missing bool, expired []string) {
+// compare returns the other hosts whose records have versions beside the given ones, and
+// reports whether the topic lacks one of the versions. For the holder, which removes the
+// records of those hosts, their versions don't count. s.mu must be held.
+func (s *Store) compare(versions map[string][]string, holds bool) (missing bool, expired []string) {
+	kept := make([]map[string][]string, 0, len(s.stored))
+	for host, stored := range s.stored {
+		beside := host != s.host && !includes(versions, stored)
+		if beside {
+			expired = append(expired, host)
+		}
+		if !beside || !holds {
+			kept = append(kept, stored)
+		}
+	}
 	for service, vs := range versions {
 		for _, v := range vs {
-			found := false
-			for _, stored := range s.stored {
-				found = found || slices.Contains(stored[service], v)
+			if !slices.ContainsFunc(kept, func(stored map[string][]string) bool { return slices.Contains(stored[service], v) }) {
+				return true, expired
 			}
-			missing = missing || !found
-		}
-	}
-	for host, stored := range s.stored {
-		if host != s.host && !includes(versions, stored) {
-			expired = append(expired, host)
 		}
 	}
-	return missing, expired
+	return false, expired
 }
 
 // includes reports whether all has each version of some.
@@ -233,15 +262,28 @@
 		if err != nil {
 			return merry.Wrap(err)
 		}
-		if err := s.topic.Put(ctx, s.host+"/"+strconv.Itoa(slot), value); err != nil {
+		key := s.host + "/" + strconv.Itoa(slot)
+		err = s.topic.Put(ctx, key, value)
+		var status *feed.StatusError
+		if err != nil && errors.As(err, &status) {
+			return err
+		}
+		// A call without a response may be done later, and must not replace a
+		// newer record then.
+		s.mu.Lock()
+		s.slot = (slot + 1) % slots
+		if err == nil {
+			s.lastKey, s.lastValue, s.wroteAt = key, value, s.now()
+		}
+		s.mu.Unlock()
+		if err != nil {
 			return err
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.position = next
-	if len(streams) > 0 {
-		s.slot = (slot + 1) % slots
+	if s.position == position {
+		s.position = next
 	}
 	return nil
 }
@@ -250,8 +292,12 @@
 // done so.
 func (s *Store) Refresh(ctx context.Context) error {
 	asked := s.now()
-	s.reading.Lock()
-	defer s.reading.Unlock()
+	select {
+	case s.reading <- struct{}{}:
+	case <-ctx.Done():
+		return merry.Wrap(ctx.Err())
+	}
+	defer func() { <-s.reading }()
 	s.mu.Lock()
 	done := s.readAt.After(asked)
 	s.mu.Unlock()
@@ -273,7 +319,14 @@
 	versions := map[string][]string{}
 	stored := map[string]map[string][]string{}
 	lastSlot, lastOffset := -1, int64(-1)
+	var last []byte
+	s.mu.Lock()
+	lastKey := s.lastKey
+	s.mu.Unlock()
 	for _, r := range p.Records {
+		if r.Key == lastKey {
+			last = r.Value
+		}
 		if len(r.Value) == 0 {
 			continue
 		}
@@ -311,5 +364,9 @@
 		// The records of the former process are overwritten last.
 		s.slot = (lastSlot + 1) % slots
 	}
-	s.readAt, s.stored = began, stored
+	if s.lastKey != "" && s.lastKey == lastKey && s.wroteAt.Before(began) && !bytes.Equal(last, s.lastValue) {
+		s.position = 0
+		event.OriginsStored.Log("key", lastKey, "lost", true)
+	}
+	s.readAt, s.stored, s.uncertain = began, stored, false
 }
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -248,3 +249,239 @@
 	must.LessEq(t, perWrite*maxBytesPerStream, largest)
 	must.LessEq(t, recordBytes, maxStreams*maxBytesPerStream)
 }
+
+// blockedTopic is a topic whose reads get no response until their context ends.
+type blockedTopic struct {
+	testTopic
+	began chan struct{}
+}
+
+func (t *blockedTopic) Newest(ctx context.Context) (*feed.Page, error) {
+	t.began <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestRefreshEndsWithItsContext guards against callers that wait for a read of the log
+// by another one, for longer than they allow, while the log doesn't respond.
+func TestRefreshEndsWithItsContext(t *testing.T) {
+	_, now := newSite()
+	topic := &blockedTopic{began: make(chan struct{})}
+	d := newDaemon(&topic.testTopic, "a", now, "v1")
+	d.Store.topic = topic
+	ctx, stop := context.WithCancel(context.Background())
+	first := make(chan error, 1)
+	go func() { first <- d.step(ctx) }()
+	<-topic.began
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	second := make(chan error, 1)
+	go func() { second <- d.Refresh(ended) }()
+	select {
+	case err := <-second:
+		must.ErrorIs(t, err, context.Canceled)
+	case <-time.After(5 * time.Second):
+		t.Error("the second call waits for the read of the first one")
+	}
+	stop()
+	must.ErrorIs(t, <-first, context.Canceled)
+}
+
+// lateTopic is a topic on which a write may get no response and be done later.
+type lateTopic struct {
+	testTopic
+	lose bool
+	late []func()
+}
+
+func (t *lateTopic) Put(ctx context.Context, key string, value []byte) error {
+	if t.lose {
+		t.late = append(t.late, func() { _ = t.testTopic.Put(ctx, key, value) })
+		return context.DeadlineExceeded
+	}
+	return t.testTopic.Put(ctx, key, value)
+}
+
+// TestLateWrite guards against a write without a response that is done seconds later and
+// replaces a newer record, so that the streams of that one are lost.
+func TestLateWrite(t *testing.T) {
+	_, now := newSite()
+	topic := &lateTopic{testTopic: testTopic{records: map[string]feed.Record{}}}
+	d := newDaemon(&topic.testTopic, "a", now, "v1", "v2")
+	d.Store.topic = topic
+	d.holds = true
+	d.run(t)
+	topic.lose = true
+	d.table.Begin(*now, origin.Stream{ID: 1, Service: "s", Version: "v1"})
+	must.ErrorIs(t, d.step(context.Background()), context.DeadlineExceeded)
+	topic.lose = false
+	d.table.Begin(*now, origin.Stream{ID: 2, Service: "s", Version: "v2"})
+	d.run(t)
+	for _, do := range topic.late {
+		do()
+	}
+	started := newDaemon(&topic.testTopic, "b", now, "v1")
+	must.Eq(t, "v1", started.version(t, 1))
+	must.Eq(t, "v2", started.version(t, 2))
+}
+
+// TestRecordOfGoneHostIsRemoved guards against a version that counts as served for ever,
+// so that daemons that start refuse streams: it was recorded by a daemon that was out of
+// contact with the holder and has never become the holder itself.
+func TestRecordOfGoneHostIsRemoved(t *testing.T) {
+	topic, now := newSite()
+	holder := newDaemon(topic, "a", now, "v1")
+	holder.holds = true
+	holder.run(t)
+	apart := newDaemon(topic, "b", now, "v1", "v2")
+	apart.run(t)
+	// The holder never sees v2, which has gone when contact is back; "b" is gone as well.
+	for range 5 * int(origin.Retention/time.Second) {
+		*now = now.Add(time.Second)
+		holder.see("v1")
+		must.NoError(t, holder.step(context.Background()))
+	}
+	started := newDaemon(topic, "c", now, "v1")
+	must.NoError(t, started.Refresh(context.Background()))
+	_, only := started.table.Only(*now, "s", false)
+	must.True(t, only)
+}
+
+// TestNewHolderKnowsTheTopic guards against a holder that doesn't record a version
+// because it takes a record for present that a former holder has removed.
+func TestNewHolderKnowsTheTopic(t *testing.T) {
+	topic, now := newSite()
+	former := newDaemon(topic, "a", now, "v1", "v2")
+	former.holds = true
+	former.run(t)
+	next := newDaemon(topic, "b", now, "v1")
+	next.lastReply = *now
+	next.run(t)
+	for range 2 * int(origin.Retention/time.Second) {
+		*now = now.Add(time.Second)
+		former.see("v1")
+		former.run(t)
+		next.see("v1")
+		next.lastReply = *now
+		next.run(t)
+	}
+	next.holds = true
+	next.see("v1", "v2")
+	next.run(t)
+	next.run(t)
+	started := newDaemon(topic, "c", now, "v1")
+	must.NoError(t, started.Refresh(context.Background()))
+	_, only := started.table.Only(*now, "s", false)
+	must.False(t, only)
+}
+
+// TestRestoredLog guards against streams that no other daemon can take up, because the
+// log has come back from a copy without the records of the last seconds.
+func TestRestoredLog(t *testing.T) {
+	topic, now := newSite()
+	d := newDaemon(topic, "a", now, "v1", "v2")
+	d.holds = true
+	d.run(t)
+	copied := maps.Clone(topic.records)
+	for id := range uint64(10) {
+		*now = now.Add(writeInterval)
+		d.table.Begin(*now, origin.Stream{ID: id, Service: "s", Version: "v2"})
+		must.NoError(t, d.step(context.Background()))
+	}
+	topic.err = errUnavailable
+	*now = now.Add(writeInterval)
+	d.table.Begin(*now, origin.Stream{ID: 10, Service: "s", Version: "v2"})
+	must.ErrorIs(t, d.step(context.Background()), errUnavailable)
+	topic.records, topic.err = copied, nil
+	*now = now.Add(writeInterval)
+	d.run(t)
+	started := newDaemon(topic, "b", now, "v1")
+	for id := range uint64(11) {
+		must.Eq(t, "v2", started.version(t, id), must.Sprint("stream ", id))
+	}
+}
+
+// TestLostHolderCostsNoReads guards against reads of all daemons at once when the holder
+// is lost, or after an outage of the log without a holder.
+func TestLostHolderCostsNoReads(t *testing.T) {
+	topic, now := newSite()
+	var daemons []*daemon
+	for i := range 33 {
+		d := newDaemon(topic, fmt.Sprint("d", i), now, "v1", "v2")
+		d.lastReply = *now
+		d.run(t)
+		daemons = append(daemons, d)
+	}
+	must.Eq(t, 33, topic.reads)
+	for i := range 20 {
+		*now = now.Add(time.Second)
+		topic.err = nil
+		if i%4 == 2 {
+			topic.err = errUnavailable
+		}
+		for j, d := range daemons {
+			d.table.Begin(*now, origin.Stream{ID: uint64(100*i + j), Service: "s", Version: "v1"})
+			_ = d.step(context.Background()) // fails in the outage
+		}
+	}
+	must.Eq(t, 33, topic.reads)
+}
+
+// putHook is a topic that calls before during each write.
+type putHook struct {
+	testTopic
+	before func()
+}
+
+func (t *putHook) Put(ctx context.Context, key string, value []byte) error {
+	t.before()
+	return t.testTopic.Put(ctx, key, value)
+}
+
+// TestLossIsSeenDuringWrite guards against records that a restored log has lost, and that
+// aren't written again because the search for an origin finds that out during a write.
+func TestLossIsSeenDuringWrite(t *testing.T) {
+	_, now := newSite()
+	topic := &putHook{testTopic: testTopic{records: map[string]feed.Record{}}, before: func() {}}
+	d := newDaemon(&topic.testTopic, "a", now, "v1", "v2")
+	d.Store.topic = topic
+	d.holds = true
+	d.run(t)
+	for id := range uint64(2) {
+		*now = now.Add(writeInterval)
+		d.table.Begin(*now, origin.Stream{ID: id, Service: "s", Version: "v2"})
+		d.run(t)
+		topic.before = func() {
+			clear(topic.records)
+			*now = now.Add(writeInterval)
+			must.NoError(t, d.Refresh(context.Background()))
+			topic.before = func() {}
+		}
+	}
+	*now = now.Add(writeInterval)
+	d.run(t)
+	started := newDaemon(&topic.testTopic, "b", now, "v1")
+	for id := range uint64(2) {
+		must.Eq(t, "v2", started.version(t, id), must.Sprint("stream ", id))
+	}
+}
+
+// TestVersionsStayInTopic guards against a moment in which the topic lacks versions that
+// are served, because the holder removes a former holder's record before it writes its own.
+func TestVersionsStayInTopic(t *testing.T) {
+	topic, now := newSite()
+	former := newDaemon(topic, "a", now, "v1", "v2", "v3")
+	former.holds = true
+	former.run(t)
+	d := newDaemon(topic, "b", now, "v1", "v2")
+	d.holds = true
+	for range 2 * int(origin.Retention/time.Second) {
+		*now = now.Add(time.Second)
+		d.see("v1", "v2")
+		must.NoError(t, d.step(context.Background()))
+		started := newDaemon(topic, "c", now, "v1")
+		must.NoError(t, started.Refresh(context.Background()))
+		_, only := started.table.Only(*now, "s", false)
+		must.False(t, only)
+	}
+}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -48,9 +48,9 @@
 		// that may have run.
 		attempts, possibleRuns int
 		// streamID identifies the stream, also over its caller's attempts; begun is
-		// set once an event of it has been forwarded.
-		streamID uint64
-		begun    bool
+		// set once an event of it has been forwarded, and whole once all of it has.
+		streamID     uint64
+		begun, whole bool
 		// lastFailure is the cause of the last failed attempt.
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
@@ -118,8 +118,12 @@
 	if req.CallerTimeout > 0 && req.CallerTimeout < route.Timeout {
 		x.deadline = arrived.Add(req.CallerTimeout)
 	}
+	x.streamID = hash64(req.ID)
+	if req.Resumes != "" && req.LastEventID != "" {
+		x.streamID = hash64(req.Resumes)
+	}
 	x.query = pick.Query{
-		Key:       fleet.Key{Service: route.Pick(hash64(req.ID)), Model: req.Model, Adapter: req.Adapter},
+		Key:       fleet.Key{Service: route.Pick(x.streamID), Model: req.Model, Adapter: req.Adapter},
 		PrefixKey: req.SharedKey(),
 		NoRetry:   !route.Repeatable(),
 	}
@@ -128,10 +132,6 @@
 		caller = hr.RemoteAddr
 	}
 	x.fingerprint = fingerprint(req, caller)
-	x.streamID = hash64(req.ID)
-	if req.Resumes != "" {
-		x.streamID = hash64(req.Resumes)
-	}
 	x.parts = req.SharedParts()
 	// A caller that does not read must not hold the request past its deadline.
 	if err := x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
@@ -213,6 +213,7 @@
 		}
 		o, up := x.attempt(ctx, c)
 		if o.done {
+			x.whole = true
 			x.logOutcome(metric.OutcomeOK, up, o.status)
 			return
 		}
--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -65,7 +65,7 @@
 		defer x.relay.mu.Unlock()
 		return refusal{http.StatusServiceUnavailable, unknownOriginReason, x.relay.jitterRetryAfter(x, upstreamRetryAfter)}, false
 	}
-	x.query.Version = s.Version
+	x.query.Version = &s.Version
 	x.query.Key.Service = s.Service
 	return refusal{}, true
 }
@@ -95,13 +95,13 @@
 		return
 	}
 	x.begun = true
-	x.query.Version = up.Version
+	x.query.Version = &up.Version
 	x.relay.origins.Table().Begin(x.relay.now(), origin.Stream{ID: x.streamID, Service: up.Service, Version: up.Version})
 }
 
 // endStream records that the stream is no longer forwarded.
 func (x *exchange) endStream() {
 	if x.begun {
-		x.relay.origins.Table().End(x.relay.now(), x.streamID)
+		x.relay.origins.Table().End(x.relay.now(), x.streamID, x.whole)
 	}
 }
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -128,3 +129,81 @@
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, 3, strings.Count(body, "data: "))
 }
+
+// TestResumesWithoutEvent guards against a stream that changes its version because a
+// request without an event of it names it.
+func TestResumesWithoutEvent(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(3, 0), streamEvents(3, 0))
+	f.origins.table.Learn(time.Now(), []origin.Stream{{ID: hash64("a"), Service: "s", Version: "v2"}})
+	// A stream of its own, at v1, which is preferred.
+	code, body := f.takeUp("b", "a", "")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	must.Eq(t, 1, f.requestCount(0))
+	for id, version := range map[string]string{"a": "v2", "b": "v1"} {
+		s, _ := f.origins.table.Origin(hash64(id))
+		must.Eq(t, version, s.Version)
+	}
+}
+
+// TestBrokenStreamIsTold guards against a stream that broke off just before its service
+// got a second version, and that no other daemon is told of; complete ones needn't be.
+func TestBrokenStreamIsTold(t *testing.T) {
+	broken := newVersionedFixture(t, streamEvents(3, 1))
+	code, _ := broken.send(http.MethodPost, "a", "m")
+	must.Eq(t, 0, code)
+	whole := newVersionedFixture(t, streamEvents(3, 0))
+	code, _ = whole.send(http.MethodPost, "b", "m")
+	must.Eq(t, http.StatusOK, code)
+	for f, want := range map[*fixture][]origin.Stream{
+		broken: {{ID: hash64("a"), Service: "s", Version: "v1"}},
+		whole:  {},
+	} {
+		f.front.Close() // waits for the end of the request
+		f.origins.table.Registered(time.Now(), "s", "v2")
+		told, _ := f.origins.table.Since(time.Now(), 0, 10)
+		must.Eq(t, want, told)
+	}
+}
+
+// TestSplitRouteKeepsItsService guards against a stream that goes on at another service
+// of its route than the one that began it, because the caller's new attempt has an ID
+// that is assigned there.
+func TestSplitRouteKeepsItsService(t *testing.T) {
+	r := route(fleet.Stream, 3, true)
+	r.Targets = []fleet.Target{{Service: "s", Weight: 1}, {Service: "s2", Weight: 1}}
+	f := newFixture(t, r, streamEvents(3, 0), streamEvents(3, 0))
+	f.ups[0].Version, f.ups[1].Version = "v1", "v1"
+	f.ups[1].Service = "s2"
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	for _, u := range f.ups {
+		f.origins.table.Registered(time.Now(), u.Service, u.Version)
+	}
+	// Begun at another daemon, while each service had one version.
+	first := ""
+	for i := 0; first == "" || r.Pick(hash64(first)) != "s"; i++ {
+		first = fmt.Sprint("a", i)
+	}
+	again := ""
+	for i := 0; again == "" || r.Pick(hash64(again)) != "s2"; i++ {
+		again = fmt.Sprint("b", i)
+	}
+	code, _ := f.takeUp(again, first, "2")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, 1, f.requestCount(0))
+	must.Eq(t, 0, f.requestCount(1))
+}
+
+// TestEmptyVersionIsAVersion guards against a stream that goes on at any version because
+// the upstream that began it is registered with an empty one.
+func TestEmptyVersionIsAVersion(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(3, 1), streamEvents(3, 0))
+	f.ups[0].Version = ""
+	f.origins.table.Registered(time.Now(), "s", "")
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	code, body := f.send(http.MethodPost, "a", "m")
+	must.Eq(t, 0, code)
+	must.Eq(t, wantEvents(1), body)
+	f.takeUp("b", "a", "1")
+	must.Eq(t, 0, f.requestCount(1))
+}
