olog: read the topic again once contact is regained

Now a daemon reads once contact is regained, at most each 5 s.

TestContactRegained fails without the change (one read in place of two) and passes.

--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -245,6 +245,15 @@
 	return "", false
 }
 
+// Outdated reports whether another read of the log would tell which versions may have
+// begun streams: the daemon is in contact, and wasn't all the while since the last one.
+func (t *Table) Outdated(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.register.current(now, registerTTL) && t.readAt.Before(t.register.since) ||
+		t.holder.current(now, t.holderTTL) && t.readAt.Before(t.holder.since)
+}
+
 // Versions returns the versions of the last Retention by service, sorted, and their
 // revision.
 func (t *Table) Versions(now time.Time) (map[string][]string, uint64) {
--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -90,6 +90,9 @@
 	// rereadInterval is the interval at which the holder reads the topic. It finds
 	// versions that hosts have written that are gone since.
 	rereadInterval = time.Minute
+	// minRereadInterval is the least time between two reads of a daemon that has been
+	// out of contact.
+	minRereadInterval = 5 * time.Second
 	// maxStreams bounds the streams of one record; one takes up to 21 bytes, and a
 	// record has at most 256 KB on the platform.
 	maxStreams = 10000
@@ -157,14 +160,15 @@
 
 // beginStep records whether this daemon writes, and reports whether it has to read
 // first. A daemon that begins to write can't know what the former writer has written,
-// and writes all streams again. Only the holder reads again: without a holder, all
-// daemons would do so at once.
+// and writes all streams again. A daemon that has been out of contact reads again at
+// once, not when a stream is taken up: the log may be away by then.
 func (s *Store) beginStep(now time.Time, holds, writes bool) (read bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := now.Sub(s.readAt)
 	begins := !s.holds && age > contactTTL
-	read = s.readAt.IsZero() || holds && (begins || s.uncertain || age > rereadInterval)
+	outdated := age > minRereadInterval && s.table.Outdated(now)
+	read = s.readAt.IsZero() || outdated || holds && (begins || s.uncertain || age > rereadInterval)
 	if writes && !s.writes {
 		s.position = 0
 	}
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -485,3 +485,24 @@
 		must.False(t, only)
 	}
 }
+
+// TestContactRegained guards against a daemon that refuses streams while the log is away,
+// because it was out of contact before and has not read the log since.
+func TestContactRegained(t *testing.T) {
+	topic, now := newSite()
+	d := newDaemon(topic, "a", now, "v1")
+	d.lastReply = *now
+	d.run(t)
+	*now = now.Add(time.Minute)
+	for range 3 * int(minRereadInterval/writeInterval) {
+		d.see("v1")
+		d.lastReply = *now
+		must.NoError(t, d.step(context.Background()))
+		*now = now.Add(writeInterval)
+	}
+	must.Eq(t, 2, topic.reads)
+	topic.err = errUnavailable
+	d.see("v1")
+	_, only := d.table.Only(*now, "s", false)
+	must.True(t, only)
+}
