--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -50,9 +50,9 @@
 		Meaning: "A component panicked while another upstream was asked to take a request over; the request goes on where it was.",
 		Action:  "Report the stack; it is a bug in azurespan.",
 	})
-	StreamTakenUp = register(Event{
-		Number: 8010, Name: "stream-taken-up",
-		Meaning: "A caller takes a stream up again. The request that brought its first event is given, the software version at which it began, how that is known (own, log or only, if there is no other version), and how long it took to find out. Without a version the request is refused.",
+	RelayStreamResumed = register(Event{
+		Number: 8010, Name: "relay-stream-resumed",
+		Meaning: "A caller resumes a stream. The request that brought its first event is given, the software version at which it began, how that is known (own, log or only, if there is no other version), and how long it took to find out. Without a version the request is refused.",
 	})
 )
 
@@ -111,7 +111,7 @@
 	OriginsStored = register(Event{
 		Number: 8124, Name: "origins-stored",
 		Meaning: "A record of the software versions of services was written to the log, or a read or write of the origins of streams failed; they are retried.",
-		Action:  "If it recurs, check the log service: a stream can't be taken up at another daemon while it isn't known at which version it began.",
+		Action:  "If it recurs, check the log service: a stream can't be resumed at another daemon while it isn't known at which version it began.",
 	})
 	RegisterEntryIgnored = register(Event{
 		Number: 8123, Name: "register-entry-ignored",
--- a/internal/core/fleet/request.go
+++ b/internal/core/fleet/request.go
@@ -31,7 +31,7 @@
 		// empty if there is none.
 		LastEventID string
 		// Resumes is the ID of the request that brought the first event of the
-		// stream that the caller takes up again, empty if there is none.
+		// stream that the caller resumes, empty if there is none.
 		Resumes string
 		// Key is the hash of the caller's key, nil if it sent none.
 		Key *KeyHash
--- a/internal/core/origin/doc.go
+++ b/internal/core/origin/doc.go
@@ -2,7 +2,7 @@
 //
 // Upstreams of several software versions may serve a service side by side. What
 // two versions write doesn't fit together, so a stream goes on only at the version
-// that began it, also if its caller takes it up again at another daemon. A stream
+// that began it, also if its caller resumes it at another daemon. A stream
 // is identified by a hash of the ID of the request that brought its first event.
 //
 // A Table knows the streams that began at its daemon, and those of other daemons
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -69,14 +69,14 @@
 const (
 	// Retention is how long streams that have ended, and versions that are no
 	// longer registered, are kept: longer than the timeout of a route with
-	// streams, within which a caller takes a stream up again.
+	// streams, within which a caller resumes a stream.
 	Retention = 30 * time.Second
 	// registerTTL is the age of a view of the register up to which it is current.
 	// The first stream of a new upstream begins later than that after its
 	// registration, because a model is loaded first.
 	registerTTL = 2 * time.Second
 	// renewInterval is the time since a stream was recorded after which it is recorded
-	// again if its caller takes it up: the log keeps it for Retention.
+	// again if its caller resumes it: the log keeps it for Retention.
 	renewInterval = Retention / 3
 	// pruneInterval is the interval at which expired entries are dropped.
 	pruneInterval = time.Second
@@ -141,7 +141,7 @@
 func (c *contact) current(now time.Time, ttl time.Duration) bool { return now.Sub(c.heardAt) <= ttl }
 
 // Begin records that the daemon forwards the first event of a stream, or goes on with
-// a stream that its caller has taken up again. A former stream with its ID is forgotten.
+// a stream that its caller resumes. A former stream with its ID is forgotten.
 func (t *Table) Begin(now time.Time, s Stream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -226,7 +226,7 @@
 	return e.Stream, true
 }
 
-// Only returns the version of all streams of a service that may be taken up at now. It
+// Only returns the version of all streams of a service that may be resumed at now. It
 // returns false if there may be several, or the Table doesn't know all of them. loads is
 // set if the service's upstreams serve only what the holder has ordered them to load.
 func (t *Table) Only(now time.Time, service string, loads bool) (string, bool) {
--- a/internal/core/origin/table_test.go
+++ b/internal/core/origin/table_test.go
@@ -75,7 +75,7 @@
 
 // TestStreamsAreRecorded guards against streams whose version no other daemon can know:
 // those that begin while a service has two versions, and those that are in progress as
-// the second one comes. Complete ones aren't taken up again.
+// the second one comes. Complete ones aren't resumed.
 func TestStreamsAreRecorded(t *testing.T) {
 	tab := New(3 * time.Second)
 	tab.Registered(at(0), "s", "v1")
@@ -170,7 +170,7 @@
 	}
 }
 
-// TestStreamBeginsAgain guards against a stream that is taken up at the version of a
+// TestStreamBeginsAgain guards against a stream that is resumed at the version of a
 // former one, whose request had the same ID.
 func TestStreamBeginsAgain(t *testing.T) {
 	tab := New(3 * time.Second)
@@ -188,7 +188,7 @@
 }
 
 // TestBrokenStreamIsRecorded guards against a stream that broke off shortly before its
-// service got a second version, and that no other daemon can take up.
+// service got a second version, and that no other daemon can resume.
 func TestBrokenStreamIsRecorded(t *testing.T) {
 	tab := New(3 * time.Second)
 	tab.Registered(at(0), "s", "v1")
@@ -200,7 +200,7 @@
 }
 
 // TestLongStreamIsRecordedAgain guards against a stream whose record has been overwritten
-// in the log, although it was taken up since it was written.
+// in the log, although it was resumed since it was written.
 func TestLongStreamIsRecordedAgain(t *testing.T) {
 	tab := New(3 * time.Second)
 	tab.Registered(at(0), "s", "v1")
--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -80,7 +80,7 @@
 
 const (
 	// writeInterval is the interval at which new streams are written. A stream
-	// whose daemon ends sooner can't be taken up elsewhere.
+	// whose daemon ends sooner can't be resumed elsewhere.
 	writeInterval = 250 * time.Millisecond
 	// slots is the number of records of streams of one host.
 	slots = int(origin.Retention / writeInterval)
@@ -161,7 +161,7 @@
 // beginStep records whether this daemon writes, and reports whether it has to read
 // first. A daemon that begins to write can't know what the former writer has written,
 // and writes all streams again. A daemon that has been out of contact reads again at
-// once, not when a stream is taken up: the log may be away by then.
+// once, not when a stream is resumed: the log may be away by then.
 func (s *Store) beginStep(now time.Time, holds, writes bool) (read bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -110,7 +110,7 @@
 	must.Eq(t, "v2", started.version(t, 1))
 	must.Eq(t, "v1", started.version(t, 2))
 	must.Eq(t, "", started.version(t, 3))
-	// All upstreams of v2 are gone, but streams that began there may be taken up.
+	// All upstreams of v2 are gone, but streams that began there may be resumed.
 	_, only := started.table.Only(*now, "s", false)
 	must.False(t, only)
 }
@@ -136,7 +136,7 @@
 }
 
 // TestSingleVersionCostsNothing guards against a write for each stream, or a read for
-// each one that is taken up, while a service has one version.
+// each one that is resumed, while a service has one version.
 func TestSingleVersionCostsNothing(t *testing.T) {
 	topic, now := newSite()
 	d := newDaemon(topic, "a", now, "v1")
@@ -155,7 +155,7 @@
 }
 
 // TestRecordsCoverRetention guards against streams that are overwritten in the log
-// while they may still be taken up, also after a restart of the writer, and against a
+// while they may still be resumed, also after a restart of the writer, and against a
 // topic that grows without end.
 func TestRecordsCoverRetention(t *testing.T) {
 	topic, now := newSite()
@@ -375,7 +375,7 @@
 	must.False(t, only)
 }
 
-// TestRestoredLog guards against streams that no other daemon can take up, because the
+// TestRestoredLog guards against streams that no other daemon can resume, because the
 // log has come back from a copy without the records of the last seconds.
 func TestRestoredLog(t *testing.T) {
 	topic, now := newSite()
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -189,7 +189,7 @@
 		x.fail(ctx, resp)
 		return
 	}
-	if resp, ok := x.takeUp(ctx); !ok {
+	if resp, ok := x.resumeStream(ctx); !ok {
 		x.fail(ctx, resp)
 		return
 	}
--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -33,10 +33,10 @@
 	sourceLog   = "log"
 )
 
-// takeUp finds out at which software version a stream began that the caller takes up
-// again, and restricts the request to upstreams of that version. It refuses the request
+// resumeStream finds out at which software version the stream began that the caller
+// resumes, and restricts the request to upstreams of that version. It refuses the request
 // if the version isn't known.
-func (x *exchange) takeUp(ctx context.Context) (refusal, bool) {
+func (x *exchange) resumeStream(ctx context.Context) (refusal, bool) {
 	if x.route.Kind != fleet.Stream || x.req.LastEventID == "" {
 		return refusal{}, true
 	}
@@ -58,7 +58,7 @@
 		}
 	}
 	took := x.relay.now().Sub(began)
-	event.StreamTakenUp.Log("request", x.req.ID, "resumes", x.req.Resumes, "service", x.query.Key.Service, "version", s.Version,
+	event.RelayStreamResumed.Log("request", x.req.ID, "resumes", x.req.Resumes, "service", x.query.Key.Service, "version", s.Version,
 		"source", source, "took", took, "failure", x.lastFailure)
 	if source == "" {
 		x.relay.mu.Lock()
@@ -70,7 +70,7 @@
 	return refusal{}, true
 }
 
-// findOrigin returns the origin of the stream that the caller takes up again, and how
+// findOrigin returns the origin of the stream that the caller resumes, and how
 // it is known; the latter is empty if it isn't.
 func (x *exchange) findOrigin() (origin.Stream, string) {
 	table, now := x.relay.origins.Table(), x.relay.now()
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -29,8 +29,8 @@
 	return f
 }
 
-// takeUp takes up the stream that the request with the ID first began, after an event.
-func (f *fixture) takeUp(id, first, after string) (int, string) {
+// resume resumes the stream that the request with the ID first began, after an event.
+func (f *fixture) resume(id, first, after string) (int, string) {
 	f.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, f.front.URL+"/x", bytes.NewReader([]byte("body")))
 	must.NoError(f.t, err)
@@ -45,16 +45,16 @@
 	return res.StatusCode, string(body)
 }
 
-// TestStreamIsTakenUpAtItsVersion guards against a stream that goes on at another
+// TestStreamIsResumedAtItsVersion guards against a stream that goes on at another
 // version than began it, whether this daemon, a former holder or nobody knows that one.
-func TestStreamIsTakenUpAtItsVersion(t *testing.T) {
+func TestStreamIsResumedAtItsVersion(t *testing.T) {
 	f := newVersionedFixture(t, streamEvents(3, 0), streamEvents(3, 0))
 	rest := "id: 3\ndata: e3\n\n"
 	// Begun here: at v1, which is preferred.
 	code, body := f.send(http.MethodPost, "a", "m")
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, wantEvents(3), body)
-	code, body = f.takeUp("b", "a", "2")
+	code, body = f.resume("b", "a", "2")
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, rest, body)
 	must.Eq(t, 2, f.requestCount(0))
@@ -66,17 +66,17 @@
 		}
 		return []origin.Stream{{ID: hash64("c"), Service: "s", Version: "v2"}}
 	}
-	code, body = f.takeUp("d", "c", "2")
+	code, body = f.resume("d", "c", "2")
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, rest, body)
 	must.Eq(t, 1, f.requestCount(1))
 	// Taken up once more, it still goes by the request that began it.
-	code, _ = f.takeUp("e", "c", "2")
+	code, _ = f.resume("e", "c", "2")
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, 2, f.requestCount(1))
 	// Nobody knows, or the caller doesn't say.
 	for _, first := range []string{"unknown", ""} {
-		code, body = f.takeUp("f", first, "2")
+		code, body = f.resume("f", first, "2")
 		must.Eq(t, http.StatusServiceUnavailable, code)
 		must.StrContains(t, body, unknownOriginReason)
 	}
@@ -90,7 +90,7 @@
 	f := newVersionedFixture(t, streamEvents(3, 0), streamEvents(3, 0))
 	f.origins.table.Learn(time.Now(), []origin.Stream{{ID: hash64("a"), Service: "s", Version: "v0"}})
 	began := time.Now()
-	code, body := f.takeUp("b", "a", "2")
+	code, body := f.resume("b", "a", "2")
 	must.Eq(t, http.StatusServiceUnavailable, code)
 	must.StrContains(t, body, "other-version")
 	must.Less(t, time.Second, time.Since(began))
@@ -136,7 +136,7 @@
 	f := newVersionedFixture(t, streamEvents(3, 0), streamEvents(3, 0))
 	f.origins.table.Learn(time.Now(), []origin.Stream{{ID: hash64("a"), Service: "s", Version: "v2"}})
 	// A stream of its own, at v1, which is preferred.
-	code, body := f.takeUp("b", "a", "")
+	code, body := f.resume("b", "a", "")
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, wantEvents(3), body)
 	must.Eq(t, 1, f.requestCount(0))
@@ -188,7 +188,7 @@
 	for i := 0; again == "" || r.Pick(hash64(again)) != "s2"; i++ {
 		again = fmt.Sprint("b", i)
 	}
-	code, _ := f.takeUp(again, first, "2")
+	code, _ := f.resume(again, first, "2")
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, 1, f.requestCount(0))
 	must.Eq(t, 0, f.requestCount(1))
@@ -204,6 +204,6 @@
 	code, body := f.send(http.MethodPost, "a", "m")
 	must.Eq(t, 0, code)
 	must.Eq(t, wantEvents(1), body)
-	f.takeUp("b", "a", "1")
+	f.resume("b", "a", "1")
 	must.Eq(t, 0, f.requestCount(1))
 }
--- a/internal/node/router/silence_test.go
+++ b/internal/node/router/silence_test.go
@@ -180,7 +180,7 @@
 }
 
 // TestPauseOfResumedAnswer guards against breaking off an answer that its caller has
-// taken up again, because its engine pauses.
+// resumed, because its engine pauses.
 func TestPauseOfResumedAnswer(t *testing.T) {
 	s := newPausingSite(t, 1)
 	s.hasten()
