--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -24,8 +24,6 @@
 		// versions holds when a version was last registered, by service and
 		// version.
 		versions map[string]map[string]time.Time
-		// versionsRev changes with the set of versions.
-		versionsRev uint64
 		// recorded are the streams that other daemons should know, in the order
 		// in which they became known; dropped is the number of former ones.
 		recorded []recording
@@ -108,7 +106,6 @@
 		return
 	}
 	vs[version] = now
-	t.versionsRev++
 	if len(vs) < 2 {
 		return
 	}
@@ -254,9 +251,8 @@
 		t.holder.current(now, t.holderTTL) && t.readAt.Before(t.holder.since)
 }
 
-// Versions returns the versions of the last Retention by service, sorted, and their
-// revision.
-func (t *Table) Versions(now time.Time) (map[string][]string, uint64) {
+// Versions returns the versions of the last Retention by service, sorted.
+func (t *Table) Versions(now time.Time) map[string][]string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
@@ -267,7 +263,7 @@
 		}
 		slices.Sort(all[service])
 	}
-	return all, t.versionsRev
+	return all
 }
 
 // Since returns the streams that other daemons should know from a position on, at
@@ -300,7 +296,6 @@
 		for v, at := range vs {
 			if now.Sub(at) > Retention {
 				delete(vs, v)
-				t.versionsRev++
 			}
 		}
 		if len(vs) == 0 {
--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -179,7 +179,7 @@
 // writeVersions writes the versions of all services if the topic lacks some. The
 // holder also removes those that have expired.
 func (s *Store) writeVersions(ctx context.Context, now time.Time, holds bool) error {
-	versions, _ := s.table.Versions(now)
+	versions := s.table.Versions(now)
 	s.mu.Lock()
 	missing, expired := s.compare(versions, holds)
 	own := s.stored[s.host]
