issuer, meter: say reserve and unheard shares

A daemon's part of an allowance for the time without a holder was called a pocket, and the daemons that a holder hasn't heard strangers. The event relay-stream-resumed states its sources as it logs them.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -52,7 +52,7 @@
 	})
 	RelayStreamResumed = register(Event{
 		Number: 8010, Name: "relay-stream-resumed",
-		Meaning: "A caller resumes a stream. The request that brought its first event is given, the software version at which it began, how that is known (own, log or only, if there is no other version), and how long it took to find out. Without a version the request is refused.",
+		Meaning: "A caller resumes a stream. The request that brought its first event is given, the software version at which it began, how that is known (known to the daemon, from the log, or the only one there is), and how long it took to find out. Without a version the request is refused.",
 	})
 )
 
--- a/internal/core/fleet/allowance.go
+++ b/internal/core/fleet/allowance.go
@@ -19,9 +19,9 @@
 	}
 
 	// Want is what a daemon lacks of an account's allowance: Need for requests
-	// that wait, of which the smallest counts for Least, and Pocket for later
+	// that wait, of which the smallest counts for Least, and Reserve for later
 	// ones.
-	Want struct{ Need, Least, Pocket float64 }
+	Want struct{ Need, Least, Reserve float64 }
 
 	// AllowanceReply is the holder's answer to an AllowanceAsk.
 	AllowanceReply struct {
@@ -35,8 +35,8 @@
 
 	// Grant is what a daemon may use of an account's allowance.
 	Grant struct {
-		// Need and Pocket are parts of those wanted.
-		Need, Pocket float64
+		// Need and Reserve are parts of those wanted.
+		Need, Reserve float64
 		// Wait is the time until more of what is needed can be granted, 0 if
 		// all was.
 		Wait time.Duration
--- a/internal/core/fleet/demand.go
+++ b/internal/core/fleet/demand.go
@@ -23,7 +23,7 @@
 		// number of requests by upstream that wait for one to be sent.
 		Limits  []NamedLimit
 		Permits map[string]int
-		// Allowance asks for what requests and pockets of accounts lack.
+		// Allowance asks for what requests and reserves of accounts lack.
 		Allowance AllowanceAsk
 	}
 
--- a/internal/node/hub/wire_test.go
+++ b/internal/node/hub/wire_test.go
@@ -76,10 +76,10 @@
 	checkWire(t, "watch-args-limits", WatchArgs{Host: "h1", LimitsRev: 4})
 	checkWire(t, "watch-reply-limits", WatchReply{Limits: limits, LimitsRev: 4})
 	checkWire(t, "tell-args-allowance", TellArgs{Host: "h1", Demand: fleet.Demand{Allowance: fleet.AllowanceAsk{
-		ID: 2, Answered: 1, Since: 3, Share: 0.25, Wants: map[string]fleet.Want{"a": {Need: 4, Least: 5, Pocket: 6}},
+		ID: 2, Answered: 1, Since: 3, Share: 0.25, Wants: map[string]fleet.Want{"a": {Need: 4, Least: 5, Reserve: 6}},
 	}}})
 	checkWire(t, "tell-reply-allowance", TellReply{Allowance: &fleet.AllowanceReply{
-		ID: 2, Share: 0.25, Grants: map[string]fleet.Grant{"a": {Need: 4, Pocket: 6, Wait: 7}},
+		ID: 2, Share: 0.25, Grants: map[string]fleet.Grant{"a": {Need: 4, Reserve: 6, Wait: 7}},
 	}})
 	checkWire(t, "result", logjob.Result{
 		ID: 1, OK: true, Problem: "p",
--- a/internal/node/relay/allowance.go
+++ b/internal/node/relay/allowance.go
@@ -139,7 +139,7 @@
 	}
 }
 
-// allowanceQuestion returns the question to the holder for what requests and pockets
+// allowanceQuestion returns the question to the holder for what requests and reserves
 // lack. r.mu must be held.
 func (r *Relay) allowanceQuestion() fleet.AllowanceAsk {
 	var waiting map[string]meter.Waiting
--- a/internal/rule/issuer/bounds.go
+++ b/internal/rule/issuer/bounds.go
@@ -17,9 +17,9 @@
 
 	// Bounds are the limits for one account that follow from the Settings.
 	Bounds struct {
-		// Bucket is what the holder saves, and Pocket what all daemons together
+		// Bucket is what the holder saves, and Reserve what all daemons together
 		// do.
-		Bucket, Pocket float64
+		Bucket, Reserve float64
 		// GrantTTL is the time from a question within which what is granted
 		// must be used.
 		GrantTTL time.Duration
@@ -28,10 +28,10 @@
 
 const (
 	// FillDelay is the time from a daemon's last question after which it adds to
-	// its pockets by itself.
+	// its reserves by itself.
 	FillDelay = 1300 * time.Millisecond
 	// ShareTTL is the time from the last question that was answered after which
-	// a daemon has neither share nor pockets.
+	// a daemon has neither share nor reserves.
 	ShareTTL = 3 * time.Second
 	// bucketPart is the part of what may be saved that the holder saves.
 	bucketPart = 0.6
@@ -40,14 +40,14 @@
 // Bounds returns the limits for an account.
 func (s Settings) Bounds(a fleet.Allowance) Bounds {
 	saved := a.Burst*(1+s.Overshoot) + s.Slack
-	b := Bounds{Bucket: bucketPart * saved, Pocket: (1 - bucketPart) * saved, GrantTTL: time.Duration(s.Overshoot * float64(s.Window))}
+	b := Bounds{Bucket: bucketPart * saved, Reserve: (1 - bucketPart) * saved, GrantTTL: time.Duration(s.Overshoot * float64(s.Window))}
 	least := 1.0
 	if a.Tokens {
 		least = a.PlainTokens
 	}
 	if b.Bucket < least {
 		// The holder alone can save enough for a request.
-		b.Bucket, b.Pocket = saved, 0
+		b.Bucket, b.Reserve = saved, 0
 	}
 	return b
 }
--- a/internal/rule/issuer/issuer.go
+++ b/internal/rule/issuer/issuer.go
@@ -50,8 +50,8 @@
 )
 
 const (
-	// pocketFloor is the part of a bucket that is kept for requests that wait.
-	pocketFloor = 0.5
+	// reserveFloor is the part of a bucket that is kept for requests that wait.
+	reserveFloor = 0.5
 	// minWait is the shortest time for which a daemon denies requests of an account
 	// without asking again, so that one that demands far beyond its allowance doesn't
 	// keep the holder busy.
@@ -173,14 +173,14 @@
 		g.Wait = max(time.Duration(max(least-a.level, 0)/a.PerSecond*float64(time.Second)), minWait)
 		return g
 	}
-	g.Pocket = max(min(w.Pocket, a.level-pocketFloor*a.bounds.Bucket), 0)
-	a.level -= g.Pocket
+	g.Reserve = max(min(w.Reserve, a.level-reserveFloor*a.bounds.Bucket), 0)
+	a.level -= g.Reserve
 	return g
 }
 
 // held returns the sum of the shares that others than host may hold.
 func (i *Issuer) held(now time.Time, host string) float64 {
-	sum := i.strangers(now)
+	sum := i.unheardShares(now)
 	for name, d := range i.daemons {
 		if name != host {
 			sum += d.share
@@ -189,8 +189,8 @@
 	return sum
 }
 
-// strangers returns the sum of the shares of daemons that this holder hasn't heard.
-func (i *Issuer) strangers(now time.Time) float64 {
+// unheardShares returns the sum of the shares of daemons that this holder hasn't heard.
+func (i *Issuer) unheardShares(now time.Time) float64 {
 	if now.Sub(i.began) > ShareTTL {
 		i.unknown = 0
 	}
@@ -198,7 +198,7 @@
 }
 
 // fill fills the buckets until now, except for the shares of daemons that may have
-// added to their pockets by themselves at any time since the last call.
+// added to their reserves by themselves at any time since the last call.
 func (i *Issuer) fill(now time.Time) {
 	since := now.Sub(i.filledAt).Seconds()
 	if since <= 0 {
@@ -213,7 +213,7 @@
 			delete(i.daemons, name)
 		}
 	}
-	i.strangers(now)
+	i.unheardShares(now)
 	i.filledAt = now
 	part := math.Max(1-away, 0)
 	for _, a := range i.accounts {
--- a/internal/rule/issuer/issuer_test.go
+++ b/internal/rule/issuer/issuer_test.go
@@ -31,14 +31,14 @@
 		for _, a := range []fleet.Allowance{testAccount.Allowance, {PerSecond: 1, Burst: 1}, {PerSecond: 0.1, Burst: 1}, {PerSecond: 176_326, Burst: 1, Tokens: true, PlainTokens: 200}} {
 			b := s.Bounds(a)
 			w := s.Window.Seconds()
-			must.LessEq(t, (a.PerSecond*w+a.Burst)*(1+s.Overshoot)+s.Slack+1e-9, a.PerSecond*(w+b.GrantTTL.Seconds())+b.Bucket+b.Pocket)
+			must.LessEq(t, (a.PerSecond*w+a.Burst)*(1+s.Overshoot)+s.Slack+1e-9, a.PerSecond*(w+b.GrantTTL.Seconds())+b.Bucket+b.Reserve)
 		}
 	}
 	must.Eq(t, 1.1, Settings{Overshoot: 0.1}.Bounds(fleet.Allowance{PerSecond: 1, Burst: 1}).Bucket)
 }
 
 // TestLateQuestion guards against a question that comes so late that its daemon adds to
-// its pockets by itself already, and counts as contact from its receipt.
+// its reserves by itself already, and counts as contact from its receipt.
 func TestLateQuestion(t *testing.T) {
 	i := New(at(0), settings, nil)
 	i.SetAccounts(at(0), []fleet.Account{testAccount})
--- a/internal/rule/meter/doc.go
+++ b/internal/rule/meter/doc.go
@@ -2,6 +2,6 @@
 // the daemons' part, of which package issuer is the holder's.
 //
 // A request takes what the holder has granted for it, or what is in the account's
-// pocket. The holder fills the pockets; a daemon that doesn't reach it does so by its
+// reserve. The holder fills the reserves; a daemon that doesn't reach it does so by its
 // share of the allowance, for a while.
 package meter
--- a/internal/rule/meter/meter.go
+++ b/internal/rule/meter/meter.go
@@ -26,8 +26,8 @@
 
 	account struct {
 		fleet.Allowance
-		bounds issuer.Bounds
-		pocket float64
+		bounds  issuer.Bounds
+		reserve float64
 		// lots are what the holder has granted, by the end of their time.
 		lots []lot
 		// deniedUntil is the time before which the holder can't grant more.
@@ -73,7 +73,7 @@
 		}
 		k := &account{Allowance: a.Allowance, bounds: m.settings.Bounds(a.Allowance)}
 		if old := m.accounts[a.Name]; old != nil && old.Tokens == a.Allowance.Tokens {
-			k.pocket, k.lots = old.pocket, old.lots
+			k.reserve, k.lots = old.reserve, old.lots
 			if a.Allowance == old.Allowance {
 				k.deniedUntil = old.deniedUntil
 			}
@@ -84,15 +84,15 @@
 	m.setShare(m.share)
 }
 
-// setShare sets the share, which bounds the pockets.
+// setShare sets the share, which bounds the reserves.
 func (m *Meter) setShare(share float64) {
 	m.share = share
 	for _, a := range m.accounts {
-		a.pocket = min(a.pocket, m.share*a.bounds.Pocket)
+		a.reserve = min(a.reserve, m.share*a.bounds.Reserve)
 	}
 }
 
-// advance fills the pockets until now while there is a share and no holder, and voids
+// advance fills the reserves until now while there is a share and no holder, and voids
 // them at the end of the share.
 func (m *Meter) advance(now time.Time) {
 	from, to := m.askedAt.Add(issuer.FillDelay), now
@@ -105,7 +105,7 @@
 	m.filledAt = now
 	if d := to.Sub(from).Seconds(); d > 0 && m.share > 0 {
 		for _, a := range m.accounts {
-			a.pocket += d * m.share * a.PerSecond
+			a.reserve += d * m.share * a.PerSecond
 		}
 		m.setShare(m.share)
 	}
@@ -122,7 +122,7 @@
 	}
 	m.advance(now)
 	a.lots = slices.DeleteFunc(a.lots, func(l lot) bool { return !now.Before(l.until) || l.amount <= 0 })
-	room := a.pocket
+	room := a.reserve
 	for _, l := range a.lots {
 		room += l.amount
 	}
@@ -138,7 +138,7 @@
 		a.lots[i].amount -= part
 		size -= part
 	}
-	a.pocket = max(a.pocket-size, 0)
+	a.reserve = max(a.reserve-size, 0)
 	return Taken
 }
 
@@ -170,16 +170,16 @@
 		q.Since = now.Sub(m.answeredAt)
 	}
 	for name, a := range m.accounts {
-		w := fleet.Want{Pocket: m.share*a.bounds.Pocket - a.pocket}
+		w := fleet.Want{Reserve: m.share*a.bounds.Reserve - a.reserve}
 		if n, ok := waiting[name]; ok {
 			// What has been granted already is not enough for the smallest.
-			room := a.pocket
+			room := a.reserve
 			for _, l := range a.lots {
 				room += l.amount
 			}
 			w.Need, w.Least = max(n.Sum-room, 0), max(n.Least-room, 0)
 		}
-		if w.Need <= 0 && w.Pocket <= 0 {
+		if w.Need <= 0 && w.Reserve <= 0 {
 			continue
 		}
 		if q.Wants == nil {
@@ -210,7 +210,7 @@
 			if g.Need > 0 {
 				a.lots = append(a.lots, lot{g.Need, until})
 			}
-			a.pocket = min(a.pocket+max(g.Pocket, 0), m.share*a.bounds.Pocket)
+			a.reserve = min(a.reserve+max(g.Reserve, 0), m.share*a.bounds.Reserve)
 		}
 		if g.Wait > 0 {
 			a.deniedUntil = now.Add(g.Wait)
--- a/internal/rule/meter/meter_test.go
+++ b/internal/rule/meter/meter_test.go
@@ -32,7 +32,7 @@
 	must.Eq(t, Taken, m.Take(at(1.79), "a", 2))
 	must.Eq(t, Ask, m.Take(at(1.81), "a", 2))
 	q = m.Question(at(2), map[string]Waiting{"a": {Sum: 5, Least: 2}})
-	m.Apply(at(2.9), &fleet.AllowanceReply{ID: q.ID, Share: 0.5, Grants: map[string]fleet.Grant{"a": {Need: 5, Pocket: 5}}})
+	m.Apply(at(2.9), &fleet.AllowanceReply{ID: q.ID, Share: 0.5, Grants: map[string]fleet.Grant{"a": {Need: 5, Reserve: 5}}})
 	must.Eq(t, Ask, m.Take(at(2.9), "a", 2))
 }
 
--- a/internal/rule/meter/model_test.go
+++ b/internal/rule/meter/model_test.go
@@ -34,7 +34,7 @@
 		recordAt time.Time
 		messages []message
 		uses     map[string][]use
-		// flow is what has been granted or added to pockets, as the level of a
+		// flow is what has been granted or added to reserves, as the level of a
 		// bucket that empties at the rate of its account.
 		flow   map[string]float64
 		denied int
@@ -241,28 +241,28 @@
 	}
 }
 
-// advance lets all daemons fill their pockets, and verifies that they hold no more
-// shares than one and no more in their pockets than these allow.
+// advance lets all daemons fill their reserves, and verifies that they hold no more
+// shares than one and no more in their reserves than these allow.
 func (w *world) advance() {
 	w.t.Helper()
 	for _, a := range w.accounts {
 		w.flow[a.Name] = max(w.flow[a.Name]-a.Allowance.PerSecond*step.Seconds(), 0)
 	}
-	shares, pockets := 0.0, map[string]float64{}
+	shares, reserves := 0.0, map[string]float64{}
 	for _, d := range w.daemons {
 		before := map[string]float64{}
 		for name, a := range d.meter.accounts {
-			before[name] = a.pocket
+			before[name] = a.reserve
 		}
 		shares += d.meter.Share(w.now)
 		for name, a := range d.meter.accounts {
-			pockets[name] += a.pocket
-			w.flow[name] += max(a.pocket-before[name], 0)
+			reserves[name] += a.reserve
+			w.flow[name] += max(a.reserve-before[name], 0)
 		}
 	}
 	must.LessEq(w.t, 1+1e-9, shares, must.Sprint("shares at ", w.now.Sub(time.Unix(1000, 0))))
 	for _, a := range w.accounts {
-		must.LessEq(w.t, w.settings.Bounds(a.Allowance).Pocket+1e-6, pockets[a.Name], must.Sprint("pockets of ", a.Name))
+		must.LessEq(w.t, w.settings.Bounds(a.Allowance).Reserve+1e-6, reserves[a.Name], must.Sprint("reserves of ", a.Name))
 		must.LessEq(w.t, w.settings.Bounds(a.Allowance).Bucket+1e-6, w.flow[a.Name], must.Sprint("flow of ", a.Name, " at ", w.now.Sub(time.Unix(1000, 0))))
 	}
 }
@@ -271,7 +271,7 @@
 func (w *world) answer(host string, q *fleet.AllowanceAsk) *fleet.AllowanceReply {
 	r := w.holder.Answer(w.now, host, q)
 	for name, g := range r.Grants {
-		w.flow[name] += g.Need + g.Pocket
+		w.flow[name] += g.Need + g.Reserve
 	}
 	return r
 }
@@ -483,7 +483,7 @@
 		}
 		return sum
 	}
-	must.Between(t, 10_000, used(0, time.Second), 0.25*d.settings.Bounds(d.accounts[0].Allowance).Pocket)
+	must.Between(t, 10_000, used(0, time.Second), 0.25*d.settings.Bounds(d.accounts[0].Allowance).Reserve)
 	must.Between(t, 20_000, used(time.Second, issuer.ShareTTL), 0.25*176_326*3)
 	must.Eq(t, 0, used(issuer.ShareTTL, 10*time.Second))
 	fresh := New(d.settings, 1)
