relay: log caller and path of requests that crash upstreams

The lines request-crash-observed and suspect-sent named a fingerprint only, so that repetitions of one request that differ in their query looked like unrelated requests. No change of logic.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -186,11 +186,11 @@
 	})
 	RequestCrashed = register(Event{
 		Number: 8221, Name: "request-crash-observed",
-		Meaning: "An upstream broke the connection of a request on this daemon; the number of crashes known for its fingerprint, the verdict, the shared parts of its prompt, the one of them that is quarantined and the time since the first byte of its answer are given.",
+		Meaning: "An upstream broke the connection of a request on this daemon; its caller and path, the number of crashes known for its fingerprint, the verdict, the shared parts of its prompt, the one of them that is quarantined and the time since the first byte of its answer are given.",
 	})
 	SuspectSent = register(Event{
 		Number: 8222, Name: "suspect-sent",
-		Meaning: "A request is sent to an upstream although upstreams have crashed while they ran it; the number of crashes known here, the age of the last information from the holder and the shared parts of its prompt are given.",
+		Meaning: "A request is sent to an upstream although upstreams have crashed while they ran it; its caller and path, the number of crashes known here, the age of the last information from the holder and the shared parts of its prompt are given.",
 		Action:  "Compare with crash-history-changed on the other daemons: who knew of more crashes, and since when?",
 	})
 	CrashHistoryChanged = register(Event{
--- a/internal/node/relay/crash.go
+++ b/internal/node/relay/crash.go
@@ -35,7 +35,7 @@
 		label = metric.CrashesTwo
 	}
 	r.metrics.SuspectSends.WithLabelValues(label).Inc()
-	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge,
+	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "caller", x.caller, "path", x.req.Path, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge,
 		"parts", strings.Join(x.parts, ","))
 }
 
@@ -56,7 +56,7 @@
 	}
 	verdict, _ := r.suspects.Judge(now, x.fingerprint)
 	part, _ := r.parts.Judge(now, x.parts)
-	event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
+	event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "caller", x.caller, "path", x.req.Path, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
 		"parts", strings.Join(x.parts, ","), "answered-for", answeredFor, "quarantined-part", part)
 	r.refuseQuarantined(now)
 	r.requestReport()
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -36,8 +36,10 @@
 		charge *meter.Charge
 		// holding is what was held of the account's allowance when the request was
 		// refused for it, as attributes of the log.
-		holding     []any
-		query       pick.Query
+		holding []any
+		query   pick.Query
+		// caller is the address of the caller's host.
+		caller      string
 		fingerprint string
 		// parts are the shared parts of the prompt. known are their crashes as
 		// of answeredAt, the time of the first byte of the present attempt's
@@ -145,7 +147,7 @@
 	if err != nil {
 		caller = hr.RemoteAddr
 	}
-	x.fingerprint = fingerprint(req, caller)
+	x.caller, x.fingerprint = caller, fingerprint(req, caller)
 	x.parts = req.SharedParts()
 	// A caller that does not read must not hold the request past its deadline.
 	if err := x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
