poison, relay: quarantine the variants of a request that crashes upstreams

Cause: crash histories were kept by a fingerprint of caller, method, target with its query, model, adapter and body. The platform promises that such a request comes again with the same path, caller and body; with another query each repetition was a new request, on the daemon that had seen the crash too.

Ruled out: daemons that learn alone (8 to 12 crashes for four daemons, and the log carries suspects); crashes that aren't recognised (tests of relay).

Change: the requests of a caller with the same path and body have a history in common, with the first crash of each. A request is refused for either.

--- a/internal/core/poison/judge.go
+++ b/internal/core/poison/judge.go
@@ -8,7 +8,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, h := range t.entries {
-		if _, ok := PartOf(key); ok {
+		if !isRequest(key) {
 			continue
 		}
 		switch v, _ := t.judge(now, h); v {
@@ -55,11 +55,12 @@
 	return Suspect, 0
 }
 
-// soleSuspect reports whether no other request that was already a suspect was
-// running on the upstream at crash c. t.mu must be held.
+// soleSuspect reports whether no other request that was already a suspect, or no
+// variants of another one if h is that of variants, was running on the upstream at
+// crash c. t.mu must be held.
 func (t *Table) soleSuspect(h *history, c Crash) bool {
 	for key, o := range t.entries {
-		if _, ok := PartOf(key); ok || o == h || len(o.Crashes) == 0 {
+		if !sameKind(key, h.Fingerprint) || o == h || len(o.Crashes) == 0 {
 			continue
 		}
 		for _, d := range o.Crashes[1:] {
@@ -70,3 +71,8 @@
 	}
 	return true
 }
+
+// sameKind reports whether both keys are those of requests or both those of variants.
+func sameKind(a, b string) bool {
+	return isRequest(a) && isRequest(b) || isVariants(a) && isVariants(b)
+}
--- a/internal/core/poison/table_test.go
+++ b/internal/core/poison/table_test.go
@@ -302,3 +302,23 @@
 	}
 	must.MapLen(t, 60, tab.CrashTimes())
 }
+
+// TestVariantsAreJudgedApart guards against a request and its variants that count as two
+// suspects on the upstream that they crash, so that neither is to blame alone.
+func TestVariantsAreJudgedApart(t *testing.T) {
+	tab := New(Settings{}, 1)
+	now := time.UnixMilli(0)
+	for _, id := range []string{"a", "b"} {
+		now = now.Add(time.Second)
+		c := Crash{ID: id, At: now}
+		tab.Observe("request", c)
+		tab.Observe(VariantsKey("request"), c)
+	}
+	for _, key := range []string{"request", VariantsKey("request")} {
+		v, _ := tab.Judge(now, key)
+		must.Eq(t, Quarantined, v, must.Sprint(key))
+	}
+	suspects, quarantined := tab.Count(now)
+	must.Eq(t, 1, suspects)
+	must.Eq(t, 1, quarantined)
+}
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -131,8 +131,10 @@
 	case o.crashed && ctx.Err() == nil:
 		x.recordCrash(now, up, answeredFor)
 	case o.survived:
-		if r.suspects.Clear(x.fingerprint) {
-			event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", x.fingerprint, "status", o.status, "upstream", up.ID)
+		for _, key := range x.identity.keys() {
+			if r.suspects.Clear(key) {
+				event.CrashHistoryCleared.Log("request", x.req.ID, "fingerprint", key, "status", o.status, "upstream", up.ID)
+			}
 		}
 		x.clearParts(now)
 	case o.done && o.unframed:
--- a/internal/node/relay/crash.go
+++ b/internal/node/relay/crash.go
@@ -22,7 +22,10 @@
 func (x *exchange) logSuspect(now time.Time, up fleet.Upstream) {
 	r := x.relay
 	r.mu.Lock()
-	crashes := len(r.suspects.Entry(x.fingerprint).Crashes)
+	crashes := 0
+	for _, key := range x.identity.keys() {
+		crashes = max(crashes, len(r.suspects.Entry(key).Crashes))
+	}
 	holderAge := now.Sub(r.lastReply)
 	r.mu.Unlock()
 	label := metric.CrashesMore
@@ -35,7 +38,7 @@
 		label = metric.CrashesTwo
 	}
 	r.metrics.SuspectSends.WithLabelValues(label).Inc()
-	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.fingerprint, "caller", x.caller, "path", x.req.Path, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge,
+	event.SuspectSent.Log("request", x.req.ID, "fingerprint", x.identity.request, "caller", x.caller, "path", x.req.Path, "upstream", up.ID, "crashes", crashes, "holder-age", holderAge,
 		"parts", strings.Join(x.parts, ","))
 }
 
@@ -45,28 +48,55 @@
 func (x *exchange) recordCrash(now time.Time, up fleet.Upstream, answeredFor time.Duration) {
 	r := x.relay
 	crash := poison.Crash{ID: incarnation(up), At: now, Progress: x.events.EventCount > 0}
-	entry := r.suspects.Observe(x.fingerprint, crash)
+	crashes := r.observeCrash(x.identity, crash)
 	for _, end := range r.endings.crash(now, crash.ID) {
 		ended := poison.Crash{ID: crash.ID, At: now, Progress: true}
-		r.suspects.Observe(end.fingerprint, ended)
+		r.observeCrash(end.identity, ended)
 		r.parts.Crashed(end.parts, ended)
 	}
 	if answeredFor < blame.AnsweredAfter {
 		r.parts.Crashed(x.parts, crash)
 	}
-	verdict, _ := r.suspects.Judge(now, x.fingerprint)
+	verdict, _ := r.suspects.Judge(now, x.identity.request)
+	variants, _ := r.suspects.Judge(now, x.identity.variants)
 	part, _ := r.parts.Judge(now, x.parts)
-	event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.fingerprint, "caller", x.caller, "path", x.req.Path, "crash", crash.ID, "progress", crash.Progress, "crashes", len(entry.Crashes), "verdict", verdict,
+	event.RequestCrashed.Log("request", x.req.ID, "fingerprint", x.identity.request, "caller", x.caller, "path", x.req.Path, "crash", crash.ID, "progress", crash.Progress, "crashes", crashes, "verdict", verdict, "variants-verdict", variants,
 		"parts", strings.Join(x.parts, ","), "answered-for", answeredFor, "quarantined-part", part)
 	r.refuseQuarantined(now)
 	r.requestReport()
 }
 
+// observeCrash adds a crash to the history of a request and, if it is the request's only
+// one, to that of its variants. It returns the number of crashes in the former. The
+// caller holds relay.mu.
+func (r *Relay) observeCrash(id identity, c poison.Crash) int {
+	crashes := len(r.suspects.Observe(id.request, c).Crashes)
+	if crashes == 1 {
+		r.suspects.Observe(id.variants, c)
+	}
+	return crashes
+}
+
+// quarantined returns the key of the history for which a request with the given parts
+// in its prompt must not be sent, empty if there is none, and how long that holds. The
+// caller holds relay.mu.
+func (r *Relay) quarantined(now time.Time, id identity, parts []string) (key string, left time.Duration) {
+	for _, key := range id.keys() {
+		if verdict, left := r.suspects.Judge(now, key); verdict == poison.Quarantined {
+			return key, left
+		}
+	}
+	if part, left := r.parts.Judge(now, parts); part != "" {
+		return poison.PartKey(part), left
+	}
+	return "", 0
+}
+
 // recordUnframedEnd records a response that ended with its connection. If the
 // upstream crashed at that time, the response may have ended with it. The caller
 // holds relay.mu.
 func (x *exchange) recordUnframedEnd(now time.Time, up fleet.Upstream) {
-	end := unframedEnd{at: now, fingerprint: x.fingerprint}
+	end := unframedEnd{at: now, identity: x.identity}
 	if !x.cleared {
 		end.parts = x.parts
 	}
--- a/internal/node/relay/crash_test.go
+++ b/internal/node/relay/crash_test.go
@@ -83,7 +83,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		request := &fleet.Request{Method: http.MethodPost, Target: "/x?y=1", Model: "m", Body: []byte("body of 1")}
-		e := poison.Entry{Fingerprint: fingerprint(request, "127.0.0.1")}
+		e := poison.Entry{Fingerprint: identify(request, "127.0.0.1").request}
 		for i := range crashLimit {
 			e.Crashes = append(e.Crashes, poison.Crash{ID: fmt.Sprint("v", i), At: time.Now()})
 		}
@@ -131,11 +131,14 @@
 		if c.kind == fleet.Safe {
 			request.Model = ""
 		}
-		fp := fingerprint(request, "127.0.0.1")
-		f.relay.suspects.Observe(fp, poison.Crash{ID: "v", At: time.Now()})
+		request.Path = "/x"
+		id := identify(request, "127.0.0.1")
+		f.relay.observeCrash(id, poison.Crash{ID: "v", At: time.Now()})
 		code, _ := f.send(http.MethodPost, "1", request.Model)
 		must.Eq(t, http.StatusOK, code, must.Sprint(c.name))
-		must.Len(t, c.crashes, f.relay.suspects.Entry(fp).Crashes, must.Sprint(c.name))
+		for _, key := range id.keys() {
+			must.Len(t, c.crashes, f.relay.suspects.Entry(key).Crashes, must.Sprint(c.name))
+		}
 	}
 }
 
@@ -307,3 +310,34 @@
 		})
 	}
 }
+
+// TestSoundVariant guards against refusing the other pages of a listing one page of which
+// crashes upstreams, and against sending that page again once another one was answered.
+func TestSoundVariant(t *testing.T) {
+	bad := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("page") == "2" {
+			resetConnection(w, r)
+			return
+		}
+		respondOK(w, r)
+	}
+	f := newFixture(t, route(fleet.Safe, 1, false), bad)
+	get := func(page int) int {
+		r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("%s/racks?page=%d", f.front.URL, page), nil)
+		must.NoError(t, err)
+		r.Header.Set("Id", fmt.Sprint("page-", page))
+		res, err := http.DefaultClient.Do(r)
+		must.NoError(t, err)
+		_ = res.Body.Close()
+		f.ups[0].Born++
+		f.relay.SetUpstreams(time.Now(), f.ups)
+		return res.StatusCode
+	}
+	for range 4 {
+		must.Eq(t, http.StatusOK, get(1))
+		get(2)
+	}
+	must.Eq(t, http.StatusOK, get(3))
+	must.Eq(t, http.StatusServiceUnavailable, get(2))
+	must.LessEq(t, 5+crashLimit, f.requestCount(0))
+}
--- a/internal/node/relay/ending.go
+++ b/internal/node/relay/ending.go
@@ -13,9 +13,9 @@
 
 	// unframedEnd is the end of a response that looked complete.
 	unframedEnd struct {
-		at          time.Time
-		fingerprint string
-		parts       []string
+		at       time.Time
+		identity identity
+		parts    []string
 	}
 )
 
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -15,7 +14,6 @@
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
-	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/sse"
 	"github.com/azurespan/azurespan/internal/rule/meter"
 	"github.com/azurespan/azurespan/internal/rule/pick"
@@ -39,8 +37,8 @@
 		holding []any
 		query   pick.Query
 		// caller is the address of the caller's host.
-		caller      string
-		fingerprint string
+		caller   string
+		identity identity
 		// parts are the shared parts of the prompt. known are their crashes as
 		// of answeredAt, the time of the first byte of the present attempt's
 		// answer; cleared is set once the parts have been cleared of them.
@@ -147,7 +145,7 @@
 	if err != nil {
 		caller = hr.RemoteAddr
 	}
-	x.caller, x.fingerprint = caller, fingerprint(req, caller)
+	x.caller, x.identity = caller, identify(req, caller)
 	x.parts = req.SharedParts()
 	// A caller that does not read must not hold the request past its deadline.
 	if err := x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
@@ -165,17 +163,6 @@
 	return h.Sum64() >> 1
 }
 
-// fingerprint identifies a request that is sent again under another id.
-func fingerprint(req *fleet.Request, caller string) string {
-	h := fnv.New128a()
-	for _, s := range []string{caller, req.Method, req.Target, req.Model, req.Adapter} {
-		_, _ = h.Write([]byte(s))
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(req.Body)
-	return hex.EncodeToString(h.Sum(nil))
-}
-
 // refuseUndecodable refuses a request that could not be decoded.
 func (r *Relay) refuseUndecodable(w http.ResponseWriter, err error) {
 	resp := refusal{code: http.StatusBadRequest, reason: "unreadable"}
@@ -262,17 +249,11 @@
 // checkQuarantine reports whether the request may be sent to upstreams, and its
 // refusal if it crashes them. r.mu must be held.
 func (x *exchange) checkQuarantine(now time.Time) (refusal, bool) {
-	suspects := x.relay.suspects
-	verdict, left := suspects.Judge(now, x.fingerprint)
-	key := x.fingerprint
-	if verdict != poison.Quarantined {
-		var part string
-		if part, left = x.relay.parts.Judge(now, x.parts); part == "" {
-			return refusal{}, true
-		}
-		key = poison.PartKey(part)
+	key, left := x.relay.quarantined(now, x.identity, x.parts)
+	if key == "" {
+		return refusal{}, true
 	}
-	x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", len(suspects.Entry(key).Crashes), key)
+	x.lastFailure = fmt.Sprintf("upstreams crashed: %d, fingerprint %s", len(x.relay.suspects.Entry(key).Crashes), key)
 	if x.possibleRuns > 0 {
 		return refusal{code: http.StatusBadGateway, reason: quarantinedReason}, false
 	}
@@ -322,7 +303,7 @@
 	r.nextID++
 	w := &waiter{
 		item:  x.queueItem(r.nextID, until),
-		query: &x.query, fingerprint: x.fingerprint, parts: x.parts, account: x.req.Account, since: now, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
+		query: &x.query, identity: x.identity, parts: x.parts, account: x.req.Account, since: now, ready: make(chan pick.Choice, 1), quarantined: make(chan struct{}),
 	}
 	r.waiters[w.item.ID] = w
 	r.queue.Add(w.item)
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -130,10 +130,11 @@
 		item  *queue.Item
 		query *pick.Query
 		ready chan pick.Choice
-		// quarantined is closed when the request is found to crash upstreams;
-		// fingerprint is empty from then on.
+		// quarantined is closed, and refused set, when the request is found to crash
+		// upstreams.
 		quarantined chan struct{}
-		fingerprint string
+		refused     bool
+		identity    identity
 		// parts are the shared parts of the prompt.
 		parts []string
 		// account is the name of the request's account.
@@ -229,14 +230,12 @@
 	}
 	r.judgedRev = rev
 	for _, w := range r.waiters {
-		if w.fingerprint == "" {
+		if w.refused {
 			continue
 		}
-		verdict, _ := r.suspects.Judge(now, w.fingerprint)
-		part, _ := r.parts.Judge(now, w.parts)
-		if verdict == poison.Quarantined || part != "" {
+		if key, _ := r.quarantined(now, w.identity, w.parts); key != "" {
 			close(w.quarantined)
-			w.fingerprint = ""
+			w.refused = true
 		}
 	}
 }
