--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -26,6 +26,8 @@
 		// MaxIdlePerUpstream limits the number of idle connections to one
 		// upstream.
 		MaxIdlePerUpstream int
+		// Dial establishes a connection; nil stands for DialTCP.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
 	}
 
 	// Pool keeps idle connections for reuse. It is safe for concurrent use.
@@ -82,6 +84,9 @@
 
 // New returns an empty Pool. now is the clock.
 func New(set Settings, now func() time.Time) *Pool {
+	if set.Dial == nil {
+		set.Dial = DialTCP
+	}
 	return &Pool{settings: set, now: now, idle: map[string][]*Conn{}}
 }
 
@@ -95,8 +100,9 @@
 			return c, nil
 		}
 	}
-	d := net.Dialer{Timeout: p.settings.DialTimeout, KeepAlive: -1, Control: Control}
-	nc, err := d.DialContext(ctx, "tcp4", address)
+	dial, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	nc, err := p.settings.Dial(dial, address)
+	cancel()
 	if err != nil {
 		return nil, &DialError{Address: address, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 	}
@@ -104,6 +110,12 @@
 	return &Conn{pool: p, key: key, Conn: nc, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
+// DialTCP establishes a TCP connection whose unacknowledged bytes make it fail.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1, Control: Control}
+	return d.DialContext(ctx, "tcp4", address)
+}
+
 // Control is the Control function of a net.Dialer. It makes a connection fail
 // if sent bytes are not acknowledged, because a peer that has lost power or is
 // behind a network partition sends nothing, not even a reset.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -82,6 +82,9 @@
 		ConfigKey string
 		// BootClock includes the time in which the machine is suspended.
 		BootClock func() time.Time
+		// DialUpstream establishes a connection to an upstream; nil stands for
+		// http1.DialTCP.
+		DialUpstream func(ctx context.Context, address string) (net.Conn, error)
 	}
 
 	// Entry is the daemon of an entry host.
@@ -169,7 +172,7 @@
 	metrics := metric.New(e.reg)
 	e.metrics = metrics
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	pool := http1.New(http1.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: idlePerUpstream}, now)
+	pool := http1.New(http1.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: idlePerUpstream, Dial: platform.DialUpstream}, now)
 	e.crashes = poison.New(poison.Settings{CrashLimit: crashLimit}, rng.Uint64())
 	e.parts = blame.New(e.crashes)
 	e.origins = origin.New(settings.HolderPause)
