paths, tunnel: forward connections of a daemon that reaches no upstream

Cause: a daemon had one way to an upstream, its own connection. When that path was gone it waited for timeouts of 200 ms, set each upstream aside and refused, although other daemons stood next to it with a path.

Ruled out: readiness alone (open connections stay, and a whole failure domain can be cut off), requests lost in kept connections (none after the idle time of 1.5 s).

Change: another daemon forwards the connection. rule/paths decides from the results of connection attempts over both ways, the holder names forwarders, link/tunnel carries one request each and tells the end of the upstream from that of the forwarder.

--- a/cmd/azurespan/entry.go
+++ b/cmd/azurespan/entry.go
@@ -77,7 +77,7 @@
 	port := func(offset int) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+offset)) }
 	set := entry.Settings{
 		Host: s.Host, FailureDomain: s.FailureDomain,
-		Callers: s.CallerAddress, Readiness: s.ReadinessAddress, Peers: port(0), Metrics: port(1),
+		Callers: s.CallerAddress, Readiness: s.ReadinessAddress, Peers: port(0), Metrics: port(1), Forward: port(2),
 		FirstStart: s.FirstStart, Grace: s.Bounds.GracePeriod, Drain: s.Bounds.DrainDeadline, ConfigDeadline: s.Bounds.ConfigDeadline, HolderPause: s.Bounds.HandoverDelay,
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow, RetrySlack: s.Bounds.RetrySlack,
 		StoreWindow: s.Bounds.StoreLoadWindow,
--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -54,6 +54,23 @@
 		Number: 8010, Name: "relay-stream-resumed",
 		Meaning: "A caller resumes a stream. The request that brought its first event is given, the software version at which it began, how that is known (known to the daemon, from the log, or the only one there is), and how long it took to find out. Without a version the request is refused.",
 	})
+	UpstreamPath = register(Event{
+		Number: 8012, Name: "upstream-path",
+		Meaning: "This daemon's own network path to upstreams counts as lost, since several of them didn't accept its connections and others reach them; or a connection over it was established again. Meanwhile other daemons forward its connections.",
+		Action:  "Look for the network between this host and the upstreams; those named by relay-attempt-failed may be sound.",
+	})
+	ForwardFailed = register(Event{
+		Number: 8013, Name: "forward-failed",
+		Meaning: "Another daemon was asked to forward a connection to an upstream and didn't, for the cause given.",
+	})
+	ForwardedHead = register(Event{
+		Number: 8015, Name: "forwarded-head-unreadable",
+		Meaning: "The head of a response to a forwarded request can't be read, so nothing is learnt from it about the upstream. The daemon that asked gets it as it is.",
+	})
+	ForwardRefused = register(Event{
+		Number: 8014, Name: "forward-refused",
+		Meaning: "This daemon was asked to forward a connection to an upstream and didn't, for the reason given.",
+	})
 )
 
 // State of the daemon on an entry host, and what it reads from the log.
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -67,6 +67,12 @@
 	// UpstreamSilences counts the silences of upstreams that were longer than the
 	// time after which another upstream is considered.
 	UpstreamSilences prometheus.Counter
+	// UpstreamPathLost is 1 while the daemon reaches upstreams only through others,
+	// and ForwardedConnections counts the connections that it asked others for.
+	UpstreamPathLost     prometheus.Gauge
+	ForwardedConnections *prometheus.CounterVec
+	// OpenTunnels is the number of connections that the daemon forwards.
+	OpenTunnels prometheus.Gauge
 	// ConfigLagSeconds and DrainLagSeconds are upper bounds of the time from the
 	// log's acknowledgement until this daemon put a configuration in force, and no
 	// longer used an upstream that started to drain.
@@ -120,6 +126,12 @@
 	CrashesMore = "3-or-more"
 )
 
+// Values of the label outcome of ForwardedConnections.
+const (
+	ForwardOK     = "ok"
+	ForwardFailed = "failed"
+)
+
 // CrashCounts lists the values of the label crashes.
 var CrashCounts = []string{CrashesOne, CrashesTwo, CrashesMore}
 
@@ -168,6 +180,9 @@
 		Quarantined:            b.gauge("azurespan_quarantined_requests", "Requests, by fingerprint, that are refused because they crash upstreams."),
 		QuarantinedParts:       b.gauge("azurespan_quarantined_prompt_parts", "Parts of prompts with which requests are refused because they crash upstreams."),
 		UpstreamSilences:       b.counter("azurespan_upstream_silences_total", "Silences of upstreams after which another upstream was considered for the request."),
+		UpstreamPathLost:       b.gauge("azurespan_upstream_path_lost", "1 while this daemon reaches upstreams only through other daemons, else 0."),
+		ForwardedConnections:   b.counterVec("azurespan_forwarded_connections_total", "Connections to upstreams that this daemon asked another one for, by outcome (ok, failed).", "outcome"),
+		OpenTunnels:            b.gauge("azurespan_open_tunnels", "Connections to upstreams that this daemon forwards for others."),
 		LimitedSends:           b.counter("azurespan_limited_sends_total", "Requests sent to an upstream that had named a rate limit."),
 		LimitedUpstreams:       b.gauge("azurespan_limited_upstreams", "Upstreams that name a rate limit, as far as the daemon knows."),
 		SuspectSends:           b.counterVec("azurespan_suspect_sends_total", "Requests sent to an upstream although upstreams had crashed under them, by the number of crashes known to the daemon (1, 2, 3-or-more).", "crashes"),
@@ -184,6 +199,9 @@
 		m.ControlSentBytes.WithLabelValues(source)
 		m.ControlReceivedBytes.WithLabelValues(source)
 	}
+	for _, o := range []string{ForwardOK, ForwardFailed} {
+		m.ForwardedConnections.WithLabelValues(o)
+	}
 	for _, n := range CrashCounts {
 		m.SuspectSends.WithLabelValues(n)
 	}
--- a/internal/core/fleet/demand.go
+++ b/internal/core/fleet/demand.go
@@ -27,6 +27,18 @@
 		Allowance AllowanceAsk
 	}
 
+	// PathReport tells the holder about a daemon's network path to upstreams.
+	PathReport struct {
+		// Address is the IP:port at which the daemon forwards connections to
+		// upstreams for other daemons, empty if it doesn't, and FailureDomain is the
+		// daemon's.
+		Address, FailureDomain string
+		// CutOff is set while the daemon itself reaches no upstream.
+		CutOff bool
+		// Known is a digest of the list of forwarders that the daemon knows.
+		Known uint64
+	}
+
 	// Inventory is what an engine holds and daemons may use.
 	Inventory struct {
 		ID   string
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -26,8 +26,15 @@
 		// MaxIdlePerUpstream limits the number of idle connections to one
 		// upstream.
 		MaxIdlePerUpstream int
-		// Dial establishes a connection; nil stands for DialTCP.
-		Dial func(ctx context.Context, address string) (net.Conn, error)
+		// Dial connects to the upstream with a key at an address; nil stands for
+		// DialTCP. It may return a OneRequest.
+		Dial func(ctx context.Context, key, address string) (net.Conn, error)
+	}
+
+	// OneRequest is a connection that carries one request only.
+	OneRequest interface {
+		net.Conn
+		OneRequest()
 	}
 
 	// Pool keeps idle connections for reuse. It is safe for concurrent use.
@@ -85,7 +92,7 @@
 // New returns an empty Pool. now is the clock.
 func New(set Settings, now func() time.Time) *Pool {
 	if set.Dial == nil {
-		set.Dial = DialTCP
+		set.Dial = func(ctx context.Context, _, address string) (net.Conn, error) { return DialTCP(ctx, address) }
 	}
 	return &Pool{settings: set, now: now, idle: map[string][]*Conn{}}
 }
@@ -101,7 +108,7 @@
 		}
 	}
 	dial, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
-	nc, err := p.settings.Dial(dial, address)
+	nc, err := p.settings.Dial(dial, key, address)
 	cancel()
 	if err != nil {
 		return nil, &DialError{Address: address, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
@@ -203,7 +210,8 @@
 	now := c.pool.now()
 	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 	keep := keepAlive(res.Header.Get("Keep-Alive"), c.pool.settings.IdleTimeout)
-	if res.Close || !framed || keep <= 0 || c.br.Buffered() > 0 {
+	_, once := c.Conn.(OneRequest)
+	if once || res.Close || !framed || keep <= 0 || c.br.Buffered() > 0 {
 		c.discard()
 		return
 	}
@@ -231,7 +239,7 @@
 // are discarded. Otherwise they would arrive after the end of a network
 // partition and the request would run late.
 func (c *Conn) Abort() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0) // fails on a closed connection only
 	}
 	c.discard()
--- /dev/null
+++ b/internal/link/tunnel/server.go
@@ -0,0 +1,228 @@
+package tunnel
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+)
+
+type (
+	// Upstreams is what the forwarder knows of upstreams.
+	Upstreams interface {
+		// MayForward returns the upstream with an ID at an address, or the reason why
+		// it gets no request from this daemon.
+		MayForward(now time.Time, id, address string) (up fleet.Upstream, reason string)
+		// Dial connects to the upstream over the daemon's own path.
+		Dial(ctx context.Context, up fleet.Upstream) (net.Conn, error)
+		// Observe records the head of the upstream's response to a request that was
+		// forwarded since a time.
+		Observe(up fleet.Upstream, since time.Time, head []byte)
+	}
+
+	// Server forwards connections for other daemons. It is an http.Handler.
+	Server struct {
+		upstreams Upstreams
+		now       func() time.Time
+
+		mu     sync.Mutex
+		open   int
+		closed bool
+	}
+)
+
+const (
+	// maxOpen bounds the tunnels of one daemon, each of which takes some 25 KB.
+	maxOpen = 512
+	// dialTimeout bounds the connection to the upstream: the longest round trip
+	// between failure domains is 8 ms.
+	dialTimeout = 120 * time.Millisecond
+	// maxHeadBytes is how much of a response is kept to find its head in.
+	maxHeadBytes = 16 << 10
+)
+
+// New returns a Server.
+func New(upstreams Upstreams, now func() time.Time) *Server {
+	return &Server{upstreams: upstreams, now: now}
+}
+
+// Close makes the Server refuse further tunnels. Those that are open go on.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
+// Open returns the number of open tunnels.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
+// begin counts a tunnel, and reports whether there may be another one.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.open >= maxOpen {
+		return false
+	}
+	s.open++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+}
+
+// ServeHTTP forwards a connection.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	if !s.begin() {
+		s.refuse(w, r, http.StatusServiceUnavailable, "stopping or full")
+		return
+	}
+	defer s.end()
+	since := s.now()
+	up, reason := s.upstreams.MayForward(since, r.Header.Get(idHeader), r.Host)
+	if reason != "" {
+		s.refuse(w, r, http.StatusBadGateway, reason)
+		return
+	}
+	dial, cancel := context.WithTimeout(r.Context(), dialTimeout)
+	upstream, err := s.upstreams.Dial(dial, up)
+	cancel()
+	if err != nil {
+		s.refuse(w, r, http.StatusBadGateway, err.Error())
+		return
+	}
+	defer func() { _ = upstream.Close() }() // closed already unless hijacking fails
+	conn, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		event.ForwardRefused.Log("upstream", up.ID, "from", r.RemoteAddr, "reason", err.Error())
+		return
+	}
+	t := &transfer{daemon: conn, upstream: upstream}
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+		t.abort()
+		return
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		t.send(rw.Reader)
+	}()
+	t.receive(func(head []byte) { s.upstreams.Observe(up, since, head) })
+	<-sent
+}
+
+// refuse answers that the connection isn't forwarded.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	event.ForwardRefused.Log("upstream", r.Header.Get(idHeader), "from", r.RemoteAddr, "status", status, "reason", reason)
+	w.Header().Set(reasonHeader, reason)
+	w.WriteHeader(status)
+}
+
+// transfer copies between a daemon and an upstream.
+type transfer struct{ daemon, upstream net.Conn }
+
+// abort resets both connections.
+func (t *transfer) abort() {
+	for _, c := range []net.Conn{t.daemon, t.upstream} {
+		if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
+			_ = tcp.SetLinger(0) // fails on a closed connection only
+		}
+		_ = c.Close()
+	}
+}
+
+// send copies what the daemon sends until either side ends. The daemon ends the tunnel
+// when it no longer wants the response, so the upstream must stop at once.
+func (t *transfer) send(from io.Reader) {
+	buf := make([]byte, maxFrameBytes)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if _, werr := t.upstream.Write(buf[:n]); werr != nil {
+				// receive finds how the upstream ended.
+				return
+			}
+		}
+		if err != nil {
+			t.abort()
+			return
+		}
+	}
+}
+
+// receive copies what the upstream sends in frames, and tells the daemon how it ended.
+// head is called with the head of the response once it is complete.
+func (t *transfer) receive(head func([]byte)) {
+	buf := make([]byte, headerBytes+maxFrameBytes)
+	var seen []byte
+	for {
+		n, err := t.upstream.Read(buf[headerBytes:])
+		if n > 0 {
+			if head != nil {
+				seen = append(seen, buf[headerBytes:headerBytes+n]...)
+				if complete(seen) {
+					head(seen)
+					head, seen = nil, nil
+				} else if len(seen) > maxHeadBytes {
+					head, seen = nil, nil
+				}
+			}
+			if werr := t.frame(buf, frameData, n); werr != nil {
+				t.abort()
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			err = t.frame(buf, frameClosed, 0)
+		case errors.Is(err, syscall.ECONNRESET):
+			err = t.frame(buf, frameReset, 0)
+		}
+		if err != nil {
+			t.abort()
+			return
+		}
+		_ = t.daemon.Close() // nothing more is sent
+		_ = t.upstream.Close()
+		return
+	}
+}
+
+// frame sends a frame with n bytes that buf has behind the header.
+func (t *transfer) frame(buf []byte, kind byte, n int) error {
+	buf[0] = kind
+	binary.BigEndian.PutUint16(buf[1:], uint16(n))
+	_, err := t.daemon.Write(buf[:headerBytes+n])
+	return err
+}
+
+// complete reports whether b has the whole head of a response.
+func complete(b []byte) bool {
+	for i := 3; i < len(b); i++ {
+		if b[i] == '\n' && b[i-1] == '\r' && b[i-2] == '\n' {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -21,6 +21,8 @@
 	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
+	"github.com/azurespan/azurespan/internal/link/tunnel"
+	"github.com/azurespan/azurespan/internal/node/dialer"
 	"github.com/azurespan/azurespan/internal/node/elect"
 	"github.com/azurespan/azurespan/internal/node/eras"
 	"github.com/azurespan/azurespan/internal/node/feed"
@@ -32,6 +34,7 @@
 	"github.com/azurespan/azurespan/internal/node/relay"
 	"github.com/azurespan/azurespan/internal/node/syncer"
 	"github.com/azurespan/azurespan/internal/rule/issuer"
+	"github.com/azurespan/azurespan/internal/rule/paths"
 	"github.com/azurespan/azurespan/internal/rule/plan"
 )
 
@@ -42,7 +45,10 @@
 		// Callers, Readiness, Peers and Metrics are the IP:port to listen on
 		// for each.
 		Callers, Readiness, Peers, Metrics string
-		FirstStart                         bool
+		// Forward is the IP:port to listen on for other daemons' connections to
+		// upstreams.
+		Forward    string
+		FirstStart bool
 		// Grace is the time from SIGTERM to the end of the process.
 		Grace time.Duration
 		// Drain is the time within which a leaving upstream gets no more
@@ -96,14 +102,18 @@
 		crashes  *poison.Table
 		parts    *blame.Table
 		origins  *origin.Table
-		olog     *olog.Store
-		loader   *loader.Loader
-		elector  *elect.Elector
-		syncer   *syncer.Syncer
-		reg      *prometheus.Registry
-		config   *configSink
-		topics   *topicView
-		eras     *eras.Tracker
+		// paths holds what is known of the network paths to upstreams, and forwarder
+		// serves daemons that have none.
+		paths     *paths.Table
+		forwarder *tunnel.Server
+		olog      *olog.Store
+		loader    *loader.Loader
+		elector   *elect.Elector
+		syncer    *syncer.Syncer
+		reg       *prometheus.Registry
+		config    *configSink
+		topics    *topicView
+		eras      *eras.Tracker
 
 		stopping atomic.Bool
 		ready    atomic.Bool
@@ -123,8 +133,9 @@
 	maxStagger = 300 * time.Millisecond
 	// pauseSlack is added to HolderPause for orders in transit.
 	pauseSlack = 400 * time.Millisecond
-	// dialTimeout and upstreamIdleTimeout apply to connections to upstreams.
-	dialTimeout         = 200 * time.Millisecond
+	// dialTimeout and upstreamIdleTimeout apply to connections to upstreams;
+	// dialTimeout leaves time for a forwarder after the daemon's own path has failed.
+	dialTimeout         = 450 * time.Millisecond
 	upstreamIdleTimeout = 1500 * time.Millisecond
 	// idlePerUpstream bounds the idle connections to one upstream.
 	idlePerUpstream = 8
@@ -154,6 +165,9 @@
 	// contactTTL is the age of the holder's last reply up to which a daemon is in
 	// contact with it.
 	contactTTL = 1500 * time.Millisecond
+	// tunnelCheckInterval is the interval at which a stopping daemon checks whether
+	// connections are still forwarded.
+	tunnelCheckInterval = 20 * time.Millisecond
 	// graceMargin is the part of the grace period that is reserved for the end
 	// of the process.
 	graceMargin = 700 * time.Millisecond
@@ -172,7 +186,12 @@
 	metrics := metric.New(e.reg)
 	e.metrics = metrics
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	pool := http1.New(http1.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: idlePerUpstream, Dial: platform.DialUpstream}, now)
+	e.paths = paths.New(settings.Forward, settings.FailureDomain)
+	if platform.DialUpstream == nil {
+		platform.DialUpstream = http1.DialTCP
+	}
+	dial := dialer.New(e.paths, platform.DialUpstream, metrics, now)
+	pool := http1.New(http1.Settings{DialTimeout: dialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: idlePerUpstream, Dial: dial.Dial}, now)
 	e.crashes = poison.New(poison.Settings{CrashLimit: crashLimit}, rng.Uint64())
 	e.parts = blame.New(e.crashes)
 	e.origins = origin.New(settings.HolderPause)
@@ -184,6 +203,7 @@
 		ConfigTTL: time.Duration(maxAgeShare * float64(settings.ConfigDeadline)), KeyTTL: time.Duration(maxAgeShare * float64(settings.RevokeTime)),
 		Freshness: func() fleet.Freshness { return e.topics.freshness() }, Allowances: settings.Allowances, BootClock: platform.BootClock,
 	}, platform.Wire, pool, e.crashes, e.parts, e.olog, metrics, rng, now)
+	e.forwarder = tunnel.New(forwarding{e.relay, dial}, now)
 	earliestRead := now()
 	if settings.FirstStart {
 		earliestRead = earliestRead.Add(firstHolderWait)
@@ -211,7 +231,7 @@
 	e.topics.eras = e.eras
 	e.eras.Subscribe(func(time.Time, int64) eras.Loss { return e.topics.positionsInForce() })
 	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, e.origins, metrics, settings.Allowances, now, platform.BootClock)
-	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now)
+	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.paths, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now)
 	e.topics.daemons = func() int { return e.syncer.Daemons() }
 	e.topics.keys = func() bool {
 		cfg := e.relay.Config()
@@ -239,12 +259,17 @@
 	if err != nil {
 		return err
 	}
+	forward, err := listen(e.settings.Forward)
+	if err != nil {
+		return err
+	}
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	tree := super.New("entry")
 	e.addState(tree)
 	tree.Add("relay", e.relay.Run)
 	tree.Add("peers", func(ctx context.Context) error { return hub.Serve(ctx, peers, e.loader, e.now) })
+	tree.Add("forward", serveHTTP(forward, e.forwarder))
 	tree.Add("metrics", serveHTTP(metrics, e.operatorHandler()))
 	tree.Add("readiness", serveHTTP(readiness, http.HandlerFunc(e.serveReadiness)))
 	go func() {
--- a/internal/node/entry/stop.go
+++ b/internal/node/entry/stop.go
@@ -26,15 +26,23 @@
 		<-released
 	}()
 	pause.For(ctx, rotationDelay)
+	e.forwarder.Close()
 	e.relay.Stop()
 	if err := server.Shutdown(ctx); err != nil {
 		event.EntryStopped.Log("took", e.now().Sub(began), "cut", e.active.Load(), "cause", err.Error())
 		_ = server.Close() // the process ends anyway
 		return
 	}
+	e.awaitTunnels(ctx)
 	event.EntryStopped.Log("took", e.now().Sub(began), "cut", 0)
 }
 
+// awaitTunnels waits until no connection is forwarded for another daemon, or ctx ends.
+func (e *Entry) awaitTunnels(ctx context.Context) {
+	for e.forwarder.Open() > 0 && pause.For(ctx, tunnelCheckInterval) {
+	}
+}
+
 // releaseLease releases the lease once drained is closed, or at the given time. Until
 // then this daemon goes on to order loads: a machine that is only restarted takes the
 // lease again at once, and any other holder has to pause first.
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -34,6 +34,9 @@
 		// Cleared are the fingerprints of requests that have completed. Daemons
 		// that don't know Entry.Cleared rely on it.
 		Cleared []string
+		// Path is the daemon's network path to upstreams, zero from a daemon that
+		// doesn't forward.
+		Path fleet.PathReport
 	}
 
 	// TellReply is the reply to TellArgs.
@@ -47,6 +50,9 @@
 		ReadsGroups bool
 		// Allowance answers Demand.Allowance; nil from a holder that can't.
 		Allowance *fleet.AllowanceReply
+		// Forwarders are the addresses of daemons that forward connections to
+		// upstreams, in the order of preference, nil if the daemon knows them.
+		Forwarders []string
 	}
 
 	// WatchArgs requests the changes after a revision of a tenure.
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -22,12 +22,15 @@
 		return nil, &hub.NotHolderError{Host: l.host}
 	}
 	l.planner.RecordDemand(now, a.Host, a.Demand)
-	p := &daemonState{at: now, running: make(map[string]int, len(a.Demand.Running))}
+	p := &daemonState{at: now, path: a.Path, running: make(map[string]int, len(a.Demand.Running))}
 	for id, byKey := range a.Demand.Running {
 		for _, n := range byKey {
 			p.running[id] += n
 		}
 	}
+	if former := l.daemons[a.Host]; former != nil {
+		p.forwarders = former.forwarders
+	}
 	l.daemons[a.Host] = p
 	l.mergeCrashes(now, a)
 	if a.Host != l.host {
@@ -40,7 +43,7 @@
 		l.notifyWatchers()
 	}
 	l.wake()
-	return &hub.TellReply{Fence: l.fence, Deals: true, ReadsGroups: true, Permits: l.dealer.Deal(now, a.Demand.Permits, len(a.Demand.Arrivals) > 0), Allowance: l.answerAllowance(a)}, nil
+	return &hub.TellReply{Fence: l.fence, Deals: true, ReadsGroups: true, Permits: l.dealer.Deal(now, a.Demand.Permits, len(a.Demand.Arrivals) > 0), Allowance: l.answerAllowance(a), Forwarders: l.forwardersFor(now, a)}, nil
 }
 
 // mergeCrashes merges the crash histories of a daemon's report, and notifies the
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -116,6 +116,9 @@
 	daemonState struct {
 		at      time.Time
 		running map[string]int
+		path    fleet.PathReport
+		// forwarders are those that it was told, nil if none were.
+		forwarders *forwarderList
 	}
 )
 
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/link/tunnel"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
 
@@ -166,6 +167,10 @@
 
 // interrupted returns the outcome of a missing, malformed or truncated response.
 func interrupted(err error, firstByteTime time.Duration) outcome {
+	var lost *tunnel.LostError
+	if errors.As(err, &lost) {
+		return outcome{mayHaveRun: true, result: pick.Inconclusive, firstByteTime: firstByteTime, cause: err.Error()}
+	}
 	return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: firstByteTime, crashed: connectionEnded(err), cause: err.Error()}
 }
 
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -102,7 +102,7 @@
 	k.res, k.firstByteTime = res, x.relay.now().Sub(k.sent)
 	k.verdict = x.relay.codec.Classify(x.req, res)
 	if k.verdict != fleet.Foreign {
-		x.recordLimit(res, k.up, k.sent)
+		x.relay.observe(res, k.up, k.sent, x.req.ID)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/node/relay/forward.go
@@ -0,0 +1,37 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"time"
+
+	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+)
+
+// MayForward returns the upstream with an ID at an address, or the reason why no
+// request is sent to it for another daemon.
+func (r *Relay) MayForward(now time.Time, id, address string) (up fleet.Upstream, reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	up, ok := r.table.Find(id)
+	switch {
+	case !ok || up.Address != address:
+		return up, "unknown here"
+	case !r.table.Usable(up):
+		return up, "leaving"
+	}
+	return up, ""
+}
+
+// Observe records what the head of an upstream's response says of the upstream. The
+// request was another daemon's, forwarded at a time.
+func (r *Relay) Observe(up fleet.Upstream, sent time.Time, head []byte) {
+	res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
+	if err != nil {
+		event.ForwardedHead.Log("upstream", up.ID, "cause", err.Error())
+		return
+	}
+	r.observe(res, up, sent, "forwarded")
+}
--- a/internal/node/relay/limit.go
+++ b/internal/node/relay/limit.go
@@ -19,14 +19,14 @@
 	}
 }
 
-// recordLimit records what a response says of its upstream's rate limit.
-func (x *exchange) recordLimit(res *http.Response, up fleet.Upstream, sent time.Time) {
-	r := x.relay
+// observe records what a response says of its upstream. source is the request's ID, or
+// where the response came from.
+func (r *Relay) observe(res *http.Response, up fleet.Upstream, sent time.Time, source string) {
 	perSecond, named := r.codec.RateLimit(res)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.limits.Answered(r.now(), sent, up, perSecond, named) {
-		event.UpstreamLimit.Log("upstream", up.ID, "born", up.Born, "limited", named, "per-second", perSecond, "source", x.req.ID)
+		event.UpstreamLimit.Log("upstream", up.ID, "born", up.Born, "limited", named, "per-second", perSecond, "source", source)
 	}
 }
 
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -17,6 +17,7 @@
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/rule/paths"
 )
 
 type (
@@ -60,6 +61,7 @@
 		topics      TopicView
 		crashes     *poison.Table
 		origins     *origin.Table
+		paths       *paths.Table
 		localHolder hub.Holder
 		// setStoreAtOnce takes over the holder's estimate of the number of
 		// loads that the weight store serves at a time.
@@ -145,8 +147,8 @@
 
 // New returns a Syncer. A value from urgent triggers a report, and holder is
 // the one in this process.
-func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, origins *origin.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, dial func(ctx context.Context, address string) (Client, error), urgent <-chan struct{}, now func() time.Time) *Syncer {
-	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now}
+func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, origins *origin.Table, table *paths.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, dial func(ctx context.Context, address string) (Client, error), urgent <-chan struct{}, now func() time.Time) *Syncer {
+	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, paths: table, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now}
 }
 
 // Tell reports to the holder in this process.
@@ -250,7 +252,7 @@
 	var told poison.Cursor
 	streams, readsGroups := 0, false
 	for {
-		a := &hub.TellArgs{Host: s.host, Demand: s.local.TakeDemand(s.now())}
+		a := &hub.TellArgs{Host: s.host, Demand: s.local.TakeDemand(s.now()), Path: s.paths.Report(s.now())}
 		var next poison.Cursor
 		a.Crashes, next = s.crashes.Since(told, true)
 		var nextStream int
@@ -268,6 +270,9 @@
 			return err
 		}
 		s.local.ApplyTellReply(s.now(), r)
+		if len(r.Forwarders) > 0 {
+			s.paths.SetForwarders(r.Forwarders)
+		}
 		told, streams, readsGroups = next, nextStream, r.ReadsGroups
 		timer := time.NewTimer(s.gapForFleet(tellInterval, tellGapPerDaemon))
 		select {
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -17,6 +17,7 @@
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/rule/paths"
 )
 
 // fakeDaemon is a daemon that isn't the holder; it counts calls of the Syncer.
@@ -45,7 +46,7 @@
 
 func run(t *testing.T, s *fakeDaemon) *poison.Table {
 	crashes := poison.New(poison.Settings{CrashLimit: 3}, 1)
-	syncer := New("d", s, s, s, crashes, origin.New(time.Second), nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now)
+	syncer := New("d", s, s, s, crashes, origin.New(time.Second), paths.New("", ""), nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -303,6 +303,15 @@
 	return u != nil && u.info.Born == up.Born && !u.info.Leaving
 }
 
+// Find returns the registered upstream with an ID.
+func (t *Table) Find(id string) (fleet.Upstream, bool) {
+	u := t.upstreams[id]
+	if u == nil {
+		return fleet.Upstream{}, false
+	}
+	return u.info, true
+}
+
 // Running adds this daemon's requests in progress by upstream to dst.
 func (t *Table) Running(dst map[string]map[fleet.Key]int) {
 	for id, u := range t.upstreams {
