fleet, relay: read what a response says of its upstream in one place

Rate limits were read by a function of their own. No change of logic. TestRateLimit checks the same values.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -229,7 +229,7 @@
 	})
 	UpstreamLimitInvalid = register(Event{
 		Number: 8227, Name: "upstream-limit-invalid",
-		Meaning: "An upstream named a limit that is no number, which is ignored.",
+		Meaning: "A header in which an upstream says something of itself, such as its limit, is no number and is ignored.",
 		Action:  "Report it to the maintainers of the upstream.",
 	})
 	QuarantineStored = register(Event{
--- /dev/null
+++ b/internal/core/fleet/notice.go
@@ -0,0 +1,9 @@
+package fleet
+
+// Notice is what a response says of its upstream, whichever request it answers.
+type Notice struct {
+	// Limited is set if the upstream names a rate limit, and PerSecond is the number of
+	// requests a second that it takes from all daemons together.
+	Limited   bool
+	PerSecond float64
+}
--- a/internal/node/relay/limit.go
+++ b/internal/node/relay/limit.go
@@ -1,11 +1,9 @@
 package relay
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
-	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/node/hub"
 )
@@ -19,17 +17,6 @@
 	}
 }
 
-// observe records what a response says of its upstream. source is the request's ID, or
-// where the response came from.
-func (r *Relay) observe(res *http.Response, up fleet.Upstream, sent time.Time, source string) {
-	perSecond, named := r.codec.RateLimit(res)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.limits.Answered(r.now(), sent, up, perSecond, named) {
-		event.UpstreamLimit.Log("upstream", up.ID, "born", up.Born, "limited", named, "per-second", perSecond, "source", source)
-	}
-}
-
 // ApplyTellReply applies the holder's reply to a report.
 func (r *Relay) ApplyTellReply(now time.Time, reply *hub.TellReply) {
 	r.mu.Lock()
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -53,9 +53,8 @@
 		DecodeRequest(r *http.Request, limit int) (*fleet.Request, error)
 		EncodeRequest(q *fleet.Request, s fleet.Attempt) []byte
 		Classify(q *fleet.Request, res *http.Response) fleet.Verdict
-		// RateLimit returns the requests a second that the upstream takes from
-		// all daemons together, and false if the response names no limit.
-		RateLimit(res *http.Response) (perSecond float64, ok bool)
+		// Notice returns what a response says of its upstream.
+		Notice(res *http.Response) fleet.Notice
 		CopyHeader(dst, src http.Header)
 		Refuse(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration)
 	}
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -62,9 +62,12 @@
 	return fleet.Answered
 }
 
-func (testCodec) RateLimit(res *http.Response) (float64, bool) {
+func (testCodec) Notice(res *http.Response) (n fleet.Notice) {
 	perSecond, err := strconv.ParseFloat(res.Header.Get("Limit"), 64)
-	return perSecond, err == nil
+	if err == nil {
+		n.Limited, n.PerSecond = true, perSecond
+	}
+	return n
 }
 
 func (testCodec) CopyHeader(dst, src http.Header) { dst.Set("Content-Type", src.Get("Content-Type")) }
