pick, relay: send nothing to an upstream that says it is leaving

The next request goes elsewhere at once, also one that is forwarded for another daemon; the next incarnation is used again.

TestLeavingIsHeard (4 requests to the leaving upstream, 1 allowed) and TestLeavingUpstreamOfForwarder failed on the code before and pass.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -227,6 +227,10 @@
 		Meaning: "A request of an account with an allowance was refused, because the holder didn't answer in time whether the allowance has room.",
 		Action:  "If it is frequent, look at the holder and the network path to it.",
 	})
+	UpstreamNotice = register(Event{
+		Number: 8229, Name: "upstream-notice",
+		Meaning: "An upstream has said something of itself in an answer: that it is leaving, so that it gets no new requests from this daemon. The request is named.",
+	})
 	UpstreamLimitInvalid = register(Event{
 		Number: 8227, Name: "upstream-limit-invalid",
 		Meaning: "A header in which an upstream says something of itself, such as its limit, is no number and is ignored.",
--- a/internal/core/fleet/notice.go
+++ b/internal/core/fleet/notice.go
@@ -6,4 +6,6 @@
 	// requests a second that it takes from all daemons together.
 	Limited   bool
 	PerSecond float64
+	// Leaving is set if the upstream is going to end and must get no new requests.
+	Leaving bool
 }
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -67,6 +67,7 @@
 	if err == nil {
 		n.Limited, n.PerSecond = true, perSecond
 	}
+	n.Leaving = res.Header.Get("Leaving") != ""
 	return n
 }
 
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -20,7 +20,7 @@
 	q.Limited = ""
 	limitedCostSeen := 0.0
 	for _, u := range t.byService[q.Key.Service] {
-		if u.info.Leaving || tried(q.Tried, u.info.ID) {
+		if u.leaving() || tried(q.Tried, u.info.ID) {
 			continue
 		}
 		if q.Version != nil && u.info.Version != *q.Version {
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -92,6 +92,8 @@
 		comparedOffset      logpos.Position
 		consecutiveFailures int
 		ejectedUntil        time.Time
+		// saidLeaving is set once the upstream has said that it is leaving.
+		saidLeaving bool
 		// silentSince is when the upstream, which has been silent since then, last
 		// sent something; it is ejected until silentUntil.
 		silentSince, silentUntil time.Time
@@ -300,7 +302,7 @@
 // incarnation and isn't leaving.
 func (t *Table) Usable(up fleet.Upstream) bool {
 	u := t.upstreams[up.ID]
-	return u != nil && u.info.Born == up.Born && !u.info.Leaving
+	return u != nil && u.info.Born == up.Born && !u.leaving()
 }
 
 // Find returns the registered upstream with an ID.
