pick, relay: keep the pause that an upstream asks for

Requests now wait for the end of the pause or go elsewhere; one that can't wait for the end of the first pause is refused at once with the time until then. A forwarder keeps its own pauses for the daemons that it forwards for.

--- a/internal/core/fleet/notice.go
+++ b/internal/core/fleet/notice.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // Notice is what a response says of its upstream, whichever request it answers.
 type Notice struct {
 	// Limited is set if the upstream names a rate limit, and PerSecond is the number of
@@ -8,4 +10,7 @@
 	PerSecond float64
 	// Leaving is set if the upstream is going to end and must get no new requests.
 	Leaving bool
+	// Pause is how long the upstream wants no request from this daemon, 0 if it doesn't
+	// say.
+	Pause time.Duration
 }
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -50,11 +50,11 @@
 		return nil, outcome{result: pick.ConnectFailed, cause: err.Error()}
 	}
 	x.relay.mu.Lock()
-	usable := x.relay.table.Usable(up)
+	usable := x.relay.table.Usable(up) && !x.relay.table.Paused(x.relay.now(), up)
 	x.relay.mu.Unlock()
 	if !usable {
 		conn.Abort()
-		return nil, outcome{result: pick.Inconclusive, cause: "upstream no longer available"}
+		return nil, outcome{result: pick.Inconclusive, cause: "upstream no longer available, or it has asked for a pause"}
 	}
 	k.conn, k.detach = conn, context.AfterFunc(ctx, conn.Abort)
 	raw := x.relay.codec.EncodeRequest(x.req, fleet.Attempt{Upstream: up, TimeLeft: x.deadline.Sub(k.sent), Priority: noPriority, LastEventID: x.resumeFrom()})
--- a/internal/node/relay/forward.go
+++ b/internal/node/relay/forward.go
@@ -21,6 +21,8 @@
 		return up, "unknown here"
 	case !r.table.Usable(up):
 		return up, "leaving"
+	case r.table.Paused(now, up):
+		return up, "pause"
 	}
 	return up, ""
 }
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -67,6 +67,9 @@
 	if err == nil {
 		n.Limited, n.PerSecond = true, perSecond
 	}
+	if pause, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
+		n.Pause = time.Duration(pause * float64(time.Second))
+	}
 	n.Leaving = res.Header.Get("Leaving") != ""
 	return n
 }
--- a/internal/node/relay/wait.go
+++ b/internal/node/relay/wait.go
@@ -91,7 +91,16 @@
 		}
 	case pick.OtherVersion:
 		return until, resp, false
-	case pick.Found, pick.Full:
+	case pick.Full:
+		if end := x.query.PausedUntil; end.After(last) {
+			if resp.retryAfter > 0 {
+				resp.retryAfter = r.spread(end.Sub(now))
+			}
+			return until, resp, false
+		} else if end.After(until) {
+			until = end.Add(minServiceTime)
+		}
+	case pick.Found:
 	}
 	if until.After(last) {
 		until = last
@@ -144,3 +153,8 @@
 	}
 	return d*3/4 + time.Duration(r.rng.Int64N(int64(max(d, 2)/2)))
 }
+
+// spread returns a random delay in [d, 5d/4), for callers that can't be served before d.
+func (r *Relay) spread(d time.Duration) time.Duration {
+	return d + time.Duration(r.rng.Int64N(int64(max(d, 4)/4)))
+}
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -19,6 +19,8 @@
 	t.candidates = t.candidates[:0]
 	q.Limited = ""
 	limitedCostSeen := 0.0
+	q.PausedUntil = time.Time{}
+	allPaused := true
 	for _, u := range t.byService[q.Key.Service] {
 		if u.leaving() || tried(q.Tried, u.info.ID) {
 			continue
@@ -32,6 +34,13 @@
 			continue
 		}
 		loaded = true
+		if u.paused(now) {
+			if q.PausedUntil.IsZero() || u.pausedUntil.Before(q.PausedUntil) {
+				q.PausedUntil = u.pausedUntil
+			}
+			continue
+		}
+		allPaused = false
 		load := t.load(u)
 		if load >= t.maxLoad(u) {
 			continue
@@ -57,6 +66,9 @@
 		}
 		t.candidates = append(t.candidates, candidate{u, cost})
 	}
+	if !allPaused {
+		q.PausedUntil = time.Time{}
+	}
 	switch {
 	case len(t.candidates) > 0:
 		q.Limited = ""
--- a/internal/rule/pick/notice.go
+++ b/internal/rule/pick/notice.go
@@ -1,12 +1,14 @@
 package pick
 
 import (
+	"time"
+
 	"github.com/azurespan/azurespan/internal/core/fleet"
 )
 
-// Notice takes over what a response of an upstream said of it and reports
+// Notice takes over what a response of an upstream said of it at now, and reports
 // whether that is news.
-func (t *Table) Notice(up fleet.Upstream, n fleet.Notice) (news bool) {
+func (t *Table) Notice(now time.Time, up fleet.Upstream, n fleet.Notice) (news bool) {
 	u := t.upstreams[up.ID]
 	if u == nil || u.info.Born != up.Born {
 		return false
@@ -14,9 +16,21 @@
 	if n.Leaving && !u.leaving() {
 		u.saidLeaving, news = true, true
 	}
+	if until := now.Add(n.Pause); n.Pause > 0 && until.After(u.pausedUntil) {
+		u.pausedUntil, news = until, true
+	}
 	return news
 }
 
 // leaving reports whether the upstream must get no new requests, by the register or by
 // what it has said.
 func (u *upstream) leaving() bool { return u.info.Leaving || u.saidLeaving }
+
+// paused reports whether the upstream has asked for no requests at now.
+func (u *upstream) paused(now time.Time) bool { return now.Before(u.pausedUntil) }
+
+// Paused reports whether the upstream has asked for no requests at now.
+func (t *Table) Paused(now time.Time, up fleet.Upstream) bool {
+	u := t.upstreams[up.ID]
+	return u != nil && u.info.Born == up.Born && u.paused(now)
+}
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -49,6 +49,9 @@
 		// Limited is set by Choose: the upstream that could have run the
 		// request but for its rate limit, empty if another one was chosen.
 		Limited string
+		// PausedUntil is set by Choose: if all upstreams that could have run the
+		// request have asked for a pause, the end of the first.
+		PausedUntil time.Time
 	}
 
 	// Choice is the result of Choose.
@@ -94,6 +97,9 @@
 		ejectedUntil        time.Time
 		// saidLeaving is set once the upstream has said that it is leaving.
 		saidLeaving bool
+		// pausedUntil is the end of the time for which the upstream has asked for no
+		// requests.
+		pausedUntil time.Time
 		// silentSince is when the upstream, which has been silent since then, last
 		// sent something; it is ejected until silentUntil.
 		silentSince, silentUntil time.Time
