relay: close the connection of an upstream that refuses a request

What callers saw elsewhere (reports of other operators): a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which the replica was running.

It could happen here to repeatable requests, which use kept connections; others have always had new ones. A refusal need not carry the request's ID, so the repeated one was taken for that of the next request.

A connection is now closed after any refusal, so that no request follows one on it. TestRefusalIsRepeated failed before for both kinds (503 for a request that the upstream runs) and passes.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -186,7 +186,7 @@
 		}
 	}
 	if k.verdict != fleet.Answered {
-		return x.failedHead(k)
+		return x.failedHead(k), false
 	}
 	x.heard(x.relay.now(), k.up)
 	if x.route.Kind == fleet.Stream && k.res.StatusCode == http.StatusOK {
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -107,18 +107,17 @@
 	return nil
 }
 
-// failedHead returns the outcome of a response that isn't that of a run of the
-// request, and whether the connection has been released.
-func (x *exchange) failedHead(k *call) (o outcome, released bool) {
+// failedHead returns the outcome of a response that isn't that of a run of the request.
+// The caller must close the connection, also after a complete refusal: one that the
+// upstream wrote once more could not be told from that of the next request.
+func (x *exchange) failedHead(k *call) outcome {
 	if k.verdict == fleet.Foreign {
-		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: k.firstByteTime, cause: "response belongs to another request"}, false
+		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: k.firstByteTime, cause: "response belongs to another request"}
 	}
 	body, err := io.ReadAll(io.LimitReader(k.res.Body, maxRefusalBytes+1))
-	if released = err == nil && len(body) <= maxRefusalBytes; released {
-		k.release()
-	}
-	o = outcome{result: pick.Rejected, status: k.res.StatusCode, cause: k.verdict.String()}
-	if k.res.StatusCode < http.StatusInternalServerError && k.res.StatusCode != http.StatusTooManyRequests && k.verdict == fleet.NotRun && released {
+	complete := err == nil && len(body) <= maxRefusalBytes
+	o := outcome{result: pick.Rejected, status: k.res.StatusCode, cause: k.verdict.String()}
+	if k.res.StatusCode < http.StatusInternalServerError && k.res.StatusCode != http.StatusTooManyRequests && k.verdict == fleet.NotRun && complete {
 		o.response = &response{k.res, body}
 	}
 	if k.verdict == fleet.Misplaced {
@@ -127,7 +126,7 @@
 		x.relay.mu.Unlock()
 		x.relay.requestReport()
 	}
-	return o, released
+	return o
 }
 
 // reserveReplacement chooses an upstream to take the request over from up, which has
@@ -298,8 +297,8 @@
 		err = x.readHead(k)
 	}
 	if err == nil && k.verdict != fleet.Answered {
-		o, released := x.failedHead(k)
-		k.end(released)
+		o := x.failedHead(k)
+		k.abort()
 		return nil, o
 	}
 	if err == nil && !x.continues(k.res) {
--- a/internal/node/relay/kept_test.go
+++ b/internal/node/relay/kept_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -53,3 +54,38 @@
 		})
 	}
 }
+
+// TestRefusalIsRepeated guards against a request that is taken for refused, although its
+// upstream runs it, because the upstream has written an earlier refusal once more on the
+// connection that was kept.
+func TestRefusalIsRepeated(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, kind := range []fleet.Kind{fleet.Safe, fleet.Stream} {
+		t.Run(kind.String(), func(t *testing.T) {
+			refused := false
+			upstream := func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if refused {
+					streamEvents(2, 0)(w, r)
+					return
+				}
+				refused = true
+				c, rw, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, refusal)
+				if _, err := http.ReadRequest(rw.Reader); err == nil {
+					_, _ = io.WriteString(c, refusal)
+					t.Error("a request came on a connection with a refusal")
+				}
+			}
+			f := newFixture(t, route(kind, 1, true), upstream)
+			code, _ := f.send(http.MethodGet, "1", "")
+			must.Eq(t, http.StatusServiceUnavailable, code)
+			code, _ = f.send(http.MethodGet, "2", "")
+			must.Eq(t, http.StatusOK, code)
+		})
+	}
+}
