relay: let nothing but the rest follow a stream that broke off

It happened here for each status but 200 and 5xx: the response of an upstream that was to go on was written to the caller as that of a request without an answer so far. A silent upstream's replacement was checked already.

Such a response now counts as a failed attempt: another upstream goes on, or the stream is broken off. TestErrorOfResumingUpstream failed before for 204, 301, 400, 404, 409 and 429 (complete, with the error's text) and passes. azurespan serve takes only 200 for a stream (link/engine openStream).

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -197,6 +197,10 @@
 		}
 		return o, o.done
 	}
+	if x.headerSent {
+		// Nothing but the rest of the stream may follow what the caller has.
+		return outcome{mayHaveRun: true, status: k.res.StatusCode, result: pick.Failed, firstByteTime: k.firstByteTime, cause: k.res.Status + " in place of the rest of a stream"}, false
+	}
 	return x.forwardBuffered(k)
 }
 
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -237,3 +237,31 @@
 		}
 	}
 }
+
+// TestErrorOfResumingUpstream guards against the text of an error, or the end of a
+// complete response, in the middle of a stream: it broke off, and the upstream that was to
+// go on with it answered with something else than the rest of the stream.
+func TestErrorOfResumingUpstream(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusMovedPermanently, http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusTooManyRequests, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			other := func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Id", r.Header.Get("Id"))
+				w.Header().Set("Content-Type", "text/plain")
+				w.WriteHeader(status)
+				if status != http.StatusNoContent {
+					_, _ = io.WriteString(w, "id: 2\ndata: no such stream\n\n")
+				}
+			}
+			f := newFixture(t, route(fleet.Stream, 2, true), streamEvents(4, 1), other)
+			code, body := f.send(http.MethodPost, "1", "m")
+			must.Eq(t, 0, code, must.Sprint("broken off"))
+			must.StrHasPrefix(t, wantEvents(1), body)
+			must.StrNotContains(t, body, "no such stream")
+			// A further upstream goes on.
+			f = newFixture(t, route(fleet.Stream, 3, true), streamEvents(4, 1), other, streamEvents(4, 0))
+			code, body = f.send(http.MethodPost, "1", "m")
+			must.Eq(t, http.StatusOK, code)
+			must.Eq(t, wantEvents(4), body)
+		})
+	}
+}
