--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -138,8 +138,9 @@
 func (c *contact) current(now time.Time, ttl time.Duration) bool { return now.Sub(c.heardAt) <= ttl }
 
 // Begin records that the daemon forwards the first event of a stream, or goes on with
-// a stream that its caller resumes. A former stream with its ID is forgotten.
-func (t *Table) Begin(now time.Time, s Stream) {
+// a stream that its caller resumes. A former stream with its ID is forgotten. It reports
+// whether other daemons have to be told its version.
+func (t *Table) Begin(now time.Time, s Stream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
@@ -149,9 +150,11 @@
 	}
 	e.inProgress, e.complete = true, false
 	t.streams.put(e)
-	if len(t.versions[s.Service]) > 1 {
+	several := len(t.versions[s.Service]) > 1
+	if several {
 		t.record(now, e)
 	}
+	return several
 }
 
 // End records that the daemon no longer forwards a stream, which may be complete. It
--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -90,9 +90,9 @@
 )
 
 const (
-	// writeInterval is the interval at which new streams are written. A stream
-	// whose daemon ends sooner can't be resumed elsewhere.
-	writeInterval = 250 * time.Millisecond
+	// writeInterval is the interval at which new streams are written, if there are
+	// any. A stream can't be resumed if all daemons that know of it end sooner.
+	writeInterval = 60 * time.Millisecond
 	// slots is the number of records of streams of one host.
 	slots = int(origin.Retention / writeInterval)
 	// contactTTL is the age of the holder's last reply from which a daemon writes
--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -86,7 +86,10 @@
 	}
 	x.begun = true
 	x.query.Version = &up.Version
-	x.relay.origins.Table().Begin(x.relay.now(), origin.Stream{ID: x.streamID, Service: up.Service, Version: up.Version})
+	if x.relay.origins.Table().Begin(x.relay.now(), origin.Stream{ID: x.streamID, Service: up.Service, Version: up.Version}) {
+		// If this daemon ends, only the others know the version.
+		x.relay.requestReport()
+	}
 }
 
 // endStream records that the stream is no longer forwarded. The holder is told at once of
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -265,3 +265,38 @@
 		})
 	}
 }
+
+// TestBegunStreamIsReportedAtOnce guards against a stream whose version nobody knows after
+// the end of its daemon, since that would have told the holder with the next report, up to
+// 0.2 s later; and against reports where all upstreams are of one version.
+func TestBegunStreamIsReportedAtOnce(t *testing.T) {
+	for versions := 1; versions <= 2; versions++ {
+		goOn := make(chan struct{})
+		begun := func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = fmt.Fprint(w, "id: 1\ndata: e1\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-goOn
+			_, _ = fmt.Fprint(w, "id: 2\ndata: e2\n\n")
+		}
+		f := newVersionedFixture(t, begun, streamEvents(2, 0))
+		if versions == 1 {
+			f.origins.table = newTestOrigins().table
+		}
+		done := make(chan string)
+		go func() {
+			_, body := f.send(http.MethodPost, "a", "m")
+			done <- body
+		}()
+		reported := false
+		select {
+		case <-f.relay.ReportNow:
+			reported = true
+		case <-time.After(time.Second):
+		}
+		close(goOn)
+		must.Eq(t, wantEvents(2), <-done)
+		must.Eq(t, versions == 2, reported)
+	}
+}
