relay: let resumed streams go before other requests of their rank

A stream that its caller resumes is late already, and what it has brought would be lost; it now goes one rank before others of its account. TestResumedStreamsGoFirst needs it (the first request went first before).

--- a/internal/node/relay/account.go
+++ b/internal/node/relay/account.go
@@ -17,6 +17,9 @@
 	unauthorizedReason = "unauthorized"
 	// staleReason is the refusal reason of a request whose key may not hold.
 	staleReason = "configuration-age"
+	// resumedPrecedence is by how many ranks a stream that its caller resumes goes
+	// before others: it is late already, and what it has brought would be lost.
+	resumedPrecedence = 1
 	// costTokens is the number of tokens, of the prompt and the longest answer,
 	// that count for one cost in the queue: a short request.
 	costTokens = 256
@@ -90,6 +93,9 @@
 		ID: id, Key: x.query.Key, AccountRank: x.accountRank(), Rank: x.route.Rank,
 		TargetStart: x.targetStart(), LatestStart: latestStart, Cost: 1, Weight: 1,
 	}
+	if x.route.Kind == fleet.Stream && x.req.LastEventID != "" {
+		it.Rank -= resumedPrecedence
+	}
 	size := fleet.Allowance{Tokens: true}
 	if x.account != nil {
 		it.Account, size.PlainTokens = x.account.Name, x.account.Allowance.PlainTokens
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/origin"
+	"github.com/azurespan/azurespan/internal/rule/queue"
 )
 
 // newVersionedFixture returns a fixture whose upstreams have the versions v1, v2 and so
@@ -300,3 +301,31 @@
 		must.Eq(t, versions == 2, reported)
 	}
 }
+
+// TestResumedStreamsGoFirst guards against streams that are lost after all daemons have
+// ended, because the upstreams of their version are taken by new requests that came first.
+func TestResumedStreamsGoFirst(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(2, 0), streamEvents(2, 0))
+	f.relay.mu.Lock()
+	defer f.relay.mu.Unlock()
+	now := time.Now()
+	var order []string
+	add := func(id uint64, lastEvent string, account int) {
+		r := f.relay.Config().Routes[0]
+		x := &exchange{relay: f.relay, route: &r, arrived: now, deadline: now.Add(10 * time.Second), req: &fleet.Request{ID: fmt.Sprint(id), LastEventID: lastEvent}}
+		x.query.Key = fleet.Key{Service: "s", Model: "m"}
+		it := x.queueItem(id, now.Add(5*time.Second))
+		it.AccountRank += account
+		f.relay.queue.Add(it)
+	}
+	add(1, "", 0)
+	add(2, "", 0)
+	add(3, "7", 0)
+	add(4, "7", 1)
+	f.relay.queue.Dispatch(now, func(it *queue.Item) bool {
+		order = append(order, fmt.Sprint(it.ID))
+		return true
+	})
+	must.Eq(t, "3", order[0])
+	must.Eq(t, "4", order[3], must.Sprint("the rank of accounts goes first"))
+}
