pick: known falls of brittle services at many daemons

Where each daemon has less than a slot, nothing but chance keeps requests apart until the first rejections; a central permit for each request would. The cases of TestBrittleUpstreams stand as they were.

--- a/internal/rule/pick/brittle_test.go
+++ b/internal/rule/pick/brittle_test.go
@@ -260,27 +260,24 @@
 	}
 }
 
+// brittleCase is a service at one load.
+type brittleCase struct {
+	name                                          string
+	daemons, replicas, slots, waiting, rejections int
+	runTime                                       time.Duration
+	engine                                        bool
+	// load is the share of what the service can do that is asked, and use the share of
+	// slots that daemons mean to use.
+	load, use float64
+	seeds     int
+}
+
 // TestBrittleUpstreams guards against upstreams that are driven to their end by requests
 // for which they have no room, although they have said that they are brittle: while more
 // is asked of a service than it can do, at few and at many daemons (rule LIMIT: two falls
 // and a tenth of the replicas). It also guards against a service that is hardly used.
 func TestBrittleUpstreams(t *testing.T) {
-	const (
-		length = 6 * time.Second
-		// usedShare is the least part of the slots that daemons mean to use, or of the
-		// requests if these are fewer, that has to be served.
-		usedShare = 0.75
-	)
-	for _, c := range []struct {
-		name                                          string
-		daemons, replicas, slots, waiting, rejections int
-		runTime                                       time.Duration
-		engine                                        bool
-		// load is the share of what the service can do that is asked, and use the share
-		// of slots that daemons mean to use.
-		load, use float64
-		seeds     int
-	}{
+	for _, c := range []brittleCase{
 		{"few daemons, overload", 4, 3, 6, 1, 5, 20 * time.Millisecond, false, 2, brittleUse, 3},
 		{"few daemons, usual load", 4, 3, 6, 1, 5, 20 * time.Millisecond, false, 0.15, brittleUse, 3},
 		{"few daemons, no waiting", 4, 3, 6, 0, 2, 20 * time.Millisecond, false, 1, brittleUse, 3},
@@ -291,23 +288,43 @@
 		{"few daemons, engines", 4, 12, 48, 0, 5, 1200 * time.Millisecond, true, 1.5, brittleUse, 2},
 		{"many daemons, engines", 33, 30, 16, 0, 5, 1200 * time.Millisecond, true, 1.5, brittleUse, 2},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			for seed := range uint64(c.seeds) {
-				f := newBrittleFleet(seed, c.daemons, c.replicas, c.slots, c.waiting, c.rejections, c.runTime, c.engine)
-				capacity := float64(c.replicas*c.slots) / c.runTime.Seconds()
-				// The daemons learn of it at a tenth of the capacity, in the three
-				// seconds that the platform allows.
-				f.perSecond, f.waiting = capacity/10, 8
-				f.start()
-				f.play(capacity/10, 3*time.Second)
-				f.waiting, f.falls = c.waiting, 0
-				f.play(c.load*capacity, 2*c.runTime)
-				f.served = 0
-				f.play(c.load*capacity, length)
-				must.LessEq(t, 2+c.replicas/10, f.falls, must.Sprintf("falls, seed %d", seed))
-				must.GreaterEq(t, usedShare*min(c.load, c.use), float64(f.served)/(capacity*length.Seconds()), must.Sprintf("served, seed %d", seed))
-			}
-		})
+		t.Run(c.name, c.play)
+	}
+}
+
+// TestBrittleServicesOfManyDaemons is TestBrittleUpstreams for loads that rise in a moment
+// from a tenth to more than many daemons can keep from meeting by chance.
+func TestBrittleServicesOfManyDaemons(t *testing.T) {
+	for _, c := range []brittleCase{
+		{"no waiting", 75, 3, 6, 0, 2, 30 * time.Millisecond, false, 1, brittleSharedUse, 3},
+		{"largest fleet", 320, 5, 6, 1, 5, 30 * time.Millisecond, false, 2, brittleSharedUse, 3},
+	} {
+		t.Run(c.name, c.play)
+	}
+}
+
+// play checks the falls of upstreams and what is served.
+func (c brittleCase) play(t *testing.T) {
+	const (
+		length = 6 * time.Second
+		// usedShare is the least part of the slots that daemons mean to use, or of the
+		// requests if these are fewer, that has to be served.
+		usedShare = 0.75
+	)
+	for seed := range uint64(c.seeds) {
+		f := newBrittleFleet(seed, c.daemons, c.replicas, c.slots, c.waiting, c.rejections, c.runTime, c.engine)
+		capacity := float64(c.replicas*c.slots) / c.runTime.Seconds()
+		// The daemons learn of it at a tenth of the capacity, in the three seconds that
+		// the platform allows.
+		f.perSecond, f.waiting = capacity/10, 8
+		f.start()
+		f.play(capacity/10, 3*time.Second)
+		f.waiting, f.falls = c.waiting, 0
+		f.play(c.load*capacity, 2*c.runTime)
+		f.served = 0
+		f.play(c.load*capacity, length)
+		must.LessEq(t, 2+c.replicas/10, f.falls, must.Sprintf("falls, seed %d", seed))
+		must.GreaterEq(t, usedShare*min(c.load, c.use), float64(f.served)/(capacity*length.Seconds()), must.Sprintf("served, seed %d", seed))
 	}
 }
 
