--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -336,8 +336,9 @@
 	}
 }
 
-// setAgeGauges sets the gauges of the topics' ages.
-func (e *Entry) setAgeGauges(now time.Time) {
+// setGauges sets the gauges of the topics' ages and of open tunnels.
+func (e *Entry) setGauges(now time.Time) {
+	e.metrics.OpenTunnels.Set(float64(e.forwarder.Open()))
 	register, config := e.topics.currentAt()
 	if !register.IsZero() {
 		e.metrics.RegisterAgeSeconds.Set(now.Sub(register).Seconds())
@@ -355,48 +356,3 @@
 		e.loader.NotifyWatchers()
 	}
 }
-
-// serveCaller counts a request and passes it to the relay.
-func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
-	e.active.Add(1)
-	defer e.active.Add(-1)
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	e.relay.ServeHTTP(w, r)
-}
-
-// serveReadiness replies whether callers should be sent to this daemon.
-func (e *Entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	ready := !e.stopping.Load() && e.relay.Config() != nil && e.topics.loaded()
-	if ready && !e.ready.Load() && e.topics.isBehind(e.now()) {
-		// This daemon has started since the log returned from a copy without the
-		// newest configuration.
-		ready = false
-	}
-	if e.ready.Swap(ready) != ready {
-		event.EntryReady.Log("ready", ready, "stopping", e.stopping.Load(), "configured", e.relay.Config() != nil, "upstreams", e.topics.loaded())
-	}
-	if !ready {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-// listen opens a listener on an IP:port.
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	return l, nil
-}
-
-// serveHTTP returns a component that serves h on l.
-func serveHTTP(l net.Listener, h http.Handler) func(context.Context) error {
-	return func(ctx context.Context) error {
-		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: event.StdLogger(event.CallerConnectionError)}
-		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stop()
-		return merry.Wrap(s.Serve(l))
-	}
-}
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -244,7 +244,7 @@
 		case <-t.C:
 		}
 		now := s.entry.now()
-		s.entry.setAgeGauges(now)
+		s.entry.setGauges(now)
 		s.trackVersions(now, s.entry.platform.BootClock())
 		s.topics.mu.Lock()
 		left := s.topics.roster.Expire(now)
