tunnel: end tunnels of a daemon whose host has lost power

A forwarder kept the connection of such a daemon, and that to the upstream, until the kernel gave the bytes up after minutes. TestAbandonedTunnel failed without it (no limit set) and passes.

--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -137,6 +137,20 @@
 	return err
 }
 
+// LimitUnacknowledged makes an accepted connection fail as Control does one that is
+// dialled.
+func LimitUnacknowledged(c net.Conn) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil // not a socket
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	return merry.Wrap(Control("", "", rc))
+}
+
 // takeIdle removes the most recently used idle connection from the pool and
 // returns it. It returns nil if none is still usable.
 func (p *Pool) takeIdle(key string) *Conn {
--- a/internal/link/tunnel/server.go
+++ b/internal/link/tunnel/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/link/http1"
 )
 
 type (
@@ -115,6 +116,10 @@
 		event.ForwardRefused.Log("upstream", up.ID, "from", r.RemoteAddr, "reason", err.Error())
 		return
 	}
+	if err := http1.LimitUnacknowledged(conn); err != nil {
+		// The tunnel works, but is kept for long if the daemon's host loses power.
+		event.ForwardRefused.Log("upstream", up.ID, "from", r.RemoteAddr, "reason", "no limit of unacknowledged bytes: "+err.Error())
+	}
 	t := &transfer{daemon: conn, upstream: upstream}
 	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
 		t.abort()
--- a/internal/link/tunnel/tunnel_test.go
+++ b/internal/link/tunnel/tunnel_test.go
@@ -46,12 +46,48 @@
 
 // startForwarder returns a Server and its address.
 func startForwarder(t *testing.T) (*Server, *testUpstreams, *httptest.Server) {
+	t.Helper()
+	s, u, h, _ := startForwarderOf(t)
+	return s, u, h
+}
+
+// startForwarderOf is startForwarder with the last connection that became a tunnel.
+func startForwarderOf(t *testing.T) (*Server, *testUpstreams, *httptest.Server, <-chan net.Conn) {
 	t.Helper()
 	u := &testUpstreams{}
 	s := New(u, time.Now)
-	h := httptest.NewServer(s)
+	h := httptest.NewUnstartedServer(s)
+	hijacked := make(chan net.Conn, 1)
+	h.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if state != http.StateHijacked {
+			return
+		}
+		// The limit is set after this call.
+		go func() {
+			for range 100 {
+				select {
+				case hijacked <- c:
+				default:
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+	}
+	h.Start()
 	t.Cleanup(h.Close)
-	return s, u, h
+	return s, u, h, hijacked
+}
+
+// userTimeout returns the time for which sent bytes of a connection may remain
+// unacknowledged, in ms, 0 if it isn't limited.
+func userTimeout(t *testing.T, c net.Conn) (ms int) {
+	t.Helper()
+	const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of tcp(7)
+	rc, err := c.(syscall.Conn).SyscallConn()
+	must.NoError(t, err)
+	must.NoError(t, rc.Control(func(fd uintptr) { ms, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout) }))
+	must.NoError(t, err)
+	return ms
 }
 
 // startUpstream accepts connections and serves each with handle.
@@ -162,7 +198,7 @@
 // TestAbandonedTunnel guards against an upstream that goes on with a request whose caller
 // has left, since the end of the tunnel doesn't reach it.
 func TestAbandonedTunnel(t *testing.T) {
-	s, _, h := startForwarder(t)
+	s, _, h, hijacked := startForwarderOf(t)
 	ended := make(chan error, 1)
 	address := startUpstream(t, func(c *net.TCPConn) {
 		_, err := io.Copy(io.Discard, c)
@@ -170,6 +206,14 @@
 	})
 	c, err := dial(t, h, "u", address)
 	must.NoError(t, err)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		select {
+		case c := <-hijacked:
+			return userTimeout(t, c) > 0
+		default:
+			return false
+		}
+	})), must.Sprint("kept for minutes if the daemon's host loses power"))
 	_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
 	must.NoError(t, err)
 	must.NoError(t, c.SetLinger(0))
