loader: name a new forwarder at once while a daemon knows few

Its log: the daemon that was cut off 0.1 s after its start knew no forwarder, since the holder had made its list before the other daemon had reported, and kept the empty list for a second.

A list of fewer than four is now made anew for each report; that of a large fleet is kept as before. TestForwarderStartsLater failed before and passes.

--- a/internal/node/loader/forward.go
+++ b/internal/node/loader/forward.go
@@ -26,7 +26,8 @@
 const (
 	// maxForwarders bounds the forwarders that a daemon is told.
 	maxForwarders = 4
-	// forwardersTTL is how long a list is kept: each goes over all daemons.
+	// forwardersTTL is how long a list of maxForwarders is kept: each goes over all
+	// daemons.
 	forwardersTTL = time.Second
 )
 
@@ -37,7 +38,7 @@
 		return nil
 	}
 	f := l.daemons[a.Host].forwarders
-	if f == nil || now.Sub(f.at) > forwardersTTL {
+	if f == nil || len(f.addresses) < maxForwarders || now.Sub(f.at) > forwardersTTL {
 		f = &forwarderList{at: now, addresses: l.chooseForwarders(now, a)}
 		l.daemons[a.Host].forwarders = f
 	}
--- a/internal/node/loader/forward_test.go
+++ b/internal/node/loader/forward_test.go
@@ -43,3 +43,14 @@
 	must.SliceNotContains(t, later, got[0])
 	must.Nil(t, l.forwardersFor(now, &hub.TellArgs{Host: "old"}))
 }
+
+// TestForwarderStartsLater guards against a daemon that has none to ask for a while,
+// because it reported to the holder before the others did.
+func TestForwarderStartsLater(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := &Loader{daemons: map[string]*daemonState{"self": {at: now}}}
+	ask := &hub.TellArgs{Host: "self", Path: fleet.PathReport{Address: "self", FailureDomain: "a"}}
+	must.SliceEmpty(t, l.forwardersFor(now, ask))
+	l.daemons["other"] = &daemonState{at: now, path: fleet.PathReport{Address: "other", FailureDomain: "b"}}
+	must.Eq(t, []string{"other"}, l.forwardersFor(now.Add(time.Millisecond), ask))
+}
