blame, relay: log when quarantines of parts begin and end

Event 8228 gives the evidence for each beginning and end. No verdict is changed; tests of blame and relay pass.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -218,6 +218,11 @@
 		Number: 8224, Name: "crash-history-cleared",
 		Meaning: "A request has been answered, so the crashes known for its fingerprint or for the parts of its prompt no longer count against them.",
 	})
+	QuarantineChanged = register(Event{
+		Number: 8228, Name: "quarantine-changed",
+		Meaning: "The quarantine of a part of prompts has begun or ended here; the crashes in its history, those that no other quarantined part explains, whether a request with it was answered here recently and whether it was involved in most crashes of its time are given.",
+		Action:  "If answered is true, look for the sound requests that are refused: relay-refused with reason=quarantined names the history.",
+	})
 	UpstreamLimit = register(Event{
 		Number: 8226, Name: "upstream-limit",
 		Meaning: "An upstream named another limit of requests a second, or none any more; the source is the answer to a request, or the holder or a daemon that knew of it.",
--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -33,6 +33,23 @@
 		quarantined map[string]time.Time
 		rev         uint64
 		dueAt       time.Time
+		// changes are the latest of quarantined that TakeChanges hasn't returned.
+		changes []Change
+	}
+
+	// Change is the beginning or the end of the quarantine of a part, with the
+	// evidence for it.
+	Change struct {
+		Part string
+		// Until is the end of the quarantine, zero if the part no longer is in
+		// quarantine.
+		Until time.Time
+		// Crashes are those in the part's history, Unexplained those of them that no
+		// other quarantined part explains.
+		Crashes, Unexplained int
+		// Answered is set if a request with the part was answered here recently, and
+		// Dominant if the part was involved in most crashes of its time.
+		Answered, Dominant bool
 	}
 
 	// Known holds the crashes of parts that were known at a moment.
@@ -109,6 +126,8 @@
 	// judged. Prompts have a few shared parts; a header has room for thousands, each
 	// of which would get a history in a crash.
 	maxPartsPerRequest = 64
+	// maxChanges bounds the changes that TakeChanges returns.
+	maxChanges = 64
 )
 
 // New returns a Table that judges by the histories in crashes.
@@ -244,17 +263,45 @@
 		return
 	}
 	t.rev, t.dueAt = rev, time.Time{}
-	clear(t.quarantined)
+	before := t.quarantined
+	t.quarantined = map[string]time.Time{}
 	explained := map[string]bool{}
 	for _, c := range t.candidates(now) {
-		if !t.guilty(now, c, explained) {
+		guilty, unexplained := t.guilty(now, c, explained)
+		if !guilty {
 			continue
 		}
 		for _, crash := range c.crashes {
 			explained[crash.ID] = true
 		}
-		t.quarantined[c.part] = c.crashes[len(c.crashes)-1].At.Add(t.crashes.Retention())
+		until := c.crashes[len(c.crashes)-1].At.Add(t.crashes.Retention())
+		t.quarantined[c.part] = until
+		if _, ok := before[c.part]; !ok {
+			t.changed(Change{Part: c.part, Until: until, Crashes: len(c.crashes), Unexplained: unexplained, Answered: c.answered, Dominant: c.dominant})
+		}
 	}
+	for part := range before {
+		if _, ok := t.quarantined[part]; !ok {
+			t.changed(Change{Part: part, Crashes: len(t.crashes.Entry(poison.PartKey(part)).Crashes)})
+		}
+	}
+}
+
+// changed adds a change for TakeChanges. t.mu must be held.
+func (t *Table) changed(c Change) {
+	t.changes = append(t.changes, c)
+	t.changes = t.changes[max(len(t.changes)-maxChanges, 0):]
+}
+
+// TakeChanges returns the quarantines that have begun or ended since the last call, as
+// of now. If there are more than maxChanges, the oldest are left out.
+func (t *Table) TakeChanges(now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh(now)
+	changes := t.changes
+	t.changes = nil
+	return changes
 }
 
 // candidates returns the parts that may be quarantined, the most likely ones first.
@@ -316,10 +363,10 @@
 }
 
 // guilty reports whether a candidate is to be quarantined, given the crashes that
-// are explained by other parts. t.mu must be held.
-func (t *Table) guilty(now time.Time, c candidate, explained map[string]bool) bool {
+// are explained by other parts, and the number of those that aren't. t.mu must be held.
+func (t *Table) guilty(now time.Time, c candidate, explained map[string]bool) (guilty bool, left int) {
 	v := t.suspects[c.part]
-	left, settled := 0, 0
+	settled := 0
 	var previous time.Time
 	for _, crash := range c.crashes {
 		if explained[crash.ID] || crash.At.Sub(previous) < sameCause {
@@ -334,19 +381,19 @@
 		}
 	}
 	if c.dominant && !c.answered {
-		return left >= dominantLimit
+		return left >= dominantLimit, left
 	}
 	if settled < ambiguousLimit {
-		return false
+		return false, left
 	}
 	if v.quarantinedAt.IsZero() {
 		v.quarantinedAt, v.crashes = now, len(c.crashes)
 	}
 	if due := v.quarantinedAt.Add(probationAfter); now.Before(due) {
 		t.judgeAt(due)
-		return true
+		return true, left
 	}
-	return len(c.crashes) > v.crashes
+	return len(c.crashes) > v.crashes, left
 }
 
 // learn records since when crashes are known, and forgets others.
--- a/internal/node/relay/crash.go
+++ b/internal/node/relay/crash.go
@@ -66,6 +66,19 @@
 	r.requestReport()
 }
 
+// logQuarantines logs the quarantines that have begun or ended since the last call.
+// The caller holds relay.mu.
+func (r *Relay) logQuarantines(now time.Time) {
+	for _, c := range r.parts.TakeChanges(now) {
+		until := time.Duration(0)
+		if !c.Until.IsZero() {
+			until = c.Until.Sub(now)
+		}
+		event.QuarantineChanged.Log("part", c.Part, "quarantined", !c.Until.IsZero(), "left", until, "crashes", c.Crashes,
+			"unexplained", c.Unexplained, "answered", c.Answered, "dominant", c.Dominant)
+	}
+}
+
 // observeCrash adds a crash to the history of a request and, if it is the request's only
 // one, to that of its variants. It returns the number of crashes in the former. The
 // caller holds relay.mu.
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -228,6 +228,7 @@
 		return
 	}
 	r.judgedRev = rev
+	r.logQuarantines(now)
 	for _, w := range r.waiters {
 		if w.refused {
 			continue
@@ -317,6 +318,7 @@
 	suspects, quarantined := r.suspects.Count(now)
 	r.metrics.CrashSuspects.Set(float64(suspects))
 	r.metrics.Quarantined.Set(float64(quarantined))
+	r.logQuarantines(now)
 	r.metrics.QuarantinedParts.Set(float64(r.parts.Count(now)))
 	r.metrics.LimitedUpstreams.Set(float64(r.limits.Count()))
 	_, tokens := r.retryAllowance()
