--- a/internal/node/relay/crash_test.go
+++ b/internal/node/relay/crash_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -22,6 +23,9 @@
 // request.
 const crashLimit = 3
 
+// crashSpacing is a time between two crashes that have causes of their own.
+const crashSpacing = 25 * time.Millisecond
+
 // eventStream is the header line of a stream.
 const eventStream = "Content-Type: text/event-stream\r\n"
 
@@ -311,6 +315,43 @@
 	}
 }
 
+// TestCrashingRequestFromAnotherAddress guards against a request that crashes upstreams
+// and is run again and again because it comes from another address each time, as from
+// clients behind a balancer.
+func TestCrashingRequestFromAnotherAddress(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			f := newFixture(t, route(fleet.Safe, 1, false), resetConnection, resetConnection, resetConnection)
+			for n := range 12 {
+				var body io.Reader
+				if method == http.MethodPost {
+					body = strings.NewReader("bad")
+				}
+				r, err := http.NewRequest(method, f.front.URL+"/racks/7", body)
+				must.NoError(t, err)
+				r.Header.Set("Id", fmt.Sprint("c-", n))
+				d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(n+2))}}
+				transport := &http.Transport{DialContext: d.DialContext}
+				res, err := transport.RoundTrip(r)
+				must.NoError(t, err)
+				_ = res.Body.Close()
+				transport.CloseIdleConnections()
+				// Crashes at one moment would count as one.
+				time.Sleep(crashSpacing)
+				for i := range f.ups {
+					f.ups[i].Born++
+				}
+				f.relay.SetUpstreams(time.Now(), f.ups)
+			}
+			total := 0
+			for i := range f.requests {
+				total += f.requestCount(i)
+			}
+			must.LessEq(t, crashLimit, total)
+		})
+	}
+}
+
 // TestSoundVariant guards against refusing the other pages of a listing one page of which
 // crashes upstreams, and against sending that page again once another one was answered.
 func TestSoundVariant(t *testing.T) {
