--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -444,11 +444,24 @@
 	return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.sent, b.sent), strings.Compare(a.key, b.key))
 }
 
-// rank orders candidates with equally many crashes. The same request from anyone comes
-// first: the next one may come from another caller, and sound ones have less in common
-// with it than a part or a path.
+// rank orders candidates with equally many crashes. Path and body come first, whoever
+// sends them: the next request may come from another caller or with another query, and
+// sound ones have less in common with it than a path or a part. Then the others follow
+// from narrow to wide, those of single callers after what they repeat.
 func (c *candidate) rank() int {
-	return [...]int{repeated: 0, single: 1, shared: 2}[c.breadth]
+	kind, _, _ := strings.Cut(c.key, ":")
+	switch kind + ":" {
+	case contentPrefix:
+		return 0
+	case requestPrefix:
+		return 1
+	case bodyPrefix:
+		return 2
+	}
+	if c.breadth == single {
+		return 3
+	}
+	return 4
 }
 
 // guilty reports whether a candidate is to be quarantined, given the crashes that are
