entry, relay: answer all requests at a planned stop

Requests that had been passed on before were cut without an answer at the end of the grace.

Now a daemon out of rotation closes its listener and idle connections, serves a request on an open connection if its deadline lies before the end, and refuses it otherwise (503, not run, at once); at the end requests in progress are answered 502, streams that have begun are broken off, as before.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -167,6 +167,13 @@
 	// graceMargin is the part of the grace period that is reserved for the end
 	// of the process.
 	graceMargin = 700 * time.Millisecond
+	// endTimeout is how long the callers of requests that were ended are waited for,
+	// and endCheckInterval the interval at which they are counted.
+	endTimeout       = 300 * time.Millisecond
+	endCheckInterval = 20 * time.Millisecond
+	// quietTime is the time without a request after which a daemon that is out of
+	// rotation reads no further ones: many round trips to callers.
+	quietTime = 200 * time.Millisecond
 	// releaseMargin is the part of the grace period before whose end the lease is
 	// released, and releaseTimeout bounds the wait for the log's answer.
 	releaseMargin  = 1500 * time.Millisecond
@@ -284,7 +291,7 @@
 		return merry.Wrap(err)
 	case <-ctx.Done():
 	}
-	e.stop(server)
+	e.stop(server, callers)
 	return nil
 }
 
--- a/internal/node/entry/stop.go
+++ b/internal/node/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -9,11 +10,14 @@
 	"github.com/azurespan/azurespan/internal/base/pause"
 )
 
-// stop takes the daemon out of rotation and finishes the requests in progress.
-func (e *Entry) stop(server *http.Server) {
+// stop takes the daemon out of rotation and finishes the requests in progress. Once it is
+// out of rotation, it accepts no connections; a request that comes on an open one is
+// served if it ends in time, and else refused.
+func (e *Entry) stop(server *http.Server, callers net.Listener) {
 	began := e.now()
 	e.stopping.Store(true)
 	event.EntryStopping.Log("active", e.active.Load(), "grace", e.settings.Grace)
+	end := began.Add(e.settings.Grace - graceMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Grace-graceMargin)
 	defer cancel()
 	drained, released := make(chan struct{}), make(chan struct{})
@@ -27,14 +31,45 @@
 	}()
 	pause.For(ctx, rotationDelay)
 	e.forwarder.Close()
-	e.relay.Stop()
+	e.relay.Stop(end)
+	if err := callers.Close(); err != nil {
+		event.CallerConnectionError.Log("cause", err.Error())
+	}
+	server.SetKeepAlivesEnabled(false) // closes the idle connections, too
+	e.awaitCallers(ctx)
+	// From now on the server drops the requests that it reads.
 	if err := server.Shutdown(ctx); err != nil {
-		event.EntryStopped.Log("took", e.now().Sub(began), "cut", e.active.Load(), "cause", err.Error())
+		ended := e.active.Load()
+		e.endRequests()
+		event.EntryStopped.Log("took", e.now().Sub(began), "ended", ended, "cut", e.active.Load(), "cause", err.Error())
 		_ = server.Close() // the process ends anyway
 		return
 	}
 	e.awaitTunnels(ctx)
-	event.EntryStopped.Log("took", e.now().Sub(began), "cut", 0)
+	event.EntryStopped.Log("took", e.now().Sub(began), "ended", 0, "cut", 0)
+}
+
+// awaitCallers waits until there has been no request for quietTime, or ctx ends.
+func (e *Entry) awaitCallers(ctx context.Context) {
+	quietSince := e.now()
+	for pause.For(ctx, endCheckInterval) {
+		if now := e.now(); e.active.Load() > 0 {
+			quietSince = now
+		} else if now.Sub(quietSince) >= quietTime {
+			return
+		}
+	}
+}
+
+// endRequests ends the requests in progress and waits until their callers have an answer.
+func (e *Entry) endRequests() {
+	e.relay.End()
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	for e.active.Load() > 0 && pause.For(ctx, endCheckInterval) {
+	}
+	// The last answers leave the buffers of the server after their handlers.
+	pause.For(ctx, endCheckInterval)
 }
 
 // awaitTunnels waits until no connection is forwarded for another daemon, or ctx ends.
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -335,6 +335,8 @@
 // upstream's error response if there is one, else with azurespan's own.
 func (x *exchange) finishFailed(ctx context.Context, o outcome, up fleet.Upstream) {
 	switch {
+	case stopping(ctx) && x.attempts > 0:
+		x.fail(ctx, refusal{code: http.StatusBadGateway, reason: stoppingReason})
 	case ctx.Err() != nil:
 		x.fail(ctx, x.timeoutRefusal())
 	case o.response != nil && !x.headerSent:
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -87,8 +87,14 @@
 	// quarantinedReason is the refusal reason of a request that crashes
 	// upstreams.
 	quarantinedReason = "quarantined"
+	// stoppingReason is the refusal reason of a request that can't end before the
+	// daemon does.
+	stoppingReason = "stopping"
 )
 
+// errStopping is why a request in progress ends with its daemon.
+var errStopping = errors.New("the daemon stops")
+
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	arrived := r.now()
@@ -150,8 +156,11 @@
 	if err := x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
 		event.CallerWriteFailed.Log("request", req.ID, "cause", err.Error())
 	}
-	ctx, cancel := context.WithDeadline(hr.Context(), x.deadline)
+	limited, cancel := context.WithDeadline(hr.Context(), x.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(limited)
+	defer end(nil)
+	defer context.AfterFunc(r.ending, func() { end(errStopping) })()
 	x.run(ctx)
 }
 
@@ -243,12 +252,15 @@
 	}
 }
 
-// admit counts the request, and refuses it if it is quarantined for crashing
-// upstreams.
+// admit counts the request, and refuses it if it is quarantined for crashing upstreams
+// or might not end before the daemon does.
 func (x *exchange) admit() (refusal, bool) {
 	r, now := x.relay, x.relay.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.endsAt.IsZero() && x.deadline.After(r.endsAt) {
+		return refusal{http.StatusServiceUnavailable, stoppingReason, stoppingRetryAfter}, false
+	}
 	r.arrivals[r.demandKey(x.query.Key)]++
 	r.budget(now, x.query.Key.Service).AddRequest()
 	return x.checkQuarantine(now)
@@ -336,7 +348,7 @@
 	case <-w.quarantined:
 	case <-stopped:
 		if x.possibleRuns == 0 {
-			resp.reason, resp.retryAfter = "stopping", stoppingRetryAfter
+			resp.reason, resp.retryAfter = stoppingReason, stoppingRetryAfter
 		}
 	}
 	r.mu.Lock()
--- a/internal/node/relay/finish.go
+++ b/internal/node/relay/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -29,11 +30,14 @@
 	}
 }
 
+// stopping reports whether a request has ended because the daemon stops.
+func stopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
+
 // fail ends a request without a response of an upstream. It sends a refusal, or
 // aborts the connection if the caller has left or the header was sent.
 func (x *exchange) fail(ctx context.Context, resp refusal) {
 	x.relay.metrics.Refusals.WithLabelValues(resp.reason).Inc()
-	if ctx.Err() == context.Canceled {
+	if ctx.Err() == context.Canceled && !stopping(ctx) {
 		x.logOutcome(metric.OutcomeCallerGone, fleet.Upstream{}, 0)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -121,8 +121,13 @@
 		// ReportNow is signalled when there is something to report to the holder
 		// at once.
 		ReportNow chan struct{}
-		// stopped is closed when queued requests are to be refused.
+		// stopped is closed when queued requests are to be refused, and endsAt is when
+		// the requests in progress are ended then.
 		stopped chan struct{}
+		endsAt  time.Time
+		// ending ends with errStopping when the requests in progress are to be ended.
+		ending context.Context
+		end    context.CancelCauseFunc
 	}
 
 	waiter struct {
@@ -164,6 +169,7 @@
 // origins keeps streams at the version that began them.
 func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, judge *blame.Table, origins Origins, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
 	limits := quota.New()
+	ending, end := context.WithCancelCause(context.Background())
 	return &Relay{
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng),
@@ -172,7 +178,7 @@
 		meter: meter.New(settings.Allowances, rand.Uint64()>>1), metered: map[string][]*meteredRequest{}, usage: usage.New(),
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
-		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}),
+		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}), ending: ending, end: end,
 	}
 }
 
@@ -270,9 +276,18 @@
 	return d
 }
 
-// Stop refuses queued requests, now and later, since the daemon exits before they
-// could be served.
-func (r *Relay) Stop() { close(r.stopped) }
+// Stop refuses queued requests, now and later, and new ones that may still be in progress
+// at endsAt, when the caller ends them: the daemon exits before they could be served.
+func (r *Relay) Stop(endsAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endsAt = endsAt
+	close(r.stopped)
+}
+
+// End ends the requests in progress: those whose response hasn't begun are told that they
+// may have run.
+func (r *Relay) End() { r.end(errStopping) }
 
 // Run dispatches queued requests, updates the gauges and closes connections to
 // unknown upstreams until ctx ends.
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -497,7 +497,7 @@
 		for !f.relay.HasWaiting() {
 			time.Sleep(time.Millisecond)
 		}
-		f.relay.Stop()
+		f.relay.Stop(time.Now())
 	}()
 	code, body := f.send(http.MethodPost, "1", "m")
 	must.Eq(t, http.StatusServiceUnavailable, code)
@@ -517,7 +517,7 @@
 		for !f.relay.HasWaiting() {
 			time.Sleep(time.Millisecond)
 		}
-		f.relay.Stop()
+		f.relay.Stop(time.Now())
 		time.Sleep(100 * time.Millisecond)
 		f.relay.mu.Lock()
 		defer f.relay.mu.Unlock()
