platform: run two versions of the daemon side by side

TestTwoBuilds starts three daemons as processes, replaces them one after the other by another version, and back, and checks at each step: the configuration in force, loads that a holder orders, the quarantine of a crashing request, tunnels of either version through either, one holder at a time.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# Targets: test, check, demo, faults, drills, model, measure, generate, bench, path.
+# Targets: test, check, demo, faults, drills, builds, model, measure, generate, bench, path.
 GO ?= go
 
-.PHONY: all build test check demo faults drills model measure generate bench path
+.PHONY: all build test check demo faults drills builds model measure generate bench path
 
 all: build
 
@@ -28,6 +28,15 @@
 drills:
 	$(GO) test ./platform -run 'TestDrill' -drill-seeds 50 -timeout 60m -v
 
+# Daemons of the version FORMER, a revision, and of this one side by side, upgraded one
+# after the other and back.
+builds:
+	rm -rf bin/former && git worktree prune && git worktree add -f --detach bin/former $(FORMER)
+	cp -r platform/testdata/dialtunnel bin/former/cmd/
+	cd bin/former && $(GO) build -o . ./cmd/azurespan ./cmd/dialtunnel
+	$(GO) test ./platform -run TestTwoBuilds -count 1 -v -former-build $(CURDIR)/bin/former/azurespan -former-dialer $(CURDIR)/bin/former/dialtunnel
+	git worktree remove --force bin/former
+
 model:
 	$(GO) run ./cmd/model
 
