--- a/internal/node/entry/contact_test.go
+++ b/internal/node/entry/contact_test.go
@@ -18,10 +18,14 @@
 // ages, that their views are older than 0.6 of a deadline of 2 s (288 calls a second of
 // 300 daemons); and against a configuration too old to tell which keys are unknown.
 func TestReadsInContactAtLargestFleets(t *testing.T) {
-	// The holder makes 6.4 calls a second, and some more where it can't tell the others
-	// as often, or where keys are proven: at most as if each topic were read each
-	// minHolderInterval.
-	const fewCalls, manyCalls = 6.6, 22
+	// The holder makes 6.4 calls a second.
+	const fewCalls = 6.6
+	// It makes some more where it can't tell the others as often, or where keys are
+	// proven: it reads each of two topics each minHolderInterval at most, renews its
+	// lease and looks for histories that others have stored. Of each kind, a call more
+	// may fall into the time over which they are counted.
+	const kinds = 4
+	manyCalls := 2*perSecond(minHolderInterval) + perSecond(renewInterval) + perSecond(historiesInterval) + kinds*perSecond(modelRun)
 	for _, keys := range []bool{false, true} {
 		for _, n := range []int{4, 50, 100, 175, 250, 300, 320} {
 			t.Run(fmt.Sprintf("%d daemons, keys %t", n, keys), func(t *testing.T) {
@@ -45,6 +49,13 @@
 	}
 }
 
+// historiesInterval is the interval at which the holder looks for stored histories
+// (node/qlog).
+const historiesInterval = 5 * time.Second
+
+// perSecond returns the number of intervals in a second.
+func perSecond(interval time.Duration) float64 { return float64(time.Second) / float64(interval) }
+
 // playContact plays daemons of a number that are in contact, checks that none but the
 // holder calls the log, and returns the calls a second and the highest age to which the
 // configuration was proven.
