logjob, entry: don't wait for a job that no daemon takes

Cause: the holder, whose record is lost, orders nothing until it has written it again. For 3 s after a failed call it offers its calls to other daemons first, and waited 0.7 s for a job that nobody took, because the only other one had just failed.

Now a job that nobody has taken for 0.2 s is given up, and an answer of the log to the daemon's own read of the configuration ends it at once. What is left is the time until daemons have told a new planner what waits.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -104,16 +104,17 @@
 		origins  *origin.Table
 		// paths holds what is known of the network paths to upstreams, and forwarder
 		// serves daemons that have none.
-		paths     *paths.Table
-		forwarder *tunnel.Server
-		olog      *olog.Store
-		loader    *loader.Loader
-		elector   *elect.Elector
-		syncer    *syncer.Syncer
-		reg       *prometheus.Registry
-		config    *configSink
-		topics    *topicView
-		eras      *eras.Tracker
+		paths      *paths.Table
+		forwarder  *tunnel.Server
+		olog       *olog.Store
+		loader     *loader.Loader
+		elector    *elect.Elector
+		dispatcher *logjob.Dispatcher
+		syncer     *syncer.Syncer
+		reg        *prometheus.Registry
+		config     *configSink
+		topics     *topicView
+		eras       *eras.Tracker
 
 		stopping atomic.Bool
 		ready    atomic.Bool
@@ -225,15 +226,15 @@
 		})
 	// The holder calls the log through other daemons if it can't reach it. The
 	// loader's replies bring them the jobs.
-	dispatcher := logjob.New(platform.Holder, func() { e.loader.NotifyWatchers() }, now)
+	e.dispatcher = logjob.New(platform.Holder, func() { e.loader.NotifyWatchers() }, now)
 	e.elector = elect.New(lease.Settings{
 		Self: settings.Host, Address: settings.Peers, TTL: leaseTTL, Renew: renewInterval, Margin: leaseMargin,
 		Pause: settings.HolderPause + pauseSlack, ReleaseWait: min(releaseWait, settings.HolderPause+pauseSlack), MaxStagger: maxStagger, FirstStart: settings.FirstStart,
-	}, dispatcher, storeEstimate{e}, e.eras, platform.BootClock)
+	}, e.dispatcher, storeEstimate{e}, e.eras, platform.BootClock)
 	e.eras.Subscribe(e.elector.NoticeEra)
 	e.topics.eras = e.eras
 	e.eras.Subscribe(func(time.Time, int64) eras.Loss { return e.topics.positionsInForce() })
-	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, dispatcher, e.topics, e.crashes, e.origins, metrics, settings.Allowances, now, platform.BootClock)
+	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, e.dispatcher, e.topics, e.crashes, e.origins, metrics, settings.Allowances, now, platform.BootClock)
 	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.paths, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now)
 	e.topics.daemons = func() int { return e.syncer.Daemons() }
 	e.topics.keys = func() bool {
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -95,8 +95,8 @@
 // Failed does nothing: the last configuration stays in force.
 func (s *configSink) Failed(time.Time, error) {}
 
-// Recovered does nothing.
-func (s *configSink) Recovered(time.Time, time.Duration) {}
+// Recovered has the holder's record written directly again, not through other daemons.
+func (s *configSink) Recovered(time.Time, time.Duration) { s.entry.dispatcher.Reached() }
 
 // KnownPosition returns the position up to which the register is known, which
 // includes the holder's updates.
--- a/internal/node/logjob/logjob.go
+++ b/internal/node/logjob/logjob.go
@@ -67,8 +67,13 @@
 		// avoidUntil maps daemons whose jobs failed to the time until which
 		// they get no other.
 		avoidUntil map[string]time.Time
-		// takenBy is the daemon that has taken the job, empty if none has.
+		// takenBy is the daemon that has taken the job, empty if none has, and taken
+		// is closed then.
 		takenBy string
+		taken   chan struct{}
+		// reached is closed when the log answers this daemon while no other one has
+		// taken the job.
+		reached chan struct{}
 		// wake is called when a job waits for a daemon.
 		wake func()
 	}
@@ -82,8 +87,11 @@
 )
 
 const (
-	// jobTimeout bounds a job: two calls between daemons and one to the log.
-	jobTimeout = 700 * time.Millisecond
+	// jobTimeout bounds a job: two calls between daemons and one to the log. takeTimeout
+	// bounds the time until a daemon takes it: those that wait for changes are told at
+	// once, the others ask each 0.1 s.
+	jobTimeout  = 700 * time.Millisecond
+	takeTimeout = 200 * time.Millisecond
 	// directRetryDelay is how long after a failed direct call a job is tried
 	// before the direct call.
 	directRetryDelay = 3 * time.Second
@@ -167,20 +175,30 @@
 	d.lastID++
 	j.ID = d.lastID
 	d.waiting, d.takenBy = &j, ""
-	result := make(chan Result, 1)
-	d.result = result
+	result, taken, reached := make(chan Result, 1), make(chan struct{}), make(chan struct{})
+	d.result, d.taken, d.reached = result, taken, reached
 	d.mu.Unlock()
 	d.wake()
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
 	r := Result{Problem: "no daemon returned a result in time"}
+	untaken := time.NewTimer(takeTimeout)
+	defer untaken.Stop()
 	select {
-	case r = <-result:
+	case <-taken:
+		select {
+		case r = <-result:
+		case <-ctx.Done():
+		}
+	case <-untaken.C:
+		r.Problem = "no daemon took the job in time"
+	case <-reached:
+		r.Problem = "the log answers this daemon"
 	case <-ctx.Done():
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.waiting, d.result = nil, nil
+	d.waiting, d.result, d.taken, d.reached = nil, nil, nil, nil
 	if r.Problem != "" && d.takenBy != "" {
 		d.avoidUntil[d.takenBy] = d.now().Add(avoidDuration)
 	}
@@ -188,6 +206,18 @@
 	return r, r.Problem == ""
 }
 
+// Reached records that the log has answered a call of this daemon to another topic, so
+// that the next call is made directly, and that of a job which nobody has taken.
+func (d *Dispatcher) Reached() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.directFailedAt = time.Time{}
+	if d.reached != nil {
+		close(d.reached)
+		d.reached, d.waiting = nil, nil
+	}
+}
+
 // Take returns the job for a daemon, nil if there is none.
 func (d *Dispatcher) Take(host string) *Job {
 	d.mu.Lock()
@@ -197,6 +227,10 @@
 	}
 	j := d.waiting
 	d.waiting, d.takenBy = nil, host
+	if d.taken != nil {
+		close(d.taken)
+		d.taken, d.reached = nil, nil
+	}
 	return j
 }
 
--- a/internal/node/logjob/logjob_test.go
+++ b/internal/node/logjob/logjob_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -110,3 +111,43 @@
 	d.Done(Result{ID: 2, OK: true})
 	must.Eq(t, 1, len(d.result))
 }
+
+// TestUntakenJob guards against a holder that waits for a job which no daemon takes,
+// because the only other one has just failed, while the log answers the holder again:
+// until it has written its record, it may send no orders after a drill (issue 21).
+func TestUntakenJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near := &topic{cut: true}
+		d, _ := newDispatcher(near, &topic{cut: true})
+		_, err := d.Newest(t.Context())
+		must.Error(t, err)
+		near.cut = false
+		began := time.Now()
+		_, ok, err := d.Append(t.Context(), near.end, "holder", nil)
+		must.NoError(t, err)
+		must.True(t, ok)
+		must.LessEq(t, takeTimeout, time.Since(began))
+	})
+}
+
+// TestReachedAgain guards against a holder that offers a call as a job, or waits for one,
+// although the log has answered it on another topic.
+func TestReachedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near := &topic{cut: true}
+		d, jobs := newDispatcher(near, &topic{cut: true})
+		_, err := d.Newest(t.Context())
+		must.Error(t, err)
+		must.Eq(t, 1, *jobs)
+		near.cut = false
+		began := time.Now()
+		go func() {
+			time.Sleep(takeTimeout / 4)
+			d.Reached()
+		}()
+		_, err = d.Newest(t.Context())
+		must.NoError(t, err)
+		must.LessEq(t, takeTimeout/4, time.Since(began))
+		must.Eq(t, 1, *jobs)
+	})
+}
