--- a/internal/core/roster/era_test.go
+++ b/internal/core/roster/era_test.go
@@ -117,3 +117,31 @@
 	must.Eq(t, contents(holder), contents(other))
 	must.Eq(t, pos(t, 1, 6), other.AsOf())
 }
+
+// TestLeavingIsToldWhileSettling guards against an upstream that announces that it leaves
+// just after the log's return and gets requests of other daemons for as long as the
+// holder doesn't know whether entries are missing (rule DRAIN).
+func TestLeavingIsToldWhileSettling(t *testing.T) {
+	now := time.Unix(100, 0)
+	holder, other := known(t, now), known(t, now)
+	returned(t, holder, now)
+	must.Nil(t, holder.UpdateSince(now, other.AsOf()))
+	holder.Put(now, entryAt(pos(t, 1, 7), "b", true))
+	holder.Advance(now, pos(t, 1, 8), true)
+	n := holder.UpdateSince(now, other.AsOf())
+	must.True(t, n.LeavingOnly)
+	asOf, readAt := other.AsOf(), other.ReadAt()
+	var left []string
+	other.Apply(now, n, func(up fleet.Upstream, c Change) {
+		must.Eq(t, Left, c)
+		left = append(left, up.ID)
+	})
+	must.Eq(t, []string{"b"}, left)
+	must.Eq(t, asOf, other.AsOf())
+	must.Eq(t, readAt, other.ReadAt())
+	// Upstreams that the copy lacks stay.
+	must.True(t, has(other, "a"))
+	n = holder.UpdateSince(now.Add(settle), other.AsOf())
+	must.False(t, n.LeavingOnly)
+	must.True(t, n.Full)
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -60,10 +60,12 @@
 		AsOf logpos.Position
 		Age  time.Duration
 		// Full is set if Put holds all upstreams. Otherwise Put and Gone hold
-		// the changes since the requested position.
-		Full bool
-		Put  []fleet.Upstream
-		Gone []string
+		// the changes since the requested position, or with LeavingOnly those of the
+		// changes that can't be taken back: the upstreams that leave. AsOf is then the
+		// requested position.
+		Full, LeavingOnly bool
+		Put               []fleet.Upstream
+		Gone              []string
 	}
 
 	// Change is the effect of an entry on the state of its upstream.
@@ -245,14 +247,18 @@
 	return r.disconnected || !r.reconnectedAt.IsZero() && now.Sub(r.reconnectedAt) < r.settings.Settle
 }
 
-// UpdateSince returns the changes since a position, nil while this daemon's own
-// knowledge of the register is incomplete or uncertain. A change without a record
+// UpdateSince returns the changes since a position, nil if there are none that are certain.
+// While entries may be missing for a while after an outage, only announcements of
+// upstreams that leave are. A change without a record
 // of its own, such as an expiry, is sent again to daemons that are at its position. A
 // daemon in another era gets all upstreams.
 func (r *Roster) UpdateSince(now time.Time, since logpos.Position) *Update {
-	if !r.loaded || r.readAt.IsZero() || r.settling(now) {
+	if !r.loaded || r.readAt.IsZero() {
 		return nil
 	}
+	if r.settling(now) {
+		return r.leavingSince(now, since)
+	}
 	n := &Update{AsOf: r.asOf, Age: now.Sub(r.readAt), Full: since.Before(r.completeFrom) || !since.SameEra(r.asOf)}
 	for _, e := range r.entries {
 		if n.Full || e.changeOffset >= since {
@@ -272,6 +278,22 @@
 	return n
 }
 
+// leavingSince returns the upstreams that have announced since a position that they
+// leave, nil if there are none.
+func (r *Roster) leavingSince(now time.Time, since logpos.Position) *Update {
+	n := &Update{AsOf: since, Age: now.Sub(r.readAt), LeavingOnly: true}
+	for _, e := range r.entries {
+		if e.up.Leaving && e.changeOffset >= since {
+			n.Put = append(n.Put, e.up)
+		}
+	}
+	if len(n.Put) == 0 {
+		return nil
+	}
+	sort.Slice(n.Put, func(i, j int) bool { return n.Put[i].ID < n.Put[j].ID })
+	return n
+}
+
 // Apply applies an update that was requested at asked and reports each change.
 // The sender has already resolved missing entries, so this daemon has no reason
 // to wait for them.
@@ -279,6 +301,10 @@
 	if n.AsOf.Before(r.asOf) && n.Full {
 		return // this daemon's state is newer
 	}
+	if n.LeavingOnly {
+		r.applyLeaving(asked, n.Put, changed)
+		return
+	}
 	named := make(map[string]bool, len(n.Put))
 	for _, up := range n.Put {
 		named[up.ID] = true
@@ -308,6 +334,21 @@
 	r.asOf = max(r.asOf, n.AsOf)
 }
 
+// applyLeaving marks known upstreams as leaving. How recent the state is stays as it was.
+func (r *Roster) applyLeaving(asked time.Time, ups []fleet.Upstream, changed func(up fleet.Upstream, c Change)) {
+	for _, up := range ups {
+		e := r.entries[up.ID]
+		if e == nil || e.up.Born != up.Born {
+			continue
+		}
+		missing := e.missingSince
+		if c := r.put(asked, up, up.Offset); c != None {
+			changed(up, c)
+		}
+		e.missingSince = missing
+	}
+}
+
 // Get returns an upstream.
 func (r *Roster) Get(id string) (up fleet.Upstream, ok bool) {
 	e := r.entries[id]
--- a/internal/node/entry/stop.go
+++ b/internal/node/entry/stop.go
@@ -12,7 +12,7 @@
 
 // stop takes the daemon out of rotation and finishes the requests in progress. Once it is
 // out of rotation, it accepts no connections; a request that comes on an open one is
-// served if it ends in time, and else refused.
+// served if it ends in time, and else refused, until there have been none for a while.
 func (e *Entry) stop(server *http.Server, callers net.Listener) {
 	began := e.now()
 	e.stopping.Store(true)
@@ -35,9 +35,9 @@
 	if err := callers.Close(); err != nil {
 		event.CallerConnectionError.Log("cause", err.Error())
 	}
-	server.SetKeepAlivesEnabled(false) // closes the idle connections, too
+	// Each response ends its connection. Idle ones are left to Shutdown, which passes no
+	// request on that crosses the end of its connection.
 	e.awaitCallers(ctx)
-	// From now on the server drops the requests that it reads.
 	if err := server.Shutdown(ctx); err != nil {
 		ended := e.active.Load()
 		e.endRequests()
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -124,9 +124,10 @@
 }
 
 // hasTopicUpdates reports whether a reply must be sent at once because of the
-// log's topics.
+// log's topics. An update of leaving upstreams alone goes with the next reply: the daemon
+// can't tell that it knows it.
 func hasTopicUpdates(a *hub.WatchArgs, register *roster.Update, config *hub.TopicState) bool {
-	return register != nil && (register.Full || len(register.Put)+len(register.Gone) > 0) || config != nil && config.AsOf > a.Config
+	return register != nil && !register.LeavingOnly && (register.Full || len(register.Put)+len(register.Gone) > 0) || config != nil && config.AsOf > a.Config
 }
 
 // changedInventory returns the reply with the inventories that have changed since
