blame: count crashes of the same request that come at once

Traced from the logs of all daemons: three upstreams ended under the request, the last two within 10.5 ms, since two daemons had sent it; they counted as one crash, as those of a lost network path do. For 4.6 s no upstream had its model; then 17 daemons sent it to the next one at once, and two of these blamed the model.

Crashes at one moment now count as one only for what different requests share, and for what is answered here. TestSameRequestAtOnce failed before (no verdict).

--- a/internal/core/blame/attribute_test.go
+++ b/internal/core/blame/attribute_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/core/poison"
 )
 
 // common plays requests that crash upstreams and have little in common.
@@ -124,6 +126,25 @@
 // the days.
 const otherCrashes = 0.7
 
+// TestSameRequestAtOnce guards against a request that crashes upstreams at nearly the same
+// time, since several callers send it, and counts as a lost network path: it was sent on
+// once another upstream was there (deadly, figtray-coop-grown, seed 2).
+func TestSameRequestAtOnce(t *testing.T) {
+	f := newFixture(t)
+	keys := func(caller int) []string {
+		return Attributes(&Request{Caller: fmt.Sprint("10.0.0.", caller), Method: "POST", Target: "/x", Path: "/x", Model: "m", Body: []byte("bad"), Parts: []string{"first", "second"}})
+	}
+	for i, after := range []time.Duration{0, 90 * time.Millisecond, sameCause / 2} {
+		f.now = f.now.Add(after)
+		f.Table.Crashed(keys(i), poison.Crash{ID: fmt.Sprint("u", i), At: f.now}, 0)
+	}
+	key, _ := f.Table.Judge(f.now, keys(7))
+	must.Eq(t, breadthOf(key), repeated)
+	sound := Request{Caller: "10.0.0.8", Method: "POST", Target: "/x", Path: "/x", Model: "m", Body: []byte("sound"), Parts: []string{"first", "second"}}
+	key, _ = f.Table.Judge(f.now, Attributes(&sound))
+	must.Eq(t, "", key)
+}
+
 // soundShare bounds the sound requests that are refused: one in so many. Rule LOST allows
 // half; those here differ from the crashing ones in one attribute at least.
 const soundShare = 50
--- a/internal/core/blame/judge.go
+++ b/internal/core/blame/judge.go
@@ -209,9 +209,9 @@
 	}
 	switch {
 	case c.answered || c.untested:
-	case c.breadth == single:
+	case c.breadth != shared:
 		return left >= dominantLimit, left
-	case c.breadth == repeated || c.dominant:
+	case c.dominant:
 		return distinct >= dominantLimit, left
 	}
 	if settled < ambiguousLimit {
--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -81,9 +81,10 @@
 	ambiguousLimit = 5
 	settleTime     = time.Second
 	// sameCause is the time within which crashes count as one, unless they are those
-	// of a single caller's request: a request crashes an upstream only once it runs,
-	// while a lost network path or a wave of crashes breaks several connections at
-	// once, those of a retry among them.
+	// of a request that nobody has had answered: a part crashes an upstream only once
+	// it answers, while a lost network path or a wave of crashes breaks several
+	// connections at once, those of a retry among them. The same request may crash
+	// several upstreams at once if several callers send it.
 	sameCause = 20 * time.Millisecond
 	// dominanceMargin is added to the time between a part's first and last crash
 	// for which it is compared with all crashes.
