--- a/internal/node/entry/stop.go
+++ b/internal/node/entry/stop.go
@@ -63,7 +63,7 @@
 
 // endRequests ends the requests in progress and waits until their callers have an answer.
 func (e *Entry) endRequests() {
-	e.relay.End()
+	e.relay.EndRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 	defer cancel()
 	for e.active.Load() > 0 && pause.For(ctx, endCheckInterval) {
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -160,7 +160,7 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(limited)
 	defer end(nil)
-	defer context.AfterFunc(r.ending, func() { end(errStopping) })()
+	defer context.AfterFunc(r.serving, func() { end(errStopping) })()
 	x.run(ctx)
 }
 
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -125,9 +125,9 @@
 		// the requests in progress are ended then.
 		stopped chan struct{}
 		endsAt  time.Time
-		// ending ends with errStopping when the requests in progress are to be ended.
-		ending context.Context
-		end    context.CancelCauseFunc
+		// serving ends with errStopping when the requests in progress are to be ended.
+		serving    context.Context
+		endServing context.CancelCauseFunc
 	}
 
 	waiter struct {
@@ -169,7 +169,7 @@
 // origins keeps streams at the version that began them.
 func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, judge *blame.Table, origins Origins, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
 	limits := quota.New()
-	ending, end := context.WithCancelCause(context.Background())
+	serving, endServing := context.WithCancelCause(context.Background())
 	return &Relay{
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
 		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng),
@@ -178,7 +178,7 @@
 		meter: meter.New(settings.Allowances, rand.Uint64()>>1), metered: map[string][]*meteredRequest{}, usage: usage.New(),
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
 		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
-		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}), ending: ending, end: end,
+		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}), serving: serving, endServing: endServing,
 	}
 }
 
@@ -285,9 +285,9 @@
 	close(r.stopped)
 }
 
-// End ends the requests in progress: those whose response hasn't begun are told that they
-// may have run.
-func (r *Relay) End() { r.end(errStopping) }
+// EndRequests ends the requests in progress: the callers of those whose response hasn't
+// begun are told that they may have run.
+func (r *Relay) EndRequests() { r.endServing(errStopping) }
 
 // Run dispatches queued requests, updates the gauges and closes connections to
 // unknown upstreams until ctx ends.
