--- a/internal/core/blame/attribute.go
+++ b/internal/core/blame/attribute.go
@@ -44,15 +44,15 @@
 // maxWhole is the number of attributes of a request other than the parts of its prompt.
 const maxWhole = 7
 
-// Prefixes of keys. The key that names all of a request has none, as histories of
+// Beginnings of keys. The key that names all of a request has none, as histories of
 // requests have had from the beginning.
 const (
-	callerPrefix  = "caller:"  // caller, path and body
-	requestPrefix = "request:" // method, target, model, adapter and body
-	contentPrefix = "content:" // path and body
-	bodyPrefix    = "body:"
-	pathPrefix    = "path:"
-	modelPrefix   = "model:" // model and adapter
+	callerKey  = "caller:"  // caller, path and body
+	requestKey = "request:" // method, target, model, adapter and body
+	contentKey = "content:" // path and body
+	bodyKey    = "body:"
+	pathKey    = "path:"
+	modelKey   = "model:" // model and adapter
 )
 
 // Attributes returns the keys of the histories that concern a request, that of all that
@@ -64,14 +64,14 @@
 	}
 	keys := append(make([]string, 0, maxWhole+len(r.Parts)),
 		fingerprint(r),
-		callerPrefix+digest(r.Caller, r.Path, body),
-		requestPrefix+digest(r.Method, r.Target, r.Model, r.Adapter, body),
-		pathPrefix+digest(r.Path))
+		callerKey+digest(r.Caller, r.Path, body),
+		requestKey+digest(r.Method, r.Target, r.Model, r.Adapter, body),
+		pathKey+digest(r.Path))
 	if body != "" {
-		keys = append(keys, contentPrefix+digest(r.Path, body), bodyPrefix+body)
+		keys = append(keys, contentKey+digest(r.Path, body), bodyKey+body)
 	}
 	if r.Model != "" {
-		keys = append(keys, modelPrefix+digest(r.Model, r.Adapter))
+		keys = append(keys, modelKey+digest(r.Model, r.Adapter))
 	}
 	return append(keys, Parts(r.Parts)...)
 }
@@ -92,11 +92,11 @@
 		return single
 	}
 	switch kind + ":" {
-	case callerPrefix:
+	case callerKey:
 		return single
-	case requestPrefix, contentPrefix, bodyPrefix:
+	case requestKey, contentKey, bodyKey:
 		return repeated
-	case pathPrefix, modelPrefix, poison.PartKey(""):
+	case pathKey, modelKey, poison.PartKey(""):
 		return shared
 	}
 	return ignored
--- a/internal/core/blame/judge.go
+++ b/internal/core/blame/judge.go
@@ -171,11 +171,11 @@
 func (c *candidate) rank() int {
 	kind, _, _ := strings.Cut(c.key, ":")
 	switch kind + ":" {
-	case contentPrefix:
+	case contentKey:
 		return 0
-	case requestPrefix:
+	case requestKey:
 		return 1
-	case bodyPrefix:
+	case bodyKey:
 		return 2
 	}
 	if c.breadth == single {
