--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -144,6 +144,10 @@
 		Meaning: "A record of the software versions of services was written to the log, or a read or write of the origins of streams failed; they are retried.",
 		Action:  "If it recurs, check the log service: a stream can't be resumed at another daemon while it isn't known at which version it began.",
 	})
+	VersionState = register(Event{
+		Number: 8126, Name: "version-state",
+		Meaning: "The holder has announced a software version of a service, an upstream of which may serve before long, opened it, so that daemons begin streams there, or forgotten it, because no upstream is registered with it any more. The time since the announcement is given, and the daemons that were not heard and not waited for any longer: streams that began there unrecorded are refused elsewhere.",
+	})
 	OriginNotAsked = register(Event{
 		Number: 8125, Name: "origin-not-asked",
 		Meaning: "The holder couldn't be asked for the origin of a stream that a caller resumes; the log is read.",
--- a/internal/core/origin/doc.go
+++ b/internal/core/origin/doc.go
@@ -8,7 +8,21 @@
 // A Table knows the streams that began at its daemon, and those of other daemons
 // that were told to it or read from the log. As long as a service has a single
 // version, the version of any of its streams is known without a record, and none is
-// made. The Table says so only if it knows all versions of the last Retention: its
-// view of the register must have been current since the versions were last read from
-// the log, where daemons record them.
+// made.
+//
+// Which versions may have begun streams is decided by the holder, not by what a daemon
+// sees of the register, which may be old. The holder announces a version in the log when
+// the first of its upstreams registers. At ttl or more after that is written it opens the
+// version, and daemons begin streams only at versions that the log has as open. So for a stream
+// that began at b at a version announced at a, and a State that held at h,
+//
+//	b >= a + ttl, and a > h if the State doesn't list the version,
+//
+// hence b > h + ttl: a State that is no older than ttl has announced all versions at
+// which streams have begun. One that held after the request arrived by which a caller
+// resumes a stream lists the stream's version as open, however old the request's daemon's
+// view of the register is and whether it is in contact with the holder or the log: it
+// needs one of them. Only the holder announces versions, and a holder learns from the log
+// what the former one has announced before it decides anything. Times are those of clocks
+// that count suspensions, and are compared on one machine only.
 package origin
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,25 +16,23 @@
 
 	// Table holds the origins of streams. It is safe for concurrent use.
 	Table struct {
-		// holderTTL is the time since the last contact with the holder in which no
-		// other daemon can have ordered a model to be loaded.
-		holderTTL time.Duration
+		// ttl is for how long a State may be relied on after it held.
+		ttl time.Duration
+		// admissions counts the changes of what Admits returns.
+		admissions atomic.Uint64
 
 		mu      sync.Mutex
 		streams streams
-		// versions holds when a version was last registered, by service and
-		// version.
+		// versions holds when a version was last registered or announced, by
+		// service and version. Streams of services with several are recorded.
 		versions map[string]map[string]time.Time
 		// recorded are the streams that other daemons should know, in the order
 		// in which they became known; dropped is the number of former ones.
 		recorded []recording
 		dropped  int
-		// register and holder are the contacts by which the daemon knows which
-		// versions may serve.
-		register, holder contact
-		// readAt is when the versions were last read from the log.
-		readAt   time.Time
-		prunedAt time.Time
+		// holder and log are what these have said last.
+		holder, log evidence
+		prunedAt    time.Time
 	}
 
 	entry struct {
@@ -50,14 +49,6 @@
 		expires    time.Time
 	}
 
-	// contact is a source of what may serve, and is current for a time after it was
-	// last heard.
-	contact struct {
-		heardAt time.Time
-		// since is when the contact has last become current.
-		since time.Time
-	}
-
 	recording struct {
 		Stream
 		at time.Time
@@ -69,10 +60,6 @@
 	// longer registered, are kept: longer than the timeout of a route with
 	// streams, within which a caller resumes a stream.
 	Retention = 30 * time.Second
-	// registerTTL is the age of a view of the register up to which it is current.
-	// The first stream of a new upstream begins later than that after its
-	// registration, because a model is loaded first.
-	registerTTL = 2 * time.Second
 	// renewInterval is the time since a stream was recorded after which it is recorded
 	// again if its caller resumes it: the log keeps it for Retention.
 	renewInterval = Retention / 3
@@ -80,10 +67,10 @@
 	pruneInterval = time.Second
 )
 
-// New returns an empty Table. holderPause is the least time between the orders of two
-// holders.
-func New(holderPause time.Duration) *Table {
-	return &Table{holderTTL: holderPause, streams: newStreams(), versions: map[string]map[string]time.Time{}}
+// New returns an empty Table that relies on a State for ttl after it held, the least time
+// from the announcement of a version to the first stream that begins there.
+func New(ttl time.Duration) *Table {
+	return &Table{ttl: ttl, streams: newStreams(), versions: map[string]map[string]time.Time{}}
 }
 
 // Registered records that an upstream with a version is registered for a service.
@@ -116,27 +103,6 @@
 	}
 }
 
-// Contact records when the daemon's view of the register was last complete, and when
-// the holder last replied. The latter knows all upstreams whose models it orders to be
-// loaded.
-func (t *Table) Contact(now, register, holder time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.register.heard(now, register, registerTTL)
-	t.holder.heard(now, holder, t.holderTTL)
-}
-
-// heard records that the source was last heard at a time. The contact has been current
-// all the while only if it is so until now.
-func (c *contact) heard(now, at time.Time, ttl time.Duration) {
-	if !c.current(now, ttl) {
-		c.since = now
-	}
-	c.heardAt = at
-}
-
-func (c *contact) current(now time.Time, ttl time.Duration) bool { return now.Sub(c.heardAt) <= ttl }
-
 // Begin records that the daemon forwards the first event of a stream, or goes on with
 // a stream that its caller resumes. A former stream with its ID is forgotten. It reports
 // whether other daemons have to be told its version.
@@ -196,7 +162,6 @@
 			t.addVersion(now, service, v)
 		}
 	}
-	t.readAt = now
 }
 
 // Heard adds a stream that the holder knows. It isn't passed on.
@@ -252,34 +217,6 @@
 	return e.Stream, true
 }
 
-// Only returns the version of all streams of a service that may be resumed at now. It
-// returns false if there may be several, or the Table doesn't know all of them. loads is
-// set if the service's upstreams serve only what the holder has ordered them to load.
-func (t *Table) Only(now time.Time, service string, loads bool) (string, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.prune(now)
-	vs := t.versions[service]
-	known := t.register.current(now, registerTTL) && !t.readAt.Before(t.register.since) ||
-		loads && t.holder.current(now, t.holderTTL) && !t.readAt.Before(t.holder.since)
-	if len(vs) != 1 || !known {
-		return "", false
-	}
-	for v := range vs {
-		return v, true
-	}
-	return "", false
-}
-
-// Outdated reports whether another read of the log would tell which versions may have
-// begun streams: the daemon is in contact, and wasn't all the while since the last one.
-func (t *Table) Outdated(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.register.current(now, registerTTL) && t.readAt.Before(t.register.since) ||
-		t.holder.current(now, t.holderTTL) && t.readAt.Before(t.holder.since)
-}
-
 // Versions returns the versions of the last Retention by service, sorted.
 func (t *Table) Versions(now time.Time) map[string][]string {
 	t.mu.Lock()
--- a/internal/core/origin/table_test.go
+++ b/internal/core/origin/table_test.go
@@ -10,69 +10,6 @@
 
 func at(s float64) time.Time { return time.Unix(1000, int64(s*float64(time.Second))) }
 
-// TestUnknownVersions guards against taking the only version that a daemon knows for
-// that of a stream that began elsewhere, on a daemon that has just started, has lost
-// contact, or has not read the log since.
-func TestUnknownVersions(t *testing.T) {
-	tab := New(3 * time.Second)
-	tab.Registered(at(0), "s", "v1")
-	only := func(s float64) bool { _, ok := tab.Only(at(s), "s", false); return ok }
-	must.False(t, only(0))
-	tab.Contact(at(0), at(0), time.Time{})
-	must.False(t, only(0), must.Sprint("the log hasn't been read"))
-	tab.Read(at(0.1), nil, nil)
-	v, ok := tab.Only(at(0.1), "s", false)
-	must.True(t, ok)
-	must.Eq(t, "v1", v)
-	for s := 1.0; s <= 20; s++ {
-		tab.Registered(at(s), "s", "v1")
-		tab.Contact(at(s), at(s-0.9), time.Time{})
-		must.True(t, only(s))
-	}
-	must.False(t, only(22), must.Sprint("the view is old, also before that is recorded"))
-	// While the daemon was out of contact, another version may have come and gone.
-	tab.Contact(at(25), at(24.9), time.Time{})
-	must.False(t, only(25), must.Sprint("the log hasn't been read since"))
-	tab.Read(at(25.1), nil, map[string][]string{"s": {"v2"}})
-	must.False(t, only(25.1), must.Sprint("two versions"))
-	for s := 26.0; s < 70; s++ {
-		// Reading the same record again doesn't renew it.
-		if s < 50 {
-			tab.Read(at(s), nil, map[string][]string{"s": {"v2"}})
-		}
-		tab.Registered(at(s), "s", "v1")
-		tab.Contact(at(s), at(s), time.Time{})
-		must.Eq(t, s > 25.1+Retention.Seconds(), only(s), must.Sprint(s))
-	}
-	_, ok = tab.Only(at(69), "other", false)
-	must.False(t, ok)
-}
-
-// TestHolderKnowsWhatServes guards against refusing streams of a service with one
-// version while the log is away for all, and against doing so for longer than nobody
-// else can have ordered loads, or for a service that serves without any.
-func TestHolderKnowsWhatServes(t *testing.T) {
-	tab := New(3 * time.Second)
-	tab.Registered(at(0), "s", "v1")
-	tab.Contact(at(0), at(0), at(0))
-	tab.Read(at(0.1), nil, nil)
-	only := func(s float64, loads bool) bool { _, ok := tab.Only(at(s), "s", loads); return ok }
-	// The log goes away; the holder replies until its tenure has ended.
-	for s := 1.0; s <= 3; s++ {
-		tab.Contact(at(s), at(0), at(s))
-	}
-	must.False(t, only(3, false))
-	must.True(t, only(3, true))
-	must.True(t, only(6, true))
-	tab.Contact(at(6), at(0), at(3))
-	must.False(t, only(6.1, true))
-	// Contact again: what has served meanwhile stands in the log.
-	tab.Contact(at(8), at(0), at(8))
-	must.False(t, only(8, true))
-	tab.Read(at(8.1), nil, nil)
-	must.True(t, only(8.2, true))
-}
-
 // TestStreamsAreRecorded guards against streams whose version no other daemon can know:
 // those that begin while a service has two versions, and those that are in progress as
 // the second one comes. Complete ones aren't resumed.
@@ -144,32 +81,6 @@
 	}
 }
 
-// TestSuspendedDaemon guards against taking the only version that a daemon knows for that
-// of a stream, after it was suspended: another version may have come and gone.
-func TestSuspendedDaemon(t *testing.T) {
-	for name, wake := range map[string]func(*Table){
-		"request first":       func(*Table) {},
-		"register read first": func(tab *Table) { tab.Contact(at(11.1), at(11.1), time.Time{}) },
-	} {
-		t.Run(name, func(t *testing.T) {
-			tab := New(3 * time.Second)
-			tab.Registered(at(0), "s", "v1")
-			tab.Contact(at(0), at(0), time.Time{})
-			tab.Read(at(0.1), nil, nil)
-			tab.Contact(at(1), at(1), time.Time{})
-			_, only := tab.Only(at(1), "s", false)
-			must.True(t, only)
-			wake(tab)
-			_, only = tab.Only(at(11.1), "s", false)
-			must.False(t, only)
-			tab.Contact(at(11.2), at(11.2), time.Time{})
-			tab.Read(at(11.3), nil, nil)
-			_, only = tab.Only(at(11.3), "s", false)
-			must.True(t, only)
-		})
-	}
-}
-
 // TestStreamBeginsAgain guards against a stream that is resumed at the version of a
 // former one, whose request had the same ID.
 func TestStreamBeginsAgain(t *testing.T) {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -200,7 +200,7 @@
 	e.blame = blame.New(e.crashes)
 	e.origins = origin.New(settings.HolderPause)
 	e.eras = eras.New(metrics, now)
-	e.olog = olog.New(settings.Host, platform.Origins, e.origins, holderView{e}, e.eras, now)
+	e.olog = olog.New(settings.Host, platform.Origins, e.origins, holderView{e}, e.eras, now, platform.BootClock)
 	e.eras.Subscribe(e.olog.NoticeEra)
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
@@ -235,7 +235,7 @@
 	e.topics.eras = e.eras
 	e.eras.Subscribe(func(time.Time, int64) eras.Loss { return e.topics.positionsInForce() })
 	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, e.dispatcher, e.topics, e.crashes, e.origins, metrics, settings.Allowances, now, platform.BootClock)
-	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.paths, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now)
+	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.paths, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now, platform.BootClock)
 	e.topics.daemons = func() int { return e.syncer.Daemons() }
 	e.topics.keys = func() bool {
 		cfg := e.relay.Config()
--- a/internal/node/entry/holder.go
+++ b/internal/node/entry/holder.go
@@ -24,6 +24,12 @@
 	return v.entry.syncer.Origin(ctx, id)
 }
 
+// VersionState returns what the loader has decided about versions.
+func (v holderView) VersionState() (origin.State, bool) { return v.entry.loader.VersionState() }
+
+// VersionStateWritten tells the loader that the log has its state of versions.
+func (v holderView) VersionStateWritten(s origin.State) { v.entry.loader.VersionStateWritten(s) }
+
 // storeEstimate is the loader's estimate. It refers to the Entry because the
 // loader is created after the elector.
 type storeEstimate struct{ entry *Entry }
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -20,20 +20,12 @@
 		loaded  bool
 	}
 
-	// lastContact follows when a source was last heard. void is a contact before a
-	// suspension of the machine.
-	lastContact struct{ void time.Time }
-
 	// registerSink maintains the register of upstreams.
 	registerSink struct {
 		entry  *Entry
 		topics *topicView
 		// versionsAt is when the versions of all upstreams were last recorded.
 		versionsAt time.Time
-		// register and holder are the last contacts with either, and checkedAt is
-		// the time of the last check on the clock that counts suspensions.
-		register, holder lastContact
-		checkedAt        time.Time
 	}
 )
 
@@ -48,9 +40,6 @@
 	// versionsInterval is the interval at which the versions of all upstreams are
 	// recorded.
 	versionsInterval = time.Second
-	// maxCheckDelay is the time between two checks from which the machine is taken
-	// to have been suspended.
-	maxCheckDelay = time.Second
 )
 
 // KnownPosition returns 0: the configuration comes from the log alone.
@@ -200,36 +189,16 @@
 	s.topics.roster.Reconnected(now)
 }
 
-// trackVersions tells the table of origins how current this daemon's knowledge is and,
-// at intervals, which versions are registered. boot is the time of a clock that counts
-// suspensions of the machine.
-func (s *registerSink) trackVersions(now, boot time.Time) {
-	suspended := boot.Sub(s.checkedAt) > maxCheckDelay
-	s.checkedAt = boot
-	v := s.topics
-	v.mu.Lock()
-	register := s.register.update(v.roster.ReadAt(), suspended)
-	var ups []fleet.Upstream
-	if now.Sub(s.versionsAt) >= versionsInterval {
-		s.versionsAt = now
-		ups = v.roster.Append(nil)
+// trackVersions tells the table of origins at intervals which versions are registered.
+func (s *registerSink) trackVersions(now time.Time) {
+	if now.Sub(s.versionsAt) < versionsInterval {
+		return
 	}
-	v.mu.Unlock()
-	holder := s.holder.update(s.entry.relay.LastReply(), suspended)
+	s.versionsAt = now
+	s.topics.mu.Lock()
+	ups := s.topics.roster.Append(nil)
+	s.topics.mu.Unlock()
 	s.entry.registerVersions(now, ups)
-	s.entry.origins.Contact(now, register, holder)
-}
-
-// update returns the time of the last contact, zero if the machine has been suspended
-// since: the steady clock doesn't show how long ago it was.
-func (c *lastContact) update(at time.Time, suspended bool) time.Time {
-	if suspended {
-		c.void = at
-	}
-	if at.Equal(c.void) {
-		return time.Time{}
-	}
-	return at
 }
 
 // expireLoop sets the age gauges and drops upstreams whose entries are still
@@ -245,7 +214,7 @@
 		}
 		now := s.entry.now()
 		s.entry.setGauges(now)
-		s.trackVersions(now, s.entry.platform.BootClock())
+		s.trackVersions(now)
 		s.topics.mu.Lock()
 		left := s.topics.roster.Expire(now)
 		s.topics.mu.Unlock()
--- a/internal/node/entry/view_test.go
+++ b/internal/node/entry/view_test.go
@@ -169,16 +169,6 @@
 	must.Eq(t, logpos.Position(130), register)
 }
 
-// TestContactBeforeSuspension guards against taking a contact from before a suspension
-// of the machine for a recent one, because the steady clock stood still.
-func TestContactBeforeSuspension(t *testing.T) {
-	var c lastContact
-	must.Eq(t, at(100), c.update(at(100), false))
-	must.True(t, c.update(at(100), true).IsZero())
-	must.True(t, c.update(at(100), false).IsZero())
-	must.Eq(t, at(101), c.update(at(101), false))
-}
-
 // TestDrainReported guards against a time to in force that is stated for an upstream
 // without a bound: one that is new, removed, known to drain, or has an old entry.
 func TestDrainReported(t *testing.T) {
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -37,6 +37,9 @@
 		// Path is the daemon's network path to upstreams, zero from a daemon that
 		// doesn't forward.
 		Path fleet.PathReport
+		// KeepsVersions is set by a daemon that begins streams only at versions that
+		// the holder has opened.
+		KeepsVersions bool
 	}
 
 	// TellReply is the reply to TellArgs.
@@ -68,6 +71,9 @@
 		Crashes poison.Cursor
 		// LimitsRev is the revision of the rate limits that the daemon knows.
 		LimitsRev uint64
+		// StateRev is the revision of the holder's state of versions that the daemon
+		// knows.
+		StateRev uint64
 		// Load requests Running and Daemons.
 		Load bool
 	}
@@ -110,6 +116,12 @@
 		// their revision.
 		Limits    []fleet.NamedLimit
 		LimitsRev uint64
+		// KeepsVersions is set by a holder that decides from when on streams may
+		// begin at a version. State is what it has decided, nil if the daemon knows
+		// it, and StateRev its revision, 0 while the holder doesn't know yet.
+		KeepsVersions bool
+		State         *origin.State
+		StateRev      uint64
 	}
 
 	// TopicState is how much of a topic the holder knows.
--- a/internal/node/hub/origin.go
+++ b/internal/node/hub/origin.go
@@ -21,6 +21,10 @@
 		// not have been told of it yet.
 		Known  bool
 		Stream origin.Stream
+		// State is the holder's state of versions, nil if it doesn't know, and
+		// StateRev its revision.
+		State    *origin.State
+		StateRev uint64
 	}
 )
 
--- a/internal/node/hub/wire_test.go
+++ b/internal/node/hub/wire_test.go
@@ -103,6 +103,11 @@
 	checkWire(t, "tell-reply-groups", TellReply{Fence: 1, ReadsGroups: true})
 	checkWire(t, "origin-args", OriginArgs{Host: "h1", ID: 2})
 	checkWire(t, "origin-reply", OriginReply{Fence: 1, Known: true, Stream: origin.Stream{ID: 2, Service: "s", Version: "v"}})
+	state := &origin.State{Announced: origin.Versions{"s": {"v1", "v2"}}, Open: origin.Versions{"s": {"v1", "v2"}}, Admitted: origin.Versions{"s": {"v1"}}, Complete: true}
+	checkWire(t, "tell-args-versions", TellArgs{Host: "h1", KeepsVersions: true})
+	checkWire(t, "watch-args-versions", WatchArgs{Host: "h1", Fence: 1, StateRev: 2})
+	checkWire(t, "watch-reply-versions", WatchReply{Fence: 1, KeepsVersions: true, State: state, StateRev: 2})
+	checkWire(t, "origin-reply-versions", OriginReply{Fence: 1, State: state, StateRev: 2})
 
 	checkPacked(t, "packed-copies", copies)
 	checkPacked(t, "packed-register", register)
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -33,6 +33,9 @@
 	}
 	l.daemons[a.Host] = p
 	l.mergeCrashes(now, a)
+	if !a.KeepsVersions {
+		l.opener.Unsure(l.boot())
+	}
 	if a.Host != l.host {
 		l.origins.Learn(now, a.Streams)
 		l.origins.Learn(now, origin.Streams(a.Groups))
@@ -108,7 +111,9 @@
 	// A daemon that states no position gets the histories with its next reply.
 	newCrashes := len(crashes) > 0 && a.Crashes != poison.Cursor{}
 	newLimits := l.limitsRev > a.LimitsRev
-	if r == nil && (always || job != nil || newCrashes || newLimits || hasTopicUpdates(a, register, config)) {
+	l.opener.Heard(l.boot(), a.Host, knownState(a, l.fence))
+	newState := knownState(a, l.fence) != l.stateRev
+	if r == nil && (always || job != nil || newCrashes || newLimits || newState || hasTopicUpdates(a, register, config)) {
 		r = l.newReply(now, a, nil, since)
 	}
 	if r == nil {
@@ -117,6 +122,7 @@
 	r.Held, r.Job, r.Register, r.Config = now.Sub(received), job, register, config
 	r.Crashes, r.CrashesAt = crashes, crashesAt
 	r.Limits, r.LimitsRev = l.dealer.Limits(now), l.limitsRev
+	l.answerVersions(a, r)
 	if register != nil && register.Full {
 		l.packRegister(now, r)
 	}
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -18,6 +18,7 @@
 	"github.com/azurespan/azurespan/internal/node/logjob"
 	"github.com/azurespan/azurespan/internal/rule/dealer"
 	"github.com/azurespan/azurespan/internal/rule/issuer"
+	"github.com/azurespan/azurespan/internal/rule/opener"
 	"github.com/azurespan/azurespan/internal/rule/plan"
 )
 
@@ -90,6 +91,12 @@
 		// limitsRev counts the changes of its limits.
 		dealer    *dealer.Dealer
 		limitsRev uint64
+		// opener decides from when on streams may begin at a version, in a tenure that
+		// began at tenureAt, and stateRev is the revision of which the other daemons
+		// have been notified.
+		opener   *opener.Opener
+		tenureAt time.Time
+		stateRev uint64
 		// issuer shares the allowances of accounts, in a tenure.
 		issuer *issuer.Issuer
 		// formerShares are the largest shares that daemons may hold by the newest
@@ -221,6 +228,8 @@
 		l.planner.SetConfig(l.config)
 		l.planner.SetUpstreams(now, l.upstreams)
 		clear(l.daemons)
+		l.tenureAt = l.boot()
+		l.opener, l.stateRev = opener.New(l.tenureAt, l.origins.TTL()), 0
 		l.issuer = issuer.New(l.boot(), l.allowances, l.formerShares)
 		if l.config != nil {
 			l.issuer.SetAccounts(l.boot(), l.config.Accounts)
@@ -238,6 +247,7 @@
 			go l.sendOrder(ctx, l.planner, a)
 		}
 	}
+	l.updateVersions()
 	if _, rev := l.planner.CopiesSince(now, ^uint64(0)); rev != l.rev {
 		l.rev = rev
 		l.notifyWatchers()
--- a/internal/node/olog/era.go
+++ b/internal/node/olog/era.go
@@ -17,6 +17,7 @@
 		l.Records++
 	}
 	clear(s.stored)
+	clear(s.states)
 	s.era = max(s.era, era)
 	s.uncertain, s.returned, s.position, s.lastKey = true, true, 0, ""
 	return l
--- a/internal/node/olog/era_test.go
+++ b/internal/node/olog/era_test.go
@@ -48,7 +48,8 @@
 }
 
 // TestCompleteCopy guards against versions that are written again although the copy
-// has them.
+// has them. The holder's state is, since it names the era in which it is known to be
+// complete.
 func TestCompleteCopy(t *testing.T) {
 	topic, now := newSite()
 	a := newDaemon(topic, "a", now, "v1")
@@ -59,7 +60,29 @@
 	a.NoticeEra(*now, 1)
 	*now = now.Add(writeInterval)
 	must.NoError(t, a.step(context.Background()))
-	must.Eq(t, writes, topic.writes)
+	must.Eq(t, writes+1, topic.writes)
+	for range 3 {
+		must.NoError(t, a.step(context.Background()))
+	}
+	must.Eq(t, writes+1, topic.writes)
+}
+
+// TestStateOfAnOlderEra guards against a daemon that takes the state in a copy for all
+// that was decided until the log was lost.
+func TestStateOfAnOlderEra(t *testing.T) {
+	topic, now := newSite()
+	a := newDaemon(topic, "a", now, "v1")
+	a.holds = true
+	a.run(t)
+	topic.drill(t, topic.records)
+	b := newDaemon(topic, "b", now, "v1")
+	_, only := b.only(t)
+	must.False(t, only)
+	a.NoticeEra(*now, 1)
+	a.run(t)
+	v, only := b.only(t)
+	must.True(t, only)
+	must.Eq(t, "v1", v)
 }
 
 // TestReadOfAnOlderEraIsIgnored guards against a read that was answered before the
@@ -73,8 +96,8 @@
 	must.NoError(t, err)
 	topic.drill(t, map[string]feed.Record{})
 	a.NoticeEra(*now, 1)
-	a.apply(*now, p)
+	a.apply(*now, *now, p)
 	*now = now.Add(time.Second)
 	must.NoError(t, a.step(context.Background()))
-	must.Eq(t, 1, len(topic.records))
+	must.Eq(t, 2, len(topic.records), must.Sprint("versions and state"))
 }
--- a/internal/node/olog/lookup.go
+++ b/internal/node/olog/lookup.go
@@ -36,7 +36,7 @@
 		if asked && known() {
 			break
 		}
-		if asked && (read || i == 0 && !s.table.Outdated(s.now())) {
+		if asked && (read || i == 0 && !s.table.Outdated(s.boot())) {
 			continue
 		}
 		if err := s.Refresh(ctx); err != nil {
--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -41,6 +41,11 @@
 		// Origin asks the holder for the origin of a stream. It returns false if
 		// the holder doesn't know it.
 		Origin(ctx context.Context, id uint64) (origin.Stream, bool, error)
+		// VersionState returns what this daemon has decided about versions as
+		// the holder, false if it isn't or doesn't know what the former one has.
+		VersionState() (origin.State, bool)
+		// VersionStateWritten records that the log has a state.
+		VersionStateWritten(s origin.State)
 	}
 
 	// Store keeps a table of origins and the topic up to date with each other. It
@@ -51,7 +56,8 @@
 		table  *origin.Table
 		holder Holder
 		eras   *eras.Tracker
-		now    func() time.Time
+		// boot is a clock that counts suspensions of the machine.
+		now, boot func() time.Time
 
 		// reading is held during a read of the topic.
 		reading chan struct{}
@@ -70,6 +76,9 @@
 		// stored holds the versions in the topic by host and service, as far as
 		// they are known.
 		stored map[string]map[string][]string
+		// states are the records of states in the topic by host, as far as they are
+		// known.
+		states map[string]*versionState
 		// slot is the number of the next record of streams, and position that up
 		// to which the table's streams are written.
 		slot, position int
@@ -84,8 +93,18 @@
 
 	// record is the value of a record. Streams are by service and version.
 	record struct {
-		Versions map[string][]string            `json:"versions,omitempty"`
-		Streams  map[string]map[string][]uint64 `json:"streams,omitempty"`
+		Versions map[string][]string `json:"versions,omitempty"`
+		// KeepsVersions is set by hosts that begin streams only at open versions.
+		KeepsVersions bool                           `json:"keeps-versions,omitempty"`
+		Streams       map[string]map[string][]uint64 `json:"streams,omitempty"`
+		State         *versionState                  `json:"state,omitempty"`
+	}
+
+	// versionState is a holder's state of versions, written in an era of the log. In
+	// another era it may lack versions that were announced later.
+	versionState struct {
+		origin.State
+		Era int64 `json:"era"`
 	}
 )
 
@@ -101,12 +120,12 @@
 	// rereadInterval is the interval at which the holder reads the topic. It finds
 	// versions that hosts have written that are gone since.
 	rereadInterval = time.Minute
-	// minRereadInterval is the least time between two reads of a daemon that has been
-	// out of contact.
-	minRereadInterval = 5 * time.Second
 	// maxStreams bounds the streams of one record; one takes up to 21 bytes, and a
 	// record has at most 256 KB on the platform.
 	maxStreams = 10000
+	// undecidedInterval is the interval at which a daemon reads the topic that neither
+	// the holder nor the topic has told at which versions streams may begin.
+	undecidedInterval = time.Second
 	// minRetryDelay is the delay after a failed call. It doubles with each further
 	// failure up to maxRetryDelay, since refused calls cost as well.
 	minRetryDelay = 300 * time.Millisecond
@@ -115,11 +134,13 @@
 	maxRetryShift = 5
 	// versionsKey is the last part of the key of a record of versions.
 	versionsKey = "versions"
+	// stateKey is the last part of the key of a record of a holder's state.
+	stateKey = "state"
 )
 
 // New returns the Store of the daemon named host, whose log is followed by tracker.
-func New(host string, topic Topic, table *origin.Table, holder Holder, tracker *eras.Tracker, now func() time.Time) *Store {
-	return &Store{host: host, topic: topic, table: table, holder: holder, eras: tracker, now: now, reading: make(chan struct{}, 1), stored: map[string]map[string][]string{}}
+func New(host string, topic Topic, table *origin.Table, holder Holder, tracker *eras.Tracker, now, boot func() time.Time) *Store {
+	return &Store{host: host, topic: topic, table: table, holder: holder, eras: tracker, now: now, boot: boot, reading: make(chan struct{}, 1), stored: map[string]map[string][]string{}, states: map[string]*versionState{}}
 }
 
 // Table returns the table of origins.
@@ -158,6 +179,9 @@
 		return nil
 	}
 	err := s.writeVersions(ctx, now, holds)
+	if err == nil && holds {
+		err = s.writeState(ctx)
+	}
 	if err == nil {
 		err = s.writeStreams(ctx, now)
 	}
@@ -171,15 +195,15 @@
 
 // beginStep records whether this daemon writes, and reports whether it has to read
 // first. A daemon that begins to write can't know what the former writer has written,
-// and writes all streams again. A daemon that has been out of contact reads again at
-// once, not when a stream is resumed: the log may be away by then.
+// and writes all streams again. A holder reads what the former one has decided.
 func (s *Store) beginStep(now time.Time, holds, writes bool) (read bool) {
+	_, decides := s.holder.VersionState()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := now.Sub(s.readAt)
-	begins := !s.holds && age > contactTTL
-	outdated := age > minRereadInterval && s.table.Outdated(now)
-	read = s.readAt.IsZero() || outdated || writes && s.returned || holds && (begins || s.uncertain || age > rereadInterval)
+	begins := holds && !decides || !s.holds && age > contactTTL
+	undecided := s.table.Undecided() && age > undecidedInterval
+	read = s.readAt.IsZero() || undecided || writes && s.returned || holds && (begins || s.uncertain || age > rereadInterval)
 	if writes && !s.writes {
 		s.position = 0
 	}
@@ -196,7 +220,7 @@
 	own := s.stored[s.host]
 	s.mu.Unlock()
 	if missing || holds && !includes(versions, own) {
-		value, err := json.Marshal(record{Versions: versions})
+		value, err := json.Marshal(record{Versions: versions, KeepsVersions: true})
 		if err != nil {
 			return merry.Wrap(err)
 		}
@@ -224,6 +248,51 @@
 	return nil
 }
 
+// writeState writes the holder's state of versions if the topic lacks it, and then removes
+// those of former holders.
+func (s *Store) writeState(ctx context.Context) error {
+	state, ok := s.holder.VersionState()
+	if !ok {
+		return nil
+	}
+	s.mu.Lock()
+	era, own := s.era, s.states[s.host]
+	var former []string
+	for host := range s.states {
+		if host != s.host {
+			former = append(former, host)
+		}
+	}
+	s.mu.Unlock()
+	if own == nil || own.Era != era || !own.Equal(state) {
+		v := &versionState{State: state, Era: era}
+		value, err := json.Marshal(record{State: v})
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		if err := s.topic.Put(ctx, s.host+"/"+stateKey, value); err != nil {
+			return err
+		}
+		event.OriginsStored.Log("key", s.host+"/"+stateKey, "announced", state.Announced, "open", state.Open, "complete", state.Complete)
+		s.mu.Lock()
+		if s.era == era {
+			s.states[s.host] = v
+			s.countRewritten()
+		}
+		s.mu.Unlock()
+	}
+	s.holder.VersionStateWritten(state)
+	for _, host := range former {
+		if err := s.topic.Put(ctx, host+"/"+stateKey, nil); err != nil {
+			return err
+		}
+		s.mu.Lock()
+		delete(s.states, host)
+		s.mu.Unlock()
+	}
+	return nil
+}
+
 // compare returns the other hosts whose records have versions beside the given ones, and
 // reports whether the topic lacks one of the versions. For the holder, which removes the
 // records of those hosts, their versions don't count. s.mu must be held.
@@ -322,7 +391,7 @@
 	if done {
 		return nil
 	}
-	began := s.now()
+	began, beganBoot := s.now(), s.boot()
 	p, err := s.topic.Newest(ctx)
 	var end logpos.Position
 	if p != nil {
@@ -331,15 +400,17 @@
 	if err = s.eras.Observe("origins", end, err); err != nil {
 		return err
 	}
-	s.apply(began, p)
+	s.apply(began, beganBoot, p)
 	return nil
 }
 
-// apply takes over the newest records, which were read from began on.
-func (s *Store) apply(began time.Time, p *feed.Page) {
+// apply takes over the newest records, which were read from began on, a time of the clock
+// that doesn't count suspensions, and beganBoot of the one that does.
+func (s *Store) apply(began, beganBoot time.Time, p *feed.Page) {
 	var streams []origin.Stream
 	versions := map[string][]string{}
 	stored := map[string]map[string][]string{}
+	states, fresh := map[string]*versionState{}, true
 	lastSlot, lastOffset := -1, logpos.Position(-1)
 	var last []byte
 	s.mu.Lock()
@@ -362,12 +433,16 @@
 			host, part = r.Key[:i], r.Key[i+1:]
 		}
 		if part == versionsKey {
-			stored[host] = rec.Versions
+			stored[host], fresh = rec.Versions, fresh && rec.KeepsVersions
 			for service, vs := range rec.Versions {
 				versions[service] = append(versions[service], vs...)
 			}
 			continue
 		}
+		if part == stateKey && rec.State != nil {
+			states[host] = rec.State
+			continue
+		}
 		if n, err := strconv.Atoi(part); err == nil && host == s.host && r.Offset > lastOffset {
 			lastSlot, lastOffset = n, r.Offset
 		}
@@ -385,6 +460,7 @@
 	if p.End.Era() < s.era {
 		return // read before the return
 	}
+	s.table.Store(began, beganBoot, joinStates(states, p.End.Era()), fresh)
 	if s.readAt.IsZero() {
 		// The records of the former process are overwritten last.
 		s.slot = (lastSlot + 1) % slots
@@ -394,5 +470,20 @@
 		event.OriginsStored.Log("key", lastKey, "lost", true)
 	}
 	s.rewriting = s.rewriting || s.returned
-	s.readAt, s.stored, s.uncertain, s.returned = began, stored, false, false
+	s.readAt, s.stored, s.states, s.uncertain, s.returned = began, stored, states, false, false
+}
+
+// joinStates returns what the states of all holders list, nil if there is none. A former
+// holder's may have been written late, and one of an earlier era isn't complete.
+func joinStates(states map[string]*versionState, era int64) *origin.State {
+	var joined *origin.State
+	for _, v := range states {
+		s := v.State
+		s.Complete = s.Complete && v.Era == era
+		if joined != nil {
+			s = joined.Join(s)
+		}
+		joined = &s
+	}
+	return joined
 }
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -13,6 +13,7 @@
 	"github.com/azurespan/azurespan/internal/core/logpos"
 	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/node/feed"
+	"github.com/azurespan/azurespan/internal/rule/opener"
 )
 
 type (
@@ -32,6 +33,11 @@
 		clock     *time.Time
 		holds     bool
 		lastReply time.Time
+		// opener decides while the daemon is the holder, and seen are the versions in
+		// the register.
+		opener   *opener.Opener
+		tenureAt time.Time
+		seen     []string
 		// other is the holder that the daemon asks, nil for none, and asked counts
 		// the questions.
 		other *daemon
@@ -76,17 +82,51 @@
 // of the given versions.
 func newDaemon(topic *testTopic, host string, clock *time.Time, versions ...string) *daemon {
 	d := &daemon{table: origin.New(time.Second), clock: clock}
-	d.Store = New(host, topic, d.table, d, nil, func() time.Time { return *clock })
+	now := func() time.Time { return *clock }
+	d.Store = New(host, topic, d.table, d, nil, now, now)
 	d.see(versions...)
 	return d
 }
 
 // see records that the register, as this daemon knows it, has the given versions.
 func (d *daemon) see(versions ...string) {
+	d.seen = versions
 	for _, v := range versions {
 		d.table.Registered(*d.clock, "s", v)
 	}
-	d.table.Contact(*d.clock, *d.clock, time.Time{})
+}
+
+// VersionState decides as the loader does: all registered versions serve.
+func (d *daemon) VersionState() (origin.State, bool) {
+	if !d.holds {
+		return origin.State{}, false
+	}
+	if d.opener == nil {
+		d.opener, d.tenureAt = opener.New(*d.clock, d.table.TTL()), *d.clock
+	}
+	if s, readAt, fresh := d.table.Stored(); !d.opener.Resumed() && !readAt.Before(d.tenureAt) {
+		d.opener.Resume(*d.clock, s, fresh)
+	}
+	for _, v := range d.seen {
+		d.opener.Serve(*d.clock, "s", v)
+	}
+	d.opener.Update(*d.clock)
+	s, rev := d.opener.State()
+	if rev > 0 {
+		d.table.Hold(*d.clock, *d.clock, origin.Revision{Fence: 1, Rev: rev}, &s)
+	}
+	return s, rev > 0
+}
+
+func (d *daemon) VersionStateWritten(s origin.State) { d.opener.Written(*d.clock, s) }
+
+// only returns the version of all streams of the service that may be resumed, by what the
+// log has now.
+func (d *daemon) only(t *testing.T) (string, bool) {
+	t.Helper()
+	*d.clock = d.clock.Add(time.Millisecond)
+	must.NoError(t, d.Refresh(context.Background()))
+	return d.table.Only(*d.clock, *d.clock, "s")
 }
 
 // run lets the daemon do what is due, the first read included.
@@ -125,7 +165,7 @@
 	must.Eq(t, "v1", started.version(t, 2))
 	must.Eq(t, "", started.version(t, 3))
 	// All upstreams of v2 are gone, but streams that began there may be resumed.
-	_, only := started.table.Only(*now, "s", false)
+	_, only := started.table.Only(*now, *now, "s")
 	must.False(t, only)
 }
 
@@ -159,13 +199,14 @@
 		d.see("v1")
 		d.table.Begin(*now, origin.Stream{ID: uint64(i), Service: "s", Version: "v1"})
 		d.run(t)
-		v, only := d.table.Only(*now, "s", false)
-		must.True(t, only)
-		must.Eq(t, "v1", v)
 		*now = now.Add(writeInterval)
 	}
-	must.Eq(t, 1, topic.writes)
+	// What is registered, and what the holder has decided.
+	must.Eq(t, 2, topic.writes)
 	must.Eq(t, 1, topic.reads)
+	v, only := newDaemon(topic, "b", now, "v1").only(t)
+	must.True(t, only)
+	must.Eq(t, "v1", v)
 }
 
 // TestRecordsCoverRetention guards against streams that are overwritten in the log
@@ -190,7 +231,8 @@
 		must.NoError(t, d.step(context.Background()))
 		*now = now.Add(writeInterval)
 	}
-	must.LessEq(t, slots+1, len(topic.records))
+	// Those of streams, the versions and the state.
+	must.LessEq(t, slots+2, len(topic.records))
 	reader := newDaemon(topic, "b", now, "v1", "v2")
 	for known := id; known > id-uint64(slots)+2; known-- {
 		must.Eq(t, fmt.Sprint("v", 1+known%2), reader.version(t, known), must.Sprint(id-known))
@@ -211,18 +253,11 @@
 		d.run(t)
 		*now = now.Add(time.Second)
 	}
-	v, only := newStarted(t, topic, now).table.Only(*now, "s", false)
+	v, only := newDaemon(topic, "c", now, "v2").only(t)
 	must.True(t, only)
 	must.Eq(t, "v2", v)
 }
 
-func newStarted(t *testing.T, topic *testTopic, now *time.Time) *daemon {
-	t.Helper()
-	d := newDaemon(topic, "c", now, "v2")
-	must.NoError(t, d.Refresh(context.Background()))
-	return d
-}
-
 // TestLogOutage guards against streams that are lost because the log was unavailable as
 // they began, and against a daemon that takes what it knows for all while it can't read.
 func TestLogOutage(t *testing.T) {
@@ -235,7 +270,7 @@
 	must.ErrorIs(t, d.step(context.Background()), errUnavailable)
 	started := newDaemon(topic, "b", now, "v1")
 	must.ErrorIs(t, started.Refresh(context.Background()), errUnavailable)
-	_, only := started.table.Only(*now, "s", false)
+	_, only := started.table.Only(*now, *now, "s")
 	must.False(t, only)
 	topic.err = nil
 	d.run(t)
@@ -356,8 +391,7 @@
 		must.NoError(t, holder.step(context.Background()))
 	}
 	started := newDaemon(topic, "c", now, "v1")
-	must.NoError(t, started.Refresh(context.Background()))
-	_, only := started.table.Only(*now, "s", false)
+	_, only := started.only(t)
 	must.True(t, only)
 }
 
@@ -384,9 +418,18 @@
 	next.run(t)
 	next.run(t)
 	started := newDaemon(topic, "c", now, "v1")
-	must.NoError(t, started.Refresh(context.Background()))
-	_, only := started.table.Only(*now, "s", false)
-	must.False(t, only)
+	v, only := started.only(t)
+	must.True(t, only)
+	must.Eq(t, "v1", v)
+	state, _, _ := started.table.Stored()
+	must.Eq(t, []string{"v1", "v2"}, state.Announced["s"])
+	for range 15 {
+		*now = now.Add(time.Second)
+		next.see("v1", "v2")
+		next.run(t)
+	}
+	_, only = started.only(t)
+	must.False(t, only, must.Sprint("v2 is open"))
 }
 
 // TestRestoredLog guards against streams that no other daemon can resume, because the
@@ -423,6 +466,7 @@
 	for i := range 33 {
 		d := newDaemon(topic, fmt.Sprint("d", i), now, "v1", "v2")
 		d.lastReply = *now
+		d.table.Hold(*now, *now, origin.Revision{Fence: 1, Rev: 1}, &origin.State{Complete: true})
 		d.run(t)
 		daemons = append(daemons, d)
 	}
@@ -494,29 +538,43 @@
 		d.see("v1", "v2")
 		must.NoError(t, d.step(context.Background()))
 		started := newDaemon(topic, "c", now, "v1")
-		must.NoError(t, started.Refresh(context.Background()))
-		_, only := started.table.Only(*now, "s", false)
+		_, only := started.only(t)
 		must.False(t, only)
 	}
 }
 
-// TestContactRegained guards against a daemon that refuses streams while the log is away,
-// because it was out of contact before and has not read the log since.
+// TestContactRegained guards against a daemon that refuses streams because it was out of
+// contact with the holder and the log and reads neither again, and against reads of the
+// log by a daemon that hears from the holder.
 func TestContactRegained(t *testing.T) {
 	topic, now := newSite()
+	holder := newDaemon(topic, "h", now, "v1")
+	holder.holds = true
+	holder.run(t)
 	d := newDaemon(topic, "a", now, "v1")
 	d.lastReply = *now
 	d.run(t)
-	*now = now.Add(time.Minute)
-	for range 3 * int(minRereadInterval/writeInterval) {
-		d.see("v1")
+	reads := topic.reads
+	state, _ := holder.VersionState()
+	for range 300 {
+		d.table.Hold(*now, *now, origin.Revision{Fence: 1, Rev: 1}, &state)
 		d.lastReply = *now
 		must.NoError(t, d.step(context.Background()))
 		*now = now.Add(writeInterval)
 	}
-	must.Eq(t, 2, topic.reads)
+	must.Eq(t, reads, topic.reads)
 	topic.err = errUnavailable
-	d.see("v1")
-	_, only := d.table.Only(*now, "s", false)
+	_, only := d.table.Only(*now, now.Add(time.Second), "s")
+	must.True(t, only)
+	*now = now.Add(time.Minute)
+	_, only = d.table.Only(*now, now.Add(time.Second), "s")
+	must.False(t, only)
+	// Either the holder or the log will do.
+	d.table.Hold(*now, *now, origin.Revision{Fence: 1, Rev: 1}, nil)
+	_, only = d.table.Only(*now, now.Add(time.Second), "s")
+	must.True(t, only)
+	*now = now.Add(time.Minute)
+	topic.err = nil
+	_, only = d.only(t)
 	must.True(t, only)
 }
--- a/internal/node/relay/budget_test.go
+++ b/internal/node/relay/budget_test.go
@@ -56,7 +56,7 @@
 		relays := make([]*Relay, c.daemons)
 		restart := func() {
 			for i := range relays {
-				relays[i] = New(set, testCodec{}, nil, nil, nil, nil, metrics, nil, func() time.Time { return now })
+				relays[i] = New(set, testCodec{}, nil, nil, nil, newTestOrigins(), metrics, nil, func() time.Time { return now })
 			}
 		}
 		restart()
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -52,6 +52,8 @@
 		fresh         fleet.Freshness
 		// deadline is the earlier of the caller's and the route's timeout.
 		arrived, deadline time.Time
+		// arrivedBoot is when the request arrived on the clock that counts suspensions.
+		arrivedBoot time.Time
 		// attempts counts the requests sent to upstreams, possibleRuns those
 		// that may have run.
 		attempts, possibleRuns int
@@ -133,7 +135,7 @@
 		r.refuse(w, req.ID, resp, arrived, "account", name, "has-key", req.Key != nil, "configuration", cfg.Version, "age", fresh.Age, "outdated", fresh.Outdated)
 		return
 	}
-	x := &exchange{account: account, relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, fresh: fresh, arrived: arrived, events: sse.New()}
+	x := &exchange{account: account, relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, fresh: fresh, arrived: arrived, arrivedBoot: r.boot(), events: sse.New()}
 	x.deadline = arrived.Add(route.Timeout)
 	if req.CallerTimeout > 0 && req.CallerTimeout < route.Timeout {
 		x.deadline = arrived.Add(req.CallerTimeout)
@@ -146,6 +148,7 @@
 		Key:       fleet.Key{Service: route.Pick(x.streamID), Model: req.Model, Adapter: req.Adapter},
 		PrefixKey: req.SharedKey(),
 		NoRetry:   !route.Repeatable(),
+		Begins:    route.Kind == fleet.Stream && req.LastEventID == "",
 	}
 	caller, _, err := net.SplitHostPort(hr.RemoteAddr)
 	if err != nil {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -112,6 +112,9 @@
 		// for upstreams with a rate limit.
 		lastDeal     time.Time
 		pendingLoads map[fleet.Key]time.Time
+		// admissions is the revision of the origins for which the table knows the
+		// versions at which streams may begin.
+		admissions uint64
 		// arrivals have not been reported to the holder yet.
 		arrivals map[fleet.Key]int
 		// judgedRev is the revision of suspects for which the queued requests
@@ -169,10 +172,12 @@
 // origins keeps streams at the version that began them.
 func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, judge *blame.Table, origins Origins, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
 	limits := quota.New()
+	table := pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng)
+	table.SetAdmission(origins.Table().Admits)
 	serving, endServing := context.WithCancelCause(context.Background())
 	return &Relay{
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
-		table:    pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng),
+		table:    table,
 		queue:    queue.New(),
 		suspects: suspects, blame: judge, origins: origins, endings: newEndings(), limits: limits,
 		meter: meter.New(settings.Allowances, rand.Uint64()>>1), metered: map[string][]*meteredRequest{}, usage: usage.New(),
@@ -200,6 +205,7 @@
 func (r *Relay) SetUpstreams(now time.Time, ups []fleet.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.updateAdmission()
 	r.table.SetUpstreams(ups, now.Sub(r.lastReply) < replyPrecedence)
 	r.dispatch(now)
 }
@@ -222,9 +228,20 @@
 		event.UpstreamLimit.Log("limited", r.limits.Count(), "source", "holder", "fence", reply.Fence)
 	}
 	r.refuseQuarantined(now)
+	r.updateAdmission()
 	r.dispatch(now)
 }
 
+// updateAdmission has the table know at which versions streams may begin. r.mu must be
+// held.
+func (r *Relay) updateAdmission() {
+	origins := r.origins.Table()
+	if n := origins.Admissions(); n != r.admissions {
+		r.admissions = n
+		r.table.SetAdmission(origins.Admits)
+	}
+}
+
 // refuseQuarantined ends the wait of queued requests that have been quarantined
 // since the last call. r.mu must be held.
 func (r *Relay) refuseQuarantined(now time.Time) {
@@ -304,6 +321,7 @@
 		now := r.now()
 		r.mu.Lock()
 		r.serveMetered()
+		r.updateAdmission()
 		r.limits.Accrue(now, r.daemons, now.Sub(r.lastDeal) < dealTTL)
 		if r.queue.Len() > 0 {
 			r.refuseQuarantined(now)
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -87,12 +87,10 @@
 	found func() []origin.Stream
 }
 
-// newTestOrigins returns an Origins of a daemon that is in contact for the whole test.
+// newTestOrigins returns an Origins of a daemon whose holder doesn't announce versions.
 func newTestOrigins() *testOrigins {
 	o := &testOrigins{table: origin.New(time.Second)}
-	now := time.Now().Add(time.Minute)
-	o.table.Contact(now, now, time.Time{})
-	o.table.Read(now, nil, nil)
+	o.table.Hold(time.Now(), time.Now(), origin.Revision{Fence: 1}, &origin.State{})
 	return o
 }
 
--- a/internal/node/relay/resume.go
+++ b/internal/node/relay/resume.go
@@ -48,8 +48,10 @@
 		}
 	}
 	took := x.relay.now().Sub(began)
+	state, age := x.relay.origins.Table().Evidence(x.relay.boot())
 	event.RelayStreamResumed.Log("request", x.req.ID, "resumes", x.req.Resumes, "service", x.query.Key.Service, "version", s.Version,
-		"source", source, "took", took, "failure", x.lastFailure)
+		"source", source, "took", took, "failure", x.lastFailure,
+		"announced", state.Announced[x.query.Key.Service], "open", state.Open[x.query.Key.Service], "complete", state.Complete, "age", age)
 	if source == "" {
 		x.relay.mu.Lock()
 		defer x.relay.mu.Unlock()
@@ -63,7 +65,7 @@
 // findOrigin returns the origin of the stream that the caller resumes, and how
 // it is known; the latter is empty if it isn't.
 func (x *exchange) findOrigin() (origin.Stream, string) {
-	table, now := x.relay.origins.Table(), x.relay.now()
+	table := x.relay.origins.Table()
 	if x.req.Resumes != "" {
 		s, ok := table.Origin(x.streamID)
 		if ok && slices.ContainsFunc(x.route.Targets, func(t fleet.Target) bool { return t.Service == s.Service }) {
@@ -71,8 +73,7 @@
 		}
 	}
 	service := x.query.Key.Service
-	cfg := x.relay.Config()
-	if v, ok := table.Only(now, service, cfg.Services[service].Engine != nil); ok {
+	if v, ok := table.Only(x.relay.boot(), x.arrivedBoot, service); ok {
 		return origin.Stream{ID: x.streamID, Service: service, Version: v}, sourceOnly
 	}
 	return origin.Stream{}, ""
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -181,6 +181,8 @@
 	for _, u := range f.ups {
 		f.origins.table.Registered(time.Now(), u.Service, u.Version)
 	}
+	versions := origin.Versions{"s": {"v1"}, "s2": {"v1"}}
+	f.origins.table.Hold(time.Now(), time.Now().Add(time.Minute), origin.Revision{Fence: 2}, &origin.State{Announced: versions, Open: versions, Complete: true})
 	// Begun at another daemon, while each service had one version.
 	first := ""
 	for i := 0; first == "" || r.Pick(hash64(first)) != "s"; i++ {
@@ -329,3 +331,32 @@
 	must.Eq(t, "3", order[0])
 	must.Eq(t, "4", order[3], must.Sprint("the rank of accounts goes first"))
 }
+
+// TestStreamsBeginAtOpenVersions guards against streams that begin at a version before the
+// other daemons can know that it may have any; other requests, and streams that are resumed
+// there, need not wait.
+func TestStreamsBeginAtOpenVersions(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(2, 0), streamEvents(2, 0))
+	hold := func(rev uint64, admitted ...string) {
+		all := origin.Versions{"s": {"v1", "v2"}}
+		f.origins.table.Hold(time.Now(), time.Now(), origin.Revision{Fence: 2, Rev: rev}, &origin.State{
+			Announced: all, Open: all, Admitted: origin.Versions{"s": admitted}, Complete: true,
+		})
+		f.relay.SetUpstreams(time.Now(), f.ups)
+	}
+	hold(1, "v2")
+	for i := range 3 {
+		code, _ := f.send(http.MethodPost, fmt.Sprint("a", i), "m")
+		must.Eq(t, http.StatusOK, code)
+	}
+	must.Eq(t, 0, f.requestCount(0), must.Sprint("preferred, but closed"))
+	must.Eq(t, 3, f.requestCount(1))
+	f.origins.table.Learn(time.Now(), []origin.Stream{{ID: hash64("c"), Service: "s", Version: "v1"}})
+	code, _ := f.resume("d", "c", "1")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, 1, f.requestCount(0))
+	hold(2, "v1", "v2")
+	code, _ = f.send(http.MethodPost, "e", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, 2, f.requestCount(0))
+}
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -73,12 +73,14 @@
 		dial func(ctx context.Context, address string) (Client, error)
 		// urgent ends the wait before the next report.
 		urgent <-chan struct{}
-		now    func() time.Time
+		// boot is a clock that counts suspensions of the machine.
+		now, boot func() time.Time
 		// fence and rev are those of the last reply, and crashesAt is the
 		// position in the holder's crash histories.
 		fence     int64
 		rev       uint64
 		limitsRev uint64
+		stateRev  uint64
 		crashesAt poison.Cursor
 		// replies counts the replies to Watch.
 		replies uint64
@@ -147,8 +149,8 @@
 
 // New returns a Syncer. A value from urgent triggers a report, and holder is
 // the one in this process.
-func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, origins *origin.Table, table *paths.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, dial func(ctx context.Context, address string) (Client, error), urgent <-chan struct{}, now func() time.Time) *Syncer {
-	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, paths: table, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now}
+func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, origins *origin.Table, table *paths.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, dial func(ctx context.Context, address string) (Client, error), urgent <-chan struct{}, now, boot func() time.Time) *Syncer {
+	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, paths: table, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now, boot: boot}
 }
 
 // Tell reports to the holder in this process.
@@ -252,7 +254,7 @@
 	var told poison.Cursor
 	streams, readsGroups := 0, false
 	for {
-		a := &hub.TellArgs{Host: s.host, Demand: s.local.TakeDemand(s.now()), Path: s.paths.Report(s.now())}
+		a := &hub.TellArgs{Host: s.host, Demand: s.local.TakeDemand(s.now()), Path: s.paths.Report(s.now()), KeepsVersions: true}
 		var next poison.Cursor
 		a.Crashes, next = s.crashes.Since(told, true)
 		var nextStream int
@@ -292,9 +294,9 @@
 	connected := false
 	var loadAt time.Time
 	for {
-		asked := s.now()
+		asked, askedBoot := s.now(), s.boot()
 		s.topics.AskBegins()
-		a := &hub.WatchArgs{Host: s.host, Fence: s.fence, Rev: s.rev, LimitsRev: s.limitsRev, Crashes: s.crashesAt}
+		a := &hub.WatchArgs{Host: s.host, Fence: s.fence, Rev: s.rev, LimitsRev: s.limitsRev, StateRev: s.stateRev, Crashes: s.crashesAt}
 		a.Register, a.Config = s.topics.KnownPositions()
 		if asked.Sub(loadAt) >= loadInterval {
 			a.Load, loadAt = true, asked
@@ -315,6 +317,7 @@
 		s.fence, s.rev, s.limitsRev = r.Fence, r.Rev, r.LimitsRev
 		s.setStoreAtOnce(r.StoreAtOnce)
 		s.mergeCrashes(r)
+		s.holdVersions(askedBoot, r)
 		// The register first: inventories of unknown upstreams are ignored.
 		s.topics.Apply(asked, r)
 		s.local.ApplyWatchReply(s.now(), r)
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -46,7 +46,7 @@
 
 func run(t *testing.T, s *fakeDaemon) *poison.Table {
 	crashes := poison.New(poison.Settings{}, 1)
-	syncer := New("d", s, s, s, crashes, origin.New(time.Second), paths.New("", ""), nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now)
+	syncer := New("d", s, s, s, crashes, origin.New(time.Second), paths.New("", ""), nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		usable = true
-		if !u.canRun(now, q.Key) {
+		if !u.canRun(now, q.Key) || q.Begins && q.Version == nil && u.closed {
 			continue
 		}
 		loaded = true
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -34,6 +34,9 @@
 		// daemons is the number of daemons that choose concurrently among the
 		// same upstreams.
 		daemons int
+		// admits reports whether streams may begin at a version of a service; nil
+		// admits all.
+		admits func(service, version string) bool
 		// candidates is a buffer that Choose reuses.
 		candidates []candidate
 	}
@@ -49,6 +52,8 @@
 		// Version is the only software version that may run the request, nil if any
 		// may.
 		Version *string
+		// Begins is set for a request that begins a stream, unless Version is set.
+		Begins bool
 		// NoRetry is set for a request that can't be repeated.
 		NoRetry bool
 		// Limited is set by Choose: the upstream that could have run the
@@ -84,6 +89,8 @@
 
 	upstream struct {
 		info fleet.Upstream
+		// closed is set while streams may not begin at the upstream's version.
+		closed bool
 		// models holds the sets of loaded adapters by model, as last reported;
 		// engines only.
 		models map[string]map[string]bool
@@ -267,6 +274,7 @@
 			u.setModels(r.Holding.Models)
 		}
 		u.comparedOffset = r.Offset
+		u.closed = t.admits != nil && !t.admits(r.Service, r.Version)
 	}
 	clear(t.byService)
 	for id, u := range t.upstreams {
@@ -281,6 +289,14 @@
 	}
 }
 
+// SetAdmission has streams begin at the versions alone that admits reports, as it does now.
+func (t *Table) SetAdmission(admits func(service, version string) bool) {
+	t.admits = admits
+	for _, u := range t.upstreams {
+		u.closed = !admits(u.info.Service, u.info.Version)
+	}
+}
+
 func (u *upstream) setModels(models []fleet.LoadedModel) {
 	u.models = make(map[string]map[string]bool, len(models))
 	for _, m := range models {
