loader, plan: announce a version when its first model is being loaded

Cause: a version counted as one that may have begun streams from its registration. Now the holder announces it when an engine of it holds a model or a load was ordered there (of services without models at the registration, as before). The time until it is opened overlaps with the load. TestServing covers what counts; before, all registered versions were announced.

--- a/internal/core/origin/doc.go
+++ b/internal/core/origin/doc.go
@@ -12,8 +12,9 @@
 //
 // Which versions may have begun streams is decided by the holder, not by what a daemon
 // sees of the register, which may be old. The holder announces a version in the log when
-// the first of its upstreams registers. At ttl or more after that is written it opens the
-// version, and daemons begin streams only at versions that the log has as open. So for a stream
+// the first model is being loaded at one of its upstreams, or, in a service without
+// models, when one registers. At ttl or more after that is written it opens the version,
+// and daemons begin streams only at versions that the log has as open. So for a stream
 // that began at b at a version announced at a, and a State that held at h,
 //
 //	b >= a + ttl, and a > h if the State doesn't list the version,
--- a/internal/node/loader/origin.go
+++ b/internal/node/loader/origin.go
@@ -36,6 +36,12 @@
 	}
 	var changes []opener.Change
 	for _, u := range l.upstreams {
+		l.opener.Registered(now, u.Service, u.Version)
+		if l.config != nil && l.config.Services[u.Service].Engine == nil {
+			changes = append(changes, l.opener.Serve(now, u.Service, u.Version)...)
+		}
+	}
+	for _, u := range l.planner.Serving() {
 		changes = append(changes, l.opener.Serve(now, u.Service, u.Version)...)
 	}
 	changes = append(changes, l.opener.Update(now)...)
--- a/internal/rule/opener/doc.go
+++ b/internal/rule/opener/doc.go
@@ -1,7 +1,7 @@
 // Package opener decides from when on streams may begin at a software version.
 //
-// An Opener belongs to the holder. A version is announced once one of its upstreams is
-// registered (Serve): the log has to have the announcement, and daemons record
+// An Opener belongs to the holder. A version is announced once one of its upstreams may
+// serve before long (Serve): the log has to have the announcement, and daemons record
 // the streams of a service with several announced versions. It is opened, and daemons
 // begin streams there, once all of this holds:
 //
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -348,6 +348,17 @@
 	return out
 }
 
+// Serving returns the engines that hold a model, or hold one once the orders that were
+// sent are carried out.
+func (p *Planner) Serving() (ups []fleet.Upstream) {
+	for _, id := range p.ids {
+		if e := p.engines[id]; len(e.copies) > 0 || e.loadingModel() != "" {
+			ups = append(ups, e.up)
+		}
+	}
+	return ups
+}
+
 // markChanged gives the content of e a new revision.
 func (p *Planner) markChanged(e *engine) {
 	p.rev++
--- a/internal/rule/plan/plan_test.go
+++ b/internal/rule/plan/plan_test.go
@@ -523,3 +523,22 @@
 	must.False(t, s.p.engineFreeSoon(s.now.Add(maxEngineWait+1), c))
 	must.True(t, other.idle())
 }
+
+// TestServing guards against a software version that counts as one that may have begun
+// streams as soon as its first upstream registers, long before one has a model (issue 41).
+func TestServing(t *testing.T) {
+	s := newSim(t, 1, []string{"m0"}, nil)
+	serving := func() (ids []string) {
+		for _, u := range s.p.Serving() {
+			ids = append(ids, u.ID)
+		}
+		return ids
+	}
+	s.run(time.Second, nil)
+	must.Eq(t, []string{"e0"}, serving())
+	s.run(2*time.Second, func() fleet.Demand {
+		return fleet.Demand{Waiting: map[fleet.Key]int{key("m0", ""): 3}, Unreachable: []string{"e0"}}
+	})
+	must.Eq(t, []string{"e0", "e1"}, serving())
+	must.MapEmpty(t, s.engines["e1"].held, must.Sprint("from the order on"))
+}
