plan, relay: load models at the software version of the streams that wait

Cause: demand had no version. The planner loaded a model at any version, and a stream took a load at another version for one that it can wait for. Now daemons report what waits for one version (Demand.Bound), the planner loads it there for the gain of those that wait, and a stream waits for a load at its version if that ends in time for its caller; else it is refused at once with the expected end as Retry-After. An older holder ignores the new field, an older daemon sends none.

TestStreamsOfCrashedVersion, TestStreamsOfBothVersions, TestStreamEvictsLess and TestStreamAsksForItsVersion cover it; they need the new field, the former code has no way to pass them.

--- a/internal/core/fleet/demand.go
+++ b/internal/core/fleet/demand.go
@@ -7,6 +7,13 @@
 	// Adapter isn't empty. Plain services have neither model nor adapter.
 	Key struct{ Service, Model, Adapter string }
 
+	// VersionKey is a Key and the software version of the upstreams that may run
+	// requests for it: streams go on only where they began.
+	VersionKey struct {
+		Key
+		Version string
+	}
+
 	// Demand is the load that one daemon reports to the holder.
 	Demand struct {
 		// Arrivals counts the requests since the last Demand.
@@ -14,6 +21,9 @@
 		// Waiting counts the requests that are queued and have not been sent
 		// to an upstream.
 		Waiting map[Key]int
+		// Bound counts those of them that only upstreams of one software version
+		// may run.
+		Bound map[VersionKey]int
 		// Running counts the requests in progress by upstream.
 		Running map[string]map[Key]int
 		// Unreachable are the upstreams that this daemon can't reach, or that
@@ -51,6 +61,8 @@
 	// PendingLoad is a load in progress.
 	PendingLoad struct {
 		Key Key
+		// Version is the software version of the engine.
+		Version string
 		// In is the expected time until it is done.
 		In time.Duration
 	}
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -302,7 +302,7 @@
 		cause = "tenure ended before the order was sent"
 	}
 	now := l.now()
-	event.LoadOrdered.Log("upstream", a.Engine.ID, "unload", a.Order.Unload, "model", fleet.ModelName(a.Order.Model, a.Order.Adapter),
+	event.LoadOrdered.Log("upstream", a.Engine.ID, "version", a.Engine.Version, "unload", a.Order.Unload, "model", fleet.ModelName(a.Order.Model, a.Order.Adapter),
 		"from", a.Tier, "expected", a.ExpectedDuration, "reason", a.Reason, "copies", a.Copies, "running", a.Running, "waiting", a.Waiting, "rate", fmt.Sprintf("%.2f", a.Rate), "expect", a.Order.ExpectedOrders, "fence", a.Order.Fence,
 		"reply", reply, "took", now.Sub(sent), "cause", cause)
 	l.metrics.Loads.WithLabelValues(reply.String()).Inc()
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -61,6 +61,9 @@
 		// set once an event of it has been forwarded, and whole once all of it has.
 		streamID     uint64
 		begun, whole bool
+		// asked is set once the request has waited for the holder to order a load at
+		// its software version.
+		asked bool
 		// lastFailure is the cause of the last failed attempt.
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
@@ -323,6 +326,10 @@
 		r.mu.Unlock()
 		return pick.Choice{}, resp, false
 	}
+	again := r.awaitsPlan(x, reason)
+	if again {
+		until = minTime(until, now.Add(planTime))
+	}
 	r.nextID++
 	w := &waiter{
 		item:  x.queueItem(r.nextID, until),
@@ -343,11 +350,13 @@
 		// The wait is short, and a stream that has begun can't be refused.
 		stopped = nil
 	}
+	timedOut := false
 	select {
 	case c := <-w.ready:
 		return c, refusal{}, true
 	case <-ctx.Done():
 	case <-t.C:
+		timedOut = true
 	case <-w.quarantined:
 	case <-stopped:
 		if x.possibleRuns == 0 {
@@ -355,18 +364,29 @@
 		}
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if !r.queue.Remove(w.item.ID) {
 		// An upstream was assigned at the same moment.
+		r.mu.Unlock()
 		return <-w.ready, refusal{}, true
 	}
 	delete(r.waiters, w.item.ID)
 	if refused, ok := x.checkQuarantine(r.now()); !ok {
-		resp = refused
+		resp, again = refused, false
+	}
+	r.mu.Unlock()
+	if again && timedOut {
+		return x.acquire(ctx)
 	}
 	return pick.Choice{}, resp, false
 }
 
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // targetStart returns when the request must start to meet the latency target.
 func (x *exchange) targetStart() time.Time {
 	if x.headerSent {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -106,12 +106,13 @@
 		nextID       uint64
 		// lastReply is the time of the last reply of the holder, the daemon that
 		// orders loads. pendingLoads are the expected ends of its loads in
-		// progress, by model.
+		// progress, by model, and boundLoads by model and software version.
 		lastReply time.Time
 		// lastDeal is the time of the last reply of a holder that deals permits
 		// for upstreams with a rate limit.
 		lastDeal     time.Time
 		pendingLoads map[fleet.Key]time.Time
+		boundLoads   map[fleet.VersionKey]time.Time
 		// admissions is the revision of the origins for which the table knows the
 		// versions at which streams may begin.
 		admissions uint64
@@ -182,7 +183,7 @@
 		suspects: suspects, blame: judge, origins: origins, endings: newEndings(), limits: limits,
 		meter: meter.New(settings.Allowances, rand.Uint64()>>1), metered: map[string][]*meteredRequest{}, usage: usage.New(),
 		budgets: map[string]*retry.Budget{}, daemons: assumedDaemons, waiters: map[uint64]*waiter{},
-		pendingLoads: map[fleet.Key]time.Time{}, arrivals: map[fleet.Key]int{},
+		pendingLoads: map[fleet.Key]time.Time{}, boundLoads: map[fleet.VersionKey]time.Time{}, arrivals: map[fleet.Key]int{},
 		ReportNow: make(chan struct{}, 1), stopped: make(chan struct{}), serving: serving, endServing: endServing,
 	}
 }
@@ -220,8 +221,13 @@
 		r.table.SetRemoteRunning(reply.Running)
 	}
 	clear(r.pendingLoads)
+	clear(r.boundLoads)
 	for _, c := range reply.Coming {
-		r.pendingLoads[c.Key] = now.Add(c.In)
+		end, k := now.Add(c.In), fleet.VersionKey{Key: c.Key, Version: c.Version}
+		r.pendingLoads[c.Key] = end
+		if first, ok := r.boundLoads[k]; !ok || end.Before(first) {
+			r.boundLoads[k] = end
+		}
 	}
 	r.setDaemons(now, reply.Daemons)
 	if r.limits.Learn(now, reply.Limits) {
@@ -282,13 +288,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := fleet.Demand{
-		Arrivals: r.arrivals, Waiting: map[fleet.Key]int{}, Running: map[string]map[fleet.Key]int{},
+		Arrivals: r.arrivals, Waiting: map[fleet.Key]int{}, Bound: map[fleet.VersionKey]int{}, Running: map[string]map[fleet.Key]int{},
 		Unreachable: r.table.Ejected(now), Limits: r.limits.Named(now),
 	}
 	r.addPermits(now, &d)
 	d.Allowance = r.allowanceQuestion()
 	r.arrivals = map[fleet.Key]int{}
 	r.queue.CountByKey(d.Waiting)
+	for _, w := range r.waiters {
+		if w.query.Version != nil {
+			d.Bound[fleet.VersionKey{Key: w.query.Key, Version: *w.query.Version}]++
+		}
+	}
 	r.table.Running(d.Running)
 	return d
 }
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/origin"
+	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/rule/queue"
 )
 
@@ -360,3 +361,51 @@
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, 2, f.requestCount(0))
 }
+
+// TestStreamAsksForItsVersion guards against a stream that is refused although an upstream
+// of its version could load the model in time, or is kept waiting for one that can't, and
+// against a holder that isn't told at which version the model is missing (issue 41).
+func TestStreamAsksForItsVersion(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// in is the expected time of the load that the holder orders at a version.
+		in      time.Duration
+		version string
+		code    int
+		reason  string
+	}{
+		{name: "in time", in: 100 * time.Millisecond, version: "v1", code: http.StatusOK},
+		{name: "too late", in: 4 * time.Second, version: "v1", code: http.StatusServiceUnavailable, reason: "model-too-late"},
+		{name: "at the other version", in: 100 * time.Millisecond, version: "v2", code: http.StatusServiceUnavailable, reason: "no-copy"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newVersionedFixture(t, streamEvents(2, 0), streamEvents(2, 0))
+			f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{Copies: []fleet.Inventory{{ID: "u0", Born: 1}}})
+			f.origins.table.Learn(time.Now(), []origin.Stream{{ID: hash64("a"), Service: "s", Version: "v1"}})
+			key := fleet.Key{Service: "s", Model: "m"}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				for asked := false; !asked; {
+					select {
+					case <-f.relay.ReportNow:
+					case <-t.Context().Done():
+						return
+					}
+					d := f.relay.TakeDemand(time.Now())
+					asked = d.Bound[fleet.VersionKey{Key: key, Version: "v1"}] == 1 && d.Waiting[key] == 1
+				}
+				f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{Coming: []fleet.PendingLoad{{Key: key, Version: c.version, In: c.in}}})
+				if c.code == http.StatusOK {
+					time.Sleep(c.in)
+					f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{Copies: []fleet.Inventory{{ID: "u0", Born: 1, Held: f.ups[0].Holding.Models}}})
+				}
+			}()
+			code, body := f.resume("b", "a", "1")
+			<-done
+			must.Eq(t, c.code, code)
+			must.StrContains(t, body, c.reason)
+			must.Eq(t, 0, f.requestCount(1))
+		})
+	}
+}
--- a/internal/node/relay/wait.go
+++ b/internal/node/relay/wait.go
@@ -37,6 +37,10 @@
 	maxResumePause = 1500 * time.Millisecond
 	// minServiceTime is the shortest time in which a request can be served.
 	minServiceTime = 20 * time.Millisecond
+	// planTime is how long a stream that no upstream of its version can go on with
+	// waits before it goes by what the holder has ordered to be loaded there: a report, a
+	// decision and a reply take some 0.1 s, and 0.3 s at 320 daemons.
+	planTime = 400 * time.Millisecond
 	// loadSlack is added to the expected end of a load.
 	loadSlack = 500 * time.Millisecond
 	// maxRetryDivisor limits Retry-After to a third of the time left until the
@@ -74,12 +78,15 @@
 			resp.reason = "unknown-model"
 			return until, resp, false
 		}
-		eta, ok := r.pendingLoads[fleet.Key{Service: x.query.Key.Service, Model: x.query.Key.Model}]
+		eta, ok := r.pendingLoad(x)
 		if !ok {
 			break
 		}
 		if eta.Add(minServiceTime).After(last) {
 			resp.reason, resp.retryAfter = "model-too-late", r.jitterRetryAfter(x, eta.Sub(now))
+			if x.query.Version != nil {
+				resp.retryAfter = r.spread(eta.Sub(now))
+			}
 			return until, resp, false
 		}
 		if later := eta.Add(loadSlack); later.After(until) {
@@ -108,6 +115,29 @@
 	return until, resp, until.After(now)
 }
 
+// awaitsPlan reports whether the request waits for the holder to order a load at its
+// software version. It does so once. r.mu must be held.
+func (r *Relay) awaitsPlan(x *exchange, reason pick.Reason) bool {
+	if x.query.Version == nil || reason != pick.NotLoaded || x.headerSent || x.asked {
+		return false
+	}
+	_, pending := r.pendingLoad(x)
+	x.asked = !pending
+	return x.asked
+}
+
+// pendingLoad returns the expected end of the first load that lets the request run. r.mu
+// must be held.
+func (r *Relay) pendingLoad(x *exchange) (eta time.Time, ok bool) {
+	k := fleet.Key{Service: x.query.Key.Service, Model: x.query.Key.Model}
+	if x.query.Version != nil {
+		eta, ok = r.boundLoads[fleet.VersionKey{Key: k, Version: *x.query.Version}]
+	} else {
+		eta, ok = r.pendingLoads[k]
+	}
+	return eta, ok
+}
+
 // latestStart returns the latest time at which the request may be sent: before
 // its deadline and, for a stream, before the caller disconnects.
 func (x *exchange) latestStart() time.Time {
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -11,9 +11,8 @@
 // Choose returns the upstream for a request at now.
 func (t *Table) Choose(now time.Time, q *Query) (Choice, Reason) {
 	usable, loaded := false, false
-	// other is set if the service has upstreams of other versions than the query's,
-	// otherLoaded if one of them could run the request.
-	other, otherLoaded := false, false
+	// other is set if the service has upstreams of other versions than the query's.
+	other := false
 	median := t.medianFirstByte(q.Key.Service)
 	partitioned := t.partitionedDomain(now, q.Key.Service)
 	t.candidates = t.candidates[:0]
@@ -26,7 +25,7 @@
 			continue
 		}
 		if q.Version != nil && u.info.Version != *q.Version {
-			other, otherLoaded = true, otherLoaded || u.canRun(now, q.Key)
+			other = true
 			continue
 		}
 		usable = true
@@ -80,7 +79,7 @@
 		q.Limited = ""
 		u := t.drawCandidate()
 		return Choice{Upstream: u.info, Load: t.load(u), Candidates: len(t.candidates), Ejected: u.ejected(now)}, Found
-	case !usable && other, !loaded && otherLoaded:
+	case !usable && other:
 		return Choice{}, OtherVersion
 	case !usable:
 		return Choice{}, NoUpstream
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -142,9 +142,8 @@
 	NotLoaded
 	// Full means that every upstream that could run the request is full.
 	Full
-	// OtherVersion means that upstreams of other versions than the Query's could
-	// run the request, and none of its version; or that there is none of its version
-	// at all.
+	// OtherVersion means that there are usable upstreams of other versions than the
+	// Query's only.
 	OtherVersion
 )
 
--- a/internal/rule/plan/adapt.go
+++ b/internal/rule/plan/adapt.go
@@ -34,6 +34,9 @@
 	type want struct {
 		d     *demand
 		extra bool
+		// version is the only software version of the engines that may serve the
+		// waiting requests, nil for any.
+		version *string
 	}
 	var wants []want
 	for k, d := range p.demands {
@@ -44,11 +47,14 @@
 		rate := p.arrivalRate(now, d)
 		switch {
 		case n == 0 && (d.waiting > 0 || rate > minAdapterRate), missed && d.waiting > 0:
-			wants = append(wants, want{d, false})
+			wants = append(wants, want{d: d})
 		case n > 0 && rate > adapterSlotCapacity*float64(n):
-			wants = append(wants, want{d, true})
+			wants = append(wants, want{d: d, extra: true})
 		}
 	}
+	for k, n := range snap.unservedAdapters {
+		wants = append(wants, want{d: &demand{key: k.Key, at: now, waiting: n}, version: &k.Version})
+	}
 	sort.Slice(wants, func(i, j int) bool {
 		a, b := wants[i].d, wants[j].d
 		if a.waiting != b.waiting {
@@ -61,7 +67,7 @@
 		if inProgress >= p.settings.MaxAdapterLoads {
 			break
 		}
-		e, victim := p.chooseAdapterEngine(now, w.d, w.d.waiting > 0, snap)
+		e, victim := p.chooseAdapterEngine(now, w.d, w.version, w.d.waiting > 0, snap)
 		if e == nil {
 			continue
 		}
@@ -82,7 +88,7 @@
 func (p *Planner) planSpareAdapterLoads(now time.Time, snap *snapshot, inProgress int, out []Action) []Action {
 	ordered := 0
 	for _, d := range p.daemons {
-		if len(d.waiting) > 0 {
+		if len(d.waiting)+len(d.bound) > 0 {
 			return out
 		}
 	}
@@ -163,14 +169,17 @@
 	return h != nil && h.unloadAnnouncedAt.IsZero() && h.adapters[k.Adapter] != nil
 }
 
-// chooseAdapterEngine returns the engine for an adapter, and the adapter to
-// evict first if all slots are taken. Only waiting requests justify an
-// eviction.
-func (p *Planner) chooseAdapterEngine(now time.Time, d *demand, hasWaiting bool, snap *snapshot) (best *engine, victim fleet.Key) {
+// chooseAdapterEngine returns the engine for an adapter, of a software version unless that
+// is nil, and the adapter to evict first if all slots are taken. Only waiting requests
+// justify an eviction.
+func (p *Planner) chooseAdapterEngine(now time.Time, d *demand, version *string, hasWaiting bool, snap *snapshot) (best *engine, victim fleet.Key) {
 	lowest := 0.0
 	for _, id := range snap.counts[fleet.Key{Service: d.key.Service, Model: d.key.Model}].engines {
 		e := p.engines[id]
 		h := e.copies[d.key.Model]
+		if version != nil && e.up.Version != *version {
+			continue
+		}
 		if h == nil || !h.unloadAnnouncedAt.IsZero() || !e.idle() || e.hasAdapter(d.key) {
 			continue
 		}
@@ -202,6 +211,9 @@
 	for model, h := range e.copies {
 		for name, a := range h.adapters {
 			k := fleet.Key{Service: e.up.Service, Model: model, Adapter: name}
+			if snap.boundAdapters[fleet.VersionKey{Key: k, Version: e.up.Version}] > 0 {
+				continue
+			}
 			if snap.inUse[adapterUseKey{e.up.ID, k}] || now.Sub(a.since) < minAdapterAge {
 				continue
 			}
--- a/internal/rule/plan/decide.go
+++ b/internal/rule/plan/decide.go
@@ -174,9 +174,14 @@
 			wanted = append(wanted, c)
 		}
 	}
+	for k, n := range snap.unservedBound {
+		c := snap.counts[k.Key].boundTo(p, k.Version, n)
+		c.gain = p.loadGain(c)
+		wanted = append(wanted, c)
+	}
 	sort.Slice(wanted, func(i, j int) bool {
 		a, b := wanted[i], wanted[j]
-		return a.gain > b.gain || a.gain == b.gain && a.key.Model < b.key.Model
+		return a.gain > b.gain || a.gain == b.gain && a.order() < b.order()
 	})
 	store, searched := p.storeHasCapacity(now, true), 0
 	for _, c := range wanted {
@@ -210,10 +215,21 @@
 			p.markChanged(best)
 		}
 		c.pendingCopies++
+		if c.version != nil {
+			snap.counts[c.key].pendingCopies++
+		}
 	}
 	return out
 }
 
+// order returns what orders models with the same gain.
+func (c *modelCount) order() string {
+	if c.version == nil {
+		return c.key.Model
+	}
+	return c.key.Model + " " + *c.version
+}
+
 // urgent reports whether requests wait that no copy can serve, or the model has
 // too few copies for its load.
 func (c *modelCount) urgent(p *Planner) bool {
@@ -226,6 +242,8 @@
 // reason returns the reason of a load as it is logged.
 func reason(c *modelCount) string {
 	switch {
+	case c.version != nil:
+		return "version-waited-for"
 	case c.unserved > 0:
 		return "waited-for"
 	case c.copies+c.pendingCopies > 0:
@@ -241,7 +259,7 @@
 	store := p.storeHasCapacity(now, c.urgent(p)) && !p.engineFreeSoon(now, c)
 	for _, id := range p.ids {
 		e := p.engines[id]
-		if e.up.Service != c.key.Service || !e.idle() || e.planned != nil || e.copies[c.key.Model] != nil || !p.serves(e, c) {
+		if !c.mayUse(e) || !e.idle() || e.planned != nil || e.copies[c.key.Model] != nil || !p.serves(e, c) {
 			continue
 		}
 		if c.unserved > 0 && c.copies+c.pendingCopies > 0 && snap.unreachable[unreachableKey{c.key.Model, id}] {
@@ -278,7 +296,7 @@
 	}
 	for _, id := range p.ids {
 		e := p.engines[id]
-		if e.up.Service != c.key.Service || e.up.Leaving || !e.reported || e.tier(c.key.Model) == Store || e.copies[c.key.Model] != nil {
+		if !c.mayUse(e) || e.up.Leaving || !e.reported || e.tier(c.key.Model) == Store || e.copies[c.key.Model] != nil {
 			continue
 		}
 		if e.load != nil && e.load.tier != Store || e.unload != nil || e.inFlight != nil {
--- a/internal/rule/plan/demand.go
+++ b/internal/rule/plan/demand.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -23,7 +24,14 @@
 			m.rate += float64(n) / rateTimeConstant.Seconds()
 		}
 	}
-	s := &daemonState{at: now, waiting: d.Waiting, running: d.Running, unreachable: map[string]bool{}}
+	s := &daemonState{at: now, waiting: maps.Clone(d.Waiting), bound: d.Bound, running: d.Running, unreachable: map[string]bool{}}
+	for k, n := range d.Bound {
+		if left := s.waiting[k.Key] - n; left > 0 {
+			s.waiting[k.Key] = left
+		} else {
+			delete(s.waiting, k.Key)
+		}
+	}
 	for _, id := range d.Unreachable {
 		s.unreachable[id] = true
 	}
--- a/internal/rule/plan/doc.go
+++ b/internal/rule/plan/doc.go
@@ -12,6 +12,10 @@
 // arrivals of the old one times the time to load it again from the engine's
 // memory or disk. Requests in progress count against an eviction.
 //
+// Streams that only engines of one software version can go on with are demand for a copy at
+// that version, if it has none. It is worth their waiting alone, so that no copy is evicted
+// for it that earns more.
+//
 // Adapters. A missing adapter with waiting requests is loaded beside a copy of
 // its model. If all adapter slots of the engine are taken, the adapter with the
 // lowest arrival rate is evicted.
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -84,8 +84,11 @@
 
 	// daemonState is the last demand received from one daemon.
 	daemonState struct {
-		at          time.Time
+		at time.Time
+		// waiting counts the requests that any engine may run, bound those that
+		// only engines of one software version may.
 		waiting     map[fleet.Key]int
+		bound       map[fleet.VersionKey]int
 		running     map[string]map[fleet.Key]int
 		unreachable map[string]bool
 	}
@@ -342,7 +345,7 @@
 		e := p.engines[id]
 		if e.load != nil {
 			k := fleet.Key{Service: e.up.Service, Model: e.load.model}
-			out = append(out, fleet.PendingLoad{Key: k, In: max(e.load.eta.Sub(now), 0)})
+			out = append(out, fleet.PendingLoad{Key: k, Version: e.up.Version, In: max(e.load.eta.Sub(now), 0)})
 		}
 	}
 	return out
--- a/internal/rule/plan/plan_test.go
+++ b/internal/rule/plan/plan_test.go
@@ -524,6 +524,89 @@
 	must.True(t, other.idle())
 }
 
+// boundDemand returns a demand for the streams of a version.
+func boundDemand(waiting map[fleet.VersionKey]int, arrivals map[fleet.Key]int) func() fleet.Demand {
+	return func() fleet.Demand {
+		d := fleet.Demand{Arrivals: arrivals, Waiting: map[fleet.Key]int{}, Bound: waiting}
+		for k, n := range waiting {
+			d.Waiting[k.Key] += n
+		}
+		return d
+	}
+}
+
+// newVersionSim is newSim with engines of the given versions.
+func newVersionSim(t *testing.T, models int, versions []string, held ...[]string) *sim {
+	s := newSim(t, models, held...)
+	for i := range s.ups {
+		s.ups[i].Version = versions[i]
+	}
+	s.p.SetUpstreams(s.now, s.ups)
+	return s
+}
+
+// TestStreamsOfCrashedVersion plays streams that are taken up after the engines of their
+// version have crashed and come back empty: their model has copies at the other version
+// alone. It guards against a planner that loads it at any version, or not at all (issue 41,
+// LOST): it must be loaded where they can go on, with its adapter, once.
+func TestStreamsOfCrashedVersion(t *testing.T) {
+	for _, version := range []string{"v1", "v2"} {
+		t.Run(version, func(t *testing.T) {
+			// Of each version one engine lacks the model.
+			s := newVersionSim(t, 4, []string{"v1", "v1", "v2", "v2"}, []string{"m0"}, []string{"m1"}, []string{"m0"}, []string{"m2"})
+			lost := map[string]string{"v1": "e0", "v2": "e2"}[version]
+			s.run(time.Second, nil)
+			s.engines[lost].held = map[string]map[string]bool{}
+			s.ups[int(lost[1]-'0')].Born++
+			s.engines[lost].orders = 0
+			s.p.SetUpstreams(s.now, s.ups)
+			k := fleet.VersionKey{Key: key("m0", "a3"), Version: version}
+			served := func() bool {
+				for _, u := range s.ups {
+					if u.Version == version && s.engines[u.ID].held["m0"]["a3"] {
+						return true
+					}
+				}
+				return false
+			}
+			var took time.Duration
+			for ; !served() && took < 3*time.Second; took += 200 * time.Millisecond {
+				s.run(200*time.Millisecond, boundDemand(map[fleet.VersionKey]int{k: 2}, nil))
+			}
+			must.LessEq(t, 2*time.Second, took, must.Sprint("from the disk"))
+			must.LessEq(t, 2, s.copies("m0"))
+			must.Eq(t, 0, s.countOrders(func(a Action) bool { return a.Order.Unload }))
+		})
+	}
+}
+
+// TestStreamsOfBothVersions guards against streams of two versions that wait for the same
+// model and keep each other from getting it.
+func TestStreamsOfBothVersions(t *testing.T) {
+	s := newVersionSim(t, 2, []string{"v1", "v2"}, nil, nil)
+	s.run(8*time.Second, boundDemand(map[fleet.VersionKey]int{{Key: key("m0", ""), Version: "v1"}: 1, {Key: key("m0", ""), Version: "v2"}: 1}, nil))
+	must.Eq(t, 2, s.copies("m0"))
+}
+
+// TestStreamEvictsLess guards against evicting a model that many requests arrive for, in
+// favour of a single stream that no copy of its version can go on with, and against a copy
+// that is evicted while streams of its version wait for it.
+func TestStreamEvictsLess(t *testing.T) {
+	s := newVersionSim(t, 4, []string{"v1", "v2"}, []string{"m0"}, []string{"m1", "m2", "m3"})
+	arrivals := map[fleet.Key]int{key("m1", ""): 4, key("m2", ""): 4, key("m3", ""): 4}
+	s.run(6*time.Second, boundDemand(map[fleet.VersionKey]int{{Key: key("m0", ""), Version: "v2"}: 1}, arrivals))
+	must.Eq(t, 0, s.countOrders(func(a Action) bool { return a.Order.Unload }))
+
+	s = newVersionSim(t, 5, []string{"v1", "v2"}, []string{"m4", "m1", "m2"}, []string{"m0", "m1", "m2"})
+	s.run(14*time.Second, func() fleet.Demand {
+		d := boundDemand(map[fleet.VersionKey]int{{Key: key("m0", ""), Version: "v2"}: 6}, nil)()
+		d.Waiting[key("m3", "")] = 2
+		return d
+	})
+	must.NotNil(t, s.engines["e1"].held["m0"])
+	must.Positive(t, s.copies("m3"))
+}
+
 // TestServing guards against a software version that counts as one that may have begun
 // streams as soon as its first upstream registers, long before one has a model (issue 41).
 func TestServing(t *testing.T) {
--- a/internal/rule/plan/snapshot.go
+++ b/internal/rule/plan/snapshot.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
@@ -23,6 +24,10 @@
 		// unreachable contains the engines that a daemon with waiting requests
 		// for the model can't reach.
 		unreachable map[unreachableKey]bool
+		// bound counts the waiting requests by the model that only engines of one
+		// software version may serve them with, boundAdapters those for adapters.
+		// unservedBound and unservedAdapters are those of them that no engine can.
+		bound, boundAdapters, unservedBound, unservedAdapters map[fleet.VersionKey]int
 	}
 
 	runningKey     struct{ engine, model string }
@@ -34,7 +39,10 @@
 
 	// modelCount is the state of one model over all engines.
 	modelCount struct {
-		key    fleet.Key
+		key fleet.Key
+		// version is the only software version of the engines that may serve the
+		// waiting requests, nil for the state over all engines.
+		version *string
 		model  fleet.Model
 		spec   *fleet.Engine
 		copies int
@@ -67,6 +75,7 @@
 	snap := &snapshot{
 		counts: map[fleet.Key]*modelCount{}, running: map[runningKey]int{}, adapters: map[fleet.Key][]*engine{},
 		inUse: map[adapterUseKey]bool{}, adapterRates: map[fleet.Key]float64{}, unreachable: map[unreachableKey]bool{},
+		bound: map[fleet.VersionKey]int{}, boundAdapters: map[fleet.VersionKey]int{}, unservedBound: map[fleet.VersionKey]int{}, unservedAdapters: map[fleet.VersionKey]int{},
 	}
 	domains := map[string]map[string]bool{}
 	for _, e := range p.engines {
@@ -206,6 +215,7 @@
 			}
 		}
 	}
+	snap.addBound(p, d)
 	for id, running := range d.running {
 		for k, n := range running {
 			if c := snap.counts[fleet.Key{Service: k.Service, Model: k.Model}]; c != nil {
@@ -219,6 +229,52 @@
 	}
 }
 
+// addBound counts the demand of a daemon that only engines of one software version can
+// serve.
+func (snap *snapshot) addBound(p *Planner, d *daemonState) {
+	for k, n := range d.bound {
+		model := fleet.VersionKey{Key: fleet.Key{Service: k.Service, Model: k.Model}, Version: k.Version}
+		c := snap.counts[model.Key]
+		if c == nil {
+			continue
+		}
+		serves := func(e *engine) bool { return e.up.Version == k.Version && !d.unreachable[e.up.ID] }
+		snap.bound[model] += n
+		if slices.ContainsFunc(c.engines, func(id string) bool { return serves(p.engines[id]) }) {
+			c.waiting += n
+		} else {
+			snap.unservedBound[model] += n
+		}
+		if k.Adapter == "" {
+			continue
+		}
+		snap.boundAdapters[k] += n
+		if !slices.ContainsFunc(snap.adapters[k.Key], serves) {
+			snap.unservedAdapters[k] += n
+		}
+	}
+}
+
+// boundTo returns the state of a model for requests that wait for a copy at a software
+// version, at which there is none.
+func (c *modelCount) boundTo(p *Planner, version string, waiting int) *modelCount {
+	b := &modelCount{
+		key: c.key, version: &version, model: c.model, spec: c.spec, waiting: waiting, unserved: waiting,
+		domains: c.domains, shortestLoad: c.shortestLoad, targetDomains: c.targetDomains,
+	}
+	for _, e := range p.engines {
+		if b.mayUse(e) && e.onDisk[c.key.Model] && e.planned == nil && e.idle() {
+			b.localEngines++
+		}
+	}
+	return b
+}
+
+// mayUse reports whether a copy on e would serve the waiting requests.
+func (c *modelCount) mayUse(e *engine) bool {
+	return e.up.Service == c.key.Service && (c.version == nil || e.up.Version == *c.version)
+}
+
 // heldAdapterRate returns the arrival rate of adapter requests for the models
 // that an engine holds. While the engine loads a model it accepts no adapter
 // orders, so these requests are delayed.
--- a/internal/rule/plan/value.go
+++ b/internal/rule/plan/value.go
@@ -39,6 +39,10 @@
 // saved.
 func (p *Planner) loadGain(c *modelCount) float64 {
 	g := waitingCost * float64(c.unserved)
+	if c.version != nil {
+		// Other requests have no need of another copy.
+		return g
+	}
 	have := c.copies + c.pendingCopies
 	if more := c.waiting - c.unserved; more > 0 && have < p.copiesNeeded(c) {
 		g += queuedCost * float64(min(more, c.spec.Slots))
@@ -62,6 +66,7 @@
 		return 0
 	}
 	l := runningCost * float64(snap.running[runningKey{e.up.ID, name}])
+	l += waitingCost * float64(snap.bound[fleet.VersionKey{Key: c.key, Version: e.up.Version}])
 	switch {
 	case c.copies > 0 && !p.serves(e, c):
 		return l + surplusLoss
