plan, pick: leave out copies on engines that several daemons can't reach

Cause: an upstream counted as out of reach only while it was ejected, 0.4 s at first, and a copy counted until the register dropped it. Now a daemon reports an upstream from a connection that can't be established to its next sign, and an engine that two daemons report, and on which no daemon has requests, has no copies and gets no orders.

--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -289,7 +289,7 @@
 	defer r.mu.Unlock()
 	d := fleet.Demand{
 		Arrivals: r.arrivals, Waiting: map[fleet.Key]int{}, Bound: map[fleet.VersionKey]int{}, Running: map[string]map[fleet.Key]int{},
-		Unreachable: r.table.Ejected(now), Limits: r.limits.Named(now),
+		Unreachable: r.table.Unreachable(now), Limits: r.limits.Named(now),
 	}
 	r.addPermits(now, &d)
 	d.Allowance = r.allowanceQuestion()
--- a/internal/rule/pick/outcome.go
+++ b/internal/rule/pick/outcome.go
@@ -36,6 +36,9 @@
 	if firstByte > 0 {
 		u.firstByteSeconds = ewma(u.firstByteSeconds, firstByte.Seconds())
 	}
+	if o != Inconclusive && o != GivenUp {
+		u.unconnected = o == ConnectFailed
+	}
 	switch o {
 	case Succeeded:
 		u.consecutiveFailures, u.ejectedUntil = 0, time.Time{}
@@ -101,6 +104,7 @@
 		return false
 	}
 	ended := !u.silentSince.IsZero()
+	u.unconnected = false
 	u.heardAt, u.silentSince, u.silentUntil = now, time.Time{}, time.Time{}
 	return ended
 }
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -107,6 +107,9 @@
 		comparedOffset      logpos.Position
 		consecutiveFailures int
 		ejectedUntil        time.Time
+		// unconnected is set from a connection that could not be established to the
+		// next sign of the upstream.
+		unconnected bool
 		// saidLeaving is set once the upstream has said that it is leaving.
 		saidLeaving bool
 		// pausedUntil is the end of the time for which the upstream has asked for no
@@ -370,5 +373,18 @@
 	return ids
 }
 
+// Unreachable returns the IDs of the upstreams that are ejected at now, or have shown no
+// sign since a connection could not be established, sorted. The latter may be tried again,
+// but must not be relied on.
+func (t *Table) Unreachable(now time.Time) (ids []string) {
+	for id, u := range t.upstreams {
+		if u.unconnected || u.ejected(now) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 // Known reports whether the upstream with the ID is registered.
 func (t *Table) Known(id string) bool { return t.upstreams[id] != nil }
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -331,3 +331,22 @@
 	must.Eq(t, OtherVersion, why)
 	must.Eq(t, "other-version", why.String())
 }
+
+// TestUnconnectedIsUnreachable guards against an upstream that has crashed and counts as
+// reachable between two ejections, so that the holder relies on what it holds.
+func TestUnconnectedIsUnreachable(t *testing.T) {
+	tab, ups := engines(2)
+	q := query("m", "")
+	tab.Start(at(0), "e0", q.Key)
+	tab.Finish(at(0), ups[0], q.Key, ConnectFailed, 0)
+	tab.Start(at(0), "e1", q.Key)
+	tab.Finish(at(0), ups[1], q.Key, Inconclusive, 0)
+	must.SliceEmpty(t, tab.Ejected(at(2)))
+	must.Eq(t, []string{"e0"}, tab.Unreachable(at(2)))
+	for _, o := range []Outcome{Inconclusive, GivenUp} {
+		tab.Finish(at(2), ups[0], q.Key, o, 0)
+		must.Eq(t, []string{"e0"}, tab.Unreachable(at(2)))
+	}
+	tab.Finish(at(3), ups[0], q.Key, Rejected, 0)
+	must.SliceEmpty(t, tab.Unreachable(at(3)))
+}
--- a/internal/rule/plan/decide.go
+++ b/internal/rule/plan/decide.go
@@ -259,7 +259,7 @@
 	store := p.storeHasCapacity(now, c.urgent(p)) && !p.engineFreeSoon(now, c)
 	for _, id := range p.ids {
 		e := p.engines[id]
-		if !c.mayUse(e) || !e.idle() || e.planned != nil || e.copies[c.key.Model] != nil || !p.serves(e, c) {
+		if !c.mayUse(e) || !e.idle() || e.planned != nil || e.copies[c.key.Model] != nil || !p.serves(e, c) || snap.lost[id] {
 			continue
 		}
 		if c.unserved > 0 && c.copies+c.pendingCopies > 0 && snap.unreachable[unreachableKey{c.key.Model, id}] {
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -116,6 +116,9 @@
 	minTrackedRate = 0.005
 	// daemonExpiry is how long the demand of a silent daemon counts.
 	daemonExpiry = 2 * time.Second
+	// lostReports is the number of daemons that can't reach an engine from which it is
+	// taken to be gone, rather than one daemon's path to it.
+	lostReports = 2
 	// minDemandPeriod is the shortest period that received demand is assumed
 	// to cover. Over a shorter one, a single request would make a model hot.
 	minDemandPeriod = 2 * time.Second
--- a/internal/rule/plan/snapshot.go
+++ b/internal/rule/plan/snapshot.go
@@ -24,6 +24,8 @@
 		// unreachable contains the engines that a daemon with waiting requests
 		// for the model can't reach.
 		unreachable map[unreachableKey]bool
+		// lost contains the engines that several daemons can't reach and none uses.
+		lost map[string]bool
 		// bound counts the waiting requests by the model that only engines of one
 		// software version may serve them with, boundAdapters those for adapters.
 		// unservedBound and unservedAdapters are those of them that no engine can.
@@ -77,6 +79,7 @@
 		inUse: map[adapterUseKey]bool{}, adapterRates: map[fleet.Key]float64{}, unreachable: map[unreachableKey]bool{},
 		bound: map[fleet.VersionKey]int{}, boundAdapters: map[fleet.VersionKey]int{}, unservedBound: map[fleet.VersionKey]int{}, unservedAdapters: map[fleet.VersionKey]int{},
 	}
+	snap.lost = p.lostEngines()
 	domains := map[string]map[string]bool{}
 	for _, e := range p.engines {
 		if domains[e.up.Service] == nil {
@@ -115,6 +118,28 @@
 	return snap
 }
 
+// lostEngines returns the engines that at least lostReports daemons can't reach and on which
+// no daemon has requests. The register lists them until they have been silent for some
+// seconds.
+func (p *Planner) lostEngines() map[string]bool {
+	reports := map[string]int{}
+	for _, d := range p.daemons {
+		for id := range d.unreachable {
+			reports[id]++
+		}
+	}
+	lost := map[string]bool{}
+	for id, n := range reports {
+		lost[id] = n >= lostReports
+	}
+	for _, d := range p.daemons {
+		for id := range d.running {
+			delete(lost, id)
+		}
+	}
+	return lost
+}
+
 // addEngine counts the content of an engine and the loads that will change it. A copy
 // doesn't count if the engine's rate limit keeps it from serving the model.
 func (snap *snapshot) addEngine(p *Planner, e *engine) {
@@ -124,7 +149,7 @@
 		if c == nil || !h.unloadAnnouncedAt.IsZero() {
 			continue
 		}
-		if p.serves(e, c) {
+		if p.serves(e, c) && !snap.lost[e.up.ID] {
 			c.copies++
 		}
 		c.addEngine(e)
@@ -150,7 +175,7 @@
 	}
 	for _, mn := range []string{e.loadingModel(), e.plannedModel()} {
 		if c := snap.counts[key(mn)]; c != nil {
-			if p.serves(e, c) {
+			if p.serves(e, c) && !snap.lost[e.up.ID] {
 				c.pendingCopies++
 			}
 			c.addEngine(e)
@@ -238,7 +263,9 @@
 		if c == nil {
 			continue
 		}
-		serves := func(e *engine) bool { return e.up.Version == k.Version && !d.unreachable[e.up.ID] }
+		serves := func(e *engine) bool {
+			return e.up.Version == k.Version && !d.unreachable[e.up.ID] && !snap.lost[e.up.ID]
+		}
 		snap.bound[model] += n
 		if slices.ContainsFunc(c.engines, func(id string) bool { return serves(p.engines[id]) }) {
 			c.waiting += n
