plan: load from the disk beside a slow load from the weight store

Cause: a load in progress counted as a copy however late it ends. Now requests that wait for a slow load alone, at any version or at theirs, are demand for a load from an engine with the weights at hand, and for no further one from the store. TestEngineIsBackDuringSlowLoad fails on the former commit in both cases.

--- a/internal/rule/plan/decide.go
+++ b/internal/rule/plan/decide.go
@@ -169,13 +169,18 @@
 func (p *Planner) planModelLoads(now time.Time, snap *snapshot, out []Action) []Action {
 	wanted := make([]*modelCount, 0, len(snap.counts))
 	for _, c := range snap.counts {
+		if p.awaitsSlowLoad(now, c) {
+			b := c.boundTo(p, nil, c.waiting)
+			b.gain = p.loadGain(b)
+			wanted = append(wanted, b)
+		}
 		if c.unserved > 0 || c.copies+c.pendingCopies < max(p.copiesWanted(c), 1) {
 			c.gain = p.loadGain(c)
 			wanted = append(wanted, c)
 		}
 	}
 	for k, n := range snap.unservedBound {
-		c := snap.counts[k.Key].boundTo(p, k.Version, n)
+		c := snap.counts[k.Key].boundTo(p, &k.Version, n)
 		c.gain = p.loadGain(c)
 		wanted = append(wanted, c)
 	}
@@ -215,8 +220,8 @@
 			p.markChanged(best)
 		}
 		c.pendingCopies++
-		if c.version != nil {
-			snap.counts[c.key].pendingCopies++
+		if all := snap.counts[c.key]; all != c {
+			all.pendingCopies++
 		}
 	}
 	return out
@@ -244,6 +249,8 @@
 	switch {
 	case c.version != nil:
 		return "version-waited-for"
+	case c.atHandOnly:
+		return "faster-copy"
 	case c.unserved > 0:
 		return "waited-for"
 	case c.copies+c.pendingCopies > 0:
@@ -266,7 +273,7 @@
 			continue
 		}
 		tier := e.tier(c.key.Model)
-		if tier == Store && !store {
+		if tier == Store && (!store || c.atHandOnly) {
 			continue
 		}
 		vs, loss := p.chooseEvictions(now, e, c, snap)
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -116,6 +116,9 @@
 	minTrackedRate = 0.005
 	// daemonExpiry is how long the demand of a silent daemon counts.
 	daemonExpiry = 2 * time.Second
+	// slowLoadMargin is the multiple of the time of a load from the disk from which the
+	// rest of a load in progress is longer than another one from the disk is worth.
+	slowLoadMargin = 2
 	// lostReports is the number of daemons that can't reach an engine from which it is
 	// taken to be gone, rather than one daemon's path to it.
 	lostReports = 2
--- a/internal/rule/plan/snapshot.go
+++ b/internal/rule/plan/snapshot.go
@@ -43,8 +43,10 @@
 	modelCount struct {
 		key fleet.Key
 		// version is the only software version of the engines that may serve the
-		// waiting requests, nil for the state over all engines.
-		version *string
+		// waiting requests, nil for the state over all engines. atHandOnly is set if a
+		// load from the weight store is in progress there already.
+		version    *string
+		atHandOnly bool
 		model  fleet.Model
 		spec   *fleet.Engine
 		copies int
@@ -113,7 +115,7 @@
 		}
 	}
 	for _, d := range p.daemons {
-		snap.addDaemon(p, d)
+		snap.addDaemon(now, p, d)
 	}
 	return snap
 }
@@ -216,7 +218,7 @@
 }
 
 // addDaemon counts the demand of a daemon.
-func (snap *snapshot) addDaemon(p *Planner, d *daemonState) {
+func (snap *snapshot) addDaemon(now time.Time, p *Planner, d *daemonState) {
 	for k, n := range d.waiting {
 		c := snap.counts[fleet.Key{Service: k.Service, Model: k.Model}]
 		if c == nil {
@@ -240,7 +242,7 @@
 			}
 		}
 	}
-	snap.addBound(p, d)
+	snap.addBound(now, p, d)
 	for id, running := range d.running {
 		for k, n := range running {
 			if c := snap.counts[fleet.Key{Service: k.Service, Model: k.Model}]; c != nil {
@@ -256,7 +258,7 @@
 
 // addBound counts the demand of a daemon that only engines of one software version can
 // serve.
-func (snap *snapshot) addBound(p *Planner, d *daemonState) {
+func (snap *snapshot) addBound(now time.Time, p *Planner, d *daemonState) {
 	for k, n := range d.bound {
 		model := fleet.VersionKey{Key: fleet.Key{Service: k.Service, Model: k.Model}, Version: k.Version}
 		c := snap.counts[model.Key]
@@ -267,7 +269,11 @@
 			return e.up.Version == k.Version && !d.unreachable[e.up.ID] && !snap.lost[e.up.ID]
 		}
 		snap.bound[model] += n
-		if slices.ContainsFunc(c.engines, func(id string) bool { return serves(p.engines[id]) }) {
+		holds := func(id string) bool {
+			e := p.engines[id]
+			return serves(e) && (e.copies[k.Model] != nil || !p.slowLoad(now, e, &modelCount{key: c.key, model: c.model, version: &k.Version}))
+		}
+		if slices.ContainsFunc(c.engines, holds) {
 			c.waiting += n
 		} else {
 			snap.unservedBound[model] += n
@@ -282,13 +288,36 @@
 	}
 }
 
+// slowLoad reports whether the load of a model on an engine ends later than one on an idle
+// engine that has the weights.
+func (p *Planner) slowLoad(now time.Time, e *engine, c *modelCount) bool {
+	if e.load == nil || e.load.model != c.key.Model || e.load.eta.Sub(now) < slowLoadMargin*c.model.DiskLoadTime {
+		return false
+	}
+	return slices.ContainsFunc(p.ids, func(id string) bool {
+		o := p.engines[id]
+		return c.mayUse(o) && o.tier(c.key.Model) != Store && o.idle() && o.planned == nil
+	})
+}
+
+// awaitsSlowLoad reports whether requests wait for a model of which there is no copy and
+// whose loads in progress are all slow.
+func (p *Planner) awaitsSlowLoad(now time.Time, c *modelCount) bool {
+	return c.waiting > 0 && c.unserved == 0 && c.copies == 0 && c.pendingCopies > 0 &&
+		!slices.ContainsFunc(c.engines, func(id string) bool { return p.engines[id].copies[c.key.Model] == nil && !p.slowLoad(now, p.engines[id], c) })
+}
+
 // boundTo returns the state of a model for requests that wait for a copy at a software
-// version, at which there is none.
-func (c *modelCount) boundTo(p *Planner, version string, waiting int) *modelCount {
+// version, any if that is nil, at which there is none.
+func (c *modelCount) boundTo(p *Planner, version *string, waiting int) *modelCount {
 	b := &modelCount{
-		key: c.key, version: &version, model: c.model, spec: c.spec, waiting: waiting, unserved: waiting,
+		key: c.key, version: version, model: c.model, spec: c.spec, waiting: waiting, unserved: waiting,
 		domains: c.domains, shortestLoad: c.shortestLoad, targetDomains: c.targetDomains,
 	}
+	for _, id := range c.engines {
+		e := p.engines[id]
+		b.atHandOnly = b.atHandOnly || b.mayUse(e) && e.load != nil && e.load.model == c.key.Model
+	}
 	for _, e := range p.engines {
 		if b.mayUse(e) && e.onDisk[c.key.Model] && e.planned == nil && e.idle() {
 			b.localEngines++
