--- a/internal/node/olog/lookup_test.go
+++ b/internal/node/olog/lookup_test.go
@@ -18,11 +18,13 @@
 		name                     string
 		asks, holder, log, found bool
 		away                     bool
+		deafFor                  int
 		id                       uint64
 		reads                    int
 	}{
 		{name: "holder knows", asks: true, holder: true, found: true, id: 1},
 		{name: "holder knows, log away", asks: true, holder: true, away: true, found: true, id: 1},
+		{name: "holder back in a moment, log away", asks: true, holder: true, away: true, deafFor: 1, found: true, id: 1, reads: 1},
 		{name: "only the log knows", asks: true, log: true, found: true, id: 1, reads: 1},
 		{name: "nobody knows", asks: true, id: 1, reads: 1},
 		{name: "no holder", log: true, found: true, id: 1, reads: 1},
@@ -47,7 +49,7 @@
 				}
 				d := newDaemon(topic, "d", now, "v1", "v2")
 				if c.asks {
-					d.other = holder
+					d.other, d.deafFor = holder, c.deafFor
 				}
 				if c.away {
 					topic.err = errUnavailable
--- a/internal/node/olog/store_test.go
+++ b/internal/node/olog/store_test.go
@@ -42,6 +42,8 @@
 		// the questions.
 		other *daemon
 		asked int
+		// deafFor is the number of questions that fail before the holder is reached.
+		deafFor int
 	}
 )
 
@@ -73,7 +75,9 @@
 	if d.other == nil {
 		return origin.Stream{}, false, errUnavailable
 	}
-	d.asked++
+	if d.asked++; d.asked <= d.deafFor {
+		return origin.Stream{}, false, errUnavailable
+	}
 	s, ok := d.other.table.Origin(id)
 	return s, ok, nil
 }
