relay, pick: tell streams when crashed upstreams of their version are back

Cause: the Retry-After of a stream without a copy was a constant. The table of upstreams now knows how long crashed ones take to come back at their address (a moving average), and a stream for which the holder has ordered no load within 0.4 s is refused with the time at which the first crashed upstream of its version is back and has loaded the model. TestReturns and TestStreamsOfCrashedVersionComeBack need the new call; before, the reason is no-copy and the Retry-After 0.75 to 1.25 s.

--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -207,7 +207,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updateAdmission()
-	r.table.SetUpstreams(ups, now.Sub(r.lastReply) < replyPrecedence)
+	r.table.SetUpstreams(now, ups, now.Sub(r.lastReply) < replyPrecedence)
 	r.dispatch(now)
 }
 
--- a/internal/node/relay/resume_test.go
+++ b/internal/node/relay/resume_test.go
@@ -16,6 +16,7 @@
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/rule/pick"
 	"github.com/azurespan/azurespan/internal/rule/queue"
 )
 
@@ -362,6 +363,37 @@
 	must.Eq(t, 2, f.requestCount(0))
 }
 
+// TestStreamsOfCrashedVersionComeBack guards against a stream that waits for 0.9 s and is told
+// to come back after 1 s where all copies at its version have crashed and nothing is being
+// loaded: it must be refused as soon as the holder could have ordered a load, with the time
+// at which a crashed upstream is back with the model as Retry-After.
+func TestStreamsOfCrashedVersionComeBack(t *testing.T) {
+	f := newVersionedFixture(t, streamEvents(2, 0), streamEvents(2, 0))
+	f.ups[1].Version = "v1"
+	closed := f.ups[0]
+	closed.ID, closed.Address = "u9", "127.0.0.1:1"
+	f.ups = append(f.ups, closed)
+	f.ups[0].Holding.Models, f.ups[1].Holding.Models = nil, nil
+	f.relay.ApplyWatchReply(time.Now(), &hub.WatchReply{Copies: []fleet.Inventory{{ID: "u0", Born: 1}, {ID: "u1", Born: 1}}})
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	f.origins.table.Learn(time.Now(), []origin.Stream{{ID: hash64("a"), Service: "s", Version: "v1"}})
+	f.relay.mu.Lock()
+	x := &exchange{relay: f.relay, route: &f.relay.Config().Routes[0], req: &fleet.Request{}, arrived: time.Now(), deadline: time.Now().Add(12 * time.Second), asked: true}
+	version := "v1"
+	x.query.Key, x.query.Version = fleet.Key{Service: "s", Model: "m"}, &version
+	_, resp, _ := f.relay.waitLimit(time.Now(), x, pick.NotLoaded)
+	must.Eq(t, pick.NotLoaded.String(), resp.reason)
+	f.relay.table.Start(time.Now(), "u9", x.query.Key)
+	f.relay.table.Finish(time.Now(), closed, x.query.Key, pick.ConnectFailed, 0)
+	_, resp, wait := f.relay.waitLimit(time.Now(), x, pick.NotLoaded)
+	f.relay.mu.Unlock()
+	must.False(t, wait)
+	must.Eq(t, "model-too-late", resp.reason)
+	back, ok := f.relay.table.Returns("s", "v1")
+	must.True(t, ok)
+	must.Between(t, time.Until(back)-time.Second/10, resp.retryAfter, 5*time.Until(back)/4+time.Second/10)
+}
+
 // TestStreamAsksForItsVersion guards against a stream that is refused although an upstream
 // of its version could load the model in time, or is kept waiting for one that can't, and
 // against a holder that isn't told at which version the model is missing (issue 41).
--- a/internal/node/relay/wait.go
+++ b/internal/node/relay/wait.go
@@ -97,6 +97,9 @@
 			return until, resp, false
 		}
 	case pick.OtherVersion:
+		if eta, ok := r.returns(x); ok && x.possibleRuns == 0 {
+			resp.retryAfter = r.spread(max(eta.Sub(now), 0))
+		}
 		return until, resp, false
 	case pick.Full:
 		if end := x.query.PausedUntil; end.After(last) {
@@ -126,14 +129,30 @@
 	return x.asked
 }
 
-// pendingLoad returns the expected end of the first load that lets the request run. r.mu
-// must be held.
+// pendingLoad returns the expected end of the first load that lets the request run: one in
+// progress or, for a stream for which the holder has ordered none, that on the first crashed
+// upstream of its version that is back. r.mu must be held.
 func (r *Relay) pendingLoad(x *exchange) (eta time.Time, ok bool) {
 	k := fleet.Key{Service: x.query.Key.Service, Model: x.query.Key.Model}
-	if x.query.Version != nil {
-		eta, ok = r.boundLoads[fleet.VersionKey{Key: k, Version: *x.query.Version}]
-	} else {
+	if x.query.Version == nil {
 		eta, ok = r.pendingLoads[k]
+		return eta, ok
+	}
+	if eta, ok = r.boundLoads[fleet.VersionKey{Key: k, Version: *x.query.Version}]; ok || !x.asked {
+		return eta, ok
+	}
+	return r.returns(x)
+}
+
+// returns returns when a crashed upstream of the stream's version is expected to be back and
+// to have loaded its model, false if there is none. r.mu must be held.
+func (r *Relay) returns(x *exchange) (eta time.Time, ok bool) {
+	if x.query.Version == nil {
+		return eta, false
+	}
+	eta, ok = r.table.Returns(x.query.Key.Service, *x.query.Version)
+	if e := r.Config().Services[x.query.Key.Service].Engine; e != nil {
+		eta = eta.Add(e.Models[x.query.Key.Model].DiskLoadTime)
 	}
 	return eta, ok
 }
--- a/internal/rule/pick/brittle_test.go
+++ b/internal/rule/pick/brittle_test.go
@@ -97,7 +97,7 @@
 		t := New(Settings{FailureDomain: "d"}, quota.New(), rand.New(rand.NewPCG(seed, uint64(i+2))))
 		t.Configure(&fleet.Config{Services: map[string]fleet.Service{"s": service}})
 		t.SetDaemons(daemons)
-		t.SetUpstreams(ups, false)
+		t.SetUpstreams(time.Time{}, ups, false)
 		f.daemons = append(f.daemons, &brittleDaemon{table: t, running: map[string]int{}})
 	}
 	return f
@@ -206,7 +206,7 @@
 			for _, x := range f.replicas {
 				ups = append(ups, x.up)
 			}
-			d.table.SetUpstreams(ups, true)
+			d.table.SetUpstreams(time.Now(), ups, true)
 		}
 	})
 }
--- a/internal/rule/pick/outcome.go
+++ b/internal/rule/pick/outcome.go
@@ -36,8 +36,12 @@
 	if firstByte > 0 {
 		u.firstByteSeconds = ewma(u.firstByteSeconds, firstByte.Seconds())
 	}
-	if o != Inconclusive && o != GivenUp {
-		u.unconnected = o == ConnectFailed
+	switch {
+	case o == Inconclusive || o == GivenUp:
+	case o != ConnectFailed:
+		u.unconnectedAt = time.Time{}
+	case u.unconnectedAt.IsZero():
+		u.unconnectedAt = now
 	}
 	switch o {
 	case Succeeded:
@@ -104,7 +108,7 @@
 		return false
 	}
 	ended := !u.silentSince.IsZero()
-	u.unconnected = false
+	u.unconnectedAt = time.Time{}
 	u.heardAt, u.silentSince, u.silentUntil = now, time.Time{}, time.Time{}
 	return ended
 }
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -31,6 +31,9 @@
 		brittleServices map[string]brittleness
 		// spacings keep requests to brittle plain services apart.
 		spacings map[string]*spacing
+		// restartTime is the moving average of the time from a crash of an upstream to
+		// the registration of the next one at its address.
+		restartTime time.Duration
 		// daemons is the number of daemons that choose concurrently among the
 		// same upstreams.
 		daemons int
@@ -107,9 +110,9 @@
 		comparedOffset      logpos.Position
 		consecutiveFailures int
 		ejectedUntil        time.Time
-		// unconnected is set from a connection that could not be established to the
-		// next sign of the upstream.
-		unconnected bool
+		// unconnectedAt is when a connection could first not be established since the
+		// last sign of the upstream, zero if that was later.
+		unconnectedAt time.Time
 		// saidLeaving is set once the upstream has said that it is leaving.
 		saidLeaving bool
 		// pausedUntil is the end of the time for which the upstream has asked for no
@@ -186,6 +189,9 @@
 	// missingTTL is how long an engine's answer that a model isn't loaded
 	// overrides the last report.
 	missingTTL = 250 * time.Millisecond
+	// defaultRestartTime is the time in which a crashed upstream is taken to be back
+	// until some have been.
+	defaultRestartTime = 3 * time.Second
 	// ewmaWeight is the weight of a new sample in the moving averages.
 	ewmaWeight = 0.15
 	// engineMaxLoad is the load at which an engine is full. Further requests
@@ -246,7 +252,7 @@
 
 // New returns an empty Table that respects limits.
 func New(settings Settings, limits *quota.Table, rng *rand.Rand) *Table {
-	return &Table{settings: settings, limits: limits, rng: rng, upstreams: map[string]*upstream{}, byService: map[string][]*upstream{}, slots: map[string]int{}, brittleServices: map[string]brittleness{}, spacings: map[string]*spacing{}, daemons: 1}
+	return &Table{settings: settings, limits: limits, rng: rng, upstreams: map[string]*upstream{}, byService: map[string][]*upstream{}, slots: map[string]int{}, brittleServices: map[string]brittleness{}, spacings: map[string]*spacing{}, daemons: 1, restartTime: defaultRestartTime}
 }
 
 // Configure replaces the engines' slots by those of cfg.
@@ -262,7 +268,8 @@
 // SetUpstreams replaces the registered upstreams. heard tells whether the
 // holder's reports are current; without them, the models that a newer register
 // entry lists are taken over.
-func (t *Table) SetUpstreams(registered []fleet.Upstream, heard bool) {
+func (t *Table) SetUpstreams(now time.Time, registered []fleet.Upstream, heard bool) {
+	lost := t.unconnectedByAddress()
 	seen := make(map[string]bool, len(registered))
 	for _, r := range registered {
 		seen[r.ID] = true
@@ -270,6 +277,9 @@
 		if u == nil || u.info.Born != r.Born {
 			u = &upstream{running: map[fleet.Key]int{}, missing: map[string]time.Time{}}
 			t.upstreams[r.ID] = u
+			if at, ok := lost[r.Address]; ok {
+				t.restartTime += time.Duration(ewmaWeight * float64(now.Sub(at)-t.restartTime))
+			}
 		}
 		u.info = r
 		if u.models == nil || !heard && u.comparedOffset.Before(r.Offset) {
@@ -291,6 +301,40 @@
 	}
 }
 
+// unconnectedByAddress returns when each address could first not be connected to, of those
+// without a sign since. A new upstream has it again soon after a crash.
+func (t *Table) unconnectedByAddress() map[string]time.Time {
+	lost := map[string]time.Time{}
+	for _, u := range t.upstreams {
+		if !u.unconnectedAt.IsZero() {
+			lost[u.info.Address] = u.unconnectedAt
+		}
+	}
+	return lost
+}
+
+// Returns returns the expected time at which the first crashed upstream of a service and
+// software version is registered again, false if none has crashed lately.
+func (t *Table) Returns(service, version string) (at time.Time, ok bool) {
+	lost := map[string]time.Time{}
+	for _, u := range t.byService[service] {
+		if !u.unconnectedAt.IsZero() && u.info.Version == version && !u.leaving() {
+			lost[u.info.Address] = u.unconnectedAt.Add(t.restartTime)
+		}
+	}
+	for _, u := range t.byService[service] {
+		if u.unconnectedAt.IsZero() {
+			delete(lost, u.info.Address) // it is back
+		}
+	}
+	for _, expected := range lost {
+		if !ok || expected.Before(at) {
+			at, ok = expected, true
+		}
+	}
+	return at, ok
+}
+
 // SetAdmission has streams begin at the versions alone that admits reports, as it does now.
 func (t *Table) SetAdmission(admits func(service, version string) bool) {
 	t.admits = admits
@@ -378,7 +422,7 @@
 // but must not be relied on.
 func (t *Table) Unreachable(now time.Time) (ids []string) {
 	for id, u := range t.upstreams {
-		if u.unconnected || u.ejected(now) {
+		if !u.unconnectedAt.IsZero() || u.ejected(now) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -29,7 +29,7 @@
 		u.Holding.Models = []fleet.LoadedModel{{Model: "m", Adapters: []string{"a1"}}}
 		ups = append(ups, u)
 	}
-	t.SetUpstreams(ups, false)
+	t.SetUpstreams(time.Time{}, ups, false)
 	return t, ups
 }
 
@@ -105,9 +105,9 @@
 func TestLeavingUpstreamIsNotChosen(t *testing.T) {
 	tab, ups := engines(3)
 	ups[0].Leaving = true
-	tab.SetUpstreams(ups, false)
+	tab.SetUpstreams(at(0), ups, false)
 	ups[1].Leaving = true
-	tab.SetUpstreams(ups, true)
+	tab.SetUpstreams(at(0), ups, true)
 	got := send(t, tab, at(0), 3, query("m", ""))
 	must.Eq(t, 3, got["e2"])
 	must.False(t, tab.Usable(ups[0]))
@@ -206,7 +206,7 @@
 	send(t, tab, at(0), 4, query("m", ""))
 	former := ups[0]
 	ups[0].Born = 2
-	tab.SetUpstreams(ups, false)
+	tab.SetUpstreams(at(0), ups, false)
 	tab.Finish(at(1), former, k, ConnectFailed, 0)
 	must.SliceEmpty(t, tab.Ejected(at(1)))
 	must.Eq(t, 4, send(t, tab, at(1), 4, query("m", ""))["e0"])
@@ -311,7 +311,7 @@
 	for i := range ups {
 		ups[i].Version = fmt.Sprint("v", i%2)
 	}
-	tab.SetUpstreams(ups, false)
+	tab.SetUpstreams(at(0), ups, false)
 	q := query("m", "")
 	v1, v2 := "v1", "v2"
 	q.Version = &v1
@@ -350,3 +350,37 @@
 	tab.Finish(at(3), ups[0], q.Key, Rejected, 0)
 	must.SliceEmpty(t, tab.Unreachable(at(3)))
 }
+
+// TestReturns guards against a Retry-After of streams that is a guess where upstreams of
+// their version have crashed: how long these take to come back is known from others.
+func TestReturns(t *testing.T) {
+	tab, ups := engines(4)
+	for i := range ups {
+		ups[i].Version, ups[i].Address = fmt.Sprint("v", i%2), fmt.Sprint("address ", i)
+	}
+	tab.SetUpstreams(at(0), ups, false)
+	crash := func(s float64, i int) {
+		tab.Start(at(s), ups[i].ID, query("m", "").Key)
+		tab.Finish(at(s), ups[i], query("m", "").Key, ConnectFailed, 0)
+	}
+	_, ok := tab.Returns(ups[0].Service, "v0")
+	must.False(t, ok)
+	crash(1, 0)
+	crash(1.5, 0)
+	crash(2, 2)
+	back, ok := tab.Returns(ups[0].Service, "v0")
+	must.True(t, ok)
+	must.Eq(t, at(1).Add(defaultRestartTime), back)
+	_, ok = tab.Returns(ups[0].Service, "v1")
+	must.False(t, ok)
+	// The first comes back after 9 s under another ID, the register has the old one still.
+	next := ups[0]
+	next.ID = "next"
+	ups = append(ups, next)
+	tab.SetUpstreams(at(10), ups, false)
+	back, ok = tab.Returns(ups[0].Service, "v0")
+	must.True(t, ok)
+	later := back.Sub(at(2))
+	must.Greater(t, defaultRestartTime, later)
+	must.Less(t, 9*time.Second, later)
+}
--- a/internal/rule/plan/snapshot.go
+++ b/internal/rule/plan/snapshot.go
@@ -47,9 +47,9 @@
 		// load from the weight store is in progress there already.
 		version    *string
 		atHandOnly bool
-		model  fleet.Model
-		spec   *fleet.Engine
-		copies int
+		model      fleet.Model
+		spec       *fleet.Engine
+		copies     int
 		// pendingCopies are being loaded, ordered, or waiting for room.
 		pendingCopies int
 		running       int
@@ -304,7 +304,9 @@
 // whose loads in progress are all slow.
 func (p *Planner) awaitsSlowLoad(now time.Time, c *modelCount) bool {
 	return c.waiting > 0 && c.unserved == 0 && c.copies == 0 && c.pendingCopies > 0 &&
-		!slices.ContainsFunc(c.engines, func(id string) bool { return p.engines[id].copies[c.key.Model] == nil && !p.slowLoad(now, p.engines[id], c) })
+		!slices.ContainsFunc(c.engines, func(id string) bool {
+			return p.engines[id].copies[c.key.Model] == nil && !p.slowLoad(now, p.engines[id], c)
+		})
 }
 
 // boundTo returns the state of a model for requests that wait for a copy at a software
