--- a/internal/rule/plan/snapshot.go
+++ b/internal/rule/plan/snapshot.go
@@ -132,11 +132,15 @@
 	}
 	lost := map[string]bool{}
 	for id, n := range reports {
-		lost[id] = n >= lostReports
+		if n >= lostReports {
+			lost[id] = true
+		}
 	}
 	for _, d := range p.daemons {
-		for id := range d.running {
-			delete(lost, id)
+		for id := range lost {
+			if len(d.running[id]) > 0 {
+				delete(lost, id)
+			}
 		}
 	}
 	return lost
