plan: count the end of requests in progress towards a load in their place

Cause: the engine chosen had to unload a model whose streams were in progress, and an unload waits for them; only their number counted, not the time. Now that time is part of the time that a load takes.

--- a/internal/rule/plan/decide.go
+++ b/internal/rule/plan/decide.go
@@ -280,7 +280,7 @@
 		if loss > 0 && loss*evictMargin >= c.gain {
 			continue
 		}
-		duration := p.loadDuration(e, c.key.Model, tier).Seconds()
+		duration := (p.loadDuration(e, c.key.Model, tier) + snap.drainTime(id, vs)).Seconds()
 		cost := loss + duration*(baseLoadRate+c.rate+float64(c.unserved)) + duration*blockedAdapterCost*snap.heldAdapterRate(e) +
 			sameDomainCost*float64(c.domains[e.up.FailureDomain])*max(c.rate, minSpreadRate) + freeMemoryCost*p.freeWeightMB(e, c.spec)/mbPerGB
 		if cost < lowest {
@@ -290,6 +290,17 @@
 	return best, victims
 }
 
+// drainTime returns how long the unloads of models on an engine take until their requests
+// have ended.
+func (snap *snapshot) drainTime(engine string, models []string) time.Duration {
+	for _, m := range models {
+		if snap.running[runningKey{engine, m}] > 0 {
+			return drainTime
+		}
+	}
+	return 0
+}
+
 // engineFreeSoon reports whether an engine that has the weights in memory or on
 // disk is busy with a short operation, so that waiting for it is faster than a
 // load from the weight store. It does so for at most maxEngineWait, since an
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -119,6 +119,9 @@
 	// slowLoadMargin is the multiple of the time of a load from the disk from which the
 	// rest of a load in progress is longer than another one from the disk is worth.
 	slowLoadMargin = 2
+	// drainTime is the time that an unload takes if requests in progress have to
+	// end: most streams of the known deployments take 1 to 3 s.
+	drainTime = 2 * time.Second
 	// lostReports is the number of daemons that can't reach an engine from which it is
 	// taken to be gone, rather than one daemon's path to it.
 	lostReports = 2
