origin, loader: tell the table of upstreams when the holder's state counts again

A daemon that had read an older log kept to its versions until the next change, although the holder confirmed a newer state: the confirmation didn't count as a change of what is admitted. TestAdmits has the case.

--- a/internal/core/origin/doc.go
+++ b/internal/core/origin/doc.go
@@ -20,10 +20,11 @@
 //	b >= a + ttl, and a > h if the State doesn't list the version,
 //
 // hence b > h + ttl: a State that is no older than ttl has announced all versions at
-// which streams have begun. One that held after the request arrived by which a caller
-// resumes a stream lists the stream's version as open, however old the request's daemon's
-// view of the register is and whether it is in contact with the holder or the log: it
-// needs one of them. Only the holder announces versions, and a holder learns from the log
-// what the former one has announced before it decides anything. Times are those of clocks
-// that count suspensions, and are compared on one machine only.
+// which streams have begun. One that held after a request arrived that resumes a stream
+// lists the stream's version as open. A daemon that resumes a stream needs such a State from
+// the holder or from the log; how old its view of the register is doesn't matter.
+//
+// Only the holder announces versions, and it learns from the log what the former holder has
+// announced before it decides anything. Times are those of clocks that count suspensions,
+// and are compared on one machine only.
 package origin
--- a/internal/core/origin/state.go
+++ b/internal/core/origin/state.go
@@ -31,8 +31,8 @@
 		asOf  time.Time
 		// revision is that of a state of the holder.
 		revision Revision
-		// none is set if the log has no state, fresh if no daemon has let streams
-		// begin without one.
+		// none is set if the log has no state, fresh if no daemon of an earlier build
+		// has written to it.
 		none, fresh bool
 	}
 
@@ -49,7 +49,8 @@
 	return s.Complete == other.Complete && same(s.Announced, other.Announced) && same(s.Open, other.Open)
 }
 
-// Join returns a state with the versions of both, none of them admitted. It is complete if one of them is.
+// Join returns a state with the versions of both, none of them admitted. It is complete if
+// one of them is.
 func (s State) Join(other State) State {
 	return State{Announced: join(s.Announced, other.Announced), Open: join(s.Open, other.Open), Complete: s.Complete || other.Complete}
 }
@@ -74,21 +75,23 @@
 func (t *Table) Hold(now, asOf time.Time, r Revision, s *State) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := &t.holder
+	e, before := &t.holder, t.latest()
 	if r.Fence < e.revision.Fence || r.Fence == e.revision.Fence && r.Rev < e.revision.Rev || s == nil && r != e.revision {
 		return // a late answer
 	}
 	if s != nil && r != e.revision {
 		*e = evidence{state: *s, revision: r}
 		t.announce(now, s.Announced)
+		before = nil
+	}
+	if e.asOf = later(e.asOf, asOf); t.latest() != before {
 		t.admissions.Add(1)
 	}
-	e.asOf = later(e.asOf, asOf)
 }
 
 // Store records that a read of the log that began at asOf found a state, nil if the log
-// has none. fresh is set if it has nothing of daemons of earlier builds, which begin streams
-// at any version.
+// has none. fresh is set if no daemon of an earlier build has written to it; those begin
+// streams at any version.
 func (t *Table) Store(now, asOf time.Time, s *State, fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/core/origin/state_test.go
+++ b/internal/core/origin/state_test.go
@@ -115,6 +115,11 @@
 	tab.Store(at(5), at(5), &copied, false)
 	must.True(t, tab.Admits("s", "v1"))
 	must.False(t, tab.Admits("s", "v2"), must.Sprint("a log that was returned from a copy"))
+	n = tab.Admissions()
+	tab.Hold(at(5), at(5), Revision{3, 1}, nil)
+	must.Eq(t, n, tab.Admissions()-1, must.Sprint("the holder's state counts again"))
+	tab.Hold(at(6), at(6), Revision{3, 1}, nil)
+	must.Eq(t, n, tab.Admissions()-1)
 }
 
 // TestAnnouncedVersionIsRecorded guards against streams in progress that nobody can resume
