olog, pick, opener: split files by concept

Moves only: the holder's state in the log, the return of crashed upstreams and the simulated fleet of the opener's tests have files of their own.

--- a/internal/node/olog/store.go
+++ b/internal/node/olog/store.go
@@ -99,13 +99,6 @@
 		Streams       map[string]map[string][]uint64 `json:"streams,omitempty"`
 		State         *versionState                  `json:"state,omitempty"`
 	}
-
-	// versionState is a holder's state of versions, written in an era of the log. In
-	// another era it may lack versions that were announced later.
-	versionState struct {
-		origin.State
-		Era int64 `json:"era"`
-	}
 )
 
 const (
@@ -134,8 +127,6 @@
 	maxRetryShift = 5
 	// versionsKey is the last part of the key of a record of versions.
 	versionsKey = "versions"
-	// stateKey is the last part of the key of a record of a holder's state.
-	stateKey = "state"
 )
 
 // New returns the Store of the daemon named host, whose log is followed by tracker.
@@ -248,51 +239,6 @@
 	return nil
 }
 
-// writeState writes the holder's state of versions if the topic lacks it, and then removes
-// those of former holders.
-func (s *Store) writeState(ctx context.Context) error {
-	state, ok := s.holder.VersionState()
-	if !ok {
-		return nil
-	}
-	s.mu.Lock()
-	era, own := s.era, s.states[s.host]
-	var former []string
-	for host := range s.states {
-		if host != s.host {
-			former = append(former, host)
-		}
-	}
-	s.mu.Unlock()
-	if own == nil || own.Era != era || !own.Equal(state) {
-		v := &versionState{State: state, Era: era}
-		value, err := json.Marshal(record{State: v})
-		if err != nil {
-			return merry.Wrap(err)
-		}
-		if err := s.topic.Put(ctx, s.host+"/"+stateKey, value); err != nil {
-			return err
-		}
-		event.OriginsStored.Log("key", s.host+"/"+stateKey, "announced", state.Announced, "open", state.Open, "complete", state.Complete)
-		s.mu.Lock()
-		if s.era == era {
-			s.states[s.host] = v
-			s.countRewritten()
-		}
-		s.mu.Unlock()
-	}
-	s.holder.VersionStateWritten(state)
-	for _, host := range former {
-		if err := s.topic.Put(ctx, host+"/"+stateKey, nil); err != nil {
-			return err
-		}
-		s.mu.Lock()
-		delete(s.states, host)
-		s.mu.Unlock()
-	}
-	return nil
-}
-
 // compare returns the other hosts whose records have versions beside the given ones, and
 // reports whether the topic lacks one of the versions. For the holder, which removes the
 // records of those hosts, their versions don't count. s.mu must be held.
@@ -473,18 +419,3 @@
 	s.rewriting = s.rewriting || s.returned
 	s.readAt, s.stored, s.states, s.uncertain, s.returned = began, stored, states, false, false
 }
-
-// joinStates returns what the states of all holders list, nil if there is none. A former
-// holder's may have been written late, and one of an earlier era isn't complete.
-func joinStates(states map[string]*versionState, era int64) *origin.State {
-	var joined *origin.State
-	for _, v := range states {
-		s := v.State
-		s.Complete = s.Complete && v.Era == era
-		if joined != nil {
-			s = joined.Join(s)
-		}
-		joined = &s
-	}
-	return joined
-}
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -189,9 +189,6 @@
 	// missingTTL is how long an engine's answer that a model isn't loaded
 	// overrides the last report.
 	missingTTL = 250 * time.Millisecond
-	// defaultRestartTime is the time in which a crashed upstream is taken to be back
-	// until some have been.
-	defaultRestartTime = 3 * time.Second
 	// ewmaWeight is the weight of a new sample in the moving averages.
 	ewmaWeight = 0.15
 	// engineMaxLoad is the load at which an engine is full. Further requests
@@ -301,40 +298,6 @@
 	}
 }
 
-// unconnectedByAddress returns when each address could first not be connected to, of those
-// without a sign since. A new upstream has it again soon after a crash.
-func (t *Table) unconnectedByAddress() map[string]time.Time {
-	lost := map[string]time.Time{}
-	for _, u := range t.upstreams {
-		if !u.unconnectedAt.IsZero() {
-			lost[u.info.Address] = u.unconnectedAt
-		}
-	}
-	return lost
-}
-
-// Returns returns the expected time at which the first crashed upstream of a service and
-// software version is registered again, false if none has crashed lately.
-func (t *Table) Returns(service, version string) (at time.Time, ok bool) {
-	lost := map[string]time.Time{}
-	for _, u := range t.byService[service] {
-		if !u.unconnectedAt.IsZero() && u.info.Version == version && !u.leaving() {
-			lost[u.info.Address] = u.unconnectedAt.Add(t.restartTime)
-		}
-	}
-	for _, u := range t.byService[service] {
-		if u.unconnectedAt.IsZero() {
-			delete(lost, u.info.Address) // it is back
-		}
-	}
-	for _, expected := range lost {
-		if !ok || expected.Before(at) {
-			at, ok = expected, true
-		}
-	}
-	return at, ok
-}
-
 // SetAdmission has streams begin at the versions alone that admits reports, as it does now.
 func (t *Table) SetAdmission(admits func(service, version string) bool) {
 	t.admits = admits
