relay, http1: replace upstreams that are stuck within a head or an event

Now the head must be complete within the time to the first byte, and an event within the pause, counted from when the upstream last got on; then another upstream is asked, as after a silence, and the former goes on if none takes the request over. Ruled out: cutting such a stream without a replacement (a slow one would be cut: TestSlowSoundStream passes before and after), a read deadline alone (the chunked reader of net/http doesn't go on after an error). Before: TestTrickledStream fails in all five cases (each ends after the 5 s of its route); after: passes. Not covered: bodies of plain responses, which end with their route's time limit.

--- a/internal/link/http1/limit.go
+++ b/internal/link/http1/limit.go
@@ -1,8 +1,11 @@
 package http1
 
 import (
+	"errors"
 	"fmt"
-	"io"
+	"net"
+	"os"
+	"time"
 )
 
 type (
@@ -14,11 +17,28 @@
 	// which no request asks for.
 	SwitchError struct{}
 
-	// limitedReader reads from r, while a limit is set up to that many bytes.
+	// Stall bounds the time for which reads of a response wait. Bytes that have
+	// arrived don't move the bound, so that an upstream which sends one now and then
+	// is noticed.
+	Stall interface {
+		// Until returns the time from which a read that waits is stalled.
+		Until() time.Time
+		// Expired is called by a read that has waited until then. If it returns true,
+		// the read waits on, up to the new Until; else it fails with
+		// os.ErrDeadlineExceeded.
+		Expired() bool
+	}
+
+	// limitedReader reads from conn, while a limit is set up to that many bytes, and
+	// within the bounds of stall unless that is nil.
 	limitedReader struct {
-		r       io.Reader
+		conn    net.Conn
 		limited bool
 		left    int
+		stall   Stall
+		// stalledErr is the error of the read that stall has ended. net/http reads on
+		// after errors.
+		stalledErr error
 	}
 )
 
@@ -43,12 +63,49 @@
 // Read implements io.Reader.
 func (l *limitedReader) Read(b []byte) (int, error) {
 	if !l.limited {
-		return l.r.Read(b)
+		return l.readBounded(b)
 	}
 	if l.left <= 0 {
 		return 0, &HeadTooLargeError{Limit: MaxHeadBytes}
 	}
-	n, err := l.r.Read(b[:min(len(b), l.left)])
+	n, err := l.readBounded(b[:min(len(b), l.left)])
 	l.left -= n
 	return n, err
 }
+
+// readBounded reads within the bounds of stall.
+func (l *limitedReader) readBounded(b []byte) (n int, err error) {
+	if l.stall == nil {
+		return l.conn.Read(b)
+	}
+	if l.stalledErr != nil {
+		return 0, l.stalledErr
+	}
+	for {
+		if err := l.conn.SetReadDeadline(l.stall.Until()); err != nil {
+			return 0, err
+		}
+		n, err = l.conn.Read(b)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// A read after its deadline fails even if bytes have arrived.
+			if err := l.conn.SetReadDeadline(time.Now().Add(pendingReadTimeout)); err != nil {
+				return 0, err
+			}
+			n, err = l.conn.Read(b)
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+		if !l.stall.Expired() {
+			l.stalledErr = err
+			return 0, err
+		}
+	}
+	if lift := l.conn.SetReadDeadline(time.Time{}); lift != nil && err == nil {
+		err = lift
+	}
+	return n, err
+}
+
+// BoundReads has reads of the response go by stall from now on, nil for none.
+func (c *Conn) BoundReads(stall Stall) { c.limited.stall = stall }
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 	}
-	limited := &limitedReader{r: nc}
+	limited := &limitedReader{conn: nc}
 	return &Conn{pool: p, key: key, Conn: nc, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -176,7 +176,14 @@
 		if o, ok := x.awaitByte(ctx, k, x.firstByteTimeout(), false); !ok {
 			return o, false
 		}
-		if err := x.readHead(k); err != nil {
+		st := newStall(ctx, x, k, x.relay.now(), x.firstByteTimeout())
+		k.conn.BoundReads(st)
+		err := x.readHead(k)
+		k.conn.BoundReads(nil)
+		if st.next != nil {
+			return st.outcome(), false
+		}
+		if err != nil {
 			return interrupted(err, 0), false
 		}
 	}
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -35,14 +35,23 @@
 	}
 	gap := max(gapTimeoutFactor*x.route.MaxEventGap, minGapTimeout)
 	buf := make([]byte, streamBufferBytes)
+	st := newStall(ctx, x, k, x.relay.now(), gap)
 	for {
-		if o, ok := x.awaitByte(ctx, k, gap, !framed(res)); !ok {
-			x.events.TakePartial()
-			return o
+		// Within an event, bytes are no sign that the stream goes on.
+		if !st.within {
+			if o, ok := x.awaitByte(ctx, k, gap, !framed(res)); !ok {
+				x.events.TakePartial()
+				return o
+			}
 		}
-		n, err := res.Body.Read(buf)
+		n, err := st.read(res.Body, buf)
 		_, _ = x.events.Write(buf[:n]) // never fails
-		if whole := x.events.TakeEvents(); len(whole) > 0 {
+		whole := x.events.TakeEvents()
+		if st.advance(x.relay.now(), len(whole) > 0, err) {
+			x.events.TakePartial()
+			return st.outcome()
+		}
+		if len(whole) > 0 {
 			x.beginAnswer()
 			x.continueAnswer()
 			x.beginStream(k.up)
