spread, shelf, loads, hub: bound what the holder of a large fleet sends

Now loads have 125 entries at most there, those with the most for their slots, and the mean of the rest; the holder sends the complete state at 1 MB a second and names daemons that have it for the others; work that each reply did for each upstream is done when something changes. Ruled out: each daemon reads the register itself at a start (60 calls each, 18,000 in all), deltas of loads (requests last 0.7 s, as long as the time between two messages). Older builds get the complete state from the holder as before, and ask nobody else. Tests: TestStartOfLargestFleet, TestBytesAtLargestFleet, TestCompleteStateFromAnotherDaemon, TestStateIsPassedOn; they need the new calls, so there is no run of them on the old code.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -189,6 +189,10 @@
 		Meaning: "State that is encoded once for all daemons could not be encoded; it is encoded for each daemon separately.",
 		Action:  "Report it with the log; control traffic is higher meanwhile.",
 	})
+	StatePassedOn = register(Event{
+		Number: 8208, Name: "state-passed-on",
+		Meaning: "The complete state of the holder was asked for at another daemon that has it, because the holder's link is taken; the cause is given if that daemon didn't answer.",
+	})
 	LogJobDone = register(Event{
 		Number: 8206, Name: "holder-errand",
 		Meaning: "The holder could not reach the log and made a call to it through another daemon.",
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -34,6 +34,9 @@
 		// reconnectedAt is the time of its last return.
 		disconnected  bool
 		reconnectedAt time.Time
+		// lastChange is the newest position of a change that is relevant to other
+		// daemons, removals included.
+		lastChange logpos.Position
 	}
 
 	entry struct {
@@ -111,6 +114,7 @@
 	}
 	if e == nil || up.Born > e.up.Born {
 		r.entries[up.ID] = &entry{up: up, changeOffset: offset}
+		r.lastChange = max(r.lastChange, offset)
 		delete(r.removed, up.ID)
 		return Joined
 	}
@@ -129,6 +133,7 @@
 	e.up, e.missingSince = up, time.Time{}
 	if wasMissing || needsUpdate(&previous, &up) {
 		e.changeOffset = max(e.changeOffset, offset)
+		r.lastChange = max(r.lastChange, offset)
 	}
 	switch {
 	case up.Leaving && !previous.Leaving:
@@ -173,6 +178,7 @@
 func (r *Roster) remove(now time.Time, id string, offset logpos.Position) {
 	up := r.entries[id].up
 	delete(r.entries, id)
+	r.lastChange = max(r.lastChange, offset)
 	r.removed[id] = removal{offset: offset, at: now, born: up.Born, leaving: up.Leaving}
 }
 
@@ -260,6 +266,9 @@
 		return r.leavingSince(now, since)
 	}
 	n := &Update{AsOf: r.asOf, Age: now.Sub(r.readAt), Full: since.Before(r.completeFrom) || !since.SameEra(r.asOf)}
+	if !n.Full && r.lastChange < since {
+		return n
+	}
 	for _, e := range r.entries {
 		if n.Full || e.changeOffset >= since {
 			n.Put = append(n.Put, e.up)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/azurespan/azurespan/internal/node/olog"
 	"github.com/azurespan/azurespan/internal/node/qlog"
 	"github.com/azurespan/azurespan/internal/node/relay"
+	"github.com/azurespan/azurespan/internal/node/shelf"
 	"github.com/azurespan/azurespan/internal/node/syncer"
 	"github.com/azurespan/azurespan/internal/rule/issuer"
 	"github.com/azurespan/azurespan/internal/rule/paths"
@@ -111,6 +112,7 @@
 		elector    *elect.Elector
 		dispatcher *logjob.Dispatcher
 		syncer     *syncer.Syncer
+		shelf      *shelf.Shelf
 		reg        *prometheus.Registry
 		config     *configSink
 		topics     *topicView
@@ -235,7 +237,8 @@
 	e.topics.eras = e.eras
 	e.eras.Subscribe(func(time.Time, int64) eras.Loss { return e.topics.positionsInForce() })
 	e.loader = loader.New(settings.Host, plan.Settings{StoreWindow: settings.StoreWindow}, platform.Engines, e.elector, e.dispatcher, e.topics, e.crashes, e.origins, metrics, settings.Allowances, now, platform.BootClock)
-	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.paths, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now, platform.BootClock)
+	e.shelf = shelf.New(settings.Peers, now, platform.BootClock)
+	e.syncer = syncer.New(settings.Host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.paths, e.shelf, e.loader, e.loader.SetStoreAtOnce, platform.Holder, syncer.Dial, e.relay.ReportNow, now, platform.BootClock)
 	e.topics.daemons = func() int { return e.syncer.Daemons() }
 	e.topics.keys = func() bool {
 		cfg := e.relay.Config()
@@ -272,7 +275,7 @@
 	tree := super.New("entry")
 	e.addState(tree)
 	tree.Add("relay", e.relay.Run)
-	tree.Add("peers", func(ctx context.Context) error { return hub.Serve(ctx, peers, e.loader, e.now) })
+	tree.Add("peers", func(ctx context.Context) error { return hub.Serve(ctx, peers, e.loader, e.shelf, e.now) })
 	tree.Add("forward", serveHTTP(forward, e.forwarder))
 	tree.Add("metrics", serveHTTP(metrics, e.operatorHandler()))
 	tree.Add("readiness", serveHTTP(readiness, http.HandlerFunc(e.serveReadiness)))
--- a/internal/node/entry/modelclient_test.go
+++ b/internal/node/entry/modelclient_test.go
@@ -68,6 +68,15 @@
 	return r, err
 }
 
+// Bulk implements syncer.Client.
+func (c *modelClient) Bulk(ctx context.Context, a *hub.BulkArgs) (r *hub.BulkReply, err error) {
+	err = c.call(ctx, func() error {
+		r, err = c.to.shelf.Bulk(a)
+		return err
+	})
+	return r, err
+}
+
 // Done implements syncer.Client.
 func (c *modelClient) Done(ctx context.Context, r logjob.Result) error {
 	return c.call(ctx, func() error {
--- a/internal/node/entry/modelfleet_test.go
+++ b/internal/node/entry/modelfleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/azurespan/azurespan/internal/base/super"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/node/relay"
+	"github.com/azurespan/azurespan/internal/node/shelf"
 	"github.com/azurespan/azurespan/internal/node/syncer"
 )
 
@@ -163,7 +164,8 @@
 		Configuration: source(modelConfig), Upstreams: source(modelUpstreams), Holder: source(modelLease), Quarantine: source(modelQuarantine), Origins: source(modelOrigins),
 		Wire: modelCodec{}, DecodeConfig: decodeModelConfig, DecodeUpstream: decodeModelUpstream, ConfigKey: "config", BootClock: now,
 	}, now)
-	e.syncer = syncer.New(d.host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.paths, e.loader, e.loader.SetStoreAtOnce, source(modelLease), d.dial, e.relay.ReportNow, now, now)
+	e.shelf = shelf.New(d.host, now, now)
+	e.syncer = syncer.New(d.host, e.elector, e.relay, e.topics, e.crashes, e.origins, e.paths, e.shelf, e.loader, e.loader.SetStoreAtOnce, source(modelLease), d.dial, e.relay.ReportNow, now, now)
 	e.metrics.ConfigLagSeconds = lagRecorder{e.metrics.ConfigLagSeconds, d, kindConfig}
 	e.metrics.DrainLagSeconds = lagRecorder{e.metrics.DrainLagSeconds, d, kindDrain}
 	publish := e.topics.onUpstreams
--- a/internal/node/hub/hub.go
+++ b/internal/node/hub/hub.go
@@ -76,6 +76,11 @@
 		StateRev uint64
 		// Load requests Running and Daemons.
 		Load bool
+		// Address is that of the daemon's own calls, empty from one that doesn't take
+		// the complete state from another daemon, and Keeps is set if it passes that
+		// of this tenure on.
+		Address string
+		Keeps   bool
 	}
 
 	// WatchReply is the holder's reply to WatchArgs.
@@ -87,8 +92,11 @@
 		AllCopies Packed[[]fleet.Inventory]
 		Coming    []fleet.PendingLoad
 		// Running counts the requests in progress of the other daemons by
-		// upstream, nil if not requested.
-		Running map[string]int
+		// upstream, nil if not requested. In a large fleet it has the upstreams with
+		// the most for their slots, and RestLoad is the mean of the others, in
+		// requests per slot.
+		Running  map[string]int
+		RestLoad float64
 		// Daemons is the number in contact, the holder included.
 		Daemons int
 		// Crashes are the changed histories of requests that may be in
@@ -107,6 +115,10 @@
 		// WholeAge is the time since it was packed.
 		WholeRegister Packed[*roster.Update]
 		WholeAge      time.Duration
+		// Sources are the addresses of daemons that pass on what the reply lacks of
+		// the complete state, and SourceRegister is set if that includes the register.
+		Sources        []string
+		SourceRegister bool
 		// Held is the time from the receipt of the question until the ages in the
 		// reply were taken, 0 from a holder that doesn't state it.
 		Held time.Duration
@@ -158,6 +170,7 @@
 	server struct {
 		ctx    context.Context
 		holder Holder
+		passer Passer
 		now    func() time.Time
 	}
 )
@@ -184,9 +197,9 @@
 func (e *NotHolderError) Error() string { return e.Host + " may not order loads" }
 
 // Serve accepts calls on l until ctx ends.
-func Serve(ctx context.Context, l net.Listener, h Holder, now func() time.Time) error {
+func Serve(ctx context.Context, l net.Listener, h Holder, p Passer, now func() time.Time) error {
 	s := rpc.NewServer()
-	if err := s.RegisterName(serviceName, &server{ctx: ctx, holder: h, now: now}); err != nil {
+	if err := s.RegisterName(serviceName, &server{ctx: ctx, holder: h, passer: p, now: now}); err != nil {
 		return merry.Wrap(err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
--- a/internal/node/hub/hub_test.go
+++ b/internal/node/hub/hub_test.go
@@ -52,7 +52,7 @@
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- Serve(ctx, l, h, time.Now) }()
+	go func() { served <- Serve(ctx, l, h, nil, time.Now) }()
 	c, err := Dial(ctx, l.Addr().String())
 	must.NoError(t, err)
 	t.Cleanup(func() {
--- a/internal/node/hub/wire_test.go
+++ b/internal/node/hub/wire_test.go
@@ -109,6 +109,11 @@
 	checkWire(t, "watch-reply-versions", WatchReply{Fence: 1, KeepsVersions: true, State: state, StateRev: 2})
 	checkWire(t, "origin-reply-versions", OriginReply{Fence: 1, State: state, StateRev: 2})
 
+	checkWire(t, "watch-args-bulk", WatchArgs{Host: "h1", Fence: 1, Address: "10.0.0.1:7560", Keeps: true})
+	checkWire(t, "watch-reply-bulk", WatchReply{Fence: 1, Sources: []string{"10.0.0.1:7560"}, SourceRegister: true, Running: map[string]int{"u": 4}, RestLoad: 0.25})
+	checkWire(t, "bulk-args", BulkArgs{Host: "h1", Register: true})
+	checkWire(t, "bulk-reply", BulkReply{Fence: 1, Rev: 2, Copies: Packed[[]fleet.Inventory]("c"), Register: Packed[*roster.Update]("r"), RegisterAge: 3})
+
 	checkPacked(t, "packed-copies", copies)
 	checkPacked(t, "packed-register", register)
 }
@@ -140,5 +145,6 @@
 		Tell(*TellArgs, *TellReply) error
 		Watch(*WatchArgs, *WatchReply) error
 		Done(*logjob.Result, *struct{}) error
+		Bulk(*BulkArgs, *BulkReply) error
 	} = &server{}
 }
--- a/internal/node/loader/daemons.go
+++ b/internal/node/loader/daemons.go
@@ -7,11 +7,13 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/loads"
 	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/core/roster"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/node/syncer"
 )
 
 // Tell records a daemon's report.
@@ -22,12 +24,13 @@
 		return nil, &hub.NotHolderError{Host: l.host}
 	}
 	l.planner.RecordDemand(now, a.Host, a.Demand)
-	p := &daemonState{at: now, path: a.Path, running: make(map[string]int, len(a.Demand.Running))}
+	p, running := &daemonState{at: now, path: a.Path}, make(map[string]int, len(a.Demand.Running))
 	for id, byKey := range a.Demand.Running {
 		for _, n := range byKey {
-			p.running[id] += n
+			running[id] += n
 		}
 	}
+	l.loads.Report(now, a.Host, running)
 	if former := l.daemons[a.Host]; former != nil {
 		p.forwarders = former.forwarders
 	}
@@ -102,8 +105,23 @@
 	since := a.Rev
 	if a.Fence != l.fence {
 		since = 0
+	} else if a.Keeps && a.Address != "" {
+		l.spreader.Has(now, a.Address)
 	}
 	r := l.changedInventory(now, a, since)
+	packed := l.packedRegister(now, register)
+	sources, defers := l.spreadState(now, a, r, packed)
+	if defers {
+		if len(sources) == 0 && !always {
+			return nil, nil
+		}
+		if since == 0 {
+			r = l.newReply(now, a, nil, 0)
+		}
+		if packed != nil {
+			register = nil
+		}
+	}
 	var job *logjob.Job
 	if a.Host != l.host {
 		job = l.jobs.Take(a.Host)
@@ -113,22 +131,41 @@
 	newLimits := l.limitsRev > a.LimitsRev
 	l.opener.Heard(l.boot(), a.Host, knownState(a, l.fence))
 	newState := knownState(a, l.fence) != l.stateRev
-	if r == nil && (always || job != nil || newCrashes || newLimits || newState || hasTopicUpdates(a, register, config)) {
+	if r == nil && (always || defers || job != nil || newCrashes || newLimits || newState || hasTopicUpdates(a, register, config)) {
 		r = l.newReply(now, a, nil, since)
 	}
 	if r == nil {
 		return nil, nil
 	}
 	r.Held, r.Job, r.Register, r.Config = now.Sub(received), job, register, config
+	r.Sources, r.SourceRegister = sources, packed != nil && len(sources) > 0
 	r.Crashes, r.CrashesAt = crashes, crashesAt
 	r.Limits, r.LimitsRev = l.dealer.Limits(now), l.limitsRev
 	l.answerVersions(a, r)
-	if register != nil && register.Full {
-		l.packRegister(now, r)
+	if register != nil && packed != nil {
+		r.Register, r.WholeRegister, r.WholeAge = nil, packed.packed, now.Sub(packed.at)
 	}
 	return r, nil
 }
 
+// spreadState decides from whom a daemon gets the complete state that it needs: the
+// contents of all engines in r, the whole register, or both. If defers is set, it isn't sent
+// with this reply, and sources are the daemons that have it. The caller holds l.mu.
+func (l *Loader) spreadState(now time.Time, a *hub.WatchArgs, r *hub.WatchReply, register *packCache[*roster.Update]) (sources []string, defers bool) {
+	size := 0
+	if r != nil {
+		size += len(r.AllCopies)
+	}
+	if register != nil {
+		size += len(register.packed)
+	}
+	if size == 0 {
+		return nil, false
+	}
+	send, sources := l.spreader.Choose(now, a.Address, size)
+	return sources, !send
+}
+
 // hasTopicUpdates reports whether a reply must be sent at once because of the
 // log's topics. An update of leaving upstreams alone goes with the next reply: the daemon
 // can't tell that it knows it.
@@ -165,18 +202,21 @@
 	return r
 }
 
-// packRegister replaces the full update of the register in r by a packed one that
-// is shared by all daemons. The caller holds l.mu.
-func (l *Loader) packRegister(now time.Time, r *hub.WatchReply) {
+// packedRegister returns the whole register as it is shared by all daemons, nil if the
+// update doesn't have all of it. The caller holds l.mu.
+func (l *Loader) packedRegister(now time.Time, register *roster.Update) *packCache[*roster.Update] {
+	if register == nil || !register.Full {
+		return nil
+	}
 	if l.packedUpdate.packed == nil || l.packedUpdate.fence != l.fence || now.Sub(l.packedUpdate.at) > packedTTL {
-		packed, err := hub.Pack(r.Register)
+		packed, err := hub.Pack(register)
 		if err != nil {
 			event.BulkEncodeFailed.Log("of", "register", "cause", err.Error())
-			return
+			return nil
 		}
 		l.packedUpdate = packCache[*roster.Update]{packed: packed, at: now, fence: l.fence}
 	}
-	r.Register, r.WholeRegister, r.WholeAge = nil, l.packedUpdate.packed, now.Sub(l.packedUpdate.at)
+	return &l.packedUpdate
 }
 
 // topicUpdates returns the changes of the log's topics for another daemon, nil
@@ -226,29 +266,22 @@
 		Fence: l.fence, Rev: rev, Copies: copies, Coming: l.planner.LoadsInProgress(now), StoreAtOnce: l.planner.StoreConcurrency(),
 	}
 	if a.Load {
-		r.Running, r.Daemons = l.otherRunning(now, a.Host)
+		r.Daemons = l.countDaemons(now)
+		r.Running, r.RestLoad = l.loads.Others(now, a.Host, loads.MaxEntries(syncer.RepliesPerSecond(r.Daemons)))
 	}
 	return r
 }
 
-// otherRunning sums the requests in progress of all daemons but host by upstream,
-// and counts the daemons, host included. The caller holds l.mu.
-func (l *Loader) otherRunning(now time.Time, host string) (byUpstream map[string]int, daemons int) {
-	byUpstream = map[string]int{}
+// countDaemons forgets the daemons that have not reported for daemonTTL, and counts the
+// others, this one included. The caller holds l.mu.
+func (l *Loader) countDaemons(now time.Time) int {
+	l.loads.Expire(now, daemonTTL)
 	for name, p := range l.daemons {
 		if now.Sub(p.at) > daemonTTL {
 			delete(l.daemons, name)
-			continue
-		}
-		daemons++
-		if name == host {
-			continue
-		}
-		for id, n := range p.running {
-			byUpstream[id] += n
 		}
 	}
-	return byUpstream, daemons
+	return len(l.daemons)
 }
 
 // notifyWatchers is NotifyWatchers for callers that hold l.mu.
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -10,6 +10,7 @@
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/base/pause"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/loads"
 	"github.com/azurespan/azurespan/internal/core/logpos"
 	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
@@ -20,6 +21,7 @@
 	"github.com/azurespan/azurespan/internal/rule/issuer"
 	"github.com/azurespan/azurespan/internal/rule/opener"
 	"github.com/azurespan/azurespan/internal/rule/plan"
+	"github.com/azurespan/azurespan/internal/rule/spread"
 )
 
 type (
@@ -80,6 +82,8 @@
 		active  bool
 		fence   int64
 		daemons map[string]*daemonState
+		// loads are the requests in progress of all daemons.
+		loads *loads.Sums
 		// crashes are the crash histories of this daemon, and crashRev is their
 		// revision of which the other daemons have been notified.
 		crashes *poison.Table
@@ -106,6 +110,8 @@
 		// that know none.
 		packedInventory packCache[[]fleet.Inventory]
 		packedUpdate    packCache[*roster.Update]
+		// spreader decides which daemons get them from others that have them.
+		spreader *spread.Spreader
 		// changed is closed and replaced on each change that ends a Watch.
 		changed chan struct{}
 		wakeup  chan struct{}
@@ -121,9 +127,8 @@
 	}
 
 	daemonState struct {
-		at      time.Time
-		running map[string]int
-		path    fleet.PathReport
+		at   time.Time
+		path fleet.PathReport
 		// forwarders are those that it was told, nil if none were.
 		forwarders *forwarderList
 	}
@@ -151,7 +156,7 @@
 	return &Loader{
 		host: host, settings: settings, engines: engines, elector: elector, jobs: jobs, topics: topics, metrics: metrics, now: now,
 		allowances: allowances, boot: boot,
-		daemons: map[string]*daemonState{}, crashes: crashes, origins: origins, dealer: dealer.New(),
+		daemons: map[string]*daemonState{}, loads: loads.New(), crashes: crashes, origins: origins, dealer: dealer.New(),
 		changed: make(chan struct{}), wakeup: make(chan struct{}, 1),
 	}
 }
@@ -161,6 +166,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.config = cfg
+	l.setSlots()
 	if l.issuer != nil {
 		l.issuer.SetAccounts(l.boot(), cfg.Accounts)
 	}
@@ -176,12 +182,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.upstreams = ups
+	l.setSlots()
 	if l.planner != nil {
 		l.planner.SetUpstreams(now, ups)
 	}
 	l.wake()
 }
 
+// setSlots tells the sums of requests how many each upstream runs at once. The caller holds
+// l.mu.
+func (l *Loader) setSlots() {
+	slots := make(map[string]int, len(l.upstreams))
+	for _, u := range l.upstreams {
+		slots[u.ID] = u.Slots
+		if l.config != nil && l.config.Services[u.Service].Engine != nil {
+			slots[u.ID] = l.config.Services[u.Service].Engine.Slots
+		}
+	}
+	l.loads.SetSlots(slots)
+}
+
 // wake triggers a decision of Run. The caller holds l.mu.
 func (l *Loader) wake() {
 	select {
@@ -228,6 +248,9 @@
 		l.planner.SetConfig(l.config)
 		l.planner.SetUpstreams(now, l.upstreams)
 		clear(l.daemons)
+		l.loads = loads.New()
+		l.setSlots()
+		l.spreader = spread.New(now)
 		l.tenureAt = l.boot()
 		l.opener, l.stateRev = opener.New(l.tenureAt, l.origins.TTL()), 0
 		l.issuer = issuer.New(l.boot(), l.allowances, l.formerShares)
--- a/internal/node/loader/loader_test.go
+++ b/internal/node/loader/loader_test.go
@@ -289,6 +289,46 @@
 	}
 }
 
+// TestCompleteStateFromAnotherDaemon guards against a holder that sends the complete state
+// to all daemons of a large fleet at once, against one that leaves a daemon without it, and
+// against a daemon that is told that it has what it was only named a source for.
+func TestCompleteStateFromAnotherDaemon(t *testing.T) {
+	w, l := startLoader(t, 1)
+	w.set(func() { w.news = &roster.Update{AsOf: 20, Full: true, Put: []fleet.Upstream{{ID: "e0"}}} })
+	eventually(t, func() bool {
+		r, err := watch(l, &hub.WatchArgs{Host: "d1", Address: "a1"})
+		return err == nil && r.AllCopies != nil && r.WholeRegister != nil
+	})
+	// The link is taken for a while.
+	l.mu.Lock()
+	l.spreader.Choose(time.Now(), "", 1<<30)
+	l.mu.Unlock()
+	r, err := watch(l, &hub.WatchArgs{Host: "d2", Address: "a2"})
+	must.NoError(t, err)
+	must.Nil(t, r.AllCopies)
+	must.Nil(t, r.WholeRegister)
+	must.Nil(t, r.Register)
+	must.SliceEmpty(t, r.Sources)
+	must.Eq(t, 0, r.Rev)
+	// An earlier build can't ask others.
+	r, err = watch(l, &hub.WatchArgs{Host: "d3"})
+	must.NoError(t, err)
+	must.NotNil(t, r.AllCopies)
+	must.NotNil(t, r.WholeRegister)
+	_, err = watch(l, &hub.WatchArgs{Host: "d1", Address: "a1", Fence: r.Fence, Rev: r.Rev, Keeps: true})
+	must.NoError(t, err)
+	r, err = watch(l, &hub.WatchArgs{Host: "d2", Address: "a2"})
+	must.NoError(t, err)
+	must.Eq(t, []string{"a1"}, r.Sources)
+	must.True(t, r.SourceRegister)
+	must.Eq(t, 0, r.Rev)
+	// One that has the state, but needs the register, goes on from its revision.
+	r, err = watch(l, &hub.WatchArgs{Host: "d4", Address: "a4", Fence: 4, Rev: 1 << 40})
+	must.NoError(t, err)
+	must.Nil(t, r.WholeRegister)
+	must.Positive(t, r.Rev)
+}
+
 // TestReplyOfPreviousTenure guards against the reply to an order of a previous
 // tenure that changes the state of the present one.
 func TestReplyOfPreviousTenure(t *testing.T) {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -218,7 +218,7 @@
 	r.lastReply = now
 	r.table.SetCopies(reply.Copies)
 	if reply.Running != nil {
-		r.table.SetRemoteRunning(reply.Running)
+		r.table.SetRemoteRunning(reply.Running, reply.RestLoad)
 	}
 	clear(r.pendingLoads)
 	clear(r.boundLoads)
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -161,7 +161,7 @@
 	f.relay.SetUpstreams(time.Now(), f.ups)
 	// Load differences far above the random margin make the choice
 	// deterministic.
-	f.relay.table.SetRemoteRunning(map[string]int{"u1": 2, "u2": 3})
+	f.relay.table.SetRemoteRunning(map[string]int{"u1": 2, "u2": 3}, 0)
 	f.front = httptest.NewServer(f.relay)
 	t.Cleanup(f.front.Close)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -509,7 +509,7 @@
 func TestStopKeepsInterruptedStream(t *testing.T) {
 	f := newFixture(t, route(fleet.Stream, 2, true), streamEvents(5, 2), streamEvents(5, 0))
 	f.relay.mu.Lock()
-	f.relay.table.SetRemoteRunning(map[string]int{"u1": 4})
+	f.relay.table.SetRemoteRunning(map[string]int{"u1": 4}, 0)
 	f.relay.mu.Unlock()
 	go func() {
 		for !f.relay.HasWaiting() {
@@ -519,7 +519,7 @@
 		time.Sleep(100 * time.Millisecond)
 		f.relay.mu.Lock()
 		defer f.relay.mu.Unlock()
-		f.relay.table.SetRemoteRunning(nil)
+		f.relay.table.SetRemoteRunning(nil, 0)
 	}()
 	code, body := f.send(http.MethodPost, "1", "m")
 	must.Eq(t, http.StatusOK, code)
--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -97,7 +97,7 @@
 	f.relay.Configure((&fleet.Config{Version: 2, Routes: []fleet.Route{route(fleet.Stream, 2, true)}, Services: map[string]fleet.Service{
 		"s": {Name: "s", Engine: &fleet.Engine{Slots: 2 * requests, Models: map[string]fleet.Model{"m": {Name: "m"}}}},
 	}}).Index())
-	f.relay.table.SetRemoteRunning(map[string]int{"u1": requests + 5, "u2": requests + 5})
+	f.relay.table.SetRemoteRunning(map[string]int{"u1": requests + 5, "u2": requests + 5}, 0)
 	f.relay.budgets["s"] = retry.NewBudget(0, 0, 2)
 	var whole atomic.Int32
 	var wg sync.WaitGroup
--- a/internal/node/syncer/group_test.go
+++ b/internal/node/syncer/group_test.go
@@ -11,6 +11,7 @@
 	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/hub"
+	"github.com/azurespan/azurespan/internal/node/shelf"
 	"github.com/azurespan/azurespan/internal/rule/paths"
 )
 
@@ -35,7 +36,7 @@
 			table.Registered(time.Now(), "s", "v1")
 			table.Registered(time.Now(), "s", "v2")
 			d := new(fakeDaemon)
-			s := New("d", d, d, d, poison.New(poison.Settings{}, 1), table, paths.New("", ""), nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now, time.Now)
+			s := New("d", d, d, d, poison.New(poison.Settings{}, 1), table, paths.New("", ""), shelf.New("", time.Now, time.Now), nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now, time.Now)
 			ctx, cancel := context.WithCancel(t.Context())
 			c := &tellClient{readsGroups: readsGroups}
 			done := make(chan error, 1)
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -17,6 +17,7 @@
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/node/shelf"
 	"github.com/azurespan/azurespan/internal/rule/paths"
 )
 
@@ -55,13 +56,15 @@
 
 	// Syncer exchanges state with the holder for one daemon.
 	Syncer struct {
-		host        string
-		elector     Elector
-		local       Local
-		topics      TopicView
-		crashes     *poison.Table
-		origins     *origin.Table
-		paths       *paths.Table
+		host    string
+		elector Elector
+		local   Local
+		topics  TopicView
+		crashes *poison.Table
+		origins *origin.Table
+		paths   *paths.Table
+		// shelf keeps the complete state for other daemons.
+		shelf       *shelf.Shelf
 		localHolder hub.Holder
 		// setStoreAtOnce takes over the holder's estimate of the number of
 		// loads that the weight store serves at a time.
@@ -97,6 +100,7 @@
 		Watch(ctx context.Context, a *hub.WatchArgs) (*hub.WatchReply, error)
 		Done(ctx context.Context, r logjob.Result) error
 		Origin(ctx context.Context, a *hub.OriginArgs) (*hub.OriginReply, error)
+		Bulk(ctx context.Context, a *hub.BulkArgs) (*hub.BulkReply, error)
 		Close()
 	}
 
@@ -149,8 +153,8 @@
 
 // New returns a Syncer. A value from urgent triggers a report, and holder is
 // the one in this process.
-func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, origins *origin.Table, table *paths.Table, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, dial func(ctx context.Context, address string) (Client, error), urgent <-chan struct{}, now, boot func() time.Time) *Syncer {
-	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, paths: table, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now, boot: boot}
+func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, origins *origin.Table, table *paths.Table, kept *shelf.Shelf, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, dial func(ctx context.Context, address string) (Client, error), urgent <-chan struct{}, now, boot func() time.Time) *Syncer {
+	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, paths: table, shelf: kept, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now, boot: boot}
 }
 
 // Tell reports to the holder in this process.
@@ -296,7 +300,10 @@
 	for {
 		asked, askedBoot := s.now(), s.boot()
 		s.topics.AskBegins()
-		a := &hub.WatchArgs{Host: s.host, Fence: s.fence, Rev: s.rev, LimitsRev: s.limitsRev, StateRev: s.stateRev, Crashes: s.crashesAt}
+		a := &hub.WatchArgs{
+			Host: s.host, Fence: s.fence, Rev: s.rev, LimitsRev: s.limitsRev, StateRev: s.stateRev, Crashes: s.crashesAt,
+			Address: s.shelf.Address(), Keeps: s.shelf.Keeps(s.fence),
+		}
 		a.Register, a.Config = s.topics.KnownPositions()
 		if asked.Sub(loadAt) >= loadInterval {
 			a.Load, loadAt = true, asked
@@ -314,6 +321,11 @@
 		}
 		s.replies++
 		s.elector.HolderSeen()
+		s.fetch(ctx, r)
+		whole := r.AllCopies != nil || r.WholeRegister != nil
+		if whole {
+			s.shelf.Keep(asked, askedBoot, r)
+		}
 		s.fence, s.rev, s.limitsRev = r.Fence, r.Rev, r.LimitsRev
 		s.setStoreAtOnce(r.StoreAtOnce)
 		s.mergeCrashes(r)
@@ -328,7 +340,11 @@
 			s.daemons.Store(int64(r.Daemons))
 		}
 		gap := s.gapForFleet(idleWatchGap, idleGapPerDaemon)
-		if s.local.HasWaiting() {
+		switch {
+		case whole || len(r.Sources) > 0:
+			// The changes since, or what is still missing.
+			gap = idleWatchGap
+		case s.local.HasWaiting():
 			gap = s.gapForFleet(minWatchGap, busyGapPerDaemon)
 		}
 		if !pause.For(ctx, gap) {
@@ -363,6 +379,12 @@
 	return max(idleWatchGap, time.Duration(daemons)*idleGapPerDaemon) + hub.WatchWait
 }
 
+// RepliesPerSecond returns the most replies of the holder to a number of daemons in a second
+// while no request waits.
+func RepliesPerSecond(daemons int) float64 {
+	return float64(daemons) / max(idleWatchGap, time.Duration(daemons)*idleGapPerDaemon).Seconds()
+}
+
 // runJob makes a call to the log for the holder and sends it the result.
 func (s *Syncer) runJob(ctx context.Context, c Client, j *logjob.Job) {
 	if err := c.Done(ctx, logjob.Do(ctx, s.topic, j)); err != nil {
--- a/internal/node/syncer/syncer_test.go
+++ b/internal/node/syncer/syncer_test.go
@@ -17,6 +17,7 @@
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/node/hub"
 	"github.com/azurespan/azurespan/internal/node/logjob"
+	"github.com/azurespan/azurespan/internal/node/shelf"
 	"github.com/azurespan/azurespan/internal/rule/paths"
 )
 
@@ -46,7 +47,7 @@
 
 func run(t *testing.T, s *fakeDaemon) *poison.Table {
 	crashes := poison.New(poison.Settings{}, 1)
-	syncer := New("d", s, s, s, crashes, origin.New(time.Second), paths.New("", ""), nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now, time.Now)
+	syncer := New("d", s, s, s, crashes, origin.New(time.Second), paths.New("", ""), shelf.New("", time.Now, time.Now), nil, func(float64) {}, nil, Dial, make(chan struct{}), time.Now, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -109,7 +110,7 @@
 	h := &fakeHolder{crashes: poison.New(poison.Settings{}, id), address: l.Addr().String()}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go func() { _ = hub.Serve(ctx, l, h, time.Now) }()
+	go func() { _ = hub.Serve(ctx, l, h, shelf.New("", time.Now, time.Now), time.Now) }()
 	return h
 }
 
--- a/internal/rule/pick/brittle_test.go
+++ b/internal/rule/pick/brittle_test.go
@@ -233,7 +233,7 @@
 			for id, n := range total {
 				others[id] = n - d.running[id]
 			}
-			f.after(reportLag/2, func() { d.table.SetRemoteRunning(others) })
+			f.after(reportLag/2, func() { d.table.SetRemoteRunning(others, 0) })
 		}
 		f.after(reportLag/2, report)
 	}
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -329,10 +329,14 @@
 }
 
 // SetRemoteRunning replaces the other daemons' requests in progress by
-// upstream.
-func (t *Table) SetRemoteRunning(running map[string]int) {
+// upstream. rest is the load of those that running doesn't have, in requests per slot.
+func (t *Table) SetRemoteRunning(running map[string]int, rest float64) {
 	for id, u := range t.upstreams {
-		u.remoteRunning = running[id]
+		n, told := running[id]
+		if !told && rest > 0 {
+			n = int(rest * float64(t.concurrency(u)))
+		}
+		u.remoteRunning = n
 	}
 }
 
--- a/internal/rule/pick/table_test.go
+++ b/internal/rule/pick/table_test.go
@@ -68,7 +68,7 @@
 		tab.slots["llm"] = 16
 		tab.rng = rand.New(rand.NewPCG(seed, 1))
 		tab.SetDaemons(32)
-		tab.SetRemoteRunning(map[string]int{"e1": 1, "e2": 1, "e3": 1})
+		tab.SetRemoteRunning(map[string]int{"e1": 1, "e2": 1, "e3": 1}, 0)
 		c, _ := tab.Choose(at(0), query("m", ""))
 		got[c.Upstream.ID]++
 	}
@@ -80,7 +80,7 @@
 // TestRemoteRequestsCount guards against ignoring the load from other daemons.
 func TestRemoteRequestsCount(t *testing.T) {
 	tab, _ := engines(2)
-	tab.SetRemoteRunning(map[string]int{"e0": 3})
+	tab.SetRemoteRunning(map[string]int{"e0": 3}, 0)
 	got := send(t, tab, at(0), 3, query("m", ""))
 	must.Eq(t, 3, got["e1"])
 }
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -26,8 +26,9 @@
 		settings Settings
 		cfg      *fleet.Config
 		engines  map[string]*engine
-		// ids are the keys of engines in order.
+		// ids are the keys of engines in order, and ordered the engines.
 		ids     []string
+		ordered []*engine
 		demands map[fleet.Key]*demand
 		daemons map[string]*daemonState
 		// limits are the rate limits of engines by ID.
@@ -297,6 +298,10 @@
 		p.ids = append(p.ids, id)
 	}
 	sort.Strings(p.ids)
+	p.ordered = p.ordered[:0]
+	for _, id := range p.ids {
+		p.ordered = append(p.ordered, p.engines[id])
+	}
 }
 
 // ReportsDue returns the engines from which a report must be requested at now.
@@ -334,9 +339,10 @@
 // CopiesSince returns the content of the engines that changed after revision
 // since, and the newest revision.
 func (p *Planner) CopiesSince(now time.Time, since uint64) (out []fleet.Inventory, rev uint64) {
-	for _, id := range p.ids {
-		e := p.engines[id]
-		e.completeAdapterLoads(p, now)
+	for _, e := range p.ordered {
+		if len(e.adapterLoads) > 0 {
+			e.completeAdapterLoads(p, now)
+		}
 		if e.rev > since {
 			out = append(out, e.content())
 		}
@@ -350,8 +356,7 @@
 
 // LoadsInProgress returns the model loads in progress.
 func (p *Planner) LoadsInProgress(now time.Time) (out []fleet.PendingLoad) {
-	for _, id := range p.ids {
-		e := p.engines[id]
+	for _, e := range p.ordered {
 		if e.load != nil {
 			k := fleet.Key{Service: e.up.Service, Model: e.load.model}
 			out = append(out, fleet.PendingLoad{Key: k, Version: e.up.Version, In: max(e.load.eta.Sub(now), 0)})
