--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -110,6 +110,11 @@
 		// that know none.
 		packedInventory packCache[[]fleet.Inventory]
 		packedUpdate    packCache[*roster.Update]
+		// reportsInFlight are the reports that were requested and haven't come, and
+		// reportTokens those that may be requested as of reportsAt.
+		reportsInFlight int
+		reportTokens    float64
+		reportsAt       time.Time
 		// spreader decides which daemons get them from others that have them.
 		spreader *spread.Spreader
 		// changed is closed and replaced on each change that ends a Watch.
@@ -144,6 +149,11 @@
 	decideInterval   = 100 * time.Millisecond
 	minDecideGap     = 4 * time.Millisecond
 	decideRestFactor = 6
+	// reportsPerSecond and maxReportsInFlight bound the requests for reports of engines,
+	// which a new holder makes of all at once: each takes a connection and some 0.3 ms of
+	// the processor, and the same host answers the daemons and renews the lease.
+	reportsPerSecond   = 500.0
+	maxReportsInFlight = 64
 	// daemonTTL is how long a daemon counts after its last report.
 	daemonTTL = 2 * time.Second
 	// packedTTL is how long a packed value is reused. Later changes are in the
@@ -259,8 +269,10 @@
 		}
 	}
 	l.active = true
-	for _, u := range l.planner.ReportsDue(now) {
+	for _, u := range l.planner.ReportsDue(now, l.reportAllowance(now)) {
 		l.planner.RecordReportRequest(now, u.ID)
+		l.reportsInFlight++
+		l.reportTokens--
 		go l.requestReport(ctx, u, now)
 	}
 	if _, may := l.elector.CanOrder(); may {
@@ -277,6 +289,14 @@
 	}
 }
 
+// reportAllowance returns the number of reports that may be requested now. The caller holds
+// l.mu.
+func (l *Loader) reportAllowance(now time.Time) int {
+	l.reportTokens = min(l.reportTokens+reportsPerSecond*now.Sub(l.reportsAt).Seconds(), maxReportsInFlight)
+	l.reportsAt = now
+	return min(int(l.reportTokens), maxReportsInFlight-l.reportsInFlight)
+}
+
 // isHolder reports whether this daemon holds the lease for which the planner was made.
 // Run notices the end of a tenure only at its next step. The caller holds l.mu.
 func (l *Loader) isHolder() bool {
@@ -304,6 +324,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.reportsInFlight--
 	if l.planner != nil {
 		l.planner.RecordReport(asked, l.now(), u.ID, r)
 		l.wake()
--- a/internal/node/loader/loader_test.go
+++ b/internal/node/loader/loader_test.go
@@ -38,10 +38,24 @@
 	job   *logjob.Job
 	news  *roster.Update
 	known *hub.TopicState
+	// reporting counts the calls of Report in progress, mostReporting the most at a time,
+	// and reported the engines that have answered.
+	reporting, mostReporting int
+	reported                 map[string]bool
 }
 
 func (w *fakeCluster) Report(_ context.Context, u fleet.Upstream) (*fleet.Report, error) {
+	w.set(func() {
+		w.reporting++
+		w.mostReporting = max(w.mostReporting, w.reporting)
+	})
+	time.Sleep(time.Millisecond)
 	w.mu.Lock()
+	w.reporting--
+	if w.reported == nil {
+		w.reported = map[string]bool{}
+	}
+	w.reported[u.ID] = true
 	defer w.mu.Unlock()
 	r := &fleet.Report{Born: u.Born}
 	r.Holding.Orders = w.orders[u.ID]
@@ -329,6 +343,20 @@
 	must.Positive(t, r.Rev)
 }
 
+// TestReportsOfManyEngines guards against a new holder that requests the reports of all
+// engines of a large fleet at once: it was so busy that it answered no daemon and lost its
+// lease (rules CONFIG and DENIED, sweep of figtray-coop-large at 300 hosts, 3,000 engines).
+func TestReportsOfManyEngines(t *testing.T) {
+	const engines = 600
+	w, _ := startLoader(t, engines)
+	eventually(t, func() bool {
+		n := 0
+		w.set(func() { n = len(w.reported) })
+		return n == engines
+	})
+	w.set(func() { must.LessEq(t, maxReportsInFlight, w.mostReporting) })
+}
+
 // TestReplyOfPreviousTenure guards against the reply to an order of a previous
 // tenure that changes the state of the present one.
 func TestReplyOfPreviousTenure(t *testing.T) {
--- a/internal/rule/plan/plan.go
+++ b/internal/rule/plan/plan.go
@@ -304,13 +304,22 @@
 	}
 }
 
-// ReportsDue returns the engines from which a report must be requested at now.
-func (p *Planner) ReportsDue(now time.Time) (out []fleet.Upstream) {
-	for _, id := range p.ids {
-		if e := p.engines[id]; e.reportDue(now) {
-			out = append(out, e.up)
+// ReportsDue returns at most limit engines from which a report must be requested at now,
+// those first from which one was requested longest ago.
+func (p *Planner) ReportsDue(now time.Time, limit int) (out []fleet.Upstream) {
+	var due []*engine
+	for _, e := range p.ordered {
+		if e.reportDue(now) {
+			due = append(due, e)
 		}
 	}
+	if len(due) > limit {
+		sort.SliceStable(due, func(i, j int) bool { return due[i].reportRequestedAt.Before(due[j].reportRequestedAt) })
+		due = due[:max(limit, 0)]
+	}
+	for _, e := range due {
+		out = append(out, e.up)
+	}
 	return out
 }
 
--- a/internal/rule/plan/plan_test.go
+++ b/internal/rule/plan/plan_test.go
@@ -143,7 +143,7 @@
 		if s.now.UnixMilli()%200 == 0 && demand != nil {
 			s.p.RecordDemand(s.now, "daemon", demand())
 		}
-		for _, u := range s.p.ReportsDue(s.now) {
+		for _, u := range s.p.ReportsDue(s.now, len(s.ups)) {
 			s.p.RecordReportRequest(s.now, u.ID)
 			s.p.RecordReport(s.now, s.now, u.ID, s.engines[u.ID].report(s.now))
 		}
@@ -362,7 +362,7 @@
 				}
 				s.p.RecordDemand(s.now, "daemon", fleet.Demand{Arrivals: map[fleet.Key]int{k: 2}, Waiting: map[fleet.Key]int{k: 2}})
 			}
-			for _, u := range s.p.ReportsDue(s.now) {
+			for _, u := range s.p.ReportsDue(s.now, len(s.ups)) {
 				s.p.RecordReportRequest(s.now, u.ID)
 				s.p.RecordReport(s.now, s.now, u.ID, s.engines[u.ID].report(s.now))
 			}
