--- a/internal/node/relay/kept_test.go
+++ b/internal/node/relay/kept_test.go
@@ -89,3 +89,36 @@
 		})
 	}
 }
+
+// TestLateSecondCopy guards against a caller that gets an answer which isn't its own: an
+// upstream sends a second copy of an answer late, when the connection has been kept and the
+// next request is on it (report of other operators).
+func TestLateSecondCopy(t *testing.T) {
+	answer := func(id string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 8\r\n\r\nanswer " + id
+	}
+	copies := make(chan bool, 1)
+	first := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, rw, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, answer(r.Header.Get("Id")))
+		next, err := http.ReadRequest(rw.Reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(r.Header.Get("Id"))+answer(next.Header.Get("Id")))
+		copies <- true
+	}
+	f := newFixture(t, route(fleet.Safe, 2, false), first, respondOK)
+	code, body := f.send(http.MethodGet, "1", "")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, "answer 1", body)
+	code, body = f.send(http.MethodGet, "2", "")
+	must.True(t, <-copies, must.Sprint("the connection wasn't kept"))
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, "fine", body)
+}
