roster: send a register that was empty before as a whole

Cause: at the first start the holder reads an empty register, then thousands of entries within a second. Now an update with most of all upstreams, and more than 64, has all, packed once. TestRegisterThatWasEmpty fails before (not full).

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -96,6 +96,11 @@
 // updates. A daemon that asks for older changes gets a full update.
 const removalRetention = time.Minute
 
+// maxChanges is the number of changed upstreams from which an update that has most of them
+// has all: these are packed once for all daemons. At the start of a fleet, the register may
+// have been empty when it was first read.
+const maxChanges = 64
+
 // String returns the name of c for logs.
 func (c Change) String() string {
 	return [...]string{"none", "joined", "left", "lapsed", "returned"}[c]
@@ -299,6 +304,10 @@
 			n.Put = append(n.Put, e.up)
 		}
 	}
+	if len(n.Put) > maxChanges && len(n.Put) > len(r.entries)/2 {
+		n.Full, n.Put = true, r.all()
+		return n
+	}
 	sort.Slice(n.Put, func(i, j int) bool { return n.Put[i].ID < n.Put[j].ID })
 	for id, d := range r.removed {
 		if d.offset >= since {
--- a/internal/core/roster/update_test.go
+++ b/internal/core/roster/update_test.go
@@ -238,3 +238,21 @@
 	r.Put(now, fleet.Upstream{ID: "u3", Born: 1, Offset: 7})
 	must.Eq(t, []string{"u0", "u2", "u3"}, []string{r.UpdateSince(now, 0).Put[0].ID, r.UpdateSince(now, 0).Put[1].ID, r.UpdateSince(now, 0).Put[2].ID})
 }
+
+// TestRegisterThatWasEmpty guards against updates that hold all upstreams as changes, one
+// copy for each daemon, because the register was empty when the holder first read it: 297
+// daemons and 3,000 upstreams took the holder's link for seconds, and its lease.
+func TestRegisterThatWasEmpty(t *testing.T) {
+	r, now := New(Settings{Settle: 2 * time.Second}), time.Unix(1000, 0)
+	r.Retain(now, nil, 0)
+	r.Advance(now, 0, true)
+	for i := range 600 {
+		r.Put(now, fleet.Upstream{ID: fmt.Sprint("u", i), Born: 1, Offset: logpos.Position(i)})
+	}
+	r.Advance(now, 600, true)
+	n := r.UpdateSince(now, 0)
+	must.True(t, n.Full)
+	must.SliceLen(t, 600, n.Put)
+	must.False(t, r.UpdateSince(now, 550).Full)
+	must.SliceLen(t, 50, r.UpdateSince(now, 550).Put)
+}
