roster, syncer: tell a restarted daemon which upstreams have left

Cause: an upstream that leaves stays so for its incarnation, whatever older entry arrives later, but only in processes that have seen it leave. A restarted one reads the newest entry of each upstream, which may be the older one, and its holder told it only of changes after that (report of other operators: a server that had left was in use again). Now each process asks the holder for the whole register once, and takes over from an older one which upstreams leave. Ruled out: reading the topic's history at each start (20 s of heartbeats of all upstreams). TestLeavingIsToldAfterARestart fails before. Open: a holder that has been restarted itself, and a daemon before its first contact, go by the newest entries and by what the upstream says in its answers.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -339,7 +339,16 @@
 // to wait for them.
 func (r *Roster) Apply(asked time.Time, n *Update, changed func(up fleet.Upstream, c Change)) {
 	if n.AsOf.Before(r.asOf) && n.Full {
-		return // this daemon's state is newer
+		// This daemon's state is newer, but what it has read may lack that an upstream
+		// leaves: an older entry may have arrived later.
+		var leaving []fleet.Upstream
+		for _, up := range n.Put {
+			if up.Leaving {
+				leaving = append(leaving, up)
+			}
+		}
+		r.applyLeaving(asked, leaving, changed)
+		return
 	}
 	if n.LeavingOnly {
 		r.applyLeaving(asked, n.Put, changed)
--- a/internal/core/roster/update_test.go
+++ b/internal/core/roster/update_test.go
@@ -256,3 +256,34 @@
 	must.False(t, r.UpdateSince(now, 550).Full)
 	must.SliceLen(t, 50, r.UpdateSince(now, 550).Put)
 }
+
+// TestLeavingIsToldAfterARestart guards against a daemon that uses an upstream again which
+// had left, because it has been restarted and the newest entry that it reads is an older one
+// which arrived late (report of other operators).
+func TestLeavingIsToldAfterARestart(t *testing.T) {
+	now, settings := time.Unix(1000, 0), Settings{Settle: 2 * time.Second}
+	entry := func(offset logpos.Position, leaving bool) fleet.Upstream {
+		return fleet.Upstream{ID: "u", Born: 1, Offset: offset, Leaving: leaving}
+	}
+	holder := New(settings)
+	holder.Put(now, entry(0, false))
+	holder.Retain(now, map[string]bool{"u": true}, 1)
+	holder.Put(now, entry(1, true))
+	holder.Put(now, entry(2, false))
+	holder.Advance(now, 3, true)
+	restarted := New(settings)
+	restarted.Put(now, entry(2, false))
+	restarted.Retain(now, map[string]bool{"u": true}, 4)
+	restarted.Advance(now, 4, true)
+	// A process asks for all at its first contact.
+	left := 0
+	restarted.Apply(now, holder.UpdateSince(now, 0), func(_ fleet.Upstream, c Change) {
+		if c == Left {
+			left++
+		}
+	})
+	up, _ := restarted.Get("u")
+	must.True(t, up.Leaving)
+	must.Eq(t, 1, left)
+	must.Eq(t, 4, restarted.AsOf())
+}
--- a/internal/node/syncer/syncer.go
+++ b/internal/node/syncer/syncer.go
@@ -85,6 +85,9 @@
 		limitsRev uint64
 		stateRev  uint64
 		crashesAt poison.Cursor
+		// needsRegister is set until this process has been told the whole register: what
+		// it reads itself may lack that an upstream has left.
+		needsRegister bool
 		// replies counts the replies to Watch.
 		replies uint64
 		// daemons is the number in contact with the holder; atomic, since
@@ -154,7 +157,7 @@
 // New returns a Syncer. A value from urgent triggers a report, and holder is
 // the one in this process.
 func New(host string, elector Elector, local Local, topics TopicView, crashes *poison.Table, origins *origin.Table, table *paths.Table, kept *shelf.Shelf, holder hub.Holder, setStoreAtOnce func(storeAtOnce float64), topic logjob.Topic, dial func(ctx context.Context, address string) (Client, error), urgent <-chan struct{}, now, boot func() time.Time) *Syncer {
-	return &Syncer{host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, paths: table, shelf: kept, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now, boot: boot}
+	return &Syncer{needsRegister: true, host: host, elector: elector, local: local, topics: topics, crashes: crashes, origins: origins, paths: table, shelf: kept, localHolder: holder, setStoreAtOnce: setStoreAtOnce, topic: topic, dial: dial, urgent: urgent, now: now, boot: boot}
 }
 
 // Tell reports to the holder in this process.
@@ -305,6 +308,9 @@
 			Address: s.shelf.Address(), Keeps: s.shelf.Keeps(s.fence),
 		}
 		a.Register, a.Config = s.topics.KnownPositions()
+		if s.needsRegister {
+			a.Register = 0
+		}
 		if asked.Sub(loadAt) >= loadInterval {
 			a.Load, loadAt = true, asked
 		}
@@ -330,6 +336,9 @@
 		s.setStoreAtOnce(r.StoreAtOnce)
 		s.mergeCrashes(r)
 		s.holdVersions(askedBoot, r)
+		if r.Register != nil && !r.Register.LeavingOnly {
+			s.needsRegister = false
+		}
 		// The register first: inventories of unknown upstreams are ignored.
 		s.topics.Apply(asked, r)
 		s.local.ApplyWatchReply(s.now(), r)
