loader, entry: end orders before the lease is given back

Now no more are sent, and those on their way are awaited, at most until the end of the time for the release. Ruled out: turns between holders otherwise (TestHoldersNeverTakeTurnsWithinThePause) and orders after the end of a tenure (TestOrdersOnlyDuringTenure), both pass on the old code. TestOrdersEndBeforeTheLease needs the new call; without the wait it ends at once.

--- a/internal/node/entry/stop.go
+++ b/internal/node/entry/stop.go
@@ -90,5 +90,6 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	e.loader.End(ctx)
 	e.elector.Release(ctx)
 }
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -110,6 +110,10 @@
 		// that know none.
 		packedInventory packCache[[]fleet.Inventory]
 		packedUpdate    packCache[*roster.Update]
+		// ordersInFlight are the orders that were sent and not answered, and ended is set
+		// once there are to be no more.
+		ordersInFlight int
+		ended          bool
 		// reportsInFlight are the reports that were requested and haven't come, and
 		// reportTokens those that may be requested as of reportsAt.
 		reportsInFlight int
@@ -149,6 +153,8 @@
 	decideInterval   = 100 * time.Millisecond
 	minDecideGap     = 4 * time.Millisecond
 	decideRestFactor = 6
+	// endCheckInterval is the interval at which End checks for orders in flight.
+	endCheckInterval = 5 * time.Millisecond
 	// reportsPerSecond and maxReportsInFlight bound the requests for reports of engines,
 	// which a new holder makes of all at once: each takes a connection and some 0.3 ms of
 	// the processor, and the same host answers the daemons and renews the lease.
@@ -275,10 +281,11 @@
 		l.reportTokens--
 		go l.requestReport(ctx, u, now)
 	}
-	if _, may := l.elector.CanOrder(); may {
+	if _, may := l.elector.CanOrder(); may && !l.ended {
 		l.planner.SetLimits(l.dealer.Limits(now))
 		for _, a := range l.planner.Decide(now) {
 			a.Order.Holder, a.Order.Fence = l.host, l.fence
+			l.ordersInFlight++
 			go l.sendOrder(ctx, l.planner, a)
 		}
 	}
@@ -289,6 +296,20 @@
 	}
 }
 
+// End ends the sending of orders, and returns once all that were sent have been answered or
+// given up, or ctx ends: the next holder may order soon after this one gives the lease back.
+func (l *Loader) End(ctx context.Context) {
+	for {
+		l.mu.Lock()
+		l.ended = true
+		left := l.ordersInFlight
+		l.mu.Unlock()
+		if left == 0 || !pause.For(ctx, endCheckInterval) {
+			return
+		}
+	}
+}
+
 // reportAllowance returns the number of reports that may be requested now. The caller holds
 // l.mu.
 func (l *Loader) reportAllowance(now time.Time) int {
@@ -352,6 +373,7 @@
 	l.metrics.Loads.WithLabelValues(reply.String()).Inc()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ordersInFlight--
 	if l.planner == p {
 		p.RecordReply(sent, now, a, reply)
 		l.wake()
--- a/internal/node/loader/loader_test.go
+++ b/internal/node/loader/loader_test.go
@@ -343,6 +343,32 @@
 	must.Positive(t, r.Rev)
 }
 
+// TestOrdersEndBeforeTheLease guards against an order that is on its way while the lease is
+// given back: it would arrive when another daemon may order, and its own repetition too
+// (report of other operators).
+func TestOrdersEndBeforeTheLease(t *testing.T) {
+	w, l := startLoader(t, 2)
+	delay := make(chan struct{})
+	w.set(func() { w.delay = delay })
+	eventually(t, func() bool { _ = demand(l, "m0"); return w.count() > 0 })
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.End(context.Background())
+	}()
+	select {
+	case <-ended:
+		t.Fatal("an order is in flight")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(delay)
+	<-ended
+	sent := w.count()
+	_ = demand(l, "m1")
+	time.Sleep(200 * time.Millisecond)
+	must.Eq(t, sent, w.count())
+}
+
 // TestReportsOfManyEngines guards against a new holder that requests the reports of all
 // engines of a large fleet at once: it was so busy that it answered no daemon and lost its
 // lease (rules CONFIG and DENIED, sweep of figtray-coop-large at 300 hosts, 3,000 engines).
