--- a/cmd/azurespan/command.go
+++ b/cmd/azurespan/command.go
@@ -132,6 +132,10 @@
 				sc.String(&o.request, "r", "request", "Request identifier.")
 				sc.String(&o.model, "m", "model", "Model or adapter name.")
 			}),
+		add("refusals", "Says why requests were refused, and what was done for the models refused most.",
+			"azurespan refusals --file entry-1.log --file entry-2.log\ncat *.log | azurespan refusals --file -", func(sc *flaggy.Subcommand) {
+				sc.StringSlice(&o.logFiles, "l", "file", "Log of a daemon on an entry host, - for standard input; may be repeated.")
+			}),
 		add("accounts", "Lists client accounts with their use, as daemons on entry hosts know it.",
 			"azurespan accounts --address 10.0.0.7:7101\nazurespan accounts --address 10.0.0.7:7101 --address 10.0.0.8:7101 --json", func(sc *flaggy.Subcommand) {
 				sc.StringSlice(&o.addresses, "a", "address", "Second internal port of a daemon; may be repeated, to sum over daemons.")
@@ -206,6 +210,11 @@
 			return explainFiles(o, env.in)
 		}
 		return adminCommand(ctx, o, directClient)
+	case "refusals":
+		if len(o.logFiles) == 0 {
+			return nil, &usageError{detail: "refusals needs a --file"}
+		}
+		return summariseRefusals(o, env.in)
 	case "accounts":
 		return accountsCommand(ctx, o, directClient)
 	case "replay":
--- a/cmd/azurespan/command_test.go
+++ b/cmd/azurespan/command_test.go
@@ -154,6 +154,33 @@
 	must.StrContains(t, errs, "another daemon")
 }
 
+// TestRefusals guards against a summary that counts unloads or adapters as loads of a model,
+// or hides which models were refused most.
+func TestRefusals(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry.log")
+	line := func(event, fields string) string {
+		return " 1.2 host I1 x.go:1] \"" + event + "\" event=8001 " + fields + "\n"
+	}
+	log := line("relay-refused", `request="1" reason="full" model="m1/a1"`) + line("relay-refused", `request="2" reason="full" model="m1"`) +
+		line("relay-refused", `request="3" reason="no-copy" model="m2"`) + line("relay-refused", `request="4" reason="no-route"`) +
+		line("relay-ended", `request="5" outcome="ok"`) +
+		line("load-ordered", `unload=false model="m1" from="store" copies=2 running=40 waiting=57 rate="119.17" reply="accepted"`) +
+		line("load-ordered", `unload=false model="m1/a1" from="memory" copies=9 reply="accepted"`) +
+		line("load-ordered", `unload=true model="m2" from="memory" reply="accepted"`) +
+		line("load-ordered", `unload=false model="m2" from="disk" reply="conflict"`)
+	must.NoError(t, os.WriteFile(path, []byte(log), 0o600))
+	code, out, _ := invoke(t, "refusals", "--file", path)
+	must.Eq(t, exitOK, code)
+	must.Eq(t, `ended: ok 1
+refused: full 2, no-copy 1, no-route 1
+loads from the weight store: 1
+m1: refused 2 (full 2); loads: store 1; last load: copies=2 running=40 waiting=57 rate=119.17
+m2: refused 1 (no-copy 1); loads: none; last load: none
+`, out)
+	code, _, _ = invoke(t, "refusals")
+	must.Eq(t, exitUsage, code)
+}
+
 // TestEntryWithoutSettings guards against a daemon on an entry host that starts
 // without its settings file.
 func TestEntryWithoutSettings(t *testing.T) {
--- a/cmd/azurespan/excerpt.go
+++ b/cmd/azurespan/excerpt.go
@@ -35,7 +35,12 @@
 	}
 	s := &logExcerpt{}
 	for _, path := range o.logFiles {
-		if err := s.read(path, in, field); err != nil {
+		err := readLines(path, in, func(line string) {
+			if strings.Contains(line, field) {
+				s.Lines = append(s.Lines, line)
+			}
+		})
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -45,8 +50,8 @@
 	return s, nil
 }
 
-// read adds the lines of one file that contain the field.
-func (s *logExcerpt) read(path string, in io.Reader, field string) (err error) {
+// readLines calls add for each line of a file, - for standard input.
+func readLines(path string, in io.Reader, add func(line string)) (err error) {
 	if path != "-" {
 		f, err := os.Open(path)
 		if err != nil {
@@ -58,9 +63,7 @@
 	sc := bufio.NewScanner(in)
 	sc.Buffer(nil, maxLineBytes)
 	for sc.Scan() {
-		if strings.Contains(sc.Text(), field) {
-			s.Lines = append(s.Lines, sc.Text())
-		}
+		add(sc.Text())
 	}
 	return merry.Wrap(sc.Err())
 }
