--- a/internal/node/relay/stall_test.go
+++ b/internal/node/relay/stall_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// framing is how the events of a trickled response are framed.
+// Heads of trickled responses, with and without chunks, and the first event.
 const (
 	streamHead  = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\n"
 	chunkedHead = streamHead + "Transfer-Encoding: chunked\r\n\r\n"
