blame: crashes of one software version aren't cleared by another one

While a service has several versions, what repetitions of a request have in common (fingerprint, caller, request, content, body) also has a history at each version, under keys that older builds ignore. Five crashes at one version refuse the request at all of them, tried again as other ambiguous ones.

Ruled out: the same for parts, paths and models: a version that has just joined and crashes thrice for another reason would refuse a whole path at the sound version too. So different requests with a part that crashes one version only are judged as before.

--- a/internal/core/blame/attribute.go
+++ b/internal/core/blame/attribute.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"hash/fnv"
+	"slices"
 	"strings"
 
 	"github.com/azurespan/azurespan/internal/core/poison"
@@ -53,6 +54,9 @@
 	bodyKey    = "body:"
 	pathKey    = "path:"
 	modelKey   = "model:" // model and adapter
+	// versionKey begins the key of an attribute at one software version: a digest of
+	// the version and the attribute's own key follow.
+	versionKey = "version:"
 )
 
 // Attributes returns the keys of the histories that concern a request, that of all that
@@ -85,8 +89,36 @@
 	return keys
 }
 
+// AtVersion returns keys, and for those that aren't shared also the keys of their histories
+// at a software version of the upstreams. They are kept while a service has several
+// versions, so that one which runs a request without harm doesn't clear it of the crashes
+// of another one.
+func AtVersion(keys []string, version string) []string {
+	out := slices.Clone(keys)
+	prefix := versionKey + digest(version) + ":"
+	for _, k := range keys {
+		if breadthOf(k) != shared {
+			out = append(out, prefix+k)
+		}
+	}
+	return out
+}
+
+// attributeOf returns the key of the attribute whose history at one version has a key,
+// and false for other keys.
+func attributeOf(key string) (attribute string, ok bool) {
+	if key, ok = strings.CutPrefix(key, versionKey); !ok {
+		return "", false
+	}
+	_, attribute, ok = strings.Cut(key, ":")
+	return attribute, ok
+}
+
 // breadthOf returns the breadth of the attribute with a key.
 func breadthOf(key string) breadth {
+	if attribute, ok := attributeOf(key); ok {
+		key = attribute
+	}
 	kind, _, found := strings.Cut(key, ":")
 	if !found {
 		return single
--- a/internal/core/blame/attribute_test.go
+++ b/internal/core/blame/attribute_test.go
@@ -209,13 +209,15 @@
 		if key, _ := f.Table.Judge(f.now, keys); key != "" {
 			break
 		}
-		f.Table.Sent(f.now, keys)
-		if known := f.Table.Known(keys); i%2 == 0 {
+		version := fmt.Sprint("v", 2-i%2)
+		at := AtVersion(keys, version)
+		f.Table.Sent(f.now, at)
+		if known := f.Table.Known(at); version == "v2" {
 			crashes++
-			f.Table.Crashed(keys, poison.Crash{ID: fmt.Sprint("u", i), At: f.now}, 0)
+			f.Table.Crashed(at, poison.Crash{ID: fmt.Sprint("u", i), At: f.now}, 0)
 		} else {
-			f.Table.Answered(f.now, keys, known)
-			f.Table.Completed(f.now, keys)
+			f.Table.Answered(f.now, at, known)
+			f.Table.Completed(f.now, at)
 		}
 	}
 	must.LessEq(t, 6, crashes)
--- a/internal/core/blame/doc.go
+++ b/internal/core/blame/doc.go
@@ -28,5 +28,10 @@
 // how easily it is blamed: sound requests that have the path, or the address, of one that
 // crashes upstreams keep being served.
 //
+// While a service has upstreams of several software versions, a crash is also recorded in
+// a history of the attribute at that version (AtVersion), so that another version, whose
+// upstreams run the same request, doesn't clear it. That is done for what repetitions of
+// a request have in common; what different requests share is judged over all versions.
+//
 // The crashes are histories of a poison.Table, which daemons exchange.
 package blame
--- a/internal/core/blame/judge.go
+++ b/internal/core/blame/judge.go
@@ -25,6 +25,9 @@
 		// dominant is set if it was involved in at least half of the
 		// crashes of its time.
 		dominant bool
+		// oneVersion is set if its crashes are those of one software version, beside
+		// which others may run its requests without harm.
+		oneVersion bool
 	}
 
 	// suspect is what is learnt and decided over time about a candidate.
@@ -47,7 +50,7 @@
 	}
 	t.rev, t.dueAt = rev, time.Time{}
 	before := t.quarantined
-	t.quarantined = map[string]time.Time{}
+	t.quarantined, t.oneVersion = map[string]time.Time{}, map[string]string{}
 	explained := map[string]bool{}
 	for _, c := range t.candidates(now) {
 		guilty, unexplained := t.guilty(now, c, explained)
@@ -59,6 +62,9 @@
 		}
 		until := c.crashes[len(c.crashes)-1].At.Add(t.crashes.Retention())
 		t.quarantined[c.key] = until
+		if attribute, ok := attributeOf(c.key); ok && until.After(t.quarantined[t.oneVersion[attribute]]) {
+			t.oneVersion[attribute] = c.key
+		}
 		if _, ok := before[c.key]; !ok {
 			t.changed(Change{Key: c.key, Until: until, Crashes: len(c.crashes), Unexplained: unexplained, Answered: c.answered, Dominant: c.dominant})
 		}
@@ -98,6 +104,7 @@
 	suspects := map[string]*suspect{}
 	for _, e := range t.crashes.Repeated(now, dominantLimit) {
 		c := candidate{key: e.Fingerprint, breadth: breadthOf(e.Fingerprint), crashes: e.Crashes}
+		_, c.oneVersion = attributeOf(c.key)
 		switch c.breadth {
 		case single, repeated:
 			at, ok := t.completedAt.Peek(c.key)
@@ -208,7 +215,7 @@
 		}
 	}
 	switch {
-	case c.answered || c.untested:
+	case c.answered || c.untested || c.oneVersion:
 	case c.breadth != shared:
 		return left >= dominantLimit, left
 	case c.dominant:
--- a/internal/core/blame/table.go
+++ b/internal/core/blame/table.go
@@ -32,8 +32,12 @@
 		// quarantined holds the ends of quarantines by key, as judged at rev.
 		// They are judged again at dueAt, unless it is zero.
 		quarantined map[string]time.Time
-		rev         uint64
-		dueAt       time.Time
+		// oneVersion holds the keys of quarantines at one version by that of their
+		// attribute, whose requests are refused at any version: which one they run
+		// at isn't known before one is chosen.
+		oneVersion map[string]string
+		rev        uint64
+		dueAt      time.Time
 		// changes are the latest of quarantined that TakeChanges hasn't returned.
 		changes []Change
 	}
@@ -107,8 +111,9 @@
 	// (docs/CAPACITY.md).
 	maxParts = 8192
 	// maxCompleted is the number of attributes of which the last complete answer is
-	// kept. A request has up to five: those of some 27 requests a second are kept for
-	// recentAnswer, and those of what is polled more often in any case.
+	// kept. A request has up to five, ten while its service has several versions: those
+	// of some 27, or 13, requests a second are kept for recentAnswer, and those of what
+	// is polled more often in any case.
 	maxCompleted = 8192
 	// maxPartsPerRequest is the number of the first parts of a prompt that are
 	// judged. Prompts have a few shared parts; a header has room for thousands, each
@@ -244,10 +249,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.refresh(now)
-	for _, k := range keys {
-		if left := t.quarantined[k].Sub(now); left > 0 {
-			t.crashes.Use(k)
-			return k, left
+	for _, attribute := range keys {
+		for _, k := range []string{attribute, t.oneVersion[attribute]} {
+			if left := t.quarantined[k].Sub(now); left > 0 {
+				t.crashes.Use(k)
+				return k, left
+			}
 		}
 	}
 	return "", 0
--- a/internal/node/relay/crash.go
+++ b/internal/node/relay/crash.go
@@ -42,13 +42,23 @@
 // fingerprint returns the key of the history of all that the caller sent.
 func (x *exchange) fingerprint() string { return x.attributes[0] }
 
+// attributesAt returns the keys of the crash histories to which a run on an upstream is
+// added: also those at its software version while the service has several. The caller
+// holds relay.mu.
+func (x *exchange) attributesAt(up fleet.Upstream) []string {
+	if !x.relay.table.HasVersions(up.Service) {
+		return x.attributes
+	}
+	return blame.AtVersion(x.attributes, up.Version)
+}
+
 // recordCrash adds the crash of an upstream, which had been answering the request for
 // the given time, to the histories of the request's attributes. The caller holds
 // relay.mu.
 func (x *exchange) recordCrash(now time.Time, up fleet.Upstream, answeredFor time.Duration) {
 	r := x.relay
 	crash := poison.Crash{ID: incarnation(up), At: now, Progress: x.events.EventCount > 0}
-	r.blame.Crashed(x.attributes, crash, answeredFor)
+	r.blame.Crashed(x.attributesAt(up), crash, answeredFor)
 	for _, end := range r.endings.crash(now, crash.ID) {
 		r.blame.Crashed(end.attributes, poison.Crash{ID: crash.ID, At: now, Progress: true}, end.answeredFor)
 	}
@@ -76,7 +86,7 @@
 // upstream crashed at that time, the response may have ended with it. The caller
 // holds relay.mu.
 func (x *exchange) recordUnframedEnd(now time.Time, up fleet.Upstream) {
-	end := unframedEnd{at: now, attributes: x.attributes, answeredFor: x.answeredFor(now)}
+	end := unframedEnd{at: now, attributes: x.attributesAt(up), answeredFor: x.answeredFor(now)}
 	if x.relay.endings.end(incarnation(up), end) {
 		x.recordCrash(now, up, end.answeredFor)
 	}
@@ -116,9 +126,10 @@
 	}
 }
 
-// clearAll records that the upstream has run the request to its end.
+// clearAll records that the upstream has run the request to its end. The caller holds
+// relay.mu.
 func (x *exchange) clearAll(now time.Time, up fleet.Upstream, status int) {
-	if cleared := x.relay.blame.Completed(now, x.attributes); len(cleared) > 0 {
+	if cleared := x.relay.blame.Completed(now, x.attributesAt(up)); len(cleared) > 0 {
 		event.CrashHistoryCleared.Log("request", x.req.ID, "histories", strings.Join(cleared, ","), "status", status, "upstream", up.ID)
 		x.relay.requestReport()
 	}
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -298,6 +299,12 @@
 	}
 }
 
+// HasVersions reports whether a service has upstreams of several software versions.
+func (t *Table) HasVersions(service string) bool {
+	us := t.byService[service]
+	return slices.ContainsFunc(us, func(u *upstream) bool { return u.info.Version != us[0].info.Version })
+}
+
 // SetAdmission has streams begin at the versions alone that admits reports, as it does now.
 func (t *Table) SetAdmission(admits func(service, version string) bool) {
 	t.admits = admits
