engine: bytes of an event that isn't complete don't count as life

Cause (report of other operators: stalled streams that sent a byte now and then never ended): each read reset the idle timer, so an engine that sends parts of events, empty lines or events without data kept a stream of azurespan serve until its deadline.

The wait now counts from the last event with data or comment, over all reads since; a caller that reads slowly still isn't taken for a silent engine. Three cases of TestReached hang before and end as stalled now. TestSlowSoundStream (byte by byte, comments between) passes before and after. Ruled out: comments as no life, since engines that queue a request send them; the deadline bounds such a stream.

--- a/internal/link/engine/client.go
+++ b/internal/link/engine/client.go
@@ -25,7 +25,7 @@
 	// executed; the default is 15 min.
 	OrderTimeout time.Duration
 	// IdleTimeout is the longest time in which an open stream without OnSilence
-	// may send nothing, not even a comment; the default is 15 s.
+	// may send neither an event nor a comment; the default is 15 s.
 	IdleTimeout time.Duration
 	// MaxBytes limits the body of a response other than a stream; the default
 	// is 4 MiB.
--- a/internal/link/engine/client_test.go
+++ b/internal/link/engine/client_test.go
@@ -242,6 +242,9 @@
 			w.(http.Flusher).Flush()
 			<-r.Context().Done()
 		}, Stalled, true},
+		"a byte now and then":  {trickle("id: 0\ndata: {"), Stalled, true},
+		"a line now and then":  {trickle("\n"), Stalled, true},
+		"a field now and then": {trickle("retry: 1\n\n"), Stalled, true},
 		"no answer": {func(_ http.ResponseWriter, r *http.Request) {
 			io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
@@ -253,7 +256,7 @@
 		switch name {
 		case "no answer":
 			c.Timeout = 50 * time.Millisecond
-		case "silent":
+		case "silent", "a byte now and then", "a line now and then", "a field now and then":
 			c.IdleTimeout = 50 * time.Millisecond
 		}
 		st, err := c.Open(context.Background(), upstream, hs.Listener.Addr().String(), request("r"))
@@ -267,6 +270,48 @@
 	}
 }
 
+// trickle returns a handler that begins a stream and then sends part of an event, over and
+// over, one byte each 5 ms.
+func trickle(part string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server detects a disconnect only then
+		w.WriteHeader(http.StatusOK)
+		for i := 0; r.Context().Err() == nil; i++ {
+			_, _ = w.Write([]byte{part[i%len(part)]}) // the caller may have left
+			w.(http.Flusher).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// TestSlowSoundStream guards against a stream that is ended although its events, or the
+// comments between them, come in time: each within the idle timeout, byte by byte.
+func TestSlowSoundStream(t *testing.T) {
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // as above
+		w.WriteHeader(http.StatusOK)
+		answer := ": waits\n\n: still waits\n\n" +
+			`id: 0` + "\n" + `data: {"id":"r","choices":[{"delta":{"content":"a"},"finish_reason":null}]}` + "\n\n" +
+			`id: 1` + "\n" + `data: {"id":"r","choices":[{"delta":{"content":"b"},"finish_reason":"stop"}]}` + "\n\n"
+		for _, b := range []byte(answer) {
+			_, _ = w.Write([]byte{b}) // as above
+			w.(http.Flusher).Flush()
+			time.Sleep(3 * time.Millisecond)
+		}
+	}))
+	defer hs.Close()
+	c := New(nil)
+	c.IdleTimeout = 600 * time.Millisecond
+	st, err := c.Open(t.Context(), upstream, hs.Listener.Addr().String(), request("r"))
+	must.NoError(t, err)
+	for _, want := range []string{"a", "b"} {
+		token, err := st.Next(t.Context())
+		must.NoError(t, err)
+		must.Eq(t, want, token.Text)
+	}
+	must.NoError(t, st.Close())
+}
+
 // TestSilentRefusal guards against a request that hangs past its deadline because the
 // engine refuses it and falls silent within the body of the refusal.
 func TestSilentRefusal(t *testing.T) {
--- a/internal/link/engine/sse.go
+++ b/internal/link/engine/sse.go
@@ -24,6 +24,8 @@
 		eventBytes int
 		// data is the buffer of the last event's data, which is reused.
 		data []byte
+		// alive is called for each event with data and each comment.
+		alive func()
 	}
 )
 
@@ -38,7 +40,7 @@
 var errEventTooLarge = errors.New("event is too large")
 
 func newSSEReader(r io.Reader) *sseReader {
-	return &sseReader{br: bufio.NewReaderSize(r, readBufferBytes)}
+	return &sseReader{br: bufio.NewReaderSize(r, readBufferBytes), alive: func() {}}
 }
 
 // next returns the next event that has data. An event without the terminating
@@ -55,6 +57,7 @@
 		}
 		if len(line) == 0 {
 			if hasData {
+				r.alive()
 				r.data = ev.data
 				return ev, nil
 			}
@@ -64,6 +67,7 @@
 		}
 		if line[0] == ':' {
 			// Comments only keep the connection alive.
+			r.alive()
 			continue
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
--- a/internal/link/engine/stream.go
+++ b/internal/link/engine/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -27,9 +28,13 @@
 		// onSilence is called after the idle timeout; nil ends the stream then.
 		onSilence func(since time.Time)
 		openedAt  time.Time
-		// readingFor is the time from openedAt to the start of the read in
-		// progress, negative if there is none.
-		readingFor atomic.Int64
+		// waited is how long reads have waited since the last event or comment, told
+		// whether the idle timeout has passed in that time.
+		waited time.Duration
+		told   atomic.Bool
+		// waitingFrom is the time from openedAt to the start of the read in
+		// progress, less waited; it is notReading if there is none.
+		waitingFrom atomic.Int64
 		// ctx is the context of the call of Next in progress.
 		ctx context.Context
 		// watch cancels the stream when the context of Next ends. It is
@@ -57,23 +62,24 @@
 // doneData is the data of the event that ends an answer.
 const doneData = "[DONE]"
 
-// notReading is the value of readingFor between two reads.
-const notReading = -1
+// notReading is the value of waitingFrom between two reads.
+const notReading = math.MinInt64
 
 var _ calls.Stream = (*Stream)(nil)
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc, upstream, address, id string, from int64, idleTimeout time.Duration) *Stream {
 	s := &Stream{upstream: upstream, address: address, id: id, body: body, cancel: cancel, idleTimeout: idleTimeout, openedAt: time.Now(), nextIndex: from}
-	s.readingFor.Store(notReading)
+	s.waitingFrom.Store(notReading)
 	s.timer = time.AfterFunc(idleTimeout, s.timedOut)
 	s.timer.Stop()
 	s.events = newSSEReader(s)
+	s.events.alive = s.alive
 	return s
 }
 
 // OnSilence makes the stream call f in a goroutine of its own, instead of ending, when
-// Next has waited for the given time without receiving anything, not even a comment.
-// since is when that read began. It must be called before the first call of Next.
+// Next has waited for the given time without an event or a comment. Bytes of an event that
+// isn't complete don't count. since is when that wait began. It must be called before the first call of Next.
 func (s *Stream) OnSilence(after time.Duration, f func(since time.Time)) {
 	s.idleTimeout, s.onSilence = after, f
 }
@@ -90,14 +96,23 @@
 		s.GiveUp()
 		return
 	}
-	reading := s.readingFor.Load()
-	since := s.openedAt.Add(time.Duration(reading))
-	// The read may have ended at the same moment.
-	if reading != notReading && time.Since(since) >= s.idleTimeout {
+	from := s.waitingFrom.Load()
+	if from == notReading {
+		// The read has ended at the same moment.
+		return
+	}
+	since := s.openedAt.Add(time.Duration(from))
+	if time.Since(since) >= s.idleTimeout && !s.told.Swap(true) {
 		s.onSilence(since)
 	}
 }
 
+// alive records an event or a comment.
+func (s *Stream) alive() {
+	s.waited = 0
+	s.told.Store(false)
+}
+
 // Read reads bytes of the response. The idle timer and the watch of the context
 // are active only during the read, so that a slow caller of Next is not treated
 // as a stalled engine.
@@ -108,11 +123,15 @@
 		// The context may have ended before activeWatch was set.
 		s.cancel()
 	}
-	s.readingFor.Store(int64(time.Since(s.openedAt)))
-	s.timer.Reset(s.idleTimeout)
+	began := time.Since(s.openedAt) - s.waited
+	s.waitingFrom.Store(int64(began))
+	if !s.told.Load() {
+		s.timer.Reset(max(s.idleTimeout-s.waited, 0))
+	}
 	n, err := s.body.Read(b)
 	s.timer.Stop()
-	s.readingFor.Store(notReading)
+	s.waitingFrom.Store(notReading)
+	s.waited = time.Since(s.openedAt) - began
 	s.activeWatch.Store(nil)
 	return n, err
 }
--- a/internal/node/router/router.go
+++ b/internal/node/router/router.go
@@ -85,8 +85,8 @@
 		// MaxRecoveries bounds how often one completion is continued after a
 		// failure; default 6.
 		MaxRecoveries int
-		// SilenceTimeout is how long an engine may send nothing, not even a
-		// comment, before the answer is asked for elsewhere as well; default 5 s.
+		// SilenceTimeout is how long an engine may send neither an event nor a
+		// comment before the answer is asked for elsewhere as well; default 5 s.
 		SilenceTimeout time.Duration
 		// MaxResponseBytes bounds the response of a plain service; default
 		// 4 MiB.
