intake: a planned stop answers the connections that the system has completed

Cause (report of other operators: requests that had just been accepted were cut off without an answer in a planned stop under load): closing a listener resets the connections that the kernel has completed and the process hasn't accepted, with the requests that they brought. There are some under load, and more where the process gets half a core.

What the kernel completes in the moment of the close itself is still reset.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/azurespan/azurespan/internal/core/origin"
 	"github.com/azurespan/azurespan/internal/core/poison"
 	"github.com/azurespan/azurespan/internal/link/http1"
+	"github.com/azurespan/azurespan/internal/link/intake"
 	"github.com/azurespan/azurespan/internal/link/tunnel"
 	"github.com/azurespan/azurespan/internal/node/dialer"
 	"github.com/azurespan/azurespan/internal/node/elect"
@@ -170,6 +171,9 @@
 	// graceMargin is the part of the grace period that is reserved for the end
 	// of the process.
 	graceMargin = 700 * time.Millisecond
+	// intakeTimeout bounds the time in which a daemon that is out of rotation accepts
+	// the connections that the system has completed.
+	intakeTimeout = time.Second
 	// endTimeout is how long the callers of requests that were ended are waited for,
 	// and endCheckInterval the interval at which they are counted.
 	endTimeout       = 300 * time.Millisecond
@@ -289,13 +293,14 @@
 		MaxHeaderBytes: headerBytes, ErrorLog: event.StdLogger(event.CallerConnectionError),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(callers) }()
+	accepting := intake.New(callers)
+	go func() { failed <- server.Serve(accepting) }()
 	select {
 	case err := <-failed:
 		return merry.Wrap(err)
 	case <-ctx.Done():
 	}
-	e.stop(server, callers)
+	e.stop(server, accepting)
 	return nil
 }
 
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -37,12 +37,13 @@
 }
 
 // listen opens a listener on an IP:port.
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
+func listen(address string) (*net.TCPListener, error) {
+	at, err := net.ResolveTCPAddr("tcp4", address)
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	return l, nil
+	l, err := net.ListenTCP("tcp4", at)
+	return l, merry.Wrap(err)
 }
 
 // serveHTTP returns a component that serves h on l.
--- a/internal/node/entry/stop.go
+++ b/internal/node/entry/stop.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/pause"
+	"github.com/azurespan/azurespan/internal/link/intake"
 )
 
 // stop takes the daemon out of rotation and finishes the requests in progress. Once it is
 // out of rotation, it accepts no connections; a request that comes on an open one is
 // served if it ends in time, and else refused, until there have been none for a while.
-func (e *Entry) stop(server *http.Server, callers net.Listener) {
+func (e *Entry) stop(server *http.Server, callers *intake.Listener) {
 	began := e.now()
 	e.stopping.Store(true)
 	event.EntryStopping.Log("active", e.active.Load(), "grace", e.settings.Grace)
@@ -32,9 +32,7 @@
 	pause.For(ctx, rotationDelay)
 	e.forwarder.Close()
 	e.relay.Stop(end)
-	if err := callers.Close(); err != nil {
-		event.CallerConnectionError.Log("cause", err.Error())
-	}
+	e.endIntake(ctx, callers)
 	// Each response ends its connection. Idle ones are left to Shutdown, which passes no
 	// request on that crosses the end of its connection.
 	e.awaitCallers(ctx)
@@ -49,6 +47,16 @@
 	event.EntryStopped.Log("took", e.now().Sub(began), "ended", 0, "cut", 0)
 }
 
+// endIntake closes the listener once the connections that the system has completed are
+// accepted.
+func (e *Entry) endIntake(ctx context.Context, callers *intake.Listener) {
+	ctx, cancel := context.WithTimeout(ctx, intakeTimeout)
+	defer cancel()
+	if err := callers.End(ctx); err != nil {
+		event.CallerConnectionError.Log("cause", err.Error())
+	}
+}
+
 // awaitCallers waits until there has been no request for quietTime, or ctx ends.
 func (e *Entry) awaitCallers(ctx context.Context) {
 	quietSince := e.now()
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurespan/azurespan/declare"
 	"github.com/azurespan/azurespan/internal/api/oas"
 	"github.com/azurespan/azurespan/internal/base/fault"
+	"github.com/azurespan/azurespan/internal/link/intake"
 	"github.com/azurespan/azurespan/internal/node/calls"
 )
 
@@ -41,6 +44,8 @@
 		tracker     exchangeTracker
 		streamSlots chan struct{}
 		signer      signer
+		// intake is the listener in use, nil before Serve; Wait ends it.
+		intake atomic.Pointer[intake.Listener]
 	}
 )
 
@@ -53,6 +58,9 @@
 	servicePathPrefix = "/services/"
 	// headerSlopBytes is how much more than MaxHeaderBytes net/http reads.
 	headerSlopBytes = 4 << 10
+	// intakeTimeout bounds the time in which a server that is draining accepts the
+	// connections that the system has completed.
+	intakeTimeout = time.Second
 )
 
 // New returns a Server that passes requests to b. It returns an internal fault
@@ -89,7 +97,17 @@
 // Serve serves the connections of l until Close or Wait, then returns
 // http.ErrServerClosed. It takes ownership of l.
 func (s *Server) Serve(l net.Listener) error {
-	return s.httpServer.Serve(limitListener(l, s.settings.MaxConnections))
+	if tcp, ok := l.(*net.TCPListener); ok {
+		accepting := intake.New(tcp)
+		s.intake.Store(accepting)
+		l = accepting
+	}
+	err := s.httpServer.Serve(limitListener(l, s.settings.MaxConnections))
+	if errors.Is(err, net.ErrClosed) {
+		// Wait has ended the listener.
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // ServeHTTP handles one request.
@@ -136,6 +154,13 @@
 	if err := s.tracker.wait(ctx); err != nil {
 		return err
 	}
+	if accepting := s.intake.Load(); accepting != nil {
+		limited, cancel := context.WithTimeout(ctx, intakeTimeout)
+		defer cancel()
+		if err := accepting.End(limited); err != nil {
+			return err
+		}
+	}
 	// net/http writes the end of a response after ServeHTTP returns; Shutdown
 	// waits for that.
 	return s.httpServer.Shutdown(ctx)
