--- a/internal/link/engine/stream.go
+++ b/internal/link/engine/stream.go
@@ -79,7 +79,8 @@
 
 // OnSilence makes the stream call f in a goroutine of its own, instead of ending, when
 // Next has waited for the given time without an event or a comment. Bytes of an event that
-// isn't complete don't count. since is when that wait began. It must be called before the first call of Next.
+// isn't complete don't count. since is when that wait began. It must be called before the
+// first call of Next.
 func (s *Stream) OnSilence(after time.Duration, f func(since time.Time)) {
 	s.idleTimeout, s.onSilence = after, f
 }
