intake: ending a closed listener does nothing

Cause, found on reading: End returned the error of the closed listener's deadline, and the Wait of front then returned before Shutdown, so a server whose listener had been closed or ended before would have cut its last answers off. No caller does that today.

TestEndOfClosedListener fails before (use of closed network connection) and passes now.

--- a/internal/link/intake/intake.go
+++ b/internal/link/intake/intake.go
@@ -58,9 +58,12 @@
 }
 
 // End lets Accept, which another goroutine calls in turn, return what the system has
-// completed, and then closes the listener, at the end of ctx at the latest.
+// completed, and then closes the listener, at the end of ctx at the latest. It does
+// nothing on a closed listener.
 func (l *Listener) End(ctx context.Context) error {
-	if err := l.SetDeadline(time.Now()); err != nil {
+	if err := l.SetDeadline(time.Now()); errors.Is(err, net.ErrClosed) {
+		return nil
+	} else if err != nil {
 		return merry.Wrap(err)
 	}
 	select {
--- a/internal/link/intake/intake_test.go
+++ b/internal/link/intake/intake_test.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// TestEndOfClosedListener guards against a stop that fails, and so cuts its requests off,
+// because the listener has been closed or ended before.
+func TestEndOfClosedListener(t *testing.T) {
+	l := newListener(t)
+	go acceptAll(l)
+	must.NoError(t, l.End(t.Context()))
+	must.NoError(t, l.End(t.Context()))
+	l = newListener(t)
+	must.NoError(t, l.Close())
+	must.NoError(t, l.End(t.Context()))
+}
+
 // acceptAll accepts connections until the listener is closed.
 func acceptAll(l *Listener) {
 	for {
