--- a/internal/link/engine/sse.go
+++ b/internal/link/engine/sse.go
@@ -24,8 +24,8 @@
 		eventBytes int
 		// data is the buffer of the last event's data, which is reused.
 		data []byte
-		// alive is called for each event with data and each comment.
-		alive func()
+		// onEvent is called for each event with data and each comment.
+		onEvent func()
 	}
 )
 
@@ -40,7 +40,7 @@
 var errEventTooLarge = errors.New("event is too large")
 
 func newSSEReader(r io.Reader) *sseReader {
-	return &sseReader{br: bufio.NewReaderSize(r, readBufferBytes), alive: func() {}}
+	return &sseReader{br: bufio.NewReaderSize(r, readBufferBytes), onEvent: func() {}}
 }
 
 // next returns the next event that has data. An event without the terminating
@@ -57,7 +57,7 @@
 		}
 		if len(line) == 0 {
 			if hasData {
-				r.alive()
+				r.onEvent()
 				r.data = ev.data
 				return ev, nil
 			}
@@ -67,7 +67,7 @@
 		}
 		if line[0] == ':' {
 			// Comments only keep the connection alive.
-			r.alive()
+			r.onEvent()
 			continue
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
--- a/internal/link/engine/stream.go
+++ b/internal/link/engine/stream.go
@@ -28,10 +28,10 @@
 		// onSilence is called after the idle timeout; nil ends the stream then.
 		onSilence func(since time.Time)
 		openedAt  time.Time
-		// waited is how long reads have waited since the last event or comment, told
+		// waited is how long reads have waited since the last event or comment; reported,
 		// whether the idle timeout has passed in that time.
-		waited time.Duration
-		told   atomic.Bool
+		waited   time.Duration
+		reported atomic.Bool
 		// waitingFrom is the time from openedAt to the start of the read in
 		// progress, less waited; it is notReading if there is none.
 		waitingFrom atomic.Int64
@@ -73,7 +73,7 @@
 	s.timer = time.AfterFunc(idleTimeout, s.timedOut)
 	s.timer.Stop()
 	s.events = newSSEReader(s)
-	s.events.alive = s.alive
+	s.events.onEvent = s.recordEvent
 	return s
 }
 
@@ -103,15 +103,15 @@
 		return
 	}
 	since := s.openedAt.Add(time.Duration(from))
-	if time.Since(since) >= s.idleTimeout && !s.told.Swap(true) {
+	if time.Since(since) >= s.idleTimeout && !s.reported.Swap(true) {
 		s.onSilence(since)
 	}
 }
 
-// alive records an event or a comment.
-func (s *Stream) alive() {
+// recordEvent records an event or a comment.
+func (s *Stream) recordEvent() {
 	s.waited = 0
-	s.told.Store(false)
+	s.reported.Store(false)
 }
 
 // Read reads bytes of the response. The idle timer and the watch of the context
@@ -126,7 +126,7 @@
 	}
 	began := time.Since(s.openedAt) - s.waited
 	s.waitingFrom.Store(int64(began))
-	if !s.told.Load() {
+	if !s.reported.Load() {
 		s.timer.Reset(max(s.idleTimeout-s.waited, 0))
 	}
 	n, err := s.body.Read(b)
