plan: a test of many daemons that could not fail

TestManyDaemonsFewSlots passed with one daemon too, since that one's waiting requests called for all copies. Each daemon now has one request a second: one daemon gets one copy, 320 of them all three. Passes; with the demand of one of the 320 only it fails, as the first case shows.

--- a/internal/rule/plan/input_test.go
+++ b/internal/rule/plan/input_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,19 +98,20 @@
 }
 
 // TestManyDaemonsFewSlots guards against demand of more daemons than the engines have
-// slots that is counted as that of one, or lost: all of them ask for one model.
+// slots that is counted as that of one, or lost: each has a request a second for one model.
 func TestManyDaemonsFewSlots(t *testing.T) {
-	s := newSim(t, 4, []string{"m0"}, []string{}, []string{})
-	end := s.now.Add(30 * time.Second)
-	for s.now.Before(end) {
-		for i := range 320 {
-			d := fleet.Demand{Arrivals: map[fleet.Key]int{}, Waiting: map[fleet.Key]int{key("m0", ""): 1}, Running: map[string]map[fleet.Key]int{}}
-			if i%5 == 0 {
-				d.Arrivals[key("m0", "")] = 1
+	for daemons, copies := range map[int]int{1: 1, 320: 3} {
+		s := newSim(t, 4, []string{"m0"}, []string{}, []string{})
+		for turn := range 150 {
+			for i := range daemons {
+				d := fleet.Demand{Arrivals: map[fleet.Key]int{}, Waiting: map[fleet.Key]int{}, Running: map[string]map[fleet.Key]int{}}
+				if i%5 == turn%5 {
+					d.Arrivals[key("m0", "")] = 1
+				}
+				s.p.RecordDemand(s.now, fmt.Sprint("daemon-", i), d)
 			}
-			s.p.RecordDemand(s.now, string(rune('a'+i)), d)
+			s.run(200*time.Millisecond, nil)
 		}
-		s.run(200*time.Millisecond, demandFor(0))
+		must.Eq(t, copies, s.copies("m0"), must.Sprint(daemons, " daemons"))
 	}
-	must.Eq(t, 3, s.copies("m0"))
 }
