--- a/review/rig/daemon.go
+++ b/review/rig/daemon.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -25,12 +24,11 @@
 	memoryMB int
 	platform *platform
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   bool
-	kills   int
-	peakMB  int
-	started time.Time
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  bool
+	kills  int
+	peakMB int
 }
 
 // platform starts the daemons of a deployment and kills those that exceed their memory.
@@ -157,12 +155,15 @@
 	cmd := exec.Command("target/azurespan", "entry")
 	cmd.Dir, cmd.Stdout, cmd.Stderr = d.platform.root, out, out
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "AZURESPAN_NODE_FILE=" + file}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ended {
+		return nil
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	d.mu.Lock()
-	d.cmd, d.started = cmd, time.Now()
-	d.mu.Unlock()
+	d.cmd = cmd
 	d.platform.rec.logf("platform: %s starts, process %d", d.name, cmd.Process.Pid)
 	go d.watch(cmd)
 	return nil
@@ -226,12 +227,6 @@
 // front is the address for clients.
 func (d *daemon) front() string { return net.JoinHostPort(d.ip, strconv.Itoa(frontPort)) }
 
-func (d *daemon) signal(s syscall.Signal) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_ = d.cmd.Process.Signal(s)
-}
-
 // ready reports whether the daemon says that it is ready.
 func (d *daemon) ready() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -263,7 +258,9 @@
 	for _, d := range p.daemons {
 		d.mu.Lock()
 		d.ended = true
-		_ = d.cmd.Process.Kill()
+		if d.cmd != nil {
+			_ = d.cmd.Process.Kill()
+		}
 		d.mu.Unlock()
 	}
 	time.Sleep(100 * time.Millisecond)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // deployment is what a case runs on.
@@ -55,6 +57,13 @@
 		return 2
 	}
 	defer p.end()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		p.end()
+		os.Exit(2)
+	}()
 	held, err := f(&deployment{store: s, platform: p, rec: rec, trouble: os.Getenv("TROUBLE") != "0"})
 	switch {
 	case err != nil:
