--- a/review/rig/leaving.go
+++ b/review/rig/leaving.go
@@ -13,7 +13,9 @@
 // sent before, and that the store didn't answer, is carried out seconds later, so that the
 // entry stands in the register once more until it expires. Then the replica exits.
 const (
-	// leavingClients is the number of streams in progress, that is, 83 % of the slots.
+	// One of leavingEngines leaves: 0.25, the largest share of scale_in in figtray-coop.toml.
+	leavingEngines = 4
+	// leavingClients is the number of streams in progress, 83 % of the slots of the others.
 	leavingClients = 120
 	leavingPieces  = 40
 	leavingGap     = 75 * time.Millisecond
@@ -43,7 +45,7 @@
 	sent := map[string]time.Time{}
 	late := map[string]bool{}
 	var replicas []*replica
-	for n := range 3 {
+	for n := range leavingEngines {
 		r, err := newReplica(d.store, d.rec, fmt.Sprintf("i-engine%d", n), "assistant", 48, []string{model}, func(c *conn, q *request) bool {
 			c.replica.ran(q.id)
 			says := ""
