relay: a stream that ends within an event is truncated in any framing

Cause: finishStream trusted the framing. A rest of an event was an error only in a response without a length or chunks. Evidence: relay-ended says outcome=ok and no relay-failed; the same bytes without chunks are resumed. Ruled out: the splitter (it holds the half event back) and the choice of another upstream (idle, within the route's attempts).

Change: a stream whose buffer holds a part of an event at its end is truncated, whatever the framing; it is resumed, broken off, or 502 before the first event. It is no crash of the upstream. Blank lines and comments after the last event are no part of one.

--- a/internal/link/sse/splitter.go
+++ b/internal/link/sse/splitter.go
@@ -44,6 +44,20 @@
 // those of an incomplete event.
 func (s *Splitter) Buffered() int { return len(s.buf) }
 
+// WithinEvent reports whether the buffer, after TakeEvents, holds a part of an event. Blank
+// lines and complete comment lines are none.
+func (s *Splitter) WithinEvent() bool {
+	for rest := s.buf; len(rest) > 0; {
+		line, after, complete := bytes.Cut(rest, []byte("\n"))
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) > 0 && !(complete && line[0] == ':') {
+			return true
+		}
+		rest = after
+	}
+	return false
+}
+
 // TakePartial empties the buffer and returns its content, which after TakeEvents
 // is an incomplete event.
 func (s *Splitter) TakePartial() []byte {
--- a/internal/link/sse/splitter_test.go
+++ b/internal/link/sse/splitter_test.go
@@ -51,3 +51,20 @@
 	must.Eq(t, "4", s.LastID)
 	must.Eq(t, 2, s.EventCount)
 }
+
+// TestWithinEvent guards against a stream that looks complete although it ends within an
+// event, also within a character, and against a sound one that is taken as truncated
+// because blank lines or comments follow its last event.
+func TestWithinEvent(t *testing.T) {
+	const events = "id: 1\ndata: a\n\n"
+	for rest, want := range map[string]bool{
+		"": false, "\n": false, "\r\n": false, "\n\r\n": false, ": keep-alive\n": false, ": keep-alive\r\n\n": false,
+		"i": true, "id: 2": true, "id: 2\n": true, "id: 2\r\ndata: b\r\n": true, "data: \xe6\x97": true,
+		":": true, ": keep-al": true, ": keep-alive\nid: 2": true, "id: 2\n: keep-alive\n": true,
+	} {
+		s := New()
+		_, _ = s.Write([]byte(events + rest))
+		s.TakeEvents()
+		must.Eq(t, want, s.WithinEvent(), must.Sprintf("%q", rest))
+	}
+}
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -76,13 +76,22 @@
 	}
 }
 
-// finishStream forwards what is buffered of a stream that has ended. Without a
-// length or chunks, a stream that ends within an event, or before the first one of
-// this attempt, is truncated.
+// finishStream ends a stream whose response has ended, and forwards what follows its last
+// event. A stream that ends within an event is truncated however its response is framed: an
+// upstream that gives up may still write the last chunk. Without a length or chunks, one
+// that ends before the first event of this attempt is truncated too.
 func (x *exchange) finishStream(res *http.Response) outcome {
+	cause := ""
+	switch {
+	case isEventStream(res) && x.events.WithinEvent():
+		cause = "response ended within an event"
+	case !framed(res) && (x.events.Buffered() > 0 || x.answeredAt.IsZero()):
+		cause = "response ended with its connection before it was complete"
+	}
 	rest := x.events.TakePartial()
-	if !framed(res) && (len(rest) > 0 || x.answeredAt.IsZero()) {
-		return interrupted(merry.Wrap(io.ErrUnexpectedEOF), 0)
+	if cause != "" {
+		// With a length or chunks, the upstream has ended its response itself.
+		return outcome{mayHaveRun: true, status: res.StatusCode, result: pick.Interrupted, crashed: !framed(res), cause: cause}
 	}
 	if len(rest) > 0 || !x.headerSent {
 		if !x.forward(res, rest) {
@@ -92,6 +101,13 @@
 	return outcome{done: true, survived: survived(res), unframed: !framed(res), status: res.StatusCode, result: pick.Succeeded}
 }
 
+// isEventStream reports whether a response of a stream's upstream consists of events. One
+// without a content type does.
+func isEventStream(res *http.Response) bool {
+	ct := res.Header.Get("Content-Type")
+	return ct == "" || strings.HasPrefix(ct, "text/event-stream")
+}
+
 // forward writes bytes of the stream to the caller, after the header if that
 // has not been sent. It reports whether the write succeeded.
 func (x *exchange) forward(res *http.Response, b []byte) bool {
