relay: a daemon whose register is old asks engines which run answers

A daemon cut off from the store continued streams of v1 at engines that had crashed and started again under their IDs as v2.

Cause: engines were identified by ID; version and start came from the copy of the register, however old, and X-Expect-Instance names the ID alone. Ruled out: the openings of versions, the recorded origins.

Change: while the register is older than three reads of the holder, the engine is asked on the connection, once for each, when its run started, before a part of a resumable stream is sent. The event upstream-identified has the inputs. Kept connections of former runs are reset.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -45,6 +45,11 @@
 		Number: 8009, Name: "upstream-continued",
 		Meaning: "An upstream that had been silent goes on with a response; the length of the silence is given.",
 	})
+	UpstreamIdentified = register(Event{
+		Number: 8016, Name: "upstream-identified",
+		Meaning: "This daemon's view of the register is old, and an engine was asked when its run started before a part of a stream was sent there. Both starts, the age of the register and a cause, if the engine didn't say, are given. Unless they are the same, the stream goes to another engine, since this one may have another software version.",
+		Action:  "If it is frequent, look for log-unreachable and the age of the holder's replies.",
+	})
 	RelayPanicked = register(Event{
 		Number: 8011, Name: "relay-panicked", Severity: Error,
 		Meaning: "A component panicked while another upstream was asked to take a request over; the request goes on where it was.",
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -57,6 +57,9 @@
 		// reuseBefore is the time from which the upstream may close the idle
 		// connection.
 		reuseBefore time.Time
+		// Born is when the run of the upstream started that the connection leads to, as
+		// the caller has found out; 0 if it hasn't.
+		Born int64
 		// Reused is set if the connection has carried a request before.
 		Reused bool
 	}
@@ -222,14 +225,20 @@
 	}
 }
 
+// Reusable reports whether another request may follow on the connection after the whole
+// body of res has been read.
+func (c *Conn) Reusable(res *http.Response) bool {
+	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	_, once := c.Conn.(OneRequest)
+	return !once && !res.Close && framed && c.br.Buffered() == 0
+}
+
 // Release returns the connection to the pool after the whole body of res has
 // been read, or closes it if it can't be reused.
 func (c *Conn) Release(res *http.Response) {
 	now := c.pool.now()
-	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 	keep := keepAlive(res.Header.Get("Keep-Alive"), c.pool.settings.IdleTimeout)
-	_, once := c.Conn.(OneRequest)
-	if once || res.Close || !framed || keep <= 0 || c.br.Buffered() > 0 {
+	if !c.Reusable(res) || keep <= 0 {
 		c.discard()
 		return
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -162,6 +162,10 @@
 	// maxSpreadInContact replaces maxSpread for topics whose content the holder tells.
 	// It tells the register only after the settle time.
 	maxSpreadInContact = settleTime + time.Second
+	// registerTTL is the age of the register up to which an upstream runs as it is
+	// registered: three reads of the holder, which orders the load that an engine needs
+	// after a start.
+	registerTTL = 3 * holderReadInterval
 	// contactTTL is the age of the holder's last reply up to which a daemon is in
 	// contact with it.
 	contactTTL = 1500 * time.Millisecond
@@ -211,7 +215,8 @@
 	e.relay = relay.New(relay.Settings{
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
 		ConfigTTL: time.Duration(maxAgeShare * float64(settings.ConfigDeadline)), KeyTTL: time.Duration(maxAgeShare * float64(settings.RevokeTime)),
-		Freshness: func() fleet.Freshness { return e.topics.freshness() }, Allowances: settings.Allowances, BootClock: platform.BootClock,
+		Freshness:   func() fleet.Freshness { return e.topics.freshness() },
+		RegisterAge: func() time.Duration { return e.topics.registerAge(e.now()) }, RegisterTTL: registerTTL, Allowances: settings.Allowances, BootClock: platform.BootClock,
 	}, platform.Wire, pool, e.crashes, e.blame, e.olog, metrics, rng, now)
 	e.forwarder = tunnel.New(forwarding{e.relay, dial}, now)
 	earliestRead := now()
--- a/internal/node/entry/sinks.go
+++ b/internal/node/entry/sinks.go
@@ -116,6 +116,7 @@
 			event.UpstreamChanged.Log("upstream", id, "change", roster.Left, "reason", "no entry")
 		}
 		v.roster.Advance(p.EndAt, p.Next, true)
+		v.recordRegisterRead(v.boot().Add(-now.Sub(p.EndAt)))
 	}
 	v.mu.Unlock()
 	v.publish(now)
@@ -148,6 +149,7 @@
 		}
 	}
 	v.roster.Advance(p.EndAt, p.Next, p.Next >= p.End)
+	v.recordRegisterRead(v.boot().Add(-now.Sub(p.EndAt)))
 	v.mu.Unlock()
 	if len(p.Records) > 0 {
 		v.publish(now)
--- a/internal/node/entry/view.go
+++ b/internal/node/entry/view.go
@@ -49,6 +49,9 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	// registerReadAt is when the register was last known up to its end, and
+	// registerReadBoot the same on the clock that counts suspensions.
+	registerReadAt, registerReadBoot time.Time
 	// configAsOf is the position up to which this daemon has read the
 	// configuration's topic, configAnnounced the one that the holder has
 	// announced, and configAt the last time at which the configuration in
@@ -180,6 +183,7 @@
 		event.UpstreamChanged.Log("upstream", up.ID, "change", c, "service", up.Service, "version", up.Version, "address", up.Address,
 			"failure-domain", up.FailureDomain, "born", up.Born, "leaves-in", up.LeavesIn, "offset", up.Offset, "told-as-of", n.AsOf)
 	})
+	v.recordRegisterRead(v.askBegan.Add(r.Held - n.Age))
 	v.mu.Unlock()
 	if changed || len(n.Put) > 0 {
 		v.publish(asked)
@@ -345,6 +349,22 @@
 	return v.roster.ReadAt(), v.configAt
 }
 
+// registerAge returns the time since the register was last known up to its end.
+// Suspensions of the machine count.
+func (v *topicView) registerAge(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return max(now.Sub(v.roster.ReadAt()), v.boot().Sub(v.registerReadBoot))
+}
+
+// recordRegisterRead keeps when the register was last known up to its end, if that has
+// changed, on the clock that counts suspensions. v.mu must be held.
+func (v *topicView) recordRegisterRead(boot time.Time) {
+	if at := v.roster.ReadAt(); at != v.registerReadAt {
+		v.registerReadAt, v.registerReadBoot = at, later(v.registerReadBoot, boot)
+	}
+}
+
 // positionsInForce returns the number of known positions, which a new era makes void.
 func (v *topicView) positionsInForce() (l eras.Loss) {
 	v.mu.Lock()
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -45,6 +45,11 @@
 	}
 	dial, cancel := context.WithTimeout(ctx, timeout)
 	conn, err := x.relay.pool.Get(dial, up.ID, up.Address, !x.route.Repeatable())
+	if err == nil && conn.Born != 0 && conn.Born != up.Born {
+		// It was kept from an earlier run.
+		conn.Abort()
+		conn, err = x.relay.pool.Get(dial, up.ID, up.Address, true)
+	}
 	cancel()
 	if err != nil {
 		return nil, outcome{result: pick.ConnectFailed, cause: err.Error()}
@@ -56,6 +61,12 @@
 		conn.Abort()
 		return nil, outcome{result: pick.Inconclusive, cause: "upstream no longer available, or it has asked for a pause"}
 	}
+	if x.mustIdentify(conn, up) {
+		if o, ok := x.identify(ctx, conn, up, until); !ok {
+			conn.Abort()
+			return nil, o
+		}
+	}
 	k.conn, k.detach = conn, context.AfterFunc(ctx, conn.Abort)
 	raw := x.relay.codec.EncodeRequest(x.req, fleet.Attempt{Upstream: up, TimeLeft: x.deadline.Sub(k.sent), Priority: noPriority, LastEventID: x.resumeFrom()})
 	err = conn.SetWriteDeadline(until)
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -42,6 +42,11 @@
 		// Freshness returns how certain it is that the configuration is the
 		// newest; nil if it always is.
 		Freshness func() fleet.Freshness
+		// RegisterAge returns the time since the register of upstreams was last known up
+		// to its end; nil if it always is. If that is above RegisterTTL, an upstream may
+		// have started again under its ID unnoticed.
+		RegisterAge func() time.Duration
+		RegisterTTL time.Duration
 		// Allowances are the bounds on the use of accounts, and BootClock a clock
 		// that counts suspensions of the machine.
 		Allowances issuer.Settings
@@ -55,6 +60,10 @@
 		Classify(q *fleet.Request, res *http.Response) fleet.Verdict
 		// Notice returns what a response says of its upstream.
 		Notice(res *http.Response) fleet.Notice
+		// EncodeReportRequest returns a request for an engine's report, and DecodeBorn
+		// from the response to it when that run of the engine started.
+		EncodeReportRequest(up fleet.Upstream) []byte
+		DecodeBorn(res *http.Response, body []byte) (int64, error)
 		CopyHeader(dst, src http.Header)
 		Refuse(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration)
 	}
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -74,6 +74,14 @@
 	return n
 }
 
+func (testCodec) EncodeReportRequest(up fleet.Upstream) []byte {
+	return []byte("GET /report HTTP/1.1\r\nHost: " + up.Address + "\r\n\r\n")
+}
+
+func (testCodec) DecodeBorn(_ *http.Response, body []byte) (int64, error) {
+	return strconv.ParseInt(string(body), 10, 64)
+}
+
 func (testCodec) CopyHeader(dst, src http.Header) { dst.Set("Content-Type", src.Get("Content-Type")) }
 
 func (testCodec) Refuse(w http.ResponseWriter, _ string, status int, reason string, retryAfter time.Duration) {
--- a/internal/rule/pick/choose.go
+++ b/internal/rule/pick/choose.go
@@ -28,6 +28,10 @@
 			other = true
 			continue
 		}
+		if (q.Begins || q.Version != nil) && u.restarted(now) {
+			other = true
+			continue
+		}
 		usable = true
 		if !u.canRun(now, q.Key) || q.Begins && q.Version == nil && u.closed {
 			continue
--- a/internal/rule/pick/notice.go
+++ b/internal/rule/pick/notice.go
@@ -22,6 +22,20 @@
 	return t.noticeBrittle(now, sent, u, n) || news
 }
 
+// Restarted records that an upstream has said at a time that it has started again since its
+// registration. It gets no streams, whose versions must be known, until it is registered
+// anew or restartedTTL has passed.
+func (t *Table) Restarted(at time.Time, up fleet.Upstream) {
+	if u := t.upstreams[up.ID]; u != nil && u.info.Born == up.Born {
+		u.restartedAt = at
+	}
+}
+
+// restarted reports whether the upstream's software version isn't known at now.
+func (u *upstream) restarted(now time.Time) bool {
+	return !u.restartedAt.IsZero() && now.Sub(u.restartedAt) < restartedTTL
+}
+
 // leaving reports whether the upstream must get no new requests, by the register or by
 // what it has said.
 func (u *upstream) leaving() bool { return u.info.Leaving || u.saidLeaving }
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -124,6 +124,9 @@
 		// less what it has sent since.
 		room    int
 		drawnAt time.Time
+		// restartedAt is when the upstream last said that it has started again since its
+		// registration, so that its software version isn't known.
+		restartedAt time.Time
 		// silentSince is when the upstream, which has been silent since then, last
 		// sent something; it is ejected until silentUntil.
 		silentSince, silentUntil time.Time
@@ -190,6 +193,10 @@
 	// missingTTL is how long an engine's answer that a model isn't loaded
 	// overrides the last report.
 	missingTTL = 250 * time.Millisecond
+	// restartedTTL is how long an upstream's word that it has started again holds, unless
+	// it registers earlier: reports name the time of the start, and one that is wrong
+	// must not keep a sound upstream from streams for longer than a status report takes.
+	restartedTTL = 2 * time.Second
 	// ewmaWeight is the weight of a new sample in the moving averages.
 	ewmaWeight = 0.15
 	// engineMaxLoad is the load at which an engine is full. Further requests
