pick: what an upstream has said outlives its register entry

Cause: what is learnt from answers was part of the load balancing entry, which SetUpstreams deletes with the register's. Evidence: upstream-notice leaving=true twice of one incarnation, with change=left and joined between. Ruled out: the register (entries of one start come back soundly after an outage) and the decoding of the header.

Answers that arrive meanwhile are recorded.

--- a/internal/node/relay/notice_test.go
+++ b/internal/node/relay/notice_test.go
@@ -39,6 +39,25 @@
 	must.Eq(t, 2, f.requestCount(0))
 }
 
+// TestLeavingIsHeardOnce guards against requests to an upstream that has said in an answer
+// that it is leaving, after its entry was removed from the register and has come back with a
+// report that was written late: its exit breaks them off (DRAIN).
+func TestLeavingIsHeardOnce(t *testing.T) {
+	f := newFixture(t, route(fleet.Unsafe, 1, false), withHeader("Leaving", "1"), respondOK)
+	f.send(http.MethodPost, "first", "")
+	f.relay.SetUpstreams(time.Now(), f.ups[1:])
+	f.send(http.MethodPost, "gone", "")
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	for i := range 4 {
+		code, _ := f.send(http.MethodPost, fmt.Sprint(i), "")
+		must.Eq(t, http.StatusOK, code)
+	}
+	must.Eq(t, 1, f.requestCount(0))
+	up := f.ups[0]
+	_, reason := f.relay.MayForward(time.Now(), up.ID, up.Address)
+	must.Eq(t, "leaving", reason)
+}
+
 // TestLeavingUpstreamOfForwarder guards against a request that is sent for another daemon
 // to an upstream that has said to this one that it is leaving, and against missing that in
 // an answer that is forwarded.
--- a/internal/rule/pick/notice.go
+++ b/internal/rule/pick/notice.go
@@ -9,8 +9,8 @@
 // Notice takes over what the response to a request that was sent at sent said of its
 // upstream, and reports whether that is news.
 func (t *Table) Notice(now, sent time.Time, up fleet.Upstream, n fleet.Notice) (news bool) {
-	u := t.upstreams[up.ID]
-	if u == nil || u.info.Born != up.Born {
+	u := t.find(up)
+	if u == nil {
 		return false
 	}
 	if n.Leaving && !u.leaving() {
--- a/internal/rule/pick/outcome.go
+++ b/internal/rule/pick/outcome.go
@@ -24,8 +24,8 @@
 // Finish records the outcome of a request that was counted by Start. firstByte
 // is the time to the first byte of the response, 0 if there was none.
 func (t *Table) Finish(now time.Time, up fleet.Upstream, k fleet.Key, o Outcome, firstByte time.Duration) {
-	u := t.upstreams[up.ID]
-	if u == nil || u.info.Born != up.Born {
+	u := t.find(up)
+	if u == nil {
 		return
 	}
 	u.localRunning = max(u.localRunning-1, 0)
@@ -84,8 +84,8 @@
 // ejected for as long as its silence has lasted, unless it has sent something of
 // another response within minSilence.
 func (t *Table) Silent(now time.Time, up fleet.Upstream, since time.Time) {
-	u := t.upstreams[up.ID]
-	if u == nil || u.info.Born != up.Born {
+	u := t.find(up)
+	if u == nil {
 		return
 	}
 	if u.heardAt.After(since) {
@@ -103,8 +103,8 @@
 // Heard records that an upstream has sent a part of a response, and reports whether
 // that ended a silence.
 func (t *Table) Heard(now time.Time, up fleet.Upstream) bool {
-	u := t.upstreams[up.ID]
-	if u == nil || u.info.Born != up.Born {
+	u := t.find(up)
+	if u == nil {
 		return false
 	}
 	ended := !u.silentSince.IsZero()
--- a/internal/rule/pick/table.go
+++ b/internal/rule/pick/table.go
@@ -25,6 +25,8 @@
 		rng       *rand.Rand
 		upstreams map[string]*upstream
 		byService map[string][]*upstream
+		// former are the upstreams that are no longer registered.
+		former former
 		// slots is the configured number of slots per engine, by service.
 		slots map[string]int
 		// brittleServices is what the last answer of any upstream of a service has said
@@ -257,7 +259,7 @@
 
 // New returns an empty Table that respects limits.
 func New(settings Settings, limits *quota.Table, rng *rand.Rand) *Table {
-	return &Table{settings: settings, limits: limits, rng: rng, upstreams: map[string]*upstream{}, byService: map[string][]*upstream{}, slots: map[string]int{}, brittleServices: map[string]brittleness{}, spacings: map[string]*spacing{}, daemons: 1, restartTime: defaultRestartTime}
+	return &Table{settings: settings, limits: limits, rng: rng, upstreams: map[string]*upstream{}, byService: map[string][]*upstream{}, former: former{map[string]removed{}}, slots: map[string]int{}, brittleServices: map[string]brittleness{}, spacings: map[string]*spacing{}, daemons: 1, restartTime: defaultRestartTime}
 }
 
 // Configure replaces the engines' slots by those of cfg.
@@ -279,13 +281,16 @@
 	for _, r := range registered {
 		seen[r.ID] = true
 		u := t.upstreams[r.ID]
+		if u == nil {
+			u = t.former.take(r)
+		}
 		if u == nil || u.info.Born != r.Born {
 			u = &upstream{running: map[fleet.Key]int{}, missing: map[string]time.Time{}}
-			t.upstreams[r.ID] = u
 			if at, ok := lost[r.Address]; ok {
 				t.restartTime += time.Duration(ewmaWeight * float64(now.Sub(at)-t.restartTime))
 			}
 		}
+		t.upstreams[r.ID] = u
 		u.info = r
 		if u.models == nil || !heard && u.comparedOffset.Before(r.Offset) {
 			u.setModels(r.Holding.Models)
@@ -293,10 +298,12 @@
 		u.comparedOffset = r.Offset
 		u.closed = t.admits != nil && !t.admits(r.Service, r.Version)
 	}
+	t.former.expire(now)
 	clear(t.byService)
 	for id, u := range t.upstreams {
 		if !seen[id] {
 			delete(t.upstreams, id)
+			t.former.add(now, u)
 			continue
 		}
 		t.byService[u.info.Service] = append(t.byService[u.info.Service], u)
