roster: a draining upstream doesn't come back into use with a late report

Cause: removal.leaving was asked for only after a return of the log from an older copy. Change: the entry of an incarnation that was removed after it had announced its leaving counts as leaving. One that had announced nothing may have been cut off from the log and comes back as before.

TestDrainingUpstreamStaysAway failed before (joined for none asked then) and passes. The tests of core/roster pass.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -121,9 +121,14 @@
 		return None
 	}
 	if e == nil || up.Born > e.up.Born {
+		left := e == nil && r.hasLeft(up)
+		up.Leaving = up.Leaving || left
 		r.entries[up.ID] = &entry{up: up, changeOffset: offset}
 		r.changed(offset)
 		delete(r.removed, up.ID)
+		if left {
+			return Left
+		}
 		return Joined
 	}
 	if up.Born < e.up.Born {
@@ -158,6 +163,13 @@
 	r.changes++
 }
 
+// hasLeft reports whether up is an incarnation that was removed after it had announced that
+// it leaves. A report that is written late doesn't bring it back into use.
+func (r *Roster) hasLeft(up fleet.Upstream) bool {
+	d, ok := r.removed[up.ID]
+	return ok && up.Born <= d.born && d.leaving
+}
+
 // isOldCopy reports whether up is an upstream that was removed in an earlier era,
 // so that its entry is from the copy from which the log has returned. One that had
 // announced that it leaves doesn't come back; another one writes its entry again.
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/core/logpos"
 )
 
 func at(s float64) time.Time { return time.Unix(0, int64(s*float64(time.Second))) }
@@ -69,3 +70,25 @@
 	r.Disconnected()
 	must.Eq(t, Left, r.Drop(at(1), "a", 0))
 }
+
+// TestDrainingUpstreamStaysAway guards against requests to an upstream that had announced
+// that it leaves, and whose entry was removed, because a report from before is written late.
+func TestDrainingUpstreamStaysAway(t *testing.T) {
+	r := New(Settings{Settle: 2 * time.Second})
+	entry := func(offset logpos.Position, born int64, leaving bool) fleet.Upstream {
+		u := up("a", born, leaving)
+		u.Offset = offset
+		return u
+	}
+	r.Put(at(0), entry(1, 1, false))
+	must.Eq(t, Left, r.Put(at(1), entry(2, 1, true)))
+	must.Eq(t, Left, r.Drop(at(2), "a", 3))
+	must.Eq(t, Left, r.Put(at(3), entry(4, 1, false)))
+	u, _ := r.Get("a")
+	must.True(t, u.Leaving)
+	// The next start under its ID is another one.
+	must.Eq(t, Joined, r.Put(at(4), entry(5, 2, false)))
+	// One that had announced nothing may have been cut off from the log.
+	must.Eq(t, Left, r.Drop(at(5), "a", 6))
+	must.Eq(t, Joined, r.Put(at(6), entry(7, 2, false)))
+}
