roster: upstreams whose entries are missing aren't passed on as present

Cause: after an outage the holder keeps missing entries for the settle time; between its end and the next Expire, up to 0.1 s later, UpdateSince named them as present, and receivers took them as joined, also those that knew of the removal.

Change: after the settle time, updates leave out missing entries and name them as gone. An entry whose position is before that of a known removal of its incarnation is ignored.

TestMissingUpstreamsAreNotPassedOn failed before ("a" in the update) and passes.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -117,7 +117,7 @@
 
 func (r *Roster) put(now time.Time, up fleet.Upstream, offset logpos.Position) Change {
 	e := r.entries[up.ID]
-	if e == nil && r.isOldCopy(up) {
+	if e == nil && (r.isOldCopy(up) || r.precedesRemoval(up)) {
 		return None
 	}
 	if e == nil || up.Born > e.up.Born {
@@ -170,6 +170,13 @@
 	return ok && up.Born <= d.born && d.leaving
 }
 
+// precedesRemoval reports whether up is an entry that was written before the removal of its
+// incarnation: another daemon that doesn't know of that has passed it on.
+func (r *Roster) precedesRemoval(up fleet.Upstream) bool {
+	d, ok := r.removed[up.ID]
+	return ok && up.Born <= d.born && up.Offset.SameEra(d.offset) && up.Offset.Before(d.offset)
+}
+
 // isOldCopy reports whether up is an upstream that was removed in an earlier era,
 // so that its entry is from the copy from which the log has returned. One that had
 // announced that it leaves doesn't come back; another one writes its entry again.
--- a/internal/core/roster/update.go
+++ b/internal/core/roster/update.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -10,7 +11,8 @@
 
 // UpdateSince returns the changes since a position, nil if there are none that are certain.
 // While entries may be missing for a while after an outage, only announcements of
-// upstreams that leave are. A change without a record
+// upstreams that leave are; those that are still missing then are gone, also before Expire
+// has dropped them here. A change without a record
 // of its own, such as an expiry, is sent again to daemons that are at its position. A
 // daemon in another era gets all upstreams.
 func (r *Roster) UpdateSince(now time.Time, since logpos.Position) *Update {
@@ -21,22 +23,24 @@
 		return r.leavingSince(now, since)
 	}
 	n := &Update{AsOf: r.asOf, Age: now.Sub(r.readAt), Full: since.Before(r.completeFrom) || !since.SameEra(r.asOf)}
+	missing := r.missing()
 	if n.Full {
-		n.Put = r.all()
+		n.Put = r.allBut(missing)
 		return n
 	}
-	if r.lastChange < since {
+	if r.lastChange < since && len(missing) == 0 {
 		return n
 	}
 	for _, e := range r.entries {
-		if e.changeOffset >= since {
+		if e.changeOffset >= since && e.missingSince.IsZero() {
 			n.Put = append(n.Put, e.up)
 		}
 	}
 	if len(n.Put) > maxChanges && len(n.Put) > len(r.entries)/2 {
-		n.Full, n.Put = true, r.all()
+		n.Full, n.Put = true, r.allBut(missing)
 		return n
 	}
+	n.Gone = missing
 	sort.Slice(n.Put, func(i, j int) bool { return n.Put[i].ID < n.Put[j].ID })
 	for id, d := range r.removed {
 		if d.offset >= since {
@@ -47,6 +51,24 @@
 	return n
 }
 
+// missing returns the IDs of the upstreams whose entries are missing.
+func (r *Roster) missing() (ids []string) {
+	for id, e := range r.entries {
+		if !e.missingSince.IsZero() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// allBut returns all upstreams in order but those with the given IDs.
+func (r *Roster) allBut(ids []string) []fleet.Upstream {
+	if len(ids) == 0 {
+		return r.all()
+	}
+	return slices.DeleteFunc(slices.Clone(r.all()), func(up fleet.Upstream) bool { return slices.Contains(ids, up.ID) })
+}
+
 // leavingSince returns the upstreams that have announced since a position that they
 // leave, nil if there are none.
 func (r *Roster) leavingSince(now time.Time, since logpos.Position) *Update {
--- a/internal/core/roster/update_test.go
+++ b/internal/core/roster/update_test.go
@@ -287,3 +287,56 @@
 	must.Eq(t, 1, left)
 	must.Eq(t, 4, restarted.AsOf())
 }
+
+// TestMissingUpstreamsAreNotPassedOn guards against upstreams that come back into use at
+// other daemons although their entries were removed: the sender has kept them over an
+// outage and not dropped them yet, and a receiver knows of the removal.
+func TestMissingUpstreamsAreNotPassedOn(t *testing.T) {
+	const beforeExpire = 2.05
+	names := func(n *Update) (ids []string) {
+		for _, up := range n.Put {
+			ids = append(ids, up.ID)
+		}
+		return ids
+	}
+	g := &register{}
+	for _, id := range []string{"a", "b"} {
+		g.write(fleet.Upstream{ID: id, Service: "s"})
+	}
+	holder, other, fresh := loaded(at(0), g), loaded(at(0), g), New(Settings{Settle: 2 * time.Second})
+	holder.Disconnected()
+	g.write(fleet.Upstream{ID: "a"})
+	g.read(at(1), other, 10)
+	must.Eq(t, 1, other.Len())
+	holder.Reconnected(at(2))
+	g.read(at(2), holder, 10)
+	must.Eq(t, 2, holder.Len(), must.Sprint("kept while it may be written again"))
+
+	// The settle time has passed, and Expire hasn't been called since.
+	now := at(2 + beforeExpire)
+	for _, to := range []*Roster{fresh, other} {
+		if n := holder.UpdateSince(now, to.AsOf()); n != nil {
+			must.SliceNotContains(t, names(n), "a")
+			to.Apply(now, n, func(fleet.Upstream, Change) {})
+		}
+		_, ok := to.Get("a")
+		must.False(t, ok)
+	}
+	must.Eq(t, []string{"a"}, holder.Expire(now))
+	for _, to := range []*Roster{fresh, other} {
+		n := holder.UpdateSince(now, to.AsOf())
+		must.NotNil(t, n)
+		to.Apply(now, n, func(fleet.Upstream, Change) {})
+		must.Eq(t, contents(holder), contents(to))
+	}
+
+	// A sender of an earlier build names it.
+	other.Apply(now, &Update{AsOf: other.AsOf(), Full: true, Put: []fleet.Upstream{g.entries[0], g.entries[1]}}, func(fleet.Upstream, Change) {})
+	_, ok := other.Get("a")
+	must.False(t, ok)
+	// Written again since, it is back.
+	g.write(fleet.Upstream{ID: "a", Service: "s"})
+	g.read(now, other, 10)
+	_, ok = other.Get("a")
+	must.True(t, ok)
+}
