ration, relay: buffered bodies share a bounded part of the memory

Cause: bodies were bounded each (16 MiB) and not in sum; memoryMb reached the runtime's soft limit alone. Evidence: the peak follows the number of requests at the faulty engine. Ruled out: heads, events and refusals, which are bounded by 64, 256 and 64 KiB each.

At the bound the faulty upstream's request fails as one that may have run; a caller's request is refused as not run (503 memory, Retry-After 0.5 s).

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -68,6 +68,9 @@
 		RetrySlack  float64
 		// StoreWindow is the time window of the weight store's rate limit.
 		StoreWindow time.Duration
+		// BodyMemory is the number of bytes that buffered bodies of responses may take;
+		// 0 stands for a default.
+		BodyMemory int
 		// RevokeTime is the time after which no daemon may serve a key that has
 		// been removed, whether or not it reaches the log; 0 if there is no such
 		// bound.
@@ -216,7 +219,8 @@
 		FailureDomain: settings.FailureDomain, RetryRatio: settings.RetryRatio, RetryWindow: settings.RetryWindow, RetrySlack: settings.RetrySlack,
 		ConfigTTL: time.Duration(maxAgeShare * float64(settings.ConfigDeadline)), KeyTTL: time.Duration(maxAgeShare * float64(settings.RevokeTime)),
 		Freshness:   func() fleet.Freshness { return e.topics.freshness() },
-		RegisterAge: func() time.Duration { return e.topics.registerAge(e.now()) }, RegisterTTL: registerTTL, Allowances: settings.Allowances, BootClock: platform.BootClock,
+		RegisterAge: func() time.Duration { return e.topics.registerAge(e.now()) }, RegisterTTL: registerTTL,
+		BodyMemory: settings.BodyMemory, Allowances: settings.Allowances, BootClock: platform.BootClock,
 	}, platform.Wire, pool, e.crashes, e.blame, e.olog, metrics, rng, now)
 	e.forwarder = tunnel.New(forwarding{e.relay, dial}, now)
 	earliestRead := now()
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/fleet"
@@ -46,10 +44,10 @@
 }
 
 type (
-	// response is a response with its buffered body.
+	// response is a response with its buffered body, in blocks.
 	response struct {
 		res  *http.Response
-		body []byte
+		body [][]byte
 	}
 
 	// contentTypeError reports that the response which should resume a stream
@@ -310,12 +308,11 @@
 func (x *exchange) forwardBuffered(k *call) (o outcome, released bool) {
 	res, firstByteTime := k.res, k.firstByteTime
 	x.beginAnswer()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
+	hold := x.hold(k.up)
+	body, err := readBody(res.Body, hold, maxResponseBytes)
 	if err != nil {
-		return interrupted(merry.Wrap(err), firstByteTime), false
-	}
-	if len(body) > maxResponseBytes {
-		return outcome{mayHaveRun: true, result: pick.Interrupted, cause: "response larger than 16 MiB"}, false
+		hold.Release()
+		return interrupted(err, firstByteTime), false
 	}
 	k.release()
 	full := &response{res, body}
@@ -333,8 +330,11 @@
 	h := x.w.Header()
 	x.relay.codec.CopyHeader(h, full.res.Header)
 	x.w.WriteHeader(full.res.StatusCode)
-	if _, err := x.w.Write(full.body); err != nil {
-		event.CallerWriteFailed.Log("request", x.req.ID, "cause", err.Error())
+	for _, block := range full.body {
+		if _, err := x.w.Write(block); err != nil {
+			event.CallerWriteFailed.Log("request", x.req.ID, "cause", err.Error())
+			return
+		}
 	}
 }
 
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -125,8 +125,9 @@
 	if k.verdict == fleet.Foreign {
 		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: k.firstByteTime, cause: "response belongs to another request"}
 	}
-	body, err := io.ReadAll(io.LimitReader(k.res.Body, maxRefusalBytes+1))
-	complete := err == nil && len(body) <= maxRefusalBytes
+	// A refusal is smaller than what a body may have without asking.
+	body, err := readBody(k.res.Body, x.hold(k.up), maxRefusalBytes)
+	complete := err == nil
 	o := outcome{result: pick.Rejected, status: k.res.StatusCode, cause: k.verdict.String()}
 	if k.res.StatusCode < http.StatusInternalServerError && k.res.StatusCode != http.StatusTooManyRequests && k.verdict == fleet.NotRun && complete {
 		o.response = &response{k.res, body}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/base/ration"
 	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/link/sse"
@@ -70,8 +71,10 @@
 		headerSent bool
 		// unframed is set if the response of the last attempt ended with its
 		// connection.
-		unframed    bool
-		events      *sse.Splitter
+		unframed bool
+		events   *sse.Splitter
+		// holds are the memory that buffered responses take until the request has ended.
+		holds       []*ration.Hold
 		firstByteAt time.Time
 		// heardAt is when a part of a response was last recorded.
 		heardAt time.Time
@@ -107,6 +110,13 @@
 	if cfg := r.Config(); cfg != nil && cfg.Limits.BodyBytes > 0 {
 		maxBodyBytes = cfg.Limits.BodyBytes
 	}
+	caller, _, err := net.SplitHostPort(hr.RemoteAddr)
+	if err != nil {
+		caller = hr.RemoteAddr
+	}
+	hold := r.requestBodies.Hold(caller)
+	defer hold.Release()
+	hr.Body = &rationedBody{ReadCloser: hr.Body, hold: hold}
 	req, err := r.codec.DecodeRequest(hr, maxBodyBytes)
 	if err != nil {
 		r.refuseUndecodable(w, err)
@@ -153,10 +163,7 @@
 		NoRetry:   !route.Repeatable(),
 		Begins:    route.Kind == fleet.Stream && req.LastEventID == "",
 	}
-	caller, _, err := net.SplitHostPort(hr.RemoteAddr)
-	if err != nil {
-		caller = hr.RemoteAddr
-	}
+	defer x.releaseHolds()
 	x.caller, x.attributes = caller, attributes(req, caller)
 	// A caller that does not read must not hold the request past its deadline.
 	if err := x.rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
@@ -193,8 +200,13 @@
 	if errors.As(err, &coded) {
 		resp.code = coded.HTTPStatus()
 	}
+	var memory *memoryError
+	if errors.As(err, &memory) {
+		resp.reason, resp.retryAfter = memoryReason, memoryRetryAfter
+		r.metrics.Refusals.WithLabelValues(memoryReason).Inc()
+	}
 	event.RequestUnreadable.Log("status", resp.code, "cause", err.Error())
-	r.codec.Refuse(w, "", resp.code, resp.reason, 0)
+	r.codec.Refuse(w, "", resp.code, resp.reason, resp.retryAfter)
 }
 
 // refuse refuses a request that matched no route or whose key doesn't hold. Further
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
+	"github.com/azurespan/azurespan/internal/base/ration"
 	"github.com/azurespan/azurespan/internal/core/blame"
 	"github.com/azurespan/azurespan/internal/core/fleet"
 	"github.com/azurespan/azurespan/internal/core/origin"
@@ -47,6 +48,10 @@
 		// have started again under its ID unnoticed.
 		RegisterAge func() time.Duration
 		RegisterTTL time.Duration
+		// BodyMemory is the number of bytes that the buffered bodies of responses may take
+		// together, beyond 64 KiB each; those of requests may take half of that in
+		// addition. 0 stands for 64 MiB.
+		BodyMemory int
 		// Allowances are the bounds on the use of accounts, and BootClock a clock
 		// that counts suspensions of the machine.
 		Allowances issuer.Settings
@@ -86,6 +91,9 @@
 		metrics  *metric.Metrics
 		now      func() time.Time
 		config   atomic.Pointer[fleet.Config]
+		// responseBodies and requestBodies bound the memory of buffered bodies, by
+		// upstream and by the caller's address.
+		responseBodies, requestBodies *ration.Ration
 
 		mu       sync.Mutex
 		table    *pick.Table
@@ -182,11 +190,16 @@
 // origins keeps streams at the version that began them.
 func New(settings Settings, codec Codec, pool *http1.Pool, suspects *poison.Table, judge *blame.Table, origins Origins, metrics *metric.Metrics, rng *rand.Rand, now func() time.Time) *Relay {
 	limits := quota.New()
+	memory := settings.BodyMemory
+	if memory == 0 {
+		memory = defaultBodyMemory
+	}
 	table := pick.New(pick.Settings{FailureDomain: settings.FailureDomain}, limits, rng)
 	table.SetAdmission(origins.Table().Admits)
 	serving, endServing := context.WithCancelCause(context.Background())
 	return &Relay{
 		settings: settings, codec: codec, pool: pool, metrics: metrics, now: now, rng: rng,
+		responseBodies: ration.New(memory, maxResponseBytes), requestBodies: ration.New(int(requestShare*float64(memory)), maxResponseBytes),
 		table:    table,
 		queue:    queue.New(),
 		suspects: suspects, blame: judge, origins: origins, endings: newEndings(), limits: limits,
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -35,6 +35,8 @@
 	}
 	gap := max(gapTimeoutFactor*x.route.MaxEventGap, minGapTimeout)
 	buf := make([]byte, streamBufferBytes)
+	hold := x.hold(k.up)
+	defer hold.Release()
 	st := newStall(ctx, x, k, x.relay.now(), gap)
 	for {
 		// Within an event, bytes are no sign that the stream goes on.
@@ -62,6 +64,10 @@
 				return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 			}
 		}
+		if !hold.Grow(x.events.Buffered()) {
+			x.events.TakePartial()
+			return interrupted(merry.Wrap(errBodyMemory), 0)
+		}
 		if x.events.Buffered() > maxEventBytes {
 			x.events.TakePartial()
 			return outcome{mayHaveRun: true, result: pick.Interrupted, cause: fmt.Sprintf("event larger than %d bytes", maxEventBytes)}
