relay: an engine is asked for its run before the last check of its register entry

Cause: the question which run of an engine answers takes up to 0.3 s, and it came between the check that the upstream may get a request and the send, so that an upstream that left or asked for a pause meanwhile got the stream (rule DRAIN).

Change: the check comes after the question.

TestUpstreamLeavesWhileItIsAsked failed before (the upstream that had left ran the stream) and passes.

--- a/internal/node/relay/body.go
+++ b/internal/node/relay/body.go
@@ -32,11 +32,11 @@
 	bodyBlockBytes = 32 << 10
 	// defaultBodyMemory is the memory for buffered bodies unless the settings name it.
 	defaultBodyMemory = 64 << 20
-	// requestShare is the part of it that requests' bodies may take, responses may take
-	// as much again.
+	// requestShare is the memory for the bodies of requests, as a share of that for
+	// responses.
 	requestShare = 0.5
-	// memoryRetryAfter is what callers are told whose request found no memory: bodies are
-	// read within a round trip or two.
+	// memoryRetryAfter is the time after which a caller whose request found no memory may
+	// return: bodies are read within a round trip or two.
 	memoryRetryAfter = 500 * time.Millisecond
 	// memoryReason is the refusal reason of such a request.
 	memoryReason = "memory"
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -54,6 +54,12 @@
 	if err != nil {
 		return nil, outcome{result: pick.ConnectFailed, cause: err.Error()}
 	}
+	if x.mustIdentify(conn, up) {
+		if o, ok := x.identify(ctx, conn, up, until); !ok {
+			conn.Abort()
+			return nil, o
+		}
+	}
 	x.relay.mu.Lock()
 	usable := x.relay.table.Usable(up) && !x.relay.table.Paused(x.relay.now(), up)
 	x.relay.mu.Unlock()
@@ -61,12 +67,6 @@
 		conn.Abort()
 		return nil, outcome{result: pick.Inconclusive, cause: "upstream no longer available, or it has asked for a pause"}
 	}
-	if x.mustIdentify(conn, up) {
-		if o, ok := x.identify(ctx, conn, up, until); !ok {
-			conn.Abort()
-			return nil, o
-		}
-	}
 	k.conn, k.detach = conn, context.AfterFunc(ctx, conn.Abort)
 	raw := x.relay.codec.EncodeRequest(x.req, fleet.Attempt{Upstream: up, TimeLeft: x.deadline.Sub(k.sent), Priority: noPriority, LastEventID: x.resumeFrom()})
 	err = conn.SetWriteDeadline(until)
@@ -125,7 +125,6 @@
 	if k.verdict == fleet.Foreign {
 		return outcome{mayHaveRun: true, result: pick.Interrupted, firstByteTime: k.firstByteTime, cause: "response belongs to another request"}
 	}
-	// A refusal is smaller than what a body may have without asking.
 	body, err := readBody(k.res.Body, x.hold(k.up), maxRefusalBytes)
 	complete := err == nil
 	o := outcome{result: pick.Rejected, status: k.res.StatusCode, cause: k.verdict.String()}
--- a/internal/node/relay/identify.go
+++ b/internal/node/relay/identify.go
@@ -31,7 +31,7 @@
 // mustIdentify reports whether the upstream has to say on a connection which of its runs
 // answers, before a part of a stream may be run there. An upstream may start again under its
 // ID with another software version; while this daemon doesn't read the register, only the
-// upstream itself tells.
+// upstream itself knows.
 func (x *exchange) mustIdentify(conn *http1.Conn, up fleet.Upstream) bool {
 	r := x.relay
 	if x.route.Kind != fleet.Stream || !x.route.Resumable || r.settings.RegisterAge == nil || up.Born == 0 || conn.Born == up.Born {
@@ -78,8 +78,8 @@
 }
 
 // askBorn returns when the run of the upstream at the other end of the connection started.
-// A connection that carries one request is left to that; another one to the same upstream
-// then tells, since the former would have ended with an earlier run.
+// A connection that carries one request is left to that. Another one to the same upstream is
+// used then, since the first would have ended with an earlier run.
 func (x *exchange) askBorn(ctx context.Context, conn *http1.Conn, up fleet.Upstream, deadline time.Time) (int64, error) {
 	if _, once := conn.Conn.(http1.OneRequest); once {
 		dial, cancel := context.WithDeadline(ctx, deadline)
--- a/internal/node/relay/identify_test.go
+++ b/internal/node/relay/identify_test.go
@@ -129,6 +129,26 @@
 	}
 }
 
+// TestUpstreamLeavesWhileItIsAsked guards against a stream that is sent to an upstream which
+// has left, or asked for a pause, while it was asked for its run (DRAIN).
+func TestUpstreamLeavesWhileItIsAsked(t *testing.T) {
+	var reports atomic.Int32
+	var f *fixture
+	f = newRunFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/report" {
+			f.relay.SetUpstreams(time.Now(), f.ups[1:])
+			_, _ = io.WriteString(w, "1")
+			return
+		}
+		streamEvents(3, 0)(w, r)
+	}, reported("1", &reports, streamEvents(3, 0)))
+	f.outOfStep()
+	code, body := f.send(http.MethodPost, "a", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	must.Eq(t, 1, f.requestCount(0), must.Sprint("the report alone"))
+}
+
 // TestRunIsAskedWhenNeeded guards against a question at each request: a daemon in step asks
 // for no reports, nor does any for requests that no other version can continue.
 func TestRunIsAskedWhenNeeded(t *testing.T) {
