--- a/internal/node/relay/identify_test.go
+++ b/internal/node/relay/identify_test.go
@@ -63,7 +63,7 @@
 	must.Eq(t, 1, f.requestCount(1), must.Sprint("the report alone"))
 	must.Eq(t, 2, f.requestCount(2))
 
-	// The first event decides at which version a stream goes on.
+	// The first event decides at which version a stream continues.
 	reports.Store(0)
 	f = newRunFixture(t, reported("2", &reports, streamEvents(3, 0)), reported("1", &reports, streamEvents(3, 0)))
 	f.outOfStep()
