dedup: the stand-in's reads fail once the link is down

Cause, by a trace of the interleaving: memLink.Read looked whether the link is down before it copied the records; descheduled between the two, it returned a record that was written after the link went down. The product isn't at fault: it did read the record. The stand-in looks again after the copy, so it is stricter; no check changes.

--- a/internal/node/dedup/memlog_test.go
+++ b/internal/node/dedup/memlog_test.go
@@ -146,14 +146,18 @@
 	return off, at, nil
 }
 
+// unreadable reports whether reads over the link fail.
+func (l *memLink) unreadable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down || l.readDown
+}
+
 func (l *memLink) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
-		l.mu.Lock()
-		bad := l.down || l.readDown
-		l.mu.Unlock()
-		if bad {
+		if l.unreadable() {
 			return Page{}, errDown
 		}
 		l.memLog.mu.Lock()
@@ -166,6 +170,10 @@
 		}
 		changed := s.changed
 		l.memLog.mu.Unlock()
+		if l.unreadable() {
+			// Records that were written since the link went down aren't read.
+			return Page{}, errDown
+		}
 		if len(p.Records) > 0 || wait == 0 {
 			return p, nil
 		}
