--- a/internal/node/relay/stop.go
+++ b/internal/node/relay/stop.go
@@ -12,5 +12,5 @@
 }
 
 // EndRequests ends the requests in progress: the callers of those whose response hasn't
-// begun are told that they may have run.
+// begun receive 502, since they may have run.
 func (r *Relay) EndRequests() { r.endServing(errStopping) }
