--- a/review/rig2/daemon.go
+++ b/review/rig2/daemon.go
@@ -21,6 +21,8 @@
 		fds      int
 		// first says that the whole system starts for the first time.
 		first bool
+		// site has the figures of the deployment.
+		site string
 	}
 
 	// daemon is a process of the program of the deploy file.
@@ -108,6 +110,19 @@
 	pollInterval = 20 * time.Millisecond
 )
 
+// sites has what differs from settingsText in the settings of a deployment, by its name.
+var sites = map[string]*strings.Replacer{
+	"epmrj-cuenca-grown": strings.NewReplacer(),
+	"figtray-coop": strings.NewReplacer(
+		"azuay-a", "yeongcheon", "azuay-b", "gyeongsan", "azuay-c", "cheongdo", "azuay", "yeongnam",
+		"cpuShare=0.192", "cpuShare=0.4", "linkMbps=10.0", "linkMbps=1000.0", "contactMs=4000", "contactMs=3000",
+		"ackMs=6000", "ackMs=4000", "catchUpS=6", "catchUpS=4", "drainMs=3000", "drainMs=2000",
+		"configDeadlineMs=3000", "configDeadlineMs=2000", "maxSkewMs=6000", "maxSkewMs=5000", "retrySlack=190", "retrySlack=52",
+		"recoveryS=15", "recoveryS=12", "passMs=200", "passMs=120",
+		"platform.writesPerS=1200", "platform.writesPerS=400", "platform.readsPerS=6000", "platform.readsPerS=2000",
+	),
+}
+
 // newDaemon starts a daemon on a loopback address of its own.
 func newDaemon(m machine, ip, folder, storeAddress string) (*daemon, error) {
 	free, err := freePorts(ip, ports+2)
@@ -150,7 +165,7 @@
 // start starts the process.
 func (d *daemon) start(first bool) error {
 	path := filepath.Join(d.folder, d.name+".conf")
-	text := fmt.Sprintf(settingsText, d.name, d.ip, d.callers, d.readiness, d.firstPort, d.firstPort+ports-1, first, d.memoryMB, d.fds, d.store)
+	text := fmt.Sprintf(sites[d.site].Replace(settingsText), d.name, d.ip, d.callers, d.readiness, d.firstPort, d.firstPort+ports-1, first, d.memoryMB, d.fds, d.store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -25,7 +25,11 @@
 		// requests is the number of requests of all clients, and sent that of those sent.
 		requests int
 		sent     atomic.Int64
-		partSize int
+		// parts returns the value of X-Prompt-Prefix for the request with a number.
+		parts func(i int) string
+		// clients is their number, and pause that between two requests of one.
+		clients int
+		pause   time.Duration
 	}
 )
 
@@ -59,11 +63,11 @@
 	defer cancel()
 	r.store.put("keyed.op", "config", []byte(lookupConfig))
 	for i := range deskReplicas {
-		if _, err := newReplica(ctx, r.store, fmt.Sprintf("i-desk%d", i)); err != nil {
+		if _, err := newReplica(ctx, r.store, fmt.Sprintf("i-desk%d", i), "azuay-a", 0); err != nil {
 			return false, err
 		}
 	}
-	d, err := r.add(machine{name: "frontend-azuay-a-1", memoryMB: 184, fds: 4100, first: true})
+	d, err := r.add(machine{name: "frontend-azuay-a-1", site: "epmrj-cuenca-grown", memoryMB: 184, fds: 4100, first: true})
 	if err != nil {
 		return false, err
 	}
@@ -72,10 +76,20 @@
 	}
 	now, _ := d.residentKB()
 	r.note("daemon ready, resident %d KB of %d KB", now, d.memoryMB<<10)
-	c := &crowd{daemon: d, requests: crowdRequests, partSize: shortPart}
+	size := shortPart
 	if r.trouble {
-		c.partSize = longPart
+		size = longPart
 	}
+	return r.watchMemory(d, &crowd{daemon: d, requests: crowdRequests, clients: crowdClients, pause: crowdPause, parts: func(i int) string {
+		// Of its parts, the last one belongs to the request itself.
+		digits := strconv.FormatInt(int64(i), 16)
+		return digits + strings.Repeat("a", max(size-len(digits), 0)) + ":100," + digits + ":100"
+	}}), nil
+}
+
+// watchMemory has a crowd send its requests beside an ordinary caller's, and reports whether
+// the daemon took more than the memory of its machine or ended.
+func (r *rig) watchMemory(d *daemon, c *crowd) bool {
 	done := make(chan struct{})
 	go func() { c.run(); close(done) }()
 	var ordinary tally
@@ -95,7 +109,7 @@
 	if d.ended() {
 		r.note("the process has ended")
 	}
-	return d.ended() || most > d.memoryMB<<10, nil
+	return d.ended() || most > d.memoryMB<<10
 }
 
 // noteMemory records what was sent and answered, and the memory of the daemon.
@@ -142,7 +156,7 @@
 // run sends the requests of all clients.
 func (c *crowd) run() {
 	var clients sync.WaitGroup
-	for n := range crowdClients {
+	for n := range c.clients {
 		clients.Go(func() { c.runOne(n) })
 	}
 	clients.Wait()
@@ -157,24 +171,21 @@
 			_ = conn.Close()
 		}
 	}()
-	for i := n; i < c.requests && !c.daemon.ended(); i += crowdClients {
+	for i := n; i < c.requests && !c.daemon.ended(); i += c.clients {
 		if conn == nil {
 			var err error
 			if conn, err = net.Dial("tcp", c.daemon.callers); err != nil {
 				conn = nil
-				time.Sleep(crowdPause)
+				time.Sleep(c.pause)
 				continue
 			}
 			br = bufio.NewReader(conn)
 		}
 		c.sent.Add(1)
-		// Of its parts, the last one belongs to the request itself.
-		digits := strconv.FormatInt(int64(i), 16)
-		part := digits + strings.Repeat("a", max(c.partSize-len(digits), 0))
-		if !exchangeOnce(conn, br, fmt.Sprintf("crowd-%d", i), part+":100,"+digits+":100", &c.tally) {
+		if !exchangeOnce(conn, br, fmt.Sprintf("crowd-%d", i), c.parts(i), &c.tally) {
 			_ = conn.Close()
 			conn = nil
 		}
-		time.Sleep(crowdPause)
+		time.Sleep(c.pause)
 	}
 }
