--- a/review/rig2/commas.go
+++ b/review/rig2/commas.go
@@ -10,6 +10,8 @@
 const (
 	// commaClients is the number of clients, commaRequests that of their requests.
 	commaClients, commaRequests = 800, 8000
+	// commaBytes is the size of the prompt prefix: the head stays below maxHeaderBytes.
+	commaBytes = 15 << 10
 	// deskWork is the time that a run of the plain service takes.
 	deskWork = 30 * time.Millisecond
 )
@@ -37,9 +39,9 @@
 	now, _ := d.residentKB()
 	r.note("daemon ready, resident %d KB of %d KB", now, d.memoryMB<<10)
 	// The same number of bytes in one part, or in as many parts as it has bytes.
-	value := strings.Repeat("a", longPart)
+	value := strings.Repeat("a", commaBytes)
 	if r.trouble {
-		value = strings.Repeat(",", longPart)
+		value = strings.Repeat(",", commaBytes)
 	}
 	return r.watchMemory(d, &crowd{daemon: d, requests: commaRequests, clients: commaClients, parts: func(int) string { return value }}), nil
 }
--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -16,7 +16,7 @@
 
 type (
 	// tally counts requests by what became of them.
-	tally struct{ ok, refused, cut atomic.Int64 }
+	tally struct{ ok, refused, cut, slowest atomic.Int64 }
 
 	// crowd is a number of uncontrolled clients, each with one connection.
 	crowd struct {
@@ -40,16 +40,20 @@
  "services":[{"name":"desk","healthPath":"/healthz","maxConnections":510,"protocol":"h1","tls":false}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 	// crowdClients is the number of uncontrolled clients, crowdRequests that of their
-	// requests, and crowdPause a client's pause between two.
-	crowdClients, crowdRequests = 800, 60000
-	crowdPause                  = 10 * time.Millisecond
+	// requests, and crowdPause a client's pause between two: together they send no more than
+	// the link of the machine carries, 10 Mbit/s. Their connections are idle for less than
+	// four fifths of idleTimeoutMs.
+	crowdClients, crowdRequests = 925, 8325
+	crowdPause                  = 11900 * time.Millisecond
 	// longPart is the size of the ID of a prompt part, in hexadecimal digits. The head of
 	// its request stays below maxHeaderBytes; shortPart is that of an ordinary ID.
-	longPart, shortPart = 15 << 10, 8
+	longPart, shortPart = 15900, 8
 	// callInterval is the interval of an ordinary caller's requests, and noteCalls the
 	// number of them from one line of the record to the next.
 	callInterval = 50 * time.Millisecond
 	noteCalls    = 40
+	// smallMemory is the memory of a machine of the small twins of the sheets' days, in MB.
+	smallMemory = 160
 	// deskReplicas is the number of replicas.
 	deskReplicas = 3
 )
@@ -67,7 +71,7 @@
 			return false, err
 		}
 	}
-	d, err := r.add(machine{name: "frontend-azuay-a-1", site: "epmrj-cuenca-grown", memoryMB: 184, fds: 4100, first: true})
+	d, err := r.add(machine{name: "frontend-azuay-a-1", site: "epmrj-cuenca-grown", memoryMB: smallMemory, fds: 4100, first: true})
 	if err != nil {
 		return false, err
 	}
@@ -115,8 +119,8 @@
 // noteMemory records what was sent and answered, and the memory of the daemon.
 func (r *rig) noteMemory(d *daemon, c *crowd, ordinary *tally) {
 	now, most := d.residentKB()
-	r.note("crowd: sent %d, answered %d, refused %d, connection ended %d; ordinary: answered %d, refused %d, connection ended %d; resident %d KB, most %d KB of %d KB",
-		c.sent.Load(), c.tally.ok.Load(), c.tally.refused.Load(), c.tally.cut.Load(), ordinary.ok.Load(), ordinary.refused.Load(), ordinary.cut.Load(), now, most, d.memoryMB<<10)
+	r.note("crowd: sent %d, answered %d, refused %d, connection ended %d; ordinary: answered %d, refused %d, connection ended %d, slowest %v; resident %d KB, most %d KB of %d KB",
+		c.sent.Load(), c.tally.ok.Load(), c.tally.refused.Load(), c.tally.cut.Load(), ordinary.ok.Load(), ordinary.refused.Load(), ordinary.cut.Load(), time.Duration(ordinary.slowest.Load()).Round(time.Millisecond), now, most, d.memoryMB<<10)
 }
 
 // callOnce sends an ordinary request on a connection of its own.
@@ -127,7 +131,11 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
+	began := time.Now()
 	exchangeOnce(conn, bufio.NewReader(conn), fmt.Sprintf("plain-%d", n), "5c1e07a2:800,91bd3f06:410", t)
+	if took := time.Since(began); took > time.Duration(t.slowest.Load()) {
+		t.slowest.Store(int64(took))
+	}
 }
 
 // exchangeOnce sends a request, reads its answer, and reports whether the connection may be
@@ -171,6 +179,7 @@
 			_ = conn.Close()
 		}
 	}()
+	time.Sleep(c.pause * time.Duration(n) / time.Duration(c.clients))
 	for i := n; i < c.requests && !c.daemon.ended(); i += c.clients {
 		if conn == nil {
 			var err error
