--- a/review/rig2/commas.go
+++ b/review/rig2/commas.go
@@ -29,7 +29,7 @@
 			return false, err
 		}
 	}
-	d, err := r.add(machine{name: "frontend-yeongcheon-1", site: "figtray-coop", memoryMB: 284, fds: 4200, first: true})
+	d, err := r.add(machine{name: "frontend-yeongcheon-1", memoryMB: 284, fds: 4200, first: true})
 	if err != nil {
 		return false, err
 	}
--- a/review/rig2/daemon.go
+++ b/review/rig2/daemon.go
@@ -21,8 +21,6 @@
 		fds      int
 		// first says that the whole system starts for the first time.
 		first bool
-		// site has the figures of the deployment.
-		site string
 	}
 
 	// daemon is a process of the program of the deploy file.
@@ -37,27 +35,27 @@
 )
 
 const (
-	// settingsText are the settings of a host, with the figures of epmrj-cuenca-grown.
+	// settingsText are the settings of a host of figtray-coop.
 	settingsText = `nodeName=%s
 role=entry
 machineClass=frontend
 serves=frontend
 ip=%s
-zone=azuay-a
-region=azuay
-zones.azuay-a=azuay
-zones.azuay-b=azuay
-zones.azuay-c=azuay
+zone=yeongcheon
+region=yeongnam
+zones.yeongcheon=yeongnam
+zones.gyeongsan=yeongnam
+zones.cheongdo=yeongnam
 listen.frontend=%s
 listen.readiness=%s
 internalPorts=%d,%d
 bootstrap=%t
 lossCounts=false
-limits.cpuShare=0.192
+limits.cpuShare=0.4
 limits.cores=1
 limits.memoryMb=%d
 limits.maxFds=%d
-limits.linkMbps=10.0
+limits.linkMbps=1000.0
 limits.diskMb=0
 discovery=platform
 entry=vip
@@ -68,20 +66,20 @@
 faultTolerance.regions=0
 bounds.seedStalenessS=3
 bounds.reuseAfterS=2
-bounds.contactMs=4000
-bounds.ackMs=6000
-bounds.catchUpS=6
-bounds.drainMs=3000
+bounds.contactMs=3000
+bounds.ackMs=4000
+bounds.catchUpS=4
+bounds.drainMs=2000
 bounds.gracePeriodS=8
 bounds.lossSlackMs=200
-bounds.configDeadlineMs=3000
+bounds.configDeadlineMs=2000
 bounds.rollbackSlackMs=250
-bounds.maxSkewMs=6000
+bounds.maxSkewMs=5000
 bounds.retryBudgetRatio=0.2
 bounds.retryWindowS=10
-bounds.retrySlack=190
-bounds.recoveryS=15
-bounds.passMs=200
+bounds.retrySlack=52
+bounds.recoveryS=12
+bounds.passMs=120
 bounds.retryAfterS=0
 bounds.requireFence=false
 bounds.leaseTtlMs=3000
@@ -90,8 +88,8 @@
 bounds.ceilingOvershoot=1.1
 platform.address=%s
 platform.form=log
-platform.writesPerS=1200
-platform.readsPerS=6000
+platform.writesPerS=400
+platform.readsPerS=2000
 platform.parts=12
 platform.appendMs=2.0
 platform.partMbPerS=20.0
@@ -110,19 +108,6 @@
 	pollInterval = 20 * time.Millisecond
 )
 
-// sites has what differs from settingsText in the settings of a deployment, by its name.
-var sites = map[string]*strings.Replacer{
-	"epmrj-cuenca-grown": strings.NewReplacer(),
-	"figtray-coop": strings.NewReplacer(
-		"azuay-a", "yeongcheon", "azuay-b", "gyeongsan", "azuay-c", "cheongdo", "azuay", "yeongnam",
-		"cpuShare=0.192", "cpuShare=0.4", "linkMbps=10.0", "linkMbps=1000.0", "contactMs=4000", "contactMs=3000",
-		"ackMs=6000", "ackMs=4000", "catchUpS=6", "catchUpS=4", "drainMs=3000", "drainMs=2000",
-		"configDeadlineMs=3000", "configDeadlineMs=2000", "maxSkewMs=6000", "maxSkewMs=5000", "retrySlack=190", "retrySlack=52",
-		"recoveryS=15", "recoveryS=12", "passMs=200", "passMs=120",
-		"platform.writesPerS=1200", "platform.writesPerS=400", "platform.readsPerS=6000", "platform.readsPerS=2000",
-	),
-}
-
 // newDaemon starts a daemon on a loopback address of its own.
 func newDaemon(m machine, ip, folder, storeAddress string) (*daemon, error) {
 	free, err := freePorts(ip, ports+2)
@@ -165,7 +150,7 @@
 // start starts the process.
 func (d *daemon) start(first bool) error {
 	path := filepath.Join(d.folder, d.name+".conf")
-	text := fmt.Sprintf(sites[d.site].Replace(settingsText), d.name, d.ip, d.callers, d.readiness, d.firstPort, d.firstPort+ports-1, first, d.memoryMB, d.fds, d.store)
+	text := fmt.Sprintf(settingsText, d.name, d.ip, d.callers, d.readiness, d.firstPort, d.firstPort+ports-1, first, d.memoryMB, d.fds, d.store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -35,43 +35,40 @@
 
 const (
 	// lookupConfig has the limits of the deployments and the route of look-ups.
-	lookupConfig = `{"version":2,"routes":[{"name":"lookup","host":"a.example","pathPrefix":"/lookup/","kind":"safe","timeoutMs":2500,
- "targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2}],
- "services":[{"name":"desk","healthPath":"/healthz","maxConnections":510,"protocol":"h1","tls":false}],
+	lookupConfig = `{"version":2,"routes":[{"name":"lookup","host":"a.example","pathPrefix":"/lookup/","kind":"safe","timeoutMs":1000,
+ "targetLatencyMs":100,"priority":2,"service":"desk","maxAttempts":2}],
+ "services":[{"name":"desk","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 	// crowdClients is the number of uncontrolled clients, crowdRequests that of their
-	// requests, and crowdPause a client's pause between two: together they send no more than
-	// the link of the machine carries, 10 Mbit/s. Their connections are idle for less than
-	// four fifths of idleTimeoutMs.
-	crowdClients, crowdRequests = 925, 8325
-	crowdPause                  = 11900 * time.Millisecond
-	// longPart is the size of the ID of a prompt part, in hexadecimal digits. The head of
-	// its request stays below maxHeaderBytes; shortPart is that of an ordinary ID.
-	longPart, shortPart = 15900, 8
+	// requests, and crowdPause a client's pause between two: together they send less than half
+	// of what the link of the machine carries, 1,000 Mbit/s.
+	crowdClients, crowdRequests = 16, 8400
+	crowdPause                  = 20 * time.Millisecond
+	// longPart is the size of the ID of a prompt part, in hexadecimal digits, which brings the
+	// head above maxHeaderBytes; shortPart is that of an ordinary ID.
+	longPart, shortPart = 60000, 8
 	// callInterval is the interval of an ordinary caller's requests, and noteCalls the
 	// number of them from one line of the record to the next.
 	callInterval = 50 * time.Millisecond
 	noteCalls    = 40
-	// smallMemory is the memory of a machine of the small twins of the sheets' days, in MB.
-	smallMemory = 160
 	// deskReplicas is the number of replicas.
 	deskReplicas = 3
 )
 
 func init() { plays["parts"] = playParts }
 
-// playParts has uncontrolled clients send requests of legal size, each with a prompt part of
-// its own that has a long ID, and looks at the daemon's memory.
+// playParts has uncontrolled clients send requests with heads above the limit, each with a
+// prompt part of its own that has a long ID, and looks at the daemon's memory.
 func playParts(r *rig) (bool, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.store.put("keyed.op", "config", []byte(lookupConfig))
 	for i := range deskReplicas {
-		if _, err := newReplica(ctx, r.store, fmt.Sprintf("i-desk%d", i), "azuay-a", 0); err != nil {
+		if _, err := newReplica(ctx, r.store, fmt.Sprintf("i-desk%d", i), "yeongcheon", deskWork); err != nil {
 			return false, err
 		}
 	}
-	d, err := r.add(machine{name: "frontend-azuay-a-1", site: "epmrj-cuenca-grown", memoryMB: smallMemory, fds: 4100, first: true})
+	d, err := r.add(machine{name: "frontend-yeongcheon-1", memoryMB: 284, fds: 4200, first: true})
 	if err != nil {
 		return false, err
 	}
@@ -142,7 +139,7 @@
 // used further.
 func exchangeOnce(conn net.Conn, br *bufio.Reader, id, parts string, t *tally) bool {
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	_, err := fmt.Fprintf(conn, "GET /lookup/docket HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Prompt-Prefix: %s\r\nX-Deadline-Ms: 2500\r\n\r\n", id, parts)
+	_, err := fmt.Fprintf(conn, "GET /lookup/docket HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Prompt-Prefix: %s\r\nX-Deadline-Ms: 1000\r\n\r\n", id, parts)
 	var res *http.Response
 	if err == nil {
 		res, err = http.ReadResponse(br, nil)
@@ -179,7 +176,6 @@
 			_ = conn.Close()
 		}
 	}()
-	time.Sleep(c.pause * time.Duration(n) / time.Duration(c.clients))
 	for i := n; i < c.requests && !c.daemon.ended(); i += c.clients {
 		if conn == nil {
 			var err error
@@ -195,6 +191,8 @@
 			_ = conn.Close()
 			conn = nil
 		}
-		time.Sleep(c.pause)
+		if i+c.clients < c.requests {
+			time.Sleep(c.pause)
+		}
 	}
 }
