--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -16,15 +16,14 @@
 
 type (
 	// tally counts requests by what became of them.
-	tally struct{ ok, refused, cut, slowest atomic.Int64 }
+	tally struct{ ok, refused, cut atomic.Int64 }
 
 	// crowd is a number of uncontrolled clients, each with one connection.
 	crowd struct {
 		daemon *daemon
-		tally  tally
-		// requests is the number of requests of all clients, and sent that of those sent.
-		requests int
-		sent     atomic.Int64
+		// tally is of the crowd's requests, and ordinary of the ordinary caller's beside it.
+		tally, ordinary tally
+		sent            atomic.Int64
 		// parts returns the value of X-Prompt-Prefix for the request with a number.
 		parts func(i int) string
 		// clients is their number, and pause that between two requests of one.
@@ -39,18 +38,28 @@
  "targetLatencyMs":100,"priority":2,"service":"desk","maxAttempts":2}],
  "services":[{"name":"desk","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
-	// crowdClients is the number of uncontrolled clients, crowdRequests that of their
-	// requests, and crowdPause a client's pause between two: together they send less than half
-	// of what the link of the machine carries, 1,000 Mbit/s.
-	crowdClients, crowdRequests = 16, 8400
-	crowdPause                  = 20 * time.Millisecond
+	// crowdClients is the number of uncontrolled clients of a machine, and crowdPause a
+	// client's pause between two requests: together they send less than half of what the link
+	// of the machine carries, 1,000 Mbit/s.
+	crowdClients = 16
+	crowdPause   = 20 * time.Millisecond
+	// dialPause is a client's pause after a connection was refused.
+	dialPause = 20 * time.Millisecond
+	// machines is the number of machines, both of the size that a zone of figtray-coop has
+	// two of, and endsPerMachine that of the ends of a process which the rule takes.
+	machines, endsPerMachine = 2, 3
+	// playTime bounds a play.
+	playTime = 105 * time.Second
+	// memoryInterval is the interval at which the platform looks at the memory of a process,
+	// and restartDelay its delay before it starts one again.
+	memoryInterval = 10 * time.Millisecond
+	restartDelay   = 500 * time.Millisecond
+	noteInterval   = 4 * time.Second
 	// longPart is the size of the ID of a prompt part, in hexadecimal digits, which brings the
 	// head above maxHeaderBytes; shortPart is that of an ordinary ID.
 	longPart, shortPart = 60000, 8
-	// callInterval is the interval of an ordinary caller's requests, and noteCalls the
-	// number of them from one line of the record to the next.
+	// callInterval is the interval of an ordinary caller's requests.
 	callInterval = 50 * time.Millisecond
-	noteCalls    = 40
 	// deskReplicas is the number of replicas.
 	deskReplicas = 3
 )
@@ -58,66 +67,114 @@
 func init() { plays["parts"] = playParts }
 
 // playParts has uncontrolled clients send requests with heads above the limit, each with a
-// prompt part of its own that has a long ID, and looks at the daemon's memory.
+// prompt part of its own that has a long ID.
 func playParts(r *rig) (bool, error) {
-	ctx, cancel := context.WithCancel(context.Background())
+	size := shortPart
+	if r.trouble {
+		size = longPart
+	}
+	return r.playCrowds(func(d *daemon) *crowd {
+		return &crowd{daemon: d, clients: crowdClients, pause: crowdPause, parts: func(i int) string {
+			// Of its parts, the last one belongs to the request itself.
+			digits := strconv.FormatInt(int64(i), 16)
+			return digits + strings.Repeat("a", max(size-len(digits), 0)) + ":100," + digits + ":100"
+		}}
+	})
+}
+
+// playCrowds starts the two small machines of the deployment, sends a crowd to each beside an
+// ordinary caller, and reports whether the processes ended by themselves so often that the
+// rule is broken: three times on each of the two. It ends then, or after playTime.
+func (r *rig) playCrowds(newCrowd func(d *daemon) *crowd) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), playTime)
 	defer cancel()
 	r.store.put("keyed.op", "config", []byte(lookupConfig))
+	var replicas []*replica
 	for i := range deskReplicas {
-		if _, err := newReplica(ctx, r.store, fmt.Sprintf("i-desk%d", i), "yeongcheon", deskWork); err != nil {
+		p, err := newReplica(ctx, r.store, fmt.Sprintf("i-desk%d", i), "yeongcheon", deskWork)
+		if err != nil {
 			return false, err
 		}
+		replicas = append(replicas, p)
 	}
-	d, err := r.add(machine{name: "frontend-yeongcheon-1", memoryMB: 284, fds: 4200, first: true})
-	if err != nil {
-		return false, err
+	for i := range machines {
+		if _, err := r.add(machine{name: fmt.Sprintf("frontend-yeongcheon-%d", i+1), memoryMB: 284, fds: 4200, first: true}); err != nil {
+			return false, err
+		}
 	}
-	if err := d.awaitReady(); err != nil {
-		return false, err
+	for _, d := range r.daemons {
+		if err := d.awaitReady(); err != nil {
+			return false, err
+		}
 	}
-	now, _ := d.residentKB()
-	r.note("daemon ready, resident %d KB of %d KB", now, d.memoryMB<<10)
-	size := shortPart
-	if r.trouble {
-		size = longPart
+	var users, hosts sync.WaitGroup
+	var ended atomic.Int64
+	for _, d := range r.daemons {
+		c := newCrowd(d)
+		users.Go(func() { c.run(ctx) })
+		users.Go(func() {
+			for n := 1; ctx.Err() == nil; n++ {
+				callOnce(d, n, &c.ordinary)
+				time.Sleep(callInterval)
+			}
+		})
+		hosts.Go(func() {
+			if r.host(ctx, d, c) >= endsPerMachine && ended.Add(1) == machines {
+				cancel()
+			}
+		})
+	}
+	hosts.Wait()
+	cancel()
+	users.Wait()
+	runs := map[string]int{}
+	for _, p := range replicas {
+		p.mu.Lock()
+		for id, n := range p.runs {
+			kind, _, _ := strings.Cut(id, "-")
+			runs[kind] += n
+		}
+		p.mu.Unlock()
 	}
-	return r.watchMemory(d, &crowd{daemon: d, requests: crowdRequests, clients: crowdClients, pause: crowdPause, parts: func(i int) string {
-		// Of its parts, the last one belongs to the request itself.
-		digits := strconv.FormatInt(int64(i), 16)
-		return digits + strings.Repeat("a", max(size-len(digits), 0)) + ":100," + digits + ":100"
-	}}), nil
+	r.note("replicas ran %d requests of the crowds and %d ordinary ones", runs["crowd"], runs["plain"])
+	return ended.Load() == machines, nil
 }
 
-// watchMemory has a crowd send its requests beside an ordinary caller's, and reports whether
-// the daemon took more than the memory of its machine or ended.
-func (r *rig) watchMemory(d *daemon, c *crowd) bool {
-	done := make(chan struct{})
-	go func() { c.run(); close(done) }()
-	var ordinary tally
-	for n, going := 1, true; going && !d.ended(); n++ {
-		select {
-		case <-done:
-			going = false
-		case <-time.After(callInterval):
+// host does with a daemon what the platform does: it kills the process once it takes more than
+// the memory of its machine, and starts it again. It returns after endsPerMachine ends of the
+// process, or when ctx ends, with their number.
+func (r *rig) host(ctx context.Context, d *daemon, c *crowd) (ends int) {
+	for noted := time.Now(); ctx.Err() == nil && ends < endsPerMachine; time.Sleep(memoryInterval) {
+		now, most := d.residentKB()
+		if time.Since(noted) > noteInterval {
+			noted = time.Now()
+			r.noteCrowd(d, c, now, most)
 		}
-		callOnce(d, n, &ordinary)
-		if n%noteCalls == 0 {
-			r.noteMemory(d, c, &ordinary)
+		if now <= d.memoryMB<<10 && !d.ended() {
+			continue
+		}
+		ends++
+		r.noteCrowd(d, c, now, most)
+		r.note("%s: resident %d KB, limit %d KB: the process ends, for the %d. time", d.name, now, d.memoryMB<<10, ends)
+		d.kill()
+		if ends == endsPerMachine {
+			return ends
+		}
+		time.Sleep(restartDelay)
+		if err := d.start(false); err != nil {
+			r.note("%s: not started: %v", d.name, err)
+			return ends
 		}
 	}
-	r.noteMemory(d, c, &ordinary)
-	_, most := d.residentKB()
-	if d.ended() {
-		r.note("the process has ended")
-	}
-	return d.ended() || most > d.memoryMB<<10
+	now, most := d.residentKB()
+	r.noteCrowd(d, c, now, most)
+	return ends
 }
 
-// noteMemory records what was sent and answered, and the memory of the daemon.
-func (r *rig) noteMemory(d *daemon, c *crowd, ordinary *tally) {
-	now, most := d.residentKB()
-	r.note("crowd: sent %d, answered %d, refused %d, connection ended %d; ordinary: answered %d, refused %d, connection ended %d, slowest %v; resident %d KB, most %d KB of %d KB",
-		c.sent.Load(), c.tally.ok.Load(), c.tally.refused.Load(), c.tally.cut.Load(), ordinary.ok.Load(), ordinary.refused.Load(), ordinary.cut.Load(), time.Duration(ordinary.slowest.Load()).Round(time.Millisecond), now, most, d.memoryMB<<10)
+// noteCrowd records what was sent and answered, and the memory of the daemon.
+func (r *rig) noteCrowd(d *daemon, c *crowd, now, most int) {
+	r.note("%s: crowd: sent %d, answered %d, refused %d, connection ended %d; ordinary: answered %d, refused %d, connection ended %d; resident %d KB, most %d KB of %d KB",
+		d.name, c.sent.Load(), c.tally.ok.Load(), c.tally.refused.Load(), c.tally.cut.Load(), c.ordinary.ok.Load(), c.ordinary.refused.Load(), c.ordinary.cut.Load(), now, most, d.memoryMB<<10)
 }
 
 // callOnce sends an ordinary request on a connection of its own.
@@ -128,11 +185,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	began := time.Now()
-	exchangeOnce(conn, bufio.NewReader(conn), fmt.Sprintf("plain-%d", n), "5c1e07a2:800,91bd3f06:410", t)
-	if took := time.Since(began); took > time.Duration(t.slowest.Load()) {
-		t.slowest.Store(int64(took))
-	}
+	exchangeOnce(conn, bufio.NewReader(conn), fmt.Sprintf("plain-%s-%d", d.name, n), "5c1e07a2:800,91bd3f06:410", t)
 }
 
 // exchangeOnce sends a request, reads its answer, and reports whether the connection may be
@@ -158,41 +211,37 @@
 	return err == nil && !res.Close
 }
 
-// run sends the requests of all clients.
-func (c *crowd) run() {
+// run sends the requests of all clients until ctx ends.
+func (c *crowd) run(ctx context.Context) {
 	var clients sync.WaitGroup
 	for n := range c.clients {
-		clients.Go(func() { c.runOne(n) })
+		clients.Go(func() { c.runOne(ctx, n) })
 	}
 	clients.Wait()
 }
 
 // runOne sends the requests of one client.
-func (c *crowd) runOne(n int) {
+func (c *crowd) runOne(ctx context.Context, n int) {
 	var conn net.Conn
 	var br *bufio.Reader
-	defer func() {
-		if conn != nil {
-			_ = conn.Close()
-		}
-	}()
-	for i := n; i < c.requests && !c.daemon.ended(); i += c.clients {
+	for i := n; ctx.Err() == nil; i += c.clients {
 		if conn == nil {
 			var err error
 			if conn, err = net.Dial("tcp", c.daemon.callers); err != nil {
 				conn = nil
-				time.Sleep(c.pause)
+				time.Sleep(dialPause)
 				continue
 			}
 			br = bufio.NewReader(conn)
 		}
 		c.sent.Add(1)
-		if !exchangeOnce(conn, br, fmt.Sprintf("crowd-%d", i), c.parts(i), &c.tally) {
+		if !exchangeOnce(conn, br, fmt.Sprintf("crowd-%s-%d", c.daemon.name, i), c.parts(i), &c.tally) {
 			_ = conn.Close()
 			conn = nil
 		}
-		if i+c.clients < c.requests {
-			time.Sleep(c.pause)
-		}
+		time.Sleep(c.pause)
+	}
+	if conn != nil {
+		_ = conn.Close()
 	}
 }
