head, http1: responses with a status outside 100 to 599 are malformed

Callers saw a 200 that the upstream never gave: an answer with status 000 whose content was itself a response. Statuses 600 to 999 were passed on; one with the mark of a request that didn't run became a 503, which promises so, though the request may have run.

Cause: ReadResponse took every status below 200 as that of an interim response and read the next head from the content. net/http accepts three characters that strconv.Atoi accepts, also -00 and +99. Ruled out: the codec, which never saw such a response.

Change: link/head checks the bytes of heads while ReadResponse reads them. The parsed response doesn't exist before the check, so that nothing is learned from it (limits, pauses, leaving, crashes); the relay treats the error as any other answer that can't be read: 502 or another attempt of a route that may be repeated, the connection is reset, a failure of the upstream and no crash.

--- a/internal/link/http1/limit.go
+++ b/internal/link/http1/limit.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"time"
+
+	"github.com/azurespan/azurespan/internal/link/head"
 )
 
 type (
@@ -29,12 +31,13 @@
 		Expired() bool
 	}
 
-	// limitedReader reads from conn, while a limit is set up to that many bytes, and
-	// within the bounds of stall unless that is nil.
+	// limitedReader reads from conn, while a limit is set up to that many bytes, which
+	// are those of heads, and within the bounds of stall unless that is nil.
 	limitedReader struct {
 		conn    net.Conn
 		limited bool
 		left    int
+		heads   head.Scanner
 		stall   Stall
 		// stalledErr is the error of the read that stall has ended. net/http reads on
 		// after errors.
@@ -54,8 +57,14 @@
 	return fmt.Sprintf("head of the response is larger than %d bytes", e.Limit)
 }
 
-// limit sets the number of bytes that may be read.
-func (l *limitedReader) limit(n int) { l.limited, l.left = true, n }
+// limit sets the number of bytes that may be read. They are those of heads that begin
+// with the bytes in buffered.
+func (l *limitedReader) limit(n int, buffered []byte) error {
+	l.limited, l.left = true, n
+	l.heads.Reset()
+	_, err := l.heads.Scan(buffered)
+	return err
+}
 
 // lift removes the limit.
 func (l *limitedReader) lift() { l.limited = false }
@@ -70,6 +79,9 @@
 	}
 	n, err := l.readBounded(b[:min(len(b), l.left)])
 	l.left -= n
+	if sound, malformed := l.heads.Scan(b[:n]); malformed != nil {
+		return sound, malformed
+	}
 	return n, err
 }
 
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -202,11 +202,14 @@
 
 // ReadResponse reads the status line and header of the response to a request
 // with the given method. It skips informational responses. It fails with a
-// SwitchError at 101, and with a HeadTooLargeError after MaxHeadBytes, informational
-// responses included.
+// SwitchError at 101, with a *head.Error at a malformed head, and with a
+// HeadTooLargeError after MaxHeadBytes, informational responses included.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
-	c.limited.limit(MaxHeadBytes)
+	buffered, _ := c.br.Peek(c.br.Buffered()) // never fails
 	defer c.limited.lift()
+	if err := c.limited.limit(MaxHeadBytes, buffered); err != nil {
+		return nil, merry.Wrap(err)
+	}
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil && c.limited.left <= 0 {
--- /dev/null
+++ b/internal/node/relay/malformed_test.go
@@ -0,0 +1,174 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/check/golden"
+	"github.com/azurespan/azurespan/internal/core/fleet"
+)
+
+// whole is a complete response to request 1.
+const whole = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nfine"
+
+// sendBytes answers with a response and closes the connection.
+func sendBytes(response string) http.HandlerFunc { return closeWithin(response, len(response), false) }
+
+// callerSees returns, for each kind of route, the status and body that the caller of
+// request 1 gets if its upstream sends a response and closes the connection.
+func callerSees(t *testing.T, response string) string {
+	t.Helper()
+	var b strings.Builder
+	fmt.Fprintf(&b, "%.160q\n", response)
+	for _, k := range []struct {
+		kind  fleet.Kind
+		model string
+	}{{fleet.Safe, ""}, {fleet.Unsafe, ""}, {fleet.Stream, "m"}} {
+		if k.kind == fleet.Stream {
+			response = strings.ReplaceAll(response, "Content-Length: 4\r\n\r\nfine", "Content-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n")
+		}
+		f := newFixture(t, route(k.kind, 1, false), sendBytes(response))
+		code, body := f.raw("1", k.model)
+		fmt.Fprintf(&b, "  %s: %d %q\n", k.kind, code, body)
+		must.Eq(t, 1, f.requestCount(0))
+		f.front.Close()
+	}
+	return b.String()
+}
+
+// checkCallersSee compares what callers see of each response with a golden file.
+func checkCallersSee(t *testing.T, name string, responses ...string) {
+	t.Helper()
+	var b strings.Builder
+	for _, r := range responses {
+		b.WriteString(callerSees(t, r))
+	}
+	golden.Check(t, name, b.String())
+}
+
+// nested returns a response with the given status line that has a whole response as its
+// content.
+func nested(status string) string {
+	return fmt.Sprintf("%s\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", status, len(whole), whole)
+}
+
+// TestInvalidStatus guards against a response whose status is outside 100 to 599: one
+// below 100 was taken for an interim response and its content for the answer, and one
+// above 599 was passed on, or taken for a refusal that promises that the request didn't
+// run (issue 61).
+func TestInvalidStatus(t *testing.T) {
+	checkCallersSee(t, "invalid-status.golden",
+		strings.Replace(whole, "200 OK", "000 Error", 1),
+		nested("HTTP/1.1 000 Error"),
+		"HTTP/1.1 000\r\n\r\n"+whole,
+		"HTTP/1.1 099 Error\r\n\r\n"+whole,
+		"HTTP/1.1 -00 Error\r\n\r\n"+whole,
+		"HTTP/1.1 +99 Error\r\n\r\n"+whole,
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Error\r\n\r\n"+whole,
+		"HTTP/1.1 0 Error\r\n\r\n"+whole,
+		strings.Replace(whole, "200 OK", "600 Error", 1),
+		strings.Replace(whole, "200 OK", "999 Error\r\nNot-Run: 1", 1),
+		strings.Replace(whole, "200 OK", "1000 Error\r\nNot-Run: 1", 1),
+		strings.Replace(whole, "200 OK", "", 1),
+	)
+}
+
+// TestSoundResponse guards against a sound response that is rejected as malformed.
+func TestSoundResponse(t *testing.T) {
+	checkCallersSee(t, "sound-response.golden",
+		whole,
+		strings.Replace(whole, " OK", "", 1),
+		strings.Replace(whole, "200 OK", "599 Custom", 1),
+		"HTTP/1.1 100 Continue\r\n\r\n"+whole,
+		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 199 Custom\r\n\r\n"+whole,
+		strings.Replace(whole, "Id: 1", "Id: 1\r\nEmpty:\r\nBlank: \t \r\nObs: \xff\r\nTab: a\tb\r\n!#$%&'*+-.^_`|~0: x\r\nC: d:e", 1),
+		strings.ReplaceAll(whole, "\r\n", "\n"),
+		"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nends with its connection",
+	)
+}
+
+// TestMalformedAnswerIsRetried guards against a safe request that fails although another
+// upstream would have answered, and against a request that may have run and is sent again
+// or said not to have run, since its upstream sent a malformed answer.
+func TestMalformedAnswerIsRetried(t *testing.T) {
+	malformed := nested("HTTP/1.1 000 Error")
+	f := newFixture(t, route(fleet.Safe, 2, false), sendBytes(malformed), respondOK)
+	code, body := f.send(http.MethodGet, "1", "")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, "fine", body)
+	must.Eq(t, 1, f.requestCount(1))
+
+	f = newFixture(t, route(fleet.Unsafe, 2, false), sendBytes(malformed), respondOK)
+	code, _ = f.send(http.MethodPost, "1", "")
+	must.Eq(t, http.StatusBadGateway, code)
+	must.Eq(t, 0, f.requestCount(1))
+}
+
+// TestNothingIsLearnedFromMalformedHead guards against an upstream that is spared, or held
+// to have crashed, for what a malformed head says, and against a connection that is used
+// again after one.
+func TestNothingIsLearnedFromMalformedHead(t *testing.T) {
+	for _, status := range []string{"000 Error", "999 Error"} {
+		connections := make(chan net.Conn, 4)
+		f := newFixture(t, route(fleet.Unsafe, 1, false), func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			connections <- c
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nId: "+r.Header.Get("Id")+"\r\nLeaving: 1\r\nRetry-After: 5\r\nLimit: 1\r\nContent-Length: 0\r\n\r\n")
+		})
+		for _, id := range []string{"1", "2"} {
+			code, _ := f.send(http.MethodPost, id, "")
+			must.Eq(t, http.StatusBadGateway, code, must.Sprint(status))
+			c := <-connections
+			_, err := c.Read(make([]byte, 1))
+			must.Error(t, err, must.Sprint("connection is kept"))
+			_ = c.Close()
+		}
+		up := f.ups[0]
+		_, reason := f.relay.MayForward(time.Now(), up.ID, up.Address)
+		must.Eq(t, "", reason, must.Sprint(status))
+		request := &fleet.Request{Method: http.MethodPost, Target: "/x?y=1", Body: []byte("body of 1")}
+		must.Eq(t, 0, f.relay.blame.Crashes(attributes(request, "127.0.0.1")))
+	}
+}
+
+// TestMalformedAnswerToResumption guards against a stream that goes on with the content of
+// a malformed answer, or that fails although another upstream could resume it.
+func TestMalformedAnswerToResumption(t *testing.T) {
+	const rest = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 2\ndata: x\n\n"
+	f := newVersionedFixture(t, streamEvents(3, 1), sendBytes("HTTP/1.1 000 Error\r\n\r\n"+rest), streamEvents(3, 0))
+	for i := range f.ups {
+		f.ups[i].Version = "v1"
+	}
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	code, body := f.send(http.MethodPost, "a", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	must.Eq(t, 1, f.requestCount(1))
+	must.Eq(t, 1, f.requestCount(2))
+}
+
+// TestMalformedReportIdentifiesNoRun guards against taking the content of a malformed
+// answer for the report that says which run of an upstream answers.
+func TestMalformedReportIdentifiesNoRun(t *testing.T) {
+	report := sendBytes("HTTP/1.1 000 Error\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
+	f := newRunFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/report" {
+			t.Error("request sent to a run that is not identified")
+		}
+		report(w, r)
+	})
+	f.outOfStep()
+	code, _ := f.send(http.MethodPost, "a", "m")
+	must.Eq(t, http.StatusServiceUnavailable, code)
+}
