tunnel: TestEndOfForwarder keeps its upstream's connection open

Cause: the stand-in of the upstream returned with its connection open, which was closed once it was garbage collected; the tunnel then reports the end of the upstream, as it should, and not that of the forwarder.

The stand-in holds the connection until the tunnel ends; what is checked is the same.

--- a/internal/link/tunnel/tunnel_test.go
+++ b/internal/link/tunnel/tunnel_test.go
@@ -166,7 +166,11 @@
 func TestEndOfForwarder(t *testing.T) {
 	_, _, h := startForwarder(t)
 	sent := make(chan struct{})
-	address := startUpstream(t, respond(func(*net.TCPConn) { close(sent) }))
+	address := startUpstream(t, respond(func(c *net.TCPConn) {
+		close(sent)
+		// A connection that is garbage collected is closed, so keep this one.
+		_, _ = io.Copy(io.Discard, c)
+	}))
 	c, err := dial(t, h, "u", address)
 	must.NoError(t, err)
 	go func() {
