head: field names that are no tokens are malformed

Callers saw a 200 with another body than the upstream's: with "Content-Length : 4" all bytes until the connection ended, with "Transfer-Encoding : chunked" the chunks with their lengths; the same where a line began with a blank. With a name that frames nothing, the answer was passed on as a 200, or as a 503 that promises that the request didn't run.

Cause: net/http accepts blanks in names, so "Content-Length " is another field than the one that frames the content, and it joins a line that begins with a blank to the field before. Handled already, by net/http: control bytes, an empty name and a line without a colon (502); the cases are kept in the test.

Change: the Scanner checks that a name is a token (RFC 9110, section 5.6.2) up to its colon. Folded lines are rejected too, which RFC 9112, section 5.2 leaves to a gateway.

After: all pass, and TestSoundResponse as before.

--- a/internal/link/head/scanner.go
+++ b/internal/link/head/scanner.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 type (
@@ -14,6 +15,8 @@
 		// text has the first size bytes of the present line.
 		text [MaxTextBytes]byte
 		size int
+		// notToken is set if the present name has a byte that no token may have.
+		notToken bool
 		// interim is set if the present head is that of an interim response.
 		interim bool
 		err     error
@@ -30,10 +33,12 @@
 	state int
 )
 
-// States of a Scanner: within the status line, within the fields, after the final head.
+// States of a Scanner: within the status line, the name of a field or its value, and after
+// the final head. The line that ends a head counts as a name.
 const (
 	statusLine state = iota
-	fields
+	fieldName
+	fieldValue
 	done
 )
 
@@ -78,7 +83,11 @@
 
 // next checks one byte.
 func (s *Scanner) next(c byte) error {
+	if c == ':' && s.state == fieldName {
+		return s.endName()
+	}
 	if c != '\n' {
+		s.notToken = s.notToken || s.state == fieldName && !isToken(c)
 		if s.size < MaxTextBytes {
 			s.text[s.size] = c
 			s.size++
@@ -86,13 +95,29 @@
 		return nil
 	}
 	line := bytes.TrimSuffix(s.text[:s.size], []byte{'\r'})
-	s.size = 0
-	if s.state == statusLine {
-		return s.endStatusLine(line)
-	}
-	if len(line) == 0 {
+	switch {
+	case s.state == statusLine:
+		if err := s.endStatusLine(line); err != nil {
+			return err
+		}
+	case s.state == fieldValue:
+		s.state = fieldName
+	case len(line) > 0:
+		return &Error{Fault: "field without a colon", Text: string(line)}
+	default:
 		s.endHead()
 	}
+	s.size, s.notToken = 0, false
+	return nil
+}
+
+// endName checks the name of a field. One that begins with a blank would continue the
+// field before it (obs-fold), which a gateway may reject: RFC 9112, section 5.2.
+func (s *Scanner) endName() error {
+	if s.notToken || s.size == 0 {
+		return &Error{Fault: "field name", Text: string(s.text[:s.size])}
+	}
+	s.state = fieldValue
 	return nil
 }
 
@@ -104,7 +129,7 @@
 	if err != nil || len(digits) != statusDigits || status < minStatus || status > maxStatus {
 		return &Error{Fault: "status line", Text: string(line)}
 	}
-	s.state, s.interim = fields, status < minFinalStatus
+	s.state, s.interim = fieldName, status < minFinalStatus
 	return nil
 }
 
@@ -116,3 +141,12 @@
 	}
 	s.state = done
 }
+
+// isToken reports whether c may be part of a token (RFC 9110, section 5.6.2).
+func isToken(c byte) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
--- a/internal/link/head/scanner_test.go
+++ b/internal/link/head/scanner_test.go
@@ -71,6 +71,20 @@
 	checkResults(t, "status.golden", heads...)
 }
 
+// TestFieldName guards against the name of a field that isn't one, and against a legal one
+// that is rejected.
+func TestFieldName(t *testing.T) {
+	var heads []string
+	for _, line := range []string{
+		"A: b", "a:b", "A:", "A: ", "A:\t", "A::", "0: b", "!#$%&'*+-.^_`|~: b", strings.Repeat("a", 100) + ": b",
+		"A b: c", "A : b", " A: b", "\tA: b", ": b", "A\tb: c", "A\x00: b", "A\x01: b", "A\x7f: b", "A\r: b", "\rA: b", "\r", "A\x80: b", "A(: b",
+		"A", "A b", "\x01", " ", strings.Repeat("a", 100) + "\x1b: b", strings.Repeat("a", 100),
+	} {
+		heads = append(heads, "HTTP/1.1 200 OK\r\n"+line+"\r\nC: d\r\n\r\n", "HTTP/1.1 200 OK\nC: d\n"+line+"\n\nbody")
+	}
+	checkResults(t, "field-name.golden", heads...)
+}
+
 // TestInterim guards against a final head that isn't checked since interim ones come
 // before it, and against a check of what follows the final head.
 func TestInterim(t *testing.T) {
@@ -99,8 +113,8 @@
 }
 
 // FuzzScanner guards against a result that depends on how the bytes are split into reads,
-// and against a response that net/http makes of an accepted head although its status is
-// none.
+// and against a response that net/http makes of an accepted head although its status or
+// the name of a field is none.
 func FuzzScanner(f *testing.F) {
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Error\r\n\r\n", "HTTP/1.1 +20 \n\n", "\r\n", "HTTP/1.1 200\r\n a\r\n",
@@ -118,6 +132,12 @@
 				return
 			}
 			must.Between(t, minStatus, res.StatusCode, maxStatus)
+			for name := range res.Header {
+				must.NotEq(t, "", name)
+				for i := range len(name) {
+					must.True(t, isToken(name[i]), must.Sprintf("%q", name))
+				}
+			}
 			if res.StatusCode >= minFinalStatus {
 				return
 			}
--- a/internal/node/relay/malformed_test.go
+++ b/internal/node/relay/malformed_test.go
@@ -80,6 +80,26 @@
 	)
 }
 
+// TestInvalidFieldName guards against a response in whose head the name of a field holds a
+// blank or another byte that no name may have: net/http accepts blanks, so that the length
+// or the coding of the content was ignored and the caller got a 200 with another body than
+// the upstream's (issue 61).
+func TestInvalidFieldName(t *testing.T) {
+	responses := []string{
+		strings.Replace(whole, "Content-Length: 4", "Content-Length : 4", 1) + ", and more",
+		strings.Replace(whole, "Content-Length: 4", "Content Length: 4", 1) + ", and more",
+		strings.Replace(whole, "Content-Length: 4", "A: b\r\n Content-Length: 4", 1) + ", and more",
+		strings.Replace(whole, "Content-Length: 4", "A: b\r\n\tContent-Length: 4", 1) + ", and more",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n Transfer-Encoding: chunked\r\nId: 1\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\n" + whole,
+	}
+	for _, name := range []string{"A b", "A ", " A", "\tA", "A\tb", "", "A\x00b", "A\x01", "A\x7fb", "A\rb", "\rA", "A\x80b", "A\vb", "A(b"} {
+		responses = append(responses, strings.Replace(whole, "Id: 1", "Id: 1\r\n"+name+": c", 1))
+	}
+	checkCallersSee(t, "invalid-field-name.golden", responses...)
+}
+
 // TestSoundResponse guards against a sound response that is rejected as malformed.
 func TestSoundResponse(t *testing.T) {
 	checkCallersSee(t, "sound-response.golden",
@@ -115,7 +135,7 @@
 // to have crashed, for what a malformed head says, and against a connection that is used
 // again after one.
 func TestNothingIsLearnedFromMalformedHead(t *testing.T) {
-	for _, status := range []string{"000 Error", "999 Error"} {
+	for _, status := range []string{"000 Error", "999 Error", "503 Service Unavailable\r\nA b: c"} {
 		connections := make(chan net.Conn, 4)
 		f := newFixture(t, route(fleet.Unsafe, 1, false), func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
