head: interim responses that announce content are malformed

Callers saw a 200 that the upstream never gave: the content of an interim response (100, 103, 150) with Content-Length or Transfer-Encoding that was itself a response.

Cause: an interim response has no content, so ReadResponse reads the next head right behind it, whatever it announces. Servers must not announce any (RFC 9112, section 6.1; RFC 9110, section 8.6).

Change: the Scanner rejects such a head. A length of 0 is accepted, as it leaves nothing to be misread.

After: it passes (502), and TestSoundResponse with an interim length of 0.

--- a/internal/link/head/scanner.go
+++ b/internal/link/head/scanner.go
@@ -83,11 +83,12 @@
 
 // next checks one byte.
 func (s *Scanner) next(c byte) error {
-	if c == ':' && s.state == fieldName {
-		return s.endName()
-	}
 	if c != '\n' {
-		s.notToken = s.notToken || s.state == fieldName && !isToken(c)
+		if s.state == fieldName {
+			if err := s.nextOfName(c); err != nil {
+				return err
+			}
+		}
 		if s.size < MaxTextBytes {
 			s.text[s.size] = c
 			s.size++
@@ -101,7 +102,9 @@
 			return err
 		}
 	case s.state == fieldValue:
-		s.state = fieldName
+		if err := s.endValue(line); err != nil {
+			return err
+		}
 	case len(line) > 0:
 		return &Error{Fault: "field without a colon", Text: string(line)}
 	default:
@@ -111,9 +114,14 @@
 	return nil
 }
 
-// endName checks the name of a field. One that begins with a blank would continue the
-// field before it (obs-fold), which a gateway may reject: RFC 9112, section 5.2.
-func (s *Scanner) endName() error {
+// nextOfName checks the name of a field at its colon. One that begins with a blank would
+// continue the field before it (obs-fold), which a gateway may reject: RFC 9112,
+// section 5.2.
+func (s *Scanner) nextOfName(c byte) error {
+	if c != ':' {
+		s.notToken = s.notToken || !isToken(c)
+		return nil
+	}
 	if s.notToken || s.size == 0 {
 		return &Error{Fault: "field name", Text: string(s.text[:s.size])}
 	}
@@ -121,6 +129,21 @@
 	return nil
 }
 
+// endValue checks the value of a field, whose line begins with the given bytes. An interim
+// response has no content and must not announce any (RFC 9112, section 6.1, and RFC 9110,
+// section 8.6): what follows its head would be read as the next response.
+func (s *Scanner) endValue(line []byte) error {
+	s.state = fieldName
+	if !s.interim {
+		return nil
+	}
+	name, value, _ := strings.Cut(string(line), ":")
+	if strings.EqualFold(name, "Transfer-Encoding") || strings.EqualFold(name, "Content-Length") && strings.Trim(value, " \t") != "0" {
+		return &Error{Fault: "interim response with content", Text: string(line)}
+	}
+	return nil
+}
+
 // endStatusLine checks the status.
 func (s *Scanner) endStatusLine(line []byte) error {
 	_, rest, _ := bytes.Cut(line, []byte{' '})
--- a/internal/link/head/scanner_test.go
+++ b/internal/link/head/scanner_test.go
@@ -94,6 +94,11 @@
 		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 000 Error\r\n\r\n",
 		"HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 000 Error\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nA: b\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nCONTENT-LENGTH:1 \r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length:  0\t\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nA: b\r\ntransfer-encoding: chunked\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nA: Content-Length: 4\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
 	)
 }
 
--- a/internal/node/relay/malformed_test.go
+++ b/internal/node/relay/malformed_test.go
@@ -100,6 +100,18 @@
 	checkCallersSee(t, "invalid-field-name.golden", responses...)
 }
 
+// TestInterimResponseWithContent guards against the content of an interim response that the
+// caller gets as the answer.
+func TestInterimResponseWithContent(t *testing.T) {
+	checkCallersSee(t, "interim-with-content.golden",
+		nested("HTTP/1.1 100 Continue"),
+		nested("HTTP/1.1 150 Custom"),
+		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"+nested("HTTP/1.1 103 Early Hints"),
+		"HTTP/1.1 100 Continue\r\ncontent-length: 4\r\n\r\n"+whole,
+		"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n"+whole,
+	)
+}
+
 // TestSoundResponse guards against a sound response that is rejected as malformed.
 func TestSoundResponse(t *testing.T) {
 	checkCallersSee(t, "sound-response.golden",
@@ -107,6 +119,7 @@
 		strings.Replace(whole, " OK", "", 1),
 		strings.Replace(whole, "200 OK", "599 Custom", 1),
 		"HTTP/1.1 100 Continue\r\n\r\n"+whole,
+		"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n"+whole,
 		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 199 Custom\r\n\r\n"+whole,
 		strings.Replace(whole, "Id: 1", "Id: 1\r\nEmpty:\r\nBlank: \t \r\nObs: \xff\r\nTab: a\tb\r\n!#$%&'*+-.^_`|~0: x\r\nC: d:e", 1),
 		strings.ReplaceAll(whole, "\r\n", "\n"),
