head: a transfer coding is malformed but in HTTP/1.1

Callers saw a 200 whose body had the chunks of the upstream's answer with their lengths, if its status line named HTTP/1.0.

Cause: HTTP/1.0 has no transfer codings, and net/http ignores the field there, so the body was read until the connection ended. RFC 9112, section 6.1 has such framing taken as faulty.

After: it passes (502), and TestSoundResponse with chunks in HTTP/1.1 and a length in HTTP/1.0.

--- a/internal/link/head/scanner.go
+++ b/internal/link/head/scanner.go
@@ -19,7 +19,9 @@
 		notToken bool
 		// interim is set if the present head is that of an interim response.
 		interim bool
-		err     error
+		// chunks is set if the version of the present head has transfer codings.
+		chunks bool
+		err    error
 	}
 
 	// Error reports a malformed head.
@@ -131,28 +133,34 @@
 
 // endValue checks the value of a field, whose line begins with the given bytes. An interim
 // response has no content and must not announce any (RFC 9112, section 6.1, and RFC 9110,
-// section 8.6): what follows its head would be read as the next response.
+// section 8.6): what follows its head would be read as the next response. One of HTTP/1.0
+// has no transfer codings, so that its framing is faulty with one (RFC 9112, section 6.1).
 func (s *Scanner) endValue(line []byte) error {
 	s.state = fieldName
-	if !s.interim {
+	if !s.interim && s.chunks {
 		return nil
 	}
 	name, value, _ := strings.Cut(string(line), ":")
-	if strings.EqualFold(name, "Transfer-Encoding") || strings.EqualFold(name, "Content-Length") && strings.Trim(value, " \t") != "0" {
+	coded := strings.EqualFold(name, "Transfer-Encoding")
+	switch {
+	case s.interim && (coded || strings.EqualFold(name, "Content-Length") && strings.Trim(value, " \t") != "0"):
 		return &Error{Fault: "interim response with content", Text: string(line)}
+	case coded && !s.chunks:
+		return &Error{Fault: "transfer coding in another version than HTTP/1.1", Text: string(line)}
 	}
 	return nil
 }
 
 // endStatusLine checks the status.
 func (s *Scanner) endStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte{' '})
+	version, rest, _ := bytes.Cut(line, []byte{' '})
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
 	status, err := strconv.Atoi(string(digits))
 	if err != nil || len(digits) != statusDigits || status < minStatus || status > maxStatus {
 		return &Error{Fault: "status line", Text: string(line)}
 	}
 	s.state, s.interim = fieldName, status < minFinalStatus
+	s.chunks = string(version) == "HTTP/1.1"
 	return nil
 }
 
--- a/internal/link/head/scanner_test.go
+++ b/internal/link/head/scanner_test.go
@@ -102,6 +102,15 @@
 	)
 }
 
+// TestVersion guards against a transfer coding that net/http ignores.
+func TestVersion(t *testing.T) {
+	var heads []string
+	for _, version := range []string{"HTTP/1.1", "HTTP/1.0", "HTTP/0.9", "http/1.1"} {
+		heads = append(heads, version+" 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", version+" 200 OK\r\nContent-Length: 4\r\n\r\nfine")
+	}
+	checkResults(t, "version.golden", heads...)
+}
+
 // TestReset guards against a head that is judged by the one before on its connection.
 func TestReset(t *testing.T) {
 	var s Scanner
--- a/internal/node/relay/malformed_test.go
+++ b/internal/node/relay/malformed_test.go
@@ -139,6 +139,13 @@
 	)
 }
 
+// TestCodedResponseOfOldVersion guards against the chunks of a response of HTTP/1.0 that the
+// caller gets with their lengths: net/http ignores the transfer coding there.
+func TestCodedResponseOfOldVersion(t *testing.T) {
+	const coded = " 200 OK\r\nId: 1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"
+	checkCallersSee(t, "coded-old-version.golden", "HTTP/1.0"+coded, "HTTP/0.9"+coded)
+}
+
 // TestSoundResponse guards against a sound response that is rejected as malformed.
 func TestSoundResponse(t *testing.T) {
 	checkCallersSee(t, "sound-response.golden",
@@ -151,6 +158,8 @@
 		strings.Replace(whole, "Id: 1", "Id: 1\r\nEmpty:\r\nBlank: \t \r\nObs: \xff\r\nTab: a\tb\r\n!#$%&'*+-.^_`|~0: x\r\nC: d:e", 1),
 		strings.ReplaceAll(whole, "\r\n", "\n"),
 		"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nends with its connection",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		strings.Replace(whole, "HTTP/1.1", "HTTP/1.0", 1),
 	)
 }
 
