http1: a malformed head ends its exchange also if it comes in pieces

Callers whose upstream sent a malformed head in several packets and kept its connection open waited until their timeout (504 after 5 s in the test); one that closed it counted as crashed.

Cause: the error came with the last sound bytes, net/http dropped it (it ignores that of a peek) and read the connection again. Change: the reader returns the error before it reads anything more, and ReadResponse prefers it to what net/http says of the cut line.

Before: TestMalformedHeadInPieces failed (504 for 502), TestMalformedHead of http1 waited without end (10 s limit). After: both pass.

--- a/internal/link/head/scanner.go
+++ b/internal/link/head/scanner.go
@@ -68,6 +68,10 @@
 // Done reports whether the final head has been read to its end.
 func (s *Scanner) Done() bool { return s.state == done && s.err == nil }
 
+// Err returns the *Error that Scan has returned, or nil. A reader has to return it before it
+// waits for more bytes, since net/http reads on after errors.
+func (s *Scanner) Err() error { return s.err }
+
 // Scan checks the next bytes of the connection. It returns the number of bytes before the
 // one at which a head is found to be malformed, and an *Error, also on later calls. Bytes
 // after the final head are accepted as they are.
--- a/internal/link/http1/limit.go
+++ b/internal/link/http1/limit.go
@@ -74,6 +74,9 @@
 	if !l.limited {
 		return l.readBounded(b)
 	}
+	if err := l.heads.Err(); err != nil {
+		return 0, err
+	}
 	if l.left <= 0 {
 		return 0, &HeadTooLargeError{Limit: MaxHeadBytes}
 	}
--- a/internal/link/http1/limit_test.go
+++ b/internal/link/http1/limit_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/azurespan/azurespan/internal/link/head"
 )
 
 // TestEndlessHead guards against a daemon that runs out of memory, because an
@@ -35,3 +37,19 @@
 	s.exchange(t, p, false)
 	must.Eq(t, 1, s.conns.Load())
 }
+
+// TestMalformedHead guards against a malformed head that is reported as something else, or
+// not before its connection ends.
+func TestMalformedHead(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 000 Error\r\nContent-Length: 0\r\n", "HTTP/1.1 200 OK\r\nA b: c\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n C: d\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 Error\r\n",
+	} {
+		s, p := serve(t, func(int) string { return response }), pool()
+		conn := s.send(t, p, false)
+		_, err := conn.ReadResponse(http.MethodGet)
+		var malformed *head.Error
+		must.True(t, errors.As(err, &malformed), must.Sprintf("%q: %v", response, err))
+		conn.Abort()
+	}
+}
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -212,8 +212,11 @@
 	}
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: method})
-		if err != nil && c.limited.left <= 0 {
-			// net/http may report the cut line as malformed instead.
+		// net/http may report the cut line as malformed instead.
+		switch malformed := c.limited.heads.Err(); {
+		case err != nil && malformed != nil:
+			err = malformed
+		case err != nil && c.limited.left <= 0:
 			err = &HeadTooLargeError{Limit: MaxHeadBytes}
 		}
 		if err != nil {
--- a/internal/node/relay/malformed_test.go
+++ b/internal/node/relay/malformed_test.go
@@ -211,6 +211,38 @@
 	}
 }
 
+// TestMalformedHeadInPieces guards against a request that waits for the rest of a head that
+// is malformed already, and against one whose upstream counts as crashed for it: the head
+// comes in pieces, and the upstream keeps its connection open.
+func TestMalformedHeadInPieces(t *testing.T) {
+	for _, pieces := range [][]string{
+		{"HTTP/1.1 0", "00 Error\r\nId: 1\r\n"},
+		{"HTTP/1.1 200 OK\r\n", "A b: c\r\n"},
+		{"HTTP/1.1 200 OK\r\nA", " ", "b: c\r\n"},
+		{"HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 000 Error\r\n"},
+	} {
+		ended := make(chan bool)
+		f := newFixture(t, route(fleet.Unsafe, 1, false), func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			for _, piece := range pieces {
+				_, _ = io.WriteString(c, piece)
+				time.Sleep(10 * time.Millisecond)
+			}
+			<-ended
+		})
+		code, _ := f.send(http.MethodPost, "1", "")
+		close(ended)
+		must.Eq(t, http.StatusBadGateway, code, must.Sprintf("%q", pieces))
+		request := &fleet.Request{Method: http.MethodPost, Target: "/x?y=1", Body: []byte("body of 1")}
+		must.Eq(t, 0, f.relay.blame.Crashes(attributes(request, "127.0.0.1")), must.Sprintf("%q", pieces))
+	}
+}
+
 // TestMalformedAnswerToResumption guards against a stream that goes on with the content of
 // a malformed answer, or that fails although another upstream could resume it.
 func TestMalformedAnswerToResumption(t *testing.T) {
