strict, rest: azurespan serve rejects responses with a malformed head

Callers of a plain service saw its status 000 or 600 as that of an answered call, which was also stored for repetitions of a booking, bodies that the service didn't send (a blank in "Content-Length " or "Transfer-Encoding ", folded lines), and the content of an interim response as the answer.

Cause: link/rest takes responses from a transport of net/http, which accepts these heads. The clients of engines, the log service and the host list share it.

Change: link/strict wraps the connections of a transport in the Scanner of link/head, and rest.NewClient, which makes all these clients, uses it. The bytes of a malformed head are withheld, so the transport neither returns nor follows such a response, nor keeps its connection, nor sends the request again (a response that fails without a byte would have it repeated).

Before: TestMalformedResponse failed, 7 of 8 malformed answers were taken (0 "fine", 600 "fine", 201 "fine, and more" and so on); the eighth, with a control byte, was rejected by net/http. After: it passes; TestResponses and TestKeptConnection of strict pass, also with -race.

--- a/internal/link/rest/rest.go
+++ b/internal/link/rest/rest.go
@@ -10,6 +10,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/azurespan/azurespan/internal/link/strict"
 )
 
 type (
@@ -67,17 +69,22 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // NewClient returns a copy of hc that follows no redirects, because the services
-// send none. If hc is nil, it returns a client that uses no proxy.
+// send none, and rejects responses with a malformed head. If hc is nil or has no
+// Transport, the client uses no proxy.
 func NewClient(hc *http.Client) *http.Client {
 	c := http.Client{}
 	if hc != nil {
 		c = *hc
-	} else {
-		c.Transport = &http.Transport{
+	}
+	switch t := c.Transport.(type) {
+	case nil:
+		c.Transport = strict.New(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
-		}
+		})
+	case *http.Transport:
+		c.Transport = strict.New(t)
 	}
 	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &c
