--- a/internal/link/strict/transport.go
+++ b/internal/link/strict/transport.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"sync"
 
+	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/link/head"
 )
 
@@ -25,10 +26,16 @@
 		expecting bool
 	}
 
+	// excerptError cuts the text of an error that may quote a whole line of a head.
+	excerptError struct{ error }
+
 	dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 )
 
-var _ http.RoundTripper = (*Transport)(nil)
+var (
+	_ http.RoundTripper = (*Transport)(nil)
+	_ error             = (*excerptError)(nil)
+)
 
 // New returns a Transport that has the settings of t. Connections with TLS are not
 // checked.
@@ -63,15 +70,27 @@
 		}
 	}}
 	res, err := t.next.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil && used != nil {
+	if err == nil {
+		return res, nil
+	}
+	if used != nil {
 		// net/http may report the cut line as malformed instead.
 		if malformed := used.malformed(); malformed != nil {
-			err = malformed
+			return nil, malformed
 		}
 	}
-	return res, err
+	if event.Excerpt(err.Error()) != err.Error() {
+		err = &excerptError{err}
+	}
+	return nil, err
 }
 
+// Error returns the beginning of the text.
+func (e *excerptError) Error() string { return event.Excerpt(e.error.Error()) }
+
+// Unwrap returns the error.
+func (e *excerptError) Unwrap() error { return e.error }
+
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
