relay: nothing is learned from a malformed head that is forwarded

A daemon that forwards a connection for another one took from a malformed head that the upstream leaves, wants a pause or names a limit, and sent it no requests.

Cause: Observe parsed the head with net/http alone. Change: the Scanner of link/head comes first.

Before: TestMalformedForwardedHead failed ("leaving" after 600 and other malformed heads). After: it passes.

--- a/internal/node/relay/forward.go
+++ b/internal/node/relay/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/link/head"
 )
 
 // MayForward returns the upstream with an ID at an address, or the reason why no
@@ -27,13 +28,22 @@
 	return up, ""
 }
 
-// Observe records what the head of an upstream's response says of the upstream. The
-// request was another daemon's, forwarded at a time.
-func (r *Relay) Observe(up fleet.Upstream, sent time.Time, head []byte) {
-	res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
+// Observe records what the head of an upstream's response says of the upstream, unless it is
+// malformed. The request was another daemon's, forwarded at a time.
+func (r *Relay) Observe(up fleet.Upstream, sent time.Time, b []byte) {
+	res, err := readHead(b)
 	if err != nil {
 		event.ForwardedHead.Log("upstream", up.ID, "cause", event.Excerpt(err.Error()))
 		return
 	}
 	r.observe(res, up, sent, "forwarded")
 }
+
+// readHead returns the response with the head in b.
+func readHead(b []byte) (*http.Response, error) {
+	var s head.Scanner
+	if _, err := s.Scan(b); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(bufio.NewReader(bytes.NewReader(b)), nil)
+}
--- a/internal/node/relay/malformed_test.go
+++ b/internal/node/relay/malformed_test.go
@@ -259,6 +259,25 @@
 	must.Eq(t, 1, f.requestCount(2))
 }
 
+// TestMalformedForwardedHead guards against a forwarder that learns from the malformed head
+// of a response that it forwards.
+func TestMalformedForwardedHead(t *testing.T) {
+	const says = "Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+	for head, reason := range map[string]string{
+		"HTTP/1.1 200 OK\r\n" + says:           "leaving",
+		"HTTP/1.1 000 Error\r\n" + says:        "",
+		"HTTP/1.1 600 Error\r\n" + says:        "",
+		"HTTP/1.1 200 OK\r\nA b: c\r\n" + says: "",
+		"HTTP/1.1 200 OK\r\nA: b\r\n " + says:  "",
+	} {
+		f := newFixture(t, route(fleet.Unsafe, 1, false), respondOK)
+		up := f.ups[0]
+		f.relay.Observe(up, time.Now(), []byte(head))
+		_, got := f.relay.MayForward(time.Now(), up.ID, up.Address)
+		must.Eq(t, reason, got, must.Sprintf("%q", head))
+	}
+}
+
 // TestMalformedReportIdentifiesNoRun guards against taking the content of a malformed
 // answer for the report that says which run of an upstream answers.
 func TestMalformedReportIdentifiesNoRun(t *testing.T) {
