tunnel, relay: a forwarder finds the final head behind interim responses

A daemon that forwards a connection for another one learned nothing of an upstream that leaves, wants a pause or names a limit (rules DRAIN, BUDGET and LIMIT), if an interim response came before the answer or the lines of the head ended in a line feed alone.

Cause: the forwarder handed on what came up to the first empty line with a carriage return, and Observe read the first head of that.

Change: the Scanner says where the final head ends, and Observe reads past interim heads.

Before: TestObservedHead and the cases with 103 of TestMalformedForwardedHead failed. After: both pass.

--- a/internal/link/tunnel/server.go
+++ b/internal/link/tunnel/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/link/head"
 	"github.com/azurespan/azurespan/internal/link/http1"
 )
 
@@ -24,9 +25,10 @@
 		MayForward(now time.Time, id, address string) (up fleet.Upstream, reason string)
 		// Dial connects to the upstream over the daemon's own path.
 		Dial(ctx context.Context, up fleet.Upstream) (net.Conn, error)
-		// Observe records the head of the upstream's response to a request that was
-		// forwarded since a time.
-		Observe(up fleet.Upstream, since time.Time, head []byte)
+		// Observe records the heads of the upstream's response to a request that was
+		// forwarded since a time: those of interim responses and the final one, or up to
+		// one that is malformed. More bytes of the response may follow.
+		Observe(up fleet.Upstream, since time.Time, heads []byte)
 	}
 
 	// Server forwards connections for other daemons. It is an http.Handler.
@@ -130,7 +132,7 @@
 		defer close(sent)
 		t.send(rw.Reader)
 	}()
-	t.receive(func(head []byte) { s.upstreams.Observe(up, since, head) })
+	t.receive(func(heads []byte) { s.upstreams.Observe(up, since, heads) })
 	<-sent
 }
 
@@ -173,21 +175,24 @@
 	}
 }
 
-// receive copies what the upstream sends in frames, and tells the daemon how it ended.
-// head is called with the head of the response once it is complete.
-func (t *transfer) receive(head func([]byte)) {
+// receive copies what the upstream sends in frames, and reports to the daemon how it ended.
+// observe is called with the heads of the response, interim ones included, once the final
+// one is complete or one is malformed.
+func (t *transfer) receive(observe func([]byte)) {
 	buf := make([]byte, headerBytes+maxFrameBytes)
 	var seen []byte
+	var heads head.Scanner
 	for {
 		n, err := t.upstream.Read(buf[headerBytes:])
 		if n > 0 {
-			if head != nil {
-				seen = append(seen, buf[headerBytes:headerBytes+n]...)
-				if complete(seen) {
-					head(seen)
-					head, seen = nil, nil
+			if observe != nil {
+				data := buf[headerBytes : headerBytes+n]
+				seen = append(seen, data...)
+				if _, malformed := heads.Scan(data); malformed != nil || heads.Done() {
+					observe(seen)
+					observe, seen = nil, nil
 				} else if len(seen) > maxHeadBytes {
-					head, seen = nil, nil
+					observe, seen = nil, nil
 				}
 			}
 			if werr := t.frame(buf, frameData, n); werr != nil {
@@ -221,13 +226,3 @@
 	_, err := t.daemon.Write(buf[:headerBytes+n])
 	return err
 }
-
-// complete reports whether b has the whole head of a response.
-func complete(b []byte) bool {
-	for i := 3; i < len(b); i++ {
-		if b[i] == '\n' && b[i-1] == '\r' && b[i-2] == '\n' {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/link/tunnel/tunnel_test.go
+++ b/internal/link/tunnel/tunnel_test.go
@@ -161,6 +161,30 @@
 	must.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
+// TestObservedHead guards against a forwarder that observes an interim head alone, or none
+// because the head is malformed.
+func TestObservedHead(t *testing.T) {
+	for _, sent := range []string{
+		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"HTTP/1.1 000 Error\r\n",
+	} {
+		_, u, h := startForwarder(t)
+		address := startUpstream(t, func(c *net.TCPConn) {
+			for i := range len(sent) {
+				_, _ = io.WriteString(c, sent[i:i+1])
+			}
+			_ = c.Close()
+		})
+		c, err := dial(t, h, "u", address)
+		must.NoError(t, err)
+		got, err := io.ReadAll(c)
+		must.NoError(t, err)
+		must.Eq(t, sent, string(got))
+		must.Eq(t, []string{sent}, u.heads, must.Sprintf("%q", sent))
+	}
+}
+
 // TestEndOfForwarder guards against a response that looks complete, or an upstream that
 // looks crashed, because the forwarder ended.
 func TestEndOfForwarder(t *testing.T) {
--- a/internal/node/relay/forward.go
+++ b/internal/node/relay/forward.go
@@ -28,10 +28,11 @@
 	return up, ""
 }
 
-// Observe records what the head of an upstream's response says of the upstream, unless it is
-// malformed. The request was another daemon's, forwarded at a time.
-func (r *Relay) Observe(up fleet.Upstream, sent time.Time, b []byte) {
-	res, err := readHead(b)
+// Observe records what the final head of an upstream's response says of the upstream. heads
+// may begin with those of interim responses. The request was another daemon's, forwarded at
+// a time.
+func (r *Relay) Observe(up fleet.Upstream, sent time.Time, heads []byte) {
+	res, err := readFinalHead(heads)
 	if err != nil {
 		event.ForwardedHead.Log("upstream", up.ID, "cause", event.Excerpt(err.Error()))
 		return
@@ -39,11 +40,16 @@
 	r.observe(res, up, sent, "forwarded")
 }
 
-// readHead returns the response with the head in b.
-func readHead(b []byte) (*http.Response, error) {
+// readFinalHead returns the response with the first final head in b.
+func readFinalHead(b []byte) (*http.Response, error) {
 	var s head.Scanner
 	if _, err := s.Scan(b); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(bufio.NewReader(bytes.NewReader(b)), nil)
+	for br := bufio.NewReader(bytes.NewReader(b)); ; {
+		res, err := http.ReadResponse(br, nil)
+		if err != nil || res.StatusCode >= http.StatusOK {
+			return res, err
+		}
+	}
 }
--- a/internal/node/relay/malformed_test.go
+++ b/internal/node/relay/malformed_test.go
@@ -260,15 +260,17 @@
 }
 
 // TestMalformedForwardedHead guards against a forwarder that learns from the malformed head
-// of a response that it forwards.
+// of a response that it forwards, or nothing from a sound one behind interim responses.
 func TestMalformedForwardedHead(t *testing.T) {
 	const says = "Leaving: 1\r\nContent-Length: 0\r\n\r\n"
 	for head, reason := range map[string]string{
-		"HTTP/1.1 200 OK\r\n" + says:           "leaving",
-		"HTTP/1.1 000 Error\r\n" + says:        "",
-		"HTTP/1.1 600 Error\r\n" + says:        "",
-		"HTTP/1.1 200 OK\r\nA b: c\r\n" + says: "",
-		"HTTP/1.1 200 OK\r\nA: b\r\n " + says:  "",
+		"HTTP/1.1 200 OK\r\n" + says: "leaving",
+		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n" + says: "leaving",
+		"HTTP/1.1 000 Error\r\n" + says:                                            "",
+		"HTTP/1.1 600 Error\r\n" + says:                                            "",
+		"HTTP/1.1 200 OK\r\nA b: c\r\n" + says:                                     "",
+		"HTTP/1.1 200 OK\r\nA: b\r\n " + says:                                      "",
+		"HTTP/1.1 103 Early Hints\r\n" + says:                                      "",
 	} {
 		f := newFixture(t, route(fleet.Unsafe, 1, false), respondOK)
 		up := f.ups[0]
