--- a/cmd/azurespan/accounts_test.go
+++ b/cmd/azurespan/accounts_test.go
@@ -4,13 +4,12 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/azurespan/azurespan/internal/check/golden"
 	"github.com/azurespan/azurespan/internal/core/usage"
 	"github.com/azurespan/azurespan/internal/node/entry"
 )
@@ -27,18 +26,6 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// checkGolden compares text with a file of testdata. UPDATE_GOLDEN=1 rewrites the file.
-func checkGolden(t *testing.T, name, text string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		must.NoError(t, os.WriteFile(path, []byte(text), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	must.NoError(t, err)
-	must.Eq(t, string(want), text)
-}
-
 // TestAccountsOutput guards against sums over daemons that count one twice, take an
 // allowance of an older configuration or hide a daemon that doesn't answer.
 func TestAccountsOutput(t *testing.T) {
@@ -53,20 +40,20 @@
 
 	code, out, _ := invoke(t, "accounts", "--address", first)
 	must.Eq(t, exitOK, code)
-	checkGolden(t, "accounts-one.golden", out)
+	golden.Check(t, "accounts-one.golden", out)
 	// The older configuration comes first here and last below.
 	code, out, _ = invoke(t, "accounts", "--address", second, "--address", first, "--address", third)
 	must.Eq(t, exitOK, code)
-	checkGolden(t, "accounts-fleet.golden", out)
+	golden.Check(t, "accounts-fleet.golden", out)
 	code, reversed, _ := invoke(t, "accounts", "--address", third, "--address", first, "--address", second)
 	must.Eq(t, exitOK, code)
 	must.Eq(t, out, reversed)
 	code, out, _ = invoke(t, "accounts", "--json", "--address", first, "--address", second)
 	must.Eq(t, exitOK, code)
-	checkGolden(t, "accounts-json.golden", out)
+	golden.Check(t, "accounts-json.golden", out)
 	code, out, _ = invoke(t, "accounts", "--address", third)
 	must.Eq(t, exitOK, code)
-	checkGolden(t, "accounts-none.golden", out)
+	golden.Check(t, "accounts-none.golden", out)
 }
 
 // TestAccountsUnreachable guards against a daemon without an answer that hides the
--- a/internal/link/strict/transport_test.go
+++ b/internal/link/strict/transport_test.go
@@ -1,18 +1,16 @@
 package strict
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/azurespan/azurespan/internal/check/canned"
 	"github.com/azurespan/azurespan/internal/check/golden"
 	"github.com/azurespan/azurespan/internal/link/head"
 )
@@ -22,33 +20,10 @@
 	kept  = 2
 )
 
-// startServer answers each request on a connection with the next of the responses and
-// closes the connection after the last. It counts the connections and requests.
-func startServer(t *testing.T, responses ...string) (address string, connections, requests *atomic.Int32) {
+// startServer answers the requests on a connection with the responses and then ends it.
+func startServer(t *testing.T, responses ...string) *canned.Server {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	must.NoError(t, err)
-	connections, requests = new(atomic.Int32), new(atomic.Int32)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			br := bufio.NewReader(c)
-			for _, r := range responses {
-				if _, err := http.ReadRequest(br); err != nil {
-					break
-				}
-				requests.Add(1)
-				_, _ = io.WriteString(c, r)
-			}
-			_ = c.Close()
-		}
-	}()
-	t.Cleanup(func() { _ = l.Close() })
-	return l.Addr().String(), connections, requests
+	return canned.New(t, func(n int, _ *http.Request) (string, bool) { return responses[n], n+1 == len(responses) })
 }
 
 // get describes the response to a request.
@@ -88,10 +63,10 @@
 		"HTTP/1.1 200 OK\r\nA: b\r\n Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
 		"HTTP/1.1 302 Found\r\nA b: c\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n",
 	} {
-		address, _, requests := startServer(t, response)
+		server := startServer(t, response)
 		c := &http.Client{Transport: New(&http.Transport{})}
-		fmt.Fprintf(&b, "%q\n  %s\n", response, get(c, address))
-		must.Eq(t, 1, requests.Load(), must.Sprintf("%q", response))
+		fmt.Fprintf(&b, "%q\n  %s\n", response, get(c, server.Address))
+		must.Eq(t, 1, server.Requests.Load(), must.Sprintf("%q", response))
 	}
 	golden.Check(t, "responses.golden", b.String())
 }
@@ -101,14 +76,14 @@
 // because its response on a kept connection is malformed.
 func TestKeptConnection(t *testing.T) {
 	const malformed = "HTTP/1.1 000 Error\r\nContent-Length: 0\r\n\r\n"
-	address, connections, requests := startServer(t, sound, sound, malformed, sound)
+	server := startServer(t, sound, sound, malformed, sound)
 	c := &http.Client{Transport: New(&http.Transport{})}
 	for range kept {
-		must.Eq(t, `200 "fine"`, get(c, address))
+		must.Eq(t, `200 "fine"`, get(c, server.Address))
 	}
-	must.Eq(t, 1, connections.Load())
-	must.StrContains(t, get(c, address), "000")
-	must.Eq(t, kept+1, requests.Load())
-	must.Eq(t, `200 "fine"`, get(c, address))
-	must.Eq(t, 2, connections.Load())
+	must.Eq(t, 1, server.Connections.Load())
+	must.StrContains(t, get(c, server.Address), "000")
+	must.Eq(t, kept+1, server.Requests.Load())
+	must.Eq(t, `200 "fine"`, get(c, server.Address))
+	must.Eq(t, 2, server.Connections.Load())
 }
--- a/internal/node/router/malformed_test.go
+++ b/internal/node/router/malformed_test.go
@@ -1,11 +1,8 @@
 package router
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,32 +10,11 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/azurespan/azurespan/declare"
+	"github.com/azurespan/azurespan/internal/check/canned"
 	"github.com/azurespan/azurespan/internal/check/golden"
 	"github.com/azurespan/azurespan/internal/link/rest"
 )
 
-// startService answers each request with a response and closes the connection.
-func startService(t *testing.T, response string) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, response)
-			}
-			_ = c.Close()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestMalformedResponse guards against a malformed answer of a plain service that its
 // caller gets and that is stored for repetitions of a booking: with a status that is none,
 // or with a body that the service didn't send (issue 61). The call may have run.
@@ -60,7 +36,8 @@
 	} {
 		s := newSite(t, 1)
 		c := booking("k")
-		reply, err := s.router.sendCall(t.Context(), &declare.Upstream{Name: "desk-1", Service: "desk", Address: startService(t, response)}, &c)
+		desk := canned.New(t, func(int, *http.Request) (string, bool) { return response, true })
+		reply, err := s.router.sendCall(t.Context(), &declare.Upstream{Name: "desk-1", Service: "desk", Address: desk.Address}, &c)
 		got := fmt.Sprintf("%d %q", reply.Status, reply.Body)
 		if err != nil {
 			var failed *rest.Error
