--- a/internal/link/strict/transport_test.go
+++ b/internal/link/strict/transport_test.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
-	kept  = 2
+	sound        = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
+	keptRequests = 2
 )
 
 // startServer answers the requests on a connection with the responses and then ends it.
@@ -78,12 +78,12 @@
 	const malformed = "HTTP/1.1 000 Error\r\nContent-Length: 0\r\n\r\n"
 	server := startServer(t, sound, sound, malformed, sound)
 	c := &http.Client{Transport: New(&http.Transport{})}
-	for range kept {
+	for range keptRequests {
 		must.Eq(t, `200 "fine"`, get(c, server.Address))
 	}
 	must.Eq(t, 1, server.Connections.Load())
 	must.StrContains(t, get(c, server.Address), "000")
-	must.Eq(t, kept+1, server.Requests.Load())
+	must.Eq(t, keptRequests+1, server.Requests.Load())
 	must.Eq(t, `200 "fine"`, get(c, server.Address))
 	must.Eq(t, 2, server.Connections.Load())
 }
--- a/internal/node/relay/malformed_test.go
+++ b/internal/node/relay/malformed_test.go
@@ -48,9 +48,9 @@
 // sendBytes answers with a response and closes the connection.
 func sendBytes(response string) http.HandlerFunc { return closeWithin(response, len(response), false) }
 
-// callerSees returns, for each kind of route, the status and body that the caller of
+// describeOutcome returns, for each kind of route, the status and body that the caller of
 // request 1 gets if its upstream sends a response and closes the connection.
-func callerSees(t *testing.T, response string) string {
+func describeOutcome(t *testing.T, response string) string {
 	t.Helper()
 	var b strings.Builder
 	fmt.Fprintf(&b, "%.160q\n", response)
@@ -70,12 +70,12 @@
 	return b.String()
 }
 
-// checkCallersSee compares what callers see of each response with a golden file.
-func checkCallersSee(t *testing.T, name string, responses ...string) {
+// checkOutcomes compares what callers get for each response with a golden file.
+func checkOutcomes(t *testing.T, name string, responses ...string) {
 	t.Helper()
 	var b strings.Builder
 	for _, r := range responses {
-		b.WriteString(callerSees(t, r))
+		b.WriteString(describeOutcome(t, r))
 	}
 	golden.Check(t, name, b.String())
 }
@@ -91,7 +91,7 @@
 // above 599 was passed on, or taken for a refusal that promises that the request didn't
 // run (issue 61).
 func TestInvalidStatus(t *testing.T) {
-	checkCallersSee(t, "invalid-status.golden",
+	checkOutcomes(t, "invalid-status.golden",
 		strings.Replace(whole, "200 OK", "000 Error", 1),
 		nested("HTTP/1.1 000 Error"),
 		"HTTP/1.1 000\r\n\r\n"+whole,
@@ -124,13 +124,13 @@
 	for _, name := range []string{"A b", "A ", " A", "\tA", "A\tb", "", "A\x00b", "A\x01", "A\x7fb", "A\rb", "\rA", "A\x80b", "A\vb", "A(b"} {
 		responses = append(responses, strings.Replace(whole, "Id: 1", "Id: 1\r\n"+name+": c", 1))
 	}
-	checkCallersSee(t, "invalid-field-name.golden", responses...)
+	checkOutcomes(t, "invalid-field-name.golden", responses...)
 }
 
 // TestInterimResponseWithContent guards against the content of an interim response that the
 // caller gets as the answer.
 func TestInterimResponseWithContent(t *testing.T) {
-	checkCallersSee(t, "interim-with-content.golden",
+	checkOutcomes(t, "interim-with-content.golden",
 		nested("HTTP/1.1 100 Continue"),
 		nested("HTTP/1.1 150 Custom"),
 		"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"+nested("HTTP/1.1 103 Early Hints"),
@@ -143,12 +143,12 @@
 // caller gets with their lengths: net/http ignores the transfer coding there.
 func TestCodedResponseOfOldVersion(t *testing.T) {
 	const coded = " 200 OK\r\nId: 1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"
-	checkCallersSee(t, "coded-old-version.golden", "HTTP/1.0"+coded, "HTTP/0.9"+coded)
+	checkOutcomes(t, "coded-old-version.golden", "HTTP/1.0"+coded, "HTTP/0.9"+coded)
 }
 
 // TestSoundResponse guards against a sound response that is rejected as malformed.
 func TestSoundResponse(t *testing.T) {
-	checkCallersSee(t, "sound-response.golden",
+	checkOutcomes(t, "sound-response.golden",
 		whole,
 		strings.Replace(whole, " OK", "", 1),
 		strings.Replace(whole, "200 OK", "599 Custom", 1),
