--- a/internal/node/relay/malformed_test.go
+++ b/internal/node/relay/malformed_test.go
@@ -243,7 +243,7 @@
 	}
 }
 
-// TestMalformedAnswerToResumption guards against a stream that goes on with the content of
+// TestMalformedAnswerToResumption guards against a stream that continues with the content of
 // a malformed answer, or that fails although another upstream could resume it.
 func TestMalformedAnswerToResumption(t *testing.T) {
 	const rest = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 2\ndata: x\n\n"
