relay: the log and a metric say what ended a response

The fields ended and last-event say so in place of unframed, and azurespan_stream_ends_total counts the ends by kind.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -32,7 +32,7 @@
 	})
 	RelayEnded = register(Event{
 		Number: 8005, Name: "relay-ended",
-		Meaning: "A request has ended; the outcome, the time to the first byte, the total time, whether the answer ended with its connection, and the versions of the configuration at its start and at its end are given.",
+		Meaning: "A request has ended; the outcome, the time to the first byte, the total time, how the upstream's response ended, the id of the last event, and the versions of the configuration at its start and at its end are given.",
 	})
 	RetryBudgetUsed = register(Event{
 		Number: 8006, Name: "relay-retry-budget-used",
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -82,6 +82,9 @@
 	// UpstreamSilences counts the silences of upstreams that were longer than the
 	// time after which another upstream is considered.
 	UpstreamSilences prometheus.Counter
+	// StreamEnds counts the ends of upstreams' responses to requests for streams (see
+	// StreamEndKinds).
+	StreamEnds *prometheus.CounterVec
 	// UpstreamPathLost is 1 while the daemon reaches upstreams only through others,
 	// and ForwardedConnections counts the connections that it asked others for.
 	UpstreamPathLost     prometheus.Gauge
@@ -159,6 +162,17 @@
 	CrashesMore = "3-or-more"
 )
 
+// Values of the label end of StreamEnds.
+const (
+	EndChunks     = "chunks"
+	EndLength     = "length"
+	EndConnection = "connection"
+	EndBroken     = "broken"
+)
+
+// StreamEndKinds lists the values of the label end of StreamEnds.
+var StreamEndKinds = []string{EndChunks, EndLength, EndConnection, EndBroken}
+
 // Values of the label end of Trials.
 const (
 	TrialAnswered = "answered"
@@ -224,6 +238,7 @@
 		Quarantined:            b.gauge("azurespan_quarantined_requests", "What requests are refused for that crash upstreams, other than parts of prompts: the request itself, its path, its body, its model and others."),
 		QuarantinedParts:       b.gauge("azurespan_quarantined_prompt_parts", "Parts of prompts with which requests are refused because they crash upstreams."),
 		UpstreamSilences:       b.counter("azurespan_upstream_silences_total", "Silences of upstreams after which another upstream was considered for the request."),
+		StreamEnds:             b.counterVec("azurespan_stream_ends_total", "Ends of upstreams' responses to requests for streams, by what ended them: the last chunk (chunks), the length (length), the connection in a response without either (connection), or an end before that (broken).", "end"),
 		UpstreamPathLost:       b.gauge("azurespan_upstream_path_lost", "1 while this daemon reaches upstreams only through other daemons, else 0."),
 		ForwardedConnections:   b.counterVec("azurespan_forwarded_connections_total", "Connections to upstreams that this daemon asked another one for, by outcome (ok, failed).", "outcome"),
 		OpenTunnels:            b.gauge("azurespan_open_tunnels", "Connections to upstreams that this daemon forwards for others."),
@@ -259,6 +274,9 @@
 	for _, outcome := range []string{LoanGranted, LoanNone, LoanFailed} {
 		m.AllowanceLoans.WithLabelValues(outcome)
 	}
+	for _, e := range StreamEndKinds {
+		m.StreamEnds.WithLabelValues(e)
+	}
 	for _, n := range CrashCounts {
 		m.SuspectSends.WithLabelValues(n)
 	}
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -35,6 +35,9 @@
 	// unframed is set if the response has neither a length nor chunks, so that
 	// it looks complete if its upstream ends.
 	unframed bool
+	// end is what ended the response to a request for a stream, one of
+	// metric.StreamEndKinds; it is empty if there was none.
+	end string
 	// response is a complete error response, kept in case no later attempt
 	// succeeds.
 	response *response
@@ -104,7 +107,7 @@
 			o = x.receive(ctx, k)
 		}
 		x.recordOutcome(ctx, up, &o, sent, x.answeredFor(x.relay.now()))
-		x.unframed = o.unframed
+		x.ended = o.end
 		if o.replacedBy == nil {
 			return o, up
 		}
@@ -155,6 +158,12 @@
 func (x *exchange) receive(ctx context.Context, k *call) outcome {
 	o, released := x.readResponse(ctx, k)
 	k.end(released)
+	if x.route.Kind == fleet.Stream && k.res != nil {
+		if o.end == "" {
+			o.end = metric.EndBroken
+		}
+		x.relay.metrics.StreamEnds.WithLabelValues(o.end).Inc()
+	}
 	return o
 }
 
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -74,10 +74,9 @@
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
 		headerSent bool
-		// unframed is set if the response of the last attempt ended with its
-		// connection.
-		unframed bool
-		events   *sse.Splitter
+		// ended is what ended the response of the last attempt, as outcome.end.
+		ended  string
+		events *sse.Splitter
 		// holds are the memory that buffered responses take until the request has ended.
 		holds       []*ration.Hold
 		firstByteAt time.Time
--- a/internal/node/relay/finish.go
+++ b/internal/node/relay/finish.go
@@ -21,7 +21,7 @@
 	}
 	event.RelayEnded.Log("request", x.req.ID, "outcome", outcome, "status", code, "route", x.route.Name,
 		"account", x.req.Account, "rank", x.route.Rank, "upstream", up.ID, "sends", x.attempts, "events", x.events.EventCount,
-		"first", firstByte, "took", now.Sub(x.arrived), "unframed", x.unframed, "configuration", x.configVersion, "configuration-now", x.relay.Config().Version, "failure", x.lastFailure)
+		"first", firstByte, "took", now.Sub(x.arrived), "ended", x.ended, "last-event", event.Excerpt(x.events.LastID), "configuration", x.configVersion, "configuration-now", x.relay.Config().Version, "failure", x.lastFailure)
 	class := x.class()
 	x.relay.metrics.RequestSeconds.WithLabelValues(class, outcome).Observe(now.Sub(x.arrived).Seconds())
 	x.relay.metrics.Accounts.Ended(x.req.Account, outcome)
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/azurespan/azurespan/internal/base/event"
+	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
 
@@ -97,14 +98,25 @@
 	rest := x.events.TakePartial()
 	if cause != "" {
 		// With a length or chunks, the upstream has ended its response itself.
-		return outcome{mayHaveRun: true, status: res.StatusCode, result: pick.Interrupted, crashed: !framed(res), cause: cause}
+		return outcome{mayHaveRun: true, status: res.StatusCode, result: pick.Interrupted, crashed: !framed(res), end: endKind(res), cause: cause}
 	}
 	if len(rest) > 0 || !x.headerSent {
 		if !x.forward(res, rest) {
 			return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 		}
 	}
-	return outcome{done: true, survived: survived(res), unframed: !framed(res), status: res.StatusCode, result: pick.Succeeded}
+	return outcome{done: true, survived: survived(res), unframed: !framed(res), end: endKind(res), status: res.StatusCode, result: pick.Succeeded}
+}
+
+// endKind returns what ends a response, as the label of metric.StreamEnds.
+func endKind(res *http.Response) string {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return metric.EndChunks
+	case res.ContentLength >= 0:
+		return metric.EndLength
+	}
+	return metric.EndConnection
 }
 
 // isEventStream reports whether a response of a stream's upstream consists of events. One
