relay: a failing test of an unframed stream whose process ends

An upstream's process that ends closes its connections in order, after any event; a response with neither a length nor chunks then looks complete. On the present code the caller of a stream of three events gets the first, or the first two, with the last chunk (outcome="ok", sends=1, ended="connection"), on routes of both kinds.

--- a/internal/node/relay/ends_test.go
+++ b/internal/node/relay/ends_test.go
@@ -273,3 +273,19 @@
 	}
 	golden.Check(t, "stream-ends.golden", b.String())
 }
+
+// TestUnframedStreamOfEndedProcess guards against a stream that looks complete although its
+// upstream's process has ended in the middle of it: a response without a length or chunks
+// ends in order then, after any event (issue 65).
+func TestUnframedStreamOfEndedProcess(t *testing.T) {
+	for last := range 3 {
+		e := streamEnd{response: unframed(unframedStream, last), gone: true}
+		name := must.Sprintf("after event %d", last)
+		f, us := newEndsFixture(t, route(fleet.Stream, 1, false), e)
+		must.StrNotContains(t, take(t, f, us, nil), "whole", name)
+		f, us = newEndsFixture(t, route(fleet.Stream, 2, true), e, wholeEnd)
+		must.Eq(t, "whole, events [1 2 3], sends 1 1", take(t, f, us, nil), name)
+		f, us = newEndsFixture(t, route(fleet.Stream, 2, true), brokenAfter(1), e)
+		must.StrNotContains(t, take(t, f, us, nil), "whole", name)
+	}
+}
