relay: a stream that ends with its connection is complete once that is shown

Cause: a response with neither a length nor chunks ends when its connection is closed in order, and the kernel does that as well for a process that ends. finishStream took each such end after an event for the upstream's word that the stream is complete, and net/http wrote the caller's last chunk. The class of fault: a missing end mark taken for an end.

Evidence: TestUnframedStreamOfEndedProcess, committed before, fails after events 1 and 2; ended="connection" in the line of the request.

Change: such an end is unproven. Where the route allows another attempt, and an upstream can take it at once, that is asked to go on after the last event; an answer without any says that the stream is complete. Where none can be asked, refuses, fails or is silent for as long as a stream may pause, the stream is complete if the same run of the upstream's process still answers a report. Else the caller's response is broken off, or the stream resumed as after any break. An end that comes while another upstream has been asked for the same stream no longer makes that one be dropped.

What remains: on a route that allows no second attempt, an end after an event by an upstream that lives is passed on as complete.

The table of TestStreamEnds changes in 12 rows: of the four places where the process ends, three are broken and one is resumed. TestUnframedEndWhileReplaced fails with the former condition in replace (2 events for 3). The stand-ins of TestClosedResponseClearsNothing, TestTruncatedUnframedStream, TestUnframedEndInCrash and TestSlowSoundStream answer reports, as upstreams that live do; they check what they did, and TestSlowSoundStream doesn't count the report as a request.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -32,9 +32,12 @@
 	// request to its end. A response without a length or chunks doesn't: it ends
 	// with its connection, as that of a crashed upstream does.
 	survived bool
-	// unframed is set if the response has neither a length nor chunks, so that
-	// it looks complete if its upstream ends.
+	// unframed is set if the response looks complete but has neither a length nor
+	// chunks, so that it may have ended with its upstream.
 	unframed bool
+	// unproven is set if it is a stream, which isn't done before it is known that
+	// nothing follows.
+	unproven bool
 	// end is what ended the response to a request for a stream, one of
 	// metric.StreamEndKinds; it is empty if there was none.
 	end string
@@ -129,7 +132,7 @@
 	now := r.now()
 	r.mu.Lock()
 	r.table.Finish(now, up, x.query.Key, o.result, o.firstByteTime)
-	if o.done {
+	if o.done || o.unproven {
 		x.countSlotTime(now.Sub(sent), answeredFor)
 	}
 	switch {
@@ -137,7 +140,7 @@
 		x.recordCrash(now, up, answeredFor)
 	case o.survived:
 		x.clearAll(now, up, o.status)
-	case o.done && o.unframed:
+	case o.unframed:
 		x.recordUnframedEnd(now, up)
 	}
 	if o.answered() {
@@ -146,7 +149,10 @@
 	r.dispatchFreed(now, up)
 	r.reportEnd(up)
 	r.mu.Unlock()
-	if !o.done {
+	switch {
+	case o.unproven:
+		event.StreamEndUnproven.Log("request", x.req.ID, "upstream", up.ID, "events", x.events.EventCount, "last-event", event.Excerpt(x.events.LastID), "took", now.Sub(sent))
+	case !o.done:
 		o.cause = event.Excerpt(o.cause)
 		x.lastFailure = o.cause
 		event.RelayFailed.Log("request", x.req.ID, "upstream", up.ID, "cause", o.cause, "end", o.result,
@@ -188,7 +194,11 @@
 // must close the connection.
 func (x *exchange) readResponse(ctx context.Context, k *call) (o outcome, released bool) {
 	if k.res == nil {
-		if o, ok := x.awaitByte(ctx, k, x.firstByteTimeout(), false); !ok {
+		timeout := x.firstByteTimeout()
+		if x.pendingEnd() {
+			timeout = min(timeout, x.gapTimeout())
+		}
+		if o, ok := x.awaitByte(ctx, k, timeout, false); !ok {
 			return o, false
 		}
 		st := newStall(ctx, x, k, x.relay.now(), x.firstByteTimeout())
@@ -232,8 +242,9 @@
 
 // awaitByte waits for the next byte. If none arrives within the timeout, another
 // upstream is asked to take the request over, and further ones if that fails; the
-// attempt fails once one has it, and the wait continues if none has. endAllowed is set if the response may end with its
-// connection.
+// attempt fails once one has it, and the wait continues if none has. endAllowed is set if
+// the response may end with its connection; if it does, a further upstream that has been
+// asked says whether anything follows.
 func (x *exchange) awaitByte(ctx context.Context, k *call, timeout time.Duration, endAllowed bool) (outcome, bool) {
 	since := x.relay.now()
 	silent, wait := false, timeout
@@ -251,14 +262,18 @@
 			c, reason := x.reserveReplacement(k.up, since)
 			x.logSilence(k.up, since, reason)
 			if reason == "" {
-				next, timedOut, err = x.replace(ctx, k, c, endAllowed)
+				next, timedOut, err = x.replace(ctx, k, c)
 				// If that failed, another one is asked at once.
 				wait = 0
 			}
 		}
 		switch {
-		case err != nil && next == nil && endAllowed && errors.Is(err, io.EOF):
+		case endAllowed && errors.Is(err, io.EOF) && next == nil:
 			return outcome{}, true
+		case endAllowed && errors.Is(err, io.EOF):
+			o := unprovenEnd(k.res)
+			o.replacedBy = next
+			return o, false
 		case err != nil:
 			o := interrupted(err, 0)
 			o.replacedBy = next
@@ -273,10 +288,18 @@
 			return outcome{}, true
 		case ctx.Err() != nil:
 			return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: ctx.Err().Error()}, false
+		case x.pendingEnd():
+			// The caller has all events that there are, most likely.
+			return outcome{mayHaveRun: true, result: pick.GivenUp, cause: "no data received for " + x.relay.now().Sub(since).String()}, false
 		}
 	}
 }
 
+// gapTimeout returns how long a stream may pause before another upstream is asked to go on.
+func (x *exchange) gapTimeout() time.Duration {
+	return max(gapTimeoutFactor*x.route.MaxEventGap, minGapTimeout)
+}
+
 // recordContinued records that an upstream goes on after a silence.
 func (x *exchange) recordContinued(up fleet.Upstream, since time.Time) {
 	now := x.relay.now()
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"strings"
@@ -208,8 +206,8 @@
 // replace sends the request to the upstream of c while the connection of k, which is
 // silent, is kept. It returns the new call once that has been accepted, or at the
 // end of the overlap if it hasn't failed; otherwise nil and what AwaitByte returns for
-// k. endAllowed is set if the response of k may end with its connection.
-func (x *exchange) replace(ctx context.Context, k *call, c pick.Choice, endAllowed bool) (next *call, timedOut bool, err error) {
+// k.
+func (x *exchange) replace(ctx context.Context, k *call, c pick.Choice) (next *call, timedOut bool, err error) {
 	sent := x.relay.now()
 	step, limit := x.overlap(sent)
 	x.countAttempt(c, k.up.ID)
@@ -228,7 +226,7 @@
 		next, failure = x.openReplacement(inner, c.Upstream, handOver, limit)
 	}()
 	timedOut, err = x.awaitEither(k, done, step, limit)
-	goesOn := !timedOut && (err == nil || endAllowed && errors.Is(err, io.EOF))
+	goesOn := !timedOut && err == nil
 	if goesOn {
 		cancel()
 	}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -74,6 +74,9 @@
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
 		headerSent bool
+		// unproven is the end of a stream of which it isn't known whether anything
+		// follows, nil if there is none.
+		unproven *unprovenStream
 		// ended is what ended the response of the last attempt, as outcome.end.
 		ended  string
 		events *sse.Splitter
@@ -232,6 +235,9 @@
 			x.finishFailed(ctx, kept, keptFrom)
 			return
 		}
+		if !ok && x.finishUnproven(ctx) {
+			return
+		}
 		if !ok {
 			x.fail(ctx, resp)
 			return
@@ -239,10 +245,15 @@
 		o, up := x.attempt(ctx, c)
 		x.endTrial(&o, up)
 		if o.done {
-			x.whole = true
-			x.logOutcome(metric.OutcomeOK, up, o.status)
+			x.finishWhole(up, o.status)
 			return
 		}
+		if o.unproven {
+			x.unproven = &unprovenStream{up, o.status, x.events.EventCount}
+			if !x.canFailOver() && x.finishUnproven(ctx) {
+				return
+			}
+		}
 		if o.response != nil {
 			kept, keptFrom = o, up
 		}
@@ -252,6 +263,9 @@
 		if kept.response != nil {
 			o, up = kept, keptFrom
 		}
+		if x.finishUnproven(ctx) {
+			return
+		}
 		x.finishFailed(ctx, o, up)
 		return
 	}
--- a/internal/node/relay/finish.go
+++ b/internal/node/relay/finish.go
@@ -30,6 +30,12 @@
 	}
 }
 
+// finishWhole ends a request whose complete response has been written to the caller.
+func (x *exchange) finishWhole(up fleet.Upstream, status int) {
+	x.whole = true
+	x.logOutcome(metric.OutcomeOK, up, status)
+}
+
 // class returns the kind and rank of the request's route, as metrics and logs have it.
 func (x *exchange) class() string { return fmt.Sprintf("%s-%d", x.route.Kind, x.route.Rank) }
 
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -34,7 +34,7 @@
 	if res.ContentLength == 0 {
 		return x.finishStream(res)
 	}
-	gap := max(gapTimeoutFactor*x.route.MaxEventGap, minGapTimeout)
+	gap := x.gapTimeout()
 	buf := make([]byte, streamBufferBytes)
 	hold := x.hold(k.up)
 	defer hold.Release()
@@ -86,7 +86,8 @@
 // finishStream ends a stream whose response has ended, and forwards what follows its last
 // event. A stream that ends within an event is truncated however its response is framed: an
 // upstream that gives up may still write the last chunk. Without a length or chunks, one
-// that ends before the first event of this attempt is truncated too.
+// that ends before the first event of this attempt is truncated too, and one that ends after
+// an event is unproven.
 func (x *exchange) finishStream(res *http.Response) outcome {
 	cause := ""
 	switch {
@@ -100,12 +101,15 @@
 		// With a length or chunks, the upstream has ended its response itself.
 		return outcome{mayHaveRun: true, status: res.StatusCode, result: pick.Interrupted, crashed: !framed(res), end: endKind(res), cause: cause}
 	}
+	if !framed(res) {
+		return unprovenEnd(res)
+	}
 	if len(rest) > 0 || !x.headerSent {
 		if !x.forward(res, rest) {
 			return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 		}
 	}
-	return outcome{done: true, survived: survived(res), unframed: !framed(res), end: endKind(res), status: res.StatusCode, result: pick.Succeeded}
+	return outcome{done: true, survived: survived(res), end: endKind(res), status: res.StatusCode, result: pick.Succeeded}
 }
 
 // endKind returns what ends a response, as the label of metric.StreamEnds.
