relay: events that come with a stalled read are dropped at a replacement

What callers saw: a stream without one of its events.

Cause: a read of a chunked body that has an event and waits within the next chunk returns both late. When it stalled, another upstream had been asked to go on after the last event that the caller has; the events of that read were then taken from the buffer, which moved the id of the last event, and not forwarded. If the other upstream broke off before its first event, a third one was asked to go on after them.

Evidence: TestReplacementBreaksOff fails on: events 2 and 3 of 3 as a whole stream. TestTrickledStream showed it first, with the check of ids that follows: "event 1 after event 1".

Change: what such a read has brought is discarded before events are taken from it; the other upstream sends it again.

--- a/internal/node/relay/stall.go
+++ b/internal/node/relay/stall.go
@@ -58,10 +58,9 @@
 }
 
 // advance records the end of a read, which has completed an event or not, and reports
-// whether another upstream has taken the stream over. What a read has brought goes first.
+// whether another upstream has taken the stream over since.
 func (s *stall) advance(now time.Time, completed bool, err error) bool {
 	switch {
-	case s.next != nil:
 	case completed:
 		if s.expired {
 			s.x.recordContinued(s.call.up, s.since)
--- a/internal/node/relay/stall_test.go
+++ b/internal/node/relay/stall_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// TestReplacementBreaksOff guards against an event that the caller never gets: a read that
+// waited within the next event brings it when another upstream has taken the stream over
+// before it, and that one breaks off (issue 65).
+func TestReplacementBreaksOff(t *testing.T) {
+	within := chunkedHead + chunk(firstEvent) + "fff\r\n"
+	f := newFixture(t, route(fleet.Stream, 3, true), trickle(within, len(within), false), closeWithin(chunkedHead, len(chunkedHead), false), streamEvents(3, 0))
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	must.Eq(t, 1, f.requestCount(2))
+}
+
 // TestSlowSoundStream guards against cutting a stream whose events arrive slowly and in
 // pieces while no other upstream takes it over.
 func TestSlowSoundStream(t *testing.T) {
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -48,6 +48,12 @@
 			}
 		}
 		n, err := st.read(res.Body, buf)
+		if st.next != nil {
+			// It goes on after the last event that the caller has, so what this read
+			// has brought comes again.
+			x.events.TakePartial()
+			return st.outcome()
+		}
 		_, _ = x.events.Write(buf[:n]) // never fails
 		whole := x.events.TakeEvents()
 		if st.advance(x.relay.now(), len(whole) > 0, err) {
