relay, sse: events whose ids don't increase fail the attempt

What callers saw: an event twice in one answer, in some cases as a whole stream, where an upstream took no notice of the event after which it was to go on and began anew; the same over a caller's tries. Also ids that went back within a response.

Cause: nothing compared the id of an event with that of the last one that the caller has.

They now fail the attempt before the first such event: another upstream is asked where the route allows it, else the response is broken off, or 502 before its first event. Ids that are numbers must rise, others differ from the one before, and the two kinds don't mix.

An event without an id ends the possibility to go on elsewhere: the event would come again. Comments count as no event.

Tests: link/sse TestOrder, TestUnnumbered; node/relay TestEventsInOrder.

--- a/internal/link/sse/splitter_test.go
+++ b/internal/link/sse/splitter_test.go
@@ -1,6 +1,8 @@
 package sse
 
 import (
+	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -52,6 +54,59 @@
 	must.Eq(t, 2, s.EventCount)
 }
 
+// TestOrder guards against passing on an event twice, or one that comes before another: the
+// events from the first whose id doesn't follow aren't taken.
+func TestOrder(t *testing.T) {
+	for _, c := range []struct {
+		after string
+		ids   []string
+		taken int
+	}{
+		{"", []string{"1", "2", "3"}, 3},
+		{"", []string{"9", "10", "100"}, 3},
+		{"", []string{"1", "3"}, 2},
+		{"", []string{"1", "2", "2", "3"}, 2},
+		{"", []string{"1", "3", "2"}, 2},
+		{"", []string{"10", "9"}, 1},
+		{"", []string{"1", "01"}, 1},
+		{"", []string{"18446744073709551616", "18446744073709551615"}, 1},
+		{"2", []string{"3"}, 1},
+		{"2", []string{"1", "2", "3"}, 0},
+		{"2", []string{"2"}, 0},
+		{"0", []string{"0"}, 0},
+		{"0", []string{"1"}, 1},
+		{"", []string{"a", "b", "a"}, 3},
+		{"", []string{"a", "a"}, 1},
+		{"a", []string{"1"}, 0},
+		{"2", []string{"a"}, 0},
+	} {
+		s := New()
+		s.LastID = c.after
+		for _, id := range c.ids {
+			_, _ = fmt.Fprintf(s, "id: %s\ndata: x\n\n", id)
+		}
+		s.TakeEvents()
+		must.Eq(t, c.taken, s.EventCount, must.Sprint(c))
+		var order *OrderError
+		must.Eq(t, c.taken < len(c.ids), errors.As(s.Err(), &order), must.Sprint(c))
+		must.Eq(t, c.taken < len(c.ids), s.WithinEvent(), must.Sprint(c))
+	}
+}
+
+// TestUnnumbered guards against resuming a stream after an event without an id, which would
+// come again, and against taking a comment for such an event.
+func TestUnnumbered(t *testing.T) {
+	s := New()
+	_, _ = s.Write([]byte("id: 1\ndata: a\n\n: keep-alive\n\n\n\n"))
+	must.Eq(t, "id: 1\ndata: a\n\n: keep-alive\n\n\n\n", string(s.TakeEvents()))
+	must.Eq(t, 1, s.EventCount)
+	must.False(t, s.Unnumbered)
+	_, _ = s.Write([]byte("data: b\n\n"))
+	s.TakeEvents()
+	must.Eq(t, 2, s.EventCount)
+	must.True(t, s.Unnumbered)
+}
+
 // TestWithinEvent guards against a stream that looks complete although it ends within an
 // event, also within a character, and against a sound one that is taken as truncated
 // because blank lines or comments follow its last event.
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -174,12 +174,11 @@
 }
 
 // resumeFrom returns the id of the last event that the caller has received.
-func (x *exchange) resumeFrom() string {
-	if x.events.EventCount > 0 {
-		return x.events.LastID
-	}
-	return x.req.LastEventID
-}
+func (x *exchange) resumeFrom() string { return x.events.LastID }
+
+// repeatable reports whether the request may be sent to another upstream although one may
+// have run it.
+func (x *exchange) repeatable() bool { return x.route.Repeatable() && !x.events.Unnumbered }
 
 // interrupted returns the outcome of a missing, malformed or truncated response.
 func interrupted(err error, firstByteTime time.Duration) outcome {
@@ -333,7 +332,7 @@
 // canFailOver reports whether the request may be retried and another upstream
 // that is not ejected can take it now.
 func (x *exchange) canFailOver() bool {
-	if !x.route.Repeatable() || x.attempts >= x.route.MaxAttempts {
+	if !x.repeatable() || x.attempts >= x.route.MaxAttempts {
 		return false
 	}
 	x.relay.mu.Lock()
@@ -430,7 +429,7 @@
 		return x.attempts < x.route.MaxAttempts+2*extraAttempts
 	case !o.mayHaveRun:
 		return x.attempts < x.route.MaxAttempts+extraAttempts && belowMax && x.relay.takeRetryToken(x.relay.now(), x.query.Key.Service)
-	case !x.route.Repeatable() || !belowMax:
+	case !x.repeatable() || !belowMax:
 		return false
 	case o.response != nil && !x.canFailOver():
 		// The error response is better than none.
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -171,7 +171,7 @@
 // the relay.
 func (x *exchange) findReplacement(now time.Time, running int) (c pick.Choice, reason string) {
 	switch {
-	case !x.route.Repeatable():
+	case !x.repeatable():
 		return c, "not-repeatable"
 	case x.possibleRuns+running >= x.route.MaxAttempts || x.attempts >= x.route.MaxAttempts+extraAttempts:
 		return c, "attempts-used"
--- a/internal/node/relay/ends_test.go
+++ b/internal/node/relay/ends_test.go
@@ -290,6 +290,20 @@
 	}
 }
 
+// TestEventsInOrder guards against an event that reaches a caller twice, or before an earlier
+// one, since an upstream takes no notice of the event after which it is to go on or counts
+// anew (issue 65): the attempt has failed, before the first such event.
+func TestEventsInOrder(t *testing.T) {
+	anew := streamEnd{response: always(chunkedStream + chunk(wantEvents(3)) + lastChunk)}
+	f, us := newEndsFixture(t, route(fleet.Stream, 3, true), brokenAfter(1), anew, wholeEnd)
+	must.Eq(t, "whole, events [1 2 3], sends 1 1 1", take(t, f, us, nil))
+	f, us = newEndsFixture(t, route(fleet.Stream, 3, true), brokenAfter(2), anew, anew)
+	must.Eq(t, "broken, events [1 2], sends 1 1 1", take(t, f, us, nil))
+	// Nothing says after which event another upstream would have to go on.
+	f, us = newEndsFixture(t, route(fleet.Stream, 2, true), streamEnd{response: always(chunkedStream + chunk("data: x\n\n"))}, wholeEnd)
+	must.Eq(t, `broken, "data: x\n\n", sends 1 0`, take(t, f, us, nil))
+}
+
 // TestUnframedEndWhileReplaced guards against taking the end of such a response for that of
 // the stream while another upstream has been asked to go on, since the first one was silent.
 func TestUnframedEndWhileReplaced(t *testing.T) {
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -171,6 +171,7 @@
 		NoRetry:   !route.Repeatable(),
 		Begins:    route.Kind == fleet.Stream && req.LastEventID == "",
 	}
+	x.events.LastID = req.LastEventID
 	defer x.releaseHolds()
 	x.caller, x.attributes = caller, attributes(req, caller)
 	x.copy.Keys = blame.Repeated(x.attributes)
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -38,6 +38,7 @@
 	buf := make([]byte, streamBufferBytes)
 	hold := x.hold(k.up)
 	defer hold.Release()
+	x.events.Restart()
 	st := newStall(ctx, x, k, x.relay.now(), gap)
 	for {
 		// Within an event, bytes are no sign that the stream goes on.
@@ -71,6 +72,10 @@
 				return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: "write to caller failed"}
 			}
 		}
+		if err := x.events.Err(); err != nil {
+			x.events.TakePartial()
+			return outcome{mayHaveRun: true, status: res.StatusCode, result: pick.Failed, cause: err.Error()}
+		}
 		if !hold.Grow(x.events.Buffered()) {
 			x.events.TakePartial()
 			return interrupted(merry.Wrap(errBodyMemory), 0)
