http1: a reset stays a reset to a wait whose deadline has passed

Cause: after a wait whose deadline has passed, awaited looks whether anything has arrived, with MSG_PEEK. The kernel reports the error of a socket once, to a peek as well, so the read that followed got io.EOF: the end of a response without a length.

Change: quiet, formerly noPendingInput, returns the error that it takes. The tests that called it wait as before. No other code peeks at a socket.

--- a/internal/link/http1/await.go
+++ b/internal/link/http1/await.go
@@ -31,8 +31,9 @@
 		if err := c.SetReadDeadline(time.Now().Add(pendingReadTimeout)); err != nil {
 			return false, merry.Wrap(err)
 		}
-		if c.noPendingInput() {
-			return true, nil
+		quiet, failed := c.quiet()
+		if quiet || failed != nil {
+			return quiet, failed
 		}
 		_, err = c.br.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/link/http1/await_test.go
+++ b/internal/link/http1/await_test.go
@@ -28,7 +28,7 @@
 	must.True(t, timedOut)
 	_, err = io.WriteString(peer, "x")
 	must.NoError(t, err)
-	for c.noPendingInput() {
+	for isQuiet(t, c) {
 		time.Sleep(time.Millisecond)
 	}
 	timedOut, err = c.AwaitByte(passed)
@@ -38,7 +38,7 @@
 	_, err = c.br.Discard(1)
 	must.NoError(t, err)
 	must.NoError(t, peer.Close())
-	for c.noPendingInput() {
+	for isQuiet(t, c) {
 		time.Sleep(time.Millisecond)
 	}
 	_, err = c.AwaitByte(passed)
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -168,7 +168,7 @@
 		c := cs[len(cs)-1]
 		p.idle[key] = cs[:len(cs)-1]
 		p.mu.Unlock()
-		if now.Before(c.reuseBefore) && c.noPendingInput() {
+		if quiet, err := c.quiet(); now.Before(c.reuseBefore) && quiet && err == nil {
 			c.Reused = true
 			return c
 		}
@@ -176,28 +176,37 @@
 	}
 }
 
-// noPendingInput reports whether nothing has arrived on an idle connection:
-// neither a close nor bytes that belong to no request.
-func (c *Conn) noPendingInput() bool {
+// quiet reports whether nothing has arrived on a connection: neither bytes nor its end. It
+// returns the error of a connection that has failed, since looking at it takes the error
+// from the socket, whose next read would return io.EOF. It reports false for a connection
+// that is no socket.
+func (c *Conn) quiet() (bool, error) {
 	if c.br.Buffered() > 0 {
-		return false
+		return false, nil
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, nil
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, merry.Wrap(err)
 	}
-	empty := false
+	var failed error
 	err = rc.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = errors.Is(e, syscall.EAGAIN)
+		_, _, failed = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && empty
+	switch {
+	case err != nil:
+		return false, merry.Wrap(err)
+	case errors.Is(failed, syscall.EAGAIN):
+		return true, nil
+	case failed != nil:
+		return false, merry.Wrap(&net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: failed})
+	}
+	return false, nil
 }
 
 // ReadResponse reads the status line and header of the response to a request
--- a/internal/link/http1/pool_test.go
+++ b/internal/link/http1/pool_test.go
@@ -144,7 +144,7 @@
 	<-extra
 	// Wait until the bytes have arrived over loopback.
 	c := p.idle["key"][0]
-	for c.noPendingInput() {
+	for isQuiet(t, c) {
 		time.Sleep(time.Millisecond)
 	}
 	must.Nil(t, p.takeIdle("key"))
@@ -244,3 +244,11 @@
 	p.CloseIdle(func(key string) bool { return !strings.HasPrefix(key, "k") })
 	must.MapEmpty(t, p.idle)
 }
+
+// isQuiet reports whether nothing has arrived on a connection.
+func isQuiet(t *testing.T, c *Conn) bool {
+	t.Helper()
+	quiet, err := c.quiet()
+	must.NoError(t, err)
+	return quiet
+}
