tunnel: a forwarder takes a reset for a reset while it sends the request

What callers could see: a response without a length, through another daemon, that looks complete although its upstream reset the connection while the request was being sent.

Cause: the write to the upstream takes the error of the socket, and the read beside it returns io.EOF, which the forwarder reported as a close in order.

Change: an io.EOF is a close in order only if no write has failed or is in progress. A write that is in progress when the upstream closes is taken for a reset: the response came before the request was complete.

--- a/internal/link/tunnel/server.go
+++ b/internal/link/tunnel/server.go
@@ -144,7 +144,13 @@
 }
 
 // transfer copies between a daemon and an upstream.
-type transfer struct{ daemon, upstream net.Conn }
+type transfer struct {
+	daemon, upstream net.Conn
+	// writing is held by a write to the upstream, whose failure sets writeFailed. It may
+	// take the error of a reset, and a read then returns io.EOF.
+	writing     sync.Mutex
+	writeFailed bool
+}
 
 // abort resets both connections.
 func (t *transfer) abort() {
@@ -163,7 +169,7 @@
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			if _, werr := t.upstream.Write(buf[:n]); werr != nil {
+			if !t.write(buf[:n]) {
 				// receive finds how the upstream ended.
 				return
 			}
@@ -175,6 +181,25 @@
 	}
 }
 
+// write writes to the upstream, and reports whether that succeeded.
+func (t *transfer) write(b []byte) bool {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	_, err := t.upstream.Write(b)
+	t.writeFailed = err != nil
+	return err == nil
+}
+
+// closedInOrder reports whether an io.EOF from the upstream is known to be a close in order:
+// no write has failed, or is about to.
+func (t *transfer) closedInOrder() bool {
+	if !t.writing.TryLock() {
+		return false
+	}
+	defer t.writing.Unlock()
+	return !t.writeFailed
+}
+
 // receive copies what the upstream sends in frames, and reports to the daemon how it ended.
 // observe is called with the heads of the response, interim ones included, once the final
 // one is complete or one is malformed.
@@ -204,9 +229,9 @@
 			continue
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && t.closedInOrder():
 			err = t.frame(buf, frameClosed, 0)
-		case errors.Is(err, syscall.ECONNRESET):
+		case errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET):
 			err = t.frame(buf, frameReset, 0)
 		}
 		if err != nil {
