tunnel: a Conn has no methods of its TCP connection

Two faults that reached no caller so far as is known. The error of TCP_USER_TIMEOUT on the way to a forwarder was passed on as a time-out and not as a LostError, so that the upstream behind it could count as crashed; and WriteTo of the embedded *net.TCPConn let io.Copy hand on raw frames, and take the end of the forwarder for that of the upstream.

Only errors of deadlines are passed on as they are, and Conn embeds net.Conn alone.

--- a/internal/link/tunnel/conn.go
+++ b/internal/link/tunnel/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"syscall"
 	"time"
@@ -21,7 +22,8 @@
 type (
 	// Conn is a connection to an upstream through a forwarder.
 	Conn struct {
-		*net.TCPConn
+		// Conn leads to the forwarder. Its other methods would hand on frames.
+		net.Conn
 		forwarder string
 		br        *bufio.Reader
 		// left is the number of bytes of the present frame that haven't been read,
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	c := &Conn{TCPConn: nc.(*net.TCPConn), forwarder: forwarder, br: bufio.NewReaderSize(nc, headerBytes+maxFrameBytes)}
+	c := &Conn{Conn: nc, forwarder: forwarder, br: bufio.NewReaderSize(nc, headerBytes+maxFrameBytes)}
 	if err := c.connect(ctx, id, address); err != nil {
 		_ = c.Close() // the error of connect is reported
 		return nil, err
@@ -96,7 +98,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	_, err := fmt.Fprintf(c.TCPConn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", address, address, idHeader, id)
+	_, err := fmt.Fprintf(c.Conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", address, address, idHeader, id)
 	if err != nil {
 		stop()
 		return merry.Wrap(err)
@@ -122,6 +124,14 @@
 // Forwarder returns the address of the forwarder.
 func (c *Conn) Forwarder() string { return c.forwarder }
 
+// SetLinger is that of a TCP connection.
+func (c *Conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // Read reads data of the upstream. It returns io.EOF or ECONNRESET if the upstream has
 // closed or reset the connection, and a LostError if the forwarder has.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -159,11 +169,10 @@
 	return nil
 }
 
-// lost returns the error of a read from the forwarder: a timeout as it is, the end of
-// its connection as a LostError.
+// lost returns the error of a read from the forwarder: that of a deadline as it is, the end
+// of its connection as a LostError.
 func (c *Conn) lost(err error) error {
-	var timeout net.Error
-	if err == nil || errors.As(err, &timeout) && timeout.Timeout() {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
 	return &LostError{c.forwarder, err}
--- a/internal/link/tunnel/ends_test.go
+++ b/internal/link/tunnel/ends_test.go
@@ -182,7 +182,7 @@
 			_ = c.SetLinger(0)
 			_ = c.Close()
 		})},
-		{name: "daemon stops reading", start: byDaemon(func(c *Conn) { _ = c.CloseRead() })},
+		{name: "daemon stops reading", start: byDaemon(func(c *Conn) { _ = c.Conn.(*net.TCPConn).CloseRead() })},
 		{name: "daemon's deadline", start: byDaemon(func(c *Conn) { _ = c.SetDeadline(time.Unix(1, 0)) })},
 		{name: "frame of kind 0", start: byHand(data+frame(0, "")+frame(frameClosed, ""), keepOpen)},
 		{name: "frame of kind 4", start: byHand(data+frame(4, "x")+frame(frameClosed, ""), keepOpen)},
--- a/internal/link/tunnel/tunnel_test.go
+++ b/internal/link/tunnel/tunnel_test.go
@@ -200,7 +200,7 @@
 	go func() {
 		<-sent
 		// The kernel ends the connections of a killed process in this way.
-		_ = c.CloseRead()
+		_ = c.Conn.(*net.TCPConn).CloseRead()
 	}()
 	_, err = exchange(t, c)
 	var lost *LostError
