relay: a stream without any event isn't complete

Cause: finishStream asked for a first event only of a response with neither a length nor chunks. The response to a request for a stream is a series of events, so one without any has been cut short whatever its framing.

Now another upstream is asked where the route allows it, else the caller gets 502. An empty response to a request for what follows an event stays a whole one: an upstream may break off between its last event and its end.

TestEmptyFramedStream held that such a response is passed on unchanged, which was wrong; it now holds the opposite for both framings, and still that the end isn't waited for until the deadline.

--- a/internal/node/relay/silence_test.go
+++ b/internal/node/relay/silence_test.go
@@ -325,16 +325,27 @@
 	must.Eq(t, wantEvents(3), body)
 }
 
-// TestEmptyFramedStream guards against waiting until the deadline for more of a stream
-// whose length is 0.
+// TestEmptyFramedStream guards against a stream without any event that reaches the caller as
+// complete since its length is 0 or its last chunk is there (issue 65), and against waiting
+// until the deadline for more of it.
 func TestEmptyFramedStream(t *testing.T) {
-	f := newFixture(t, route(fleet.Stream, 2, true), func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Id", r.Header.Get("Id"))
-		w.Header().Set("Content-Type", "text/event-stream")
-		w.Header().Set("Content-Length", "0")
-	}, streamEvents(3, 0))
-	code, body := f.send(http.MethodPost, "1", "m")
-	must.Eq(t, http.StatusOK, code)
-	must.Eq(t, "", body)
-	must.Eq(t, 0, f.requestCount(1))
+	for _, length := range []string{"", "0"} {
+		empty := func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Content-Type", "text/event-stream")
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+			_ = http.NewResponseController(w).Flush()
+		}
+		f := newFixture(t, route(fleet.Stream, 2, true), empty, streamEvents(3, 0))
+		code, body := f.send(http.MethodPost, "1", "m")
+		must.Eq(t, http.StatusOK, code)
+		must.Eq(t, wantEvents(3), body)
+		must.Eq(t, 1, f.requestCount(1))
+		f = newFixture(t, route(fleet.Stream, 1, false), empty)
+		code, body = f.send(http.MethodPost, "1", "m")
+		must.Eq(t, http.StatusBadGateway, code)
+		must.StrNotContains(t, body, "id:")
+	}
 }
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -96,14 +96,17 @@
 
 // finishStream ends a stream whose response has ended, and forwards what follows its last
 // event. A stream that ends within an event is truncated however its response is framed: an
-// upstream that gives up may still write the last chunk. Without a length or chunks, one
-// that ends before the first event of this attempt is truncated too, and one that ends after
-// an event is unproven.
+// upstream that gives up may still write the last chunk. So is one without any event, unless
+// it follows an event that the caller has. Without a length or chunks, one that ends before
+// the first event of this attempt is truncated too, and one that ends after an event is
+// unproven.
 func (x *exchange) finishStream(res *http.Response) outcome {
 	cause := ""
 	switch {
 	case isEventStream(res) && x.events.WithinEvent():
 		cause = "response ended within an event"
+	case isEventStream(res) && x.events.EventCount == 0 && x.resumeFrom() == "":
+		cause = "response ended before its first event"
 	case !framed(res) && (x.events.Buffered() > 0 || x.answeredAt.IsZero()):
 		cause = "response ended with its connection before it was complete"
 	}
