relay: a stream that ends at its time limit isn't complete

Cause: upstreams are told the time that is left in whole milliseconds, rounded down, and stop work at it. An upstream whose handler then returns ends its response soundly, up to a millisecond before the daemon's own deadline, and the relay took that for the end of the stream. After a suspension or a wait for the processor both are due, and either may win.

Change: an end that comes no earlier than the limit that was sent is no proof that the stream is complete. Less than a millisecond is left then, so the request ends as at its deadline: the response is broken off.

--- a/internal/node/relay/ends_test.go
+++ b/internal/node/relay/ends_test.go
@@ -329,3 +329,25 @@
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, wantEvents(3), body)
 }
+
+// TestStreamEndsAtTimeLimit guards against a stream that looks complete although its upstream
+// gave up at the time limit that it was sent, which is in whole milliseconds and so a little
+// before the daemon's own (issue 65).
+func TestStreamEndsAtTimeLimit(t *testing.T) {
+	r := route(fleet.Stream, 1, false)
+	r.Timeout = 50*time.Millisecond + 900*time.Microsecond
+	f := newFixture(t, r, func(w http.ResponseWriter, r *http.Request) {
+		left := 0
+		_, _ = fmt.Sscan(r.Header.Get("Left"), &left)
+		limit := time.After(time.Duration(left) * time.Millisecond)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, wantEvents(1))
+		_ = http.NewResponseController(w).Flush()
+		<-limit
+	})
+	for i := range 20 {
+		code, body := f.send(http.MethodPost, fmt.Sprint(i), "m")
+		must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
+		must.Eq(t, wantEvents(1), body)
+	}
+}
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -22,6 +22,9 @@
 	// maxEventBytes is the largest event of a stream. Engines' events have some
 	// hundred bytes.
 	maxEventBytes = 256 << 10
+	// timeLimitUnit is the unit of the time that an upstream is told is left, which is
+	// rounded down.
+	timeLimitUnit = time.Millisecond
 )
 
 // forwardStream forwards events as they arrive. Only complete events are
@@ -32,7 +35,7 @@
 		return interrupted(&contentTypeError{ct}, 0)
 	}
 	if res.ContentLength == 0 {
-		return x.finishStream(res)
+		return x.finishStream(ctx, k)
 	}
 	gap := x.gapTimeout()
 	buf := make([]byte, streamBufferBytes)
@@ -85,7 +88,7 @@
 			return outcome{mayHaveRun: true, result: pick.Interrupted, cause: fmt.Sprintf("event larger than %d bytes", maxEventBytes)}
 		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(res)
+			return x.finishStream(ctx, k)
 		}
 		if err != nil {
 			x.events.TakePartial()
@@ -100,9 +103,18 @@
 // it follows an event that the caller has. Without a length or chunks, one that ends before
 // the first event of this attempt is truncated too, and one that ends after an event is
 // unproven.
-func (x *exchange) finishStream(res *http.Response) outcome {
-	cause := ""
+//
+// One that ends at the time limit that the upstream was sent may have been given up there.
+func (x *exchange) finishStream(ctx context.Context, k *call) outcome {
+	res, cause := k.res, ""
+	if limit := k.sent.Add(x.deadline.Sub(k.sent).Truncate(timeLimitUnit)); !x.relay.now().Before(limit) {
+		// Less than timeLimitUnit is left.
+		<-ctx.Done()
+	}
 	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		x.events.TakePartial()
+		return outcome{mayHaveRun: true, status: res.StatusCode, result: pick.Inconclusive, end: endKind(res), cause: "response ended at the time limit of the request"}
 	case isEventStream(res) && x.events.WithinEvent():
 		cause = "response ended within an event"
 	case isEventStream(res) && x.events.EventCount == 0 && x.resumeFrom() == "":
