relay: reset the connection of an HTTP/1.0 caller whose stream breaks off

A caller of HTTP/1.0 gets no chunks: its response ends with its connection. The daemon closed that in order (FIN) however the stream ended, so that each broken stream looked complete to such a caller. Callers of HTTP/1.1 miss the last chunk in all of these cases. The test without the change of stream.go ("process is killed" closes the sockets under the server, as the system does; TestWholeStreamLooksWhole passes):

--- FAIL: TestBrokenStreamLooksBroken (0.00s) --- PASS: TestBrokenStreamLooksBroken/upstream_breaks_off,_1.1 (0.10s) --- PASS: TestBrokenStreamLooksBroken/requests_are_ended,_1.1 (0.10s) --- FAIL: TestBrokenStreamLooksBroken/server_is_closed,_1.0,_kept (0.10s) --- FAIL: TestBrokenStreamLooksBroken/server_is_closed,_1.0 (0.11s) --- FAIL: TestBrokenStreamLooksBroken/upstream_breaks_off,_1.0,_kept (0.11s) --- FAIL: TestBrokenStreamLooksBroken/requests_are_ended,_1.0,_kept (0.11s) --- PASS: TestBrokenStreamLooksBroken/server_is_closed,_1.1 (0.10s) --- FAIL: TestBrokenStreamLooksBroken/handler_panics,_1.0 (0.10s) --- FAIL: TestBrokenStreamLooksBroken/upstream_breaks_off,_1.0 (0.11s) --- PASS: TestBrokenStreamLooksBroken/deadline,_1.1 (0.30s) --- FAIL: TestBrokenStreamLooksBroken/handler_panics,_1.0,_kept (0.10s) --- FAIL: TestBrokenStreamLooksBroken/process_is_killed,_1.0,_kept (0.10s) --- PASS: TestBrokenStreamLooksBroken/handler_panics,_1.1 (0.10s) --- FAIL: TestBrokenStreamLooksBroken/deadline,_1.0,_kept (0.30s) --- FAIL: TestBrokenStreamLooksBroken/process_is_killed,_1.0 (0.10s) --- FAIL: TestBrokenStreamLooksBroken/requests_are_ended,_1.0 (0.10s) --- PASS: TestBrokenStreamLooksBroken/process_is_killed,_1.1 (0.10s) --- FAIL: TestBrokenStreamLooksBroken/deadline,_1.0 (0.30s) --- FAIL: TestBrokenStreamLooksBroken/caller_doesn't_read,_1.0,_kept (1.01s) --- PASS: TestBrokenStreamLooksBroken/caller_doesn't_read,_1.1 (1.00s) --- FAIL: TestBrokenStreamLooksBroken/caller_doesn't_read,_1.0 (1.00s) callerend_test.go:183: expected non-nil error; got nil (14 times)

Before the head of such a response, SO_LINGER is now set to 0 on the caller's connection, so that any close of it is a reset, also the system's at the end of a killed process; it is set back once the whole response has been written. Without the latter, TestWholeStreamLooksWhole fails for both kinds of callers of HTTP/1.0: one that hasn't read all of the stream yet is reset.

--- a/internal/link/guard/serve.go
+++ b/internal/link/guard/serve.go
@@ -69,6 +69,15 @@
 	return ok
 }
 
+// SetLinger sets what the end of the request's connection does with data that hasn't been
+// sent, as net.TCPConn.SetLinger. It does nothing without a guarded connection.
+func SetLinger(r *http.Request, sec int) error {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		return c.SetLinger(sec)
+	}
+	return nil
+}
+
 // begin records that the head of a request is complete.
 func (c *Conn) begin(r *http.Request) {
 	if c.phase.Load() == waiting {
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -27,6 +27,8 @@
 		relay *Relay
 		w     http.ResponseWriter
 		rc    *http.ResponseController
+		// hr is the caller's request as it came.
+		hr    *http.Request
 		req   *fleet.Request
 		route *fleet.Route
 		// account is nil for a request that needs no key.
@@ -74,6 +76,8 @@
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
 		headerSent bool
+		// resets is set while the end of the caller's connection resets it.
+		resets bool
 		// ended is what ended the response of the last attempt, as outcome.end.
 		ended  string
 		events *sse.Splitter
@@ -153,7 +157,7 @@
 		r.refuse(w, req.ID, resp, arrived, "account", name, "has-key", req.Key != nil, "configuration", cfg.Version, "age", fresh.Age, "outdated", fresh.Outdated)
 		return
 	}
-	x := &exchange{account: account, relay: r, w: w, rc: http.NewResponseController(w), req: req, route: route, configVersion: cfg.Version, fresh: fresh, arrived: arrived, arrivedBoot: r.boot(), events: sse.New()}
+	x := &exchange{account: account, relay: r, w: w, rc: http.NewResponseController(w), hr: hr, req: req, route: route, configVersion: cfg.Version, fresh: fresh, arrived: arrived, arrivedBoot: r.boot(), events: sse.New()}
 	x.deadline = arrived.Add(route.Timeout)
 	if req.CallerTimeout > 0 && req.CallerTimeout < route.Timeout {
 		x.deadline = arrived.Add(req.CallerTimeout)
@@ -181,6 +185,7 @@
 	defer end(nil)
 	defer context.AfterFunc(r.serving, func() { end(errStopping) })()
 	x.run(ctx)
+	x.markFinished()
 }
 
 // attributes returns the keys of the crash histories that concern a request from the
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -130,6 +130,7 @@
 // has not been sent. It reports whether the write succeeded.
 func (x *exchange) forward(res *http.Response, b []byte) bool {
 	if !x.headerSent {
+		x.markUnfinished()
 		x.headerSent, x.firstByteAt = true, x.relay.now()
 		x.relay.codec.CopyHeader(x.w.Header(), res.Header)
 		x.w.WriteHeader(res.StatusCode)
