relay: write the length of a buffered response

A buffered response of more than 2 KB had no length, as CopyHeader drops that of the upstream, so that one that was cut within its body, by a close or a kill or because its caller read too slowly, looked complete to a caller of HTTP/1.0. The tests without the change of attempt.go:

--- FAIL: TestCutBufferedResponse (4.63s) --- PASS: TestCutBufferedResponse/server_is_closed,_1.1 (0.02s) --- FAIL: TestCutBufferedResponse/server_is_closed,_1.0 (0.02s) --- FAIL: TestCutBufferedResponse/server_is_closed,_1.0,_kept (0.01s) --- PASS: TestCutBufferedResponse/process_is_killed,_1.1 (0.01s) --- FAIL: TestCutBufferedResponse/process_is_killed,_1.0 (0.01s) --- FAIL: TestCutBufferedResponse/process_is_killed,_1.0,_kept (0.01s) --- PASS: TestCutBufferedResponse/caller_doesn't_read,_1.1 (1.51s) --- FAIL: TestCutBufferedResponse/caller_doesn't_read,_1.0 (1.51s) --- FAIL: TestCutBufferedResponse/caller_doesn't_read,_1.0,_kept (1.51s) callerend_test.go:247: expected non-nil error; got nil (6 times) --- FAIL: TestBufferedLength (the bodies of 100 KB; small, empty and missing ones pass)

The size of the body is known, so it is now the response's Content-Length. An empty body is left to net/http, which gives it a length only where one is allowed: not with 204 and 304, nor to HEAD, whose responses are read without a body. Callers of HTTP/1.1 get a length in place of chunks.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
@@ -90,6 +91,14 @@
 	return "response is not an event stream: content type " + e.contentType
 }
 
+// size returns the number of bytes of the body.
+func (r *response) size() (n int) {
+	for _, block := range r.body {
+		n += len(block)
+	}
+	return n
+}
+
 // unsent reports whether the request certainly did not reach the upstream.
 func (o *outcome) unsent() bool {
 	return o.result == pick.ConnectFailed || o.result == pick.Inconclusive && !o.mayHaveRun
@@ -346,6 +355,10 @@
 	x.firstByteAt = x.relay.now()
 	h := x.w.Header()
 	x.relay.codec.CopyHeader(h, full.res.Header)
+	// net/http knows where an empty body has a length.
+	if n := full.size(); n > 0 {
+		h.Set("Content-Length", strconv.Itoa(n))
+	}
 	x.w.WriteHeader(full.res.StatusCode)
 	for _, block := range full.body {
 		if _, err := x.w.Write(block); err != nil {
--- a/internal/node/relay/callerend_test.go
+++ b/internal/node/relay/callerend_test.go
@@ -218,3 +218,73 @@
 		}
 	}
 }
+
+// TestCutBufferedResponse guards against a buffered response that is cut within its body and
+// looks complete to a caller of HTTP/1.0: it had no length.
+func TestCutBufferedResponse(t *testing.T) {
+	const bodyBytes = 15 << 20 // more than the buffers of the system
+	for _, c := range []struct {
+		name string
+		act  func(front *guardedFront)
+	}{
+		{"server is closed", func(front *guardedFront) { _ = front.server.Close() }},
+		{"process is killed", (*guardedFront).kill},
+		{"caller doesn't read", func(*guardedFront) { time.Sleep(1500 * time.Millisecond) }},
+	} {
+		for _, k := range callerKinds {
+			t.Run(c.name+", "+k.name, func(t *testing.T) {
+				r := route(fleet.Safe, 1, false)
+				r.Timeout = time.Second
+				f := newFixture(t, r, func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Id", r.Header.Get("Id"))
+					_, _ = w.Write(make([]byte, bodyBytes))
+				})
+				front := newGuardedFront(t, f.relay)
+				_, res := front.ask(t, http.MethodPost, k.version, k.field)
+				must.Eq(t, http.StatusOK, res.StatusCode)
+				c.act(front)
+				n, err := io.Copy(io.Discard, res.Body)
+				must.Error(t, err)
+				must.Less(t, bodyBytes, n)
+			})
+		}
+	}
+}
+
+// TestBufferedLength guards against a length that isn't that of the body, or that a response
+// without a body has.
+func TestBufferedLength(t *testing.T) {
+	large := strings.Repeat("x", 100<<10)
+	for _, c := range []struct {
+		method     string
+		status     int
+		body       string
+		wantLength string
+	}{
+		{http.MethodPost, http.StatusOK, "fine", "4"},
+		{http.MethodPost, http.StatusOK, large, fmt.Sprint(len(large))},
+		{http.MethodPost, http.StatusOK, "", "0"},
+		{http.MethodPost, http.StatusNotFound, large, fmt.Sprint(len(large))},
+		{http.MethodPost, http.StatusBadGateway, large, fmt.Sprint(len(large))},
+		{http.MethodPost, http.StatusNoContent, "", ""},
+		{http.MethodPost, http.StatusNotModified, "", ""},
+		{http.MethodHead, http.StatusOK, "", ""},
+		{http.MethodHead, http.StatusNotFound, "", ""},
+	} {
+		for _, k := range callerKinds {
+			t.Run(fmt.Sprintf("%s, %d, %d bytes, %s", c.method, c.status, len(c.body), k.name), func(t *testing.T) {
+				f := newFixture(t, route(fleet.Safe, 1, false), func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Id", r.Header.Get("Id"))
+					w.WriteHeader(c.status)
+					_, _ = io.WriteString(w, c.body)
+				})
+				_, res := newGuardedFront(t, f.relay).ask(t, c.method, k.version, k.field)
+				must.Eq(t, c.status, res.StatusCode)
+				must.Eq(t, c.wantLength, res.Header.Get("Content-Length"))
+				b, err := io.ReadAll(res.Body)
+				must.NoError(t, err)
+				must.True(t, c.body == string(b), must.Sprint(len(b)))
+			})
+		}
+	}
+}
