sse: an event has data or an id

A block with a field that is neither (retry) counted as an event without an id, after which a stream is resumed nowhere, and one with an empty id as an event with one, which let it come twice. TestUnnumbered has both.

--- a/internal/link/sse/splitter.go
+++ b/internal/link/sse/splitter.go
@@ -61,8 +61,7 @@
 	return out
 }
 
-// take records an event, unless its id is out of order. Blank lines and comments alone are
-// no event.
+// take records an event, unless its id is out of order. Without an id or data it is none.
 func (s *Splitter) take(event []byte) bool {
 	id, numbered := eventID(event)
 	switch {
@@ -71,7 +70,7 @@
 		return false
 	case numbered:
 		s.LastID = id
-	case !hasField(event):
+	case !hasData(event):
 		return true
 	default:
 		s.Unnumbered = true
@@ -80,6 +79,17 @@
 	return true
 }
 
+// hasData reports whether an event has a data field.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
+
 // follows reports whether an event's id may come after another one: a larger number after a
 // number, another text after a text.
 func follows(id, last string) bool {
@@ -156,13 +166,15 @@
 	return 0
 }
 
-// eventID returns the value of the id field of an event.
+// eventID returns the value of the id field of an event, and false if it has none or an
+// empty one.
 func eventID(b []byte) (string, bool) {
 	for len(b) > 0 {
 		line, rest, _ := bytes.Cut(b, []byte("\n"))
 		b = rest
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(v)), true
+			id := string(bytes.TrimSpace(v))
+			return id, id != ""
 		}
 	}
 	return "", false
--- a/internal/link/sse/splitter_test.go
+++ b/internal/link/sse/splitter_test.go
@@ -101,10 +101,18 @@
 	must.Eq(t, "id: 1\ndata: a\n\n: keep-alive\n\n\n\n", string(s.TakeEvents()))
 	must.Eq(t, 1, s.EventCount)
 	must.False(t, s.Unnumbered)
-	_, _ = s.Write([]byte("data: b\n\n"))
+	_, _ = s.Write([]byte("retry: 10\r\n\r\n"))
 	s.TakeEvents()
-	must.Eq(t, 2, s.EventCount)
-	must.True(t, s.Unnumbered)
+	must.Eq(t, 1, s.EventCount)
+	must.False(t, s.Unnumbered)
+	for _, text := range []string{"data: b\n\n", "id:\ndata: b\n\n", "data\r\n\r\n"} {
+		s := New()
+		_, _ = s.Write([]byte("id: 1\ndata: a\n\n" + text))
+		s.TakeEvents()
+		must.Eq(t, 2, s.EventCount)
+		must.Eq(t, "1", s.LastID)
+		must.True(t, s.Unnumbered)
+	}
 }
 
 // TestWithinEvent guards against a stream that looks complete although it ends within an
