relay: the proof of an end is bounded, and nobody is blamed for it

- Where the upstream that was asked whether anything follows answered that nothing does, in a response without a length or chunks too, it counted as crashed.
Such an answer now is an unproven end as well; the stream is complete if the process of either upstream still runs.
- An unproven end while another upstream had been asked was forgotten.
- A kept connection was used to ask whether the process still runs: it may not have ended yet.
A new one is made.
- The proof could use the whole retry budget; half is left to retries of what has failed.
The token is returned if no upstream could be asked.
- Comments counted as the first event of an attempt, so a response with nothing else looked complete.
- azurespan_stream_ends_total counted refusals as broken.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -120,6 +120,9 @@
 		}
 		x.recordOutcome(ctx, up, &o, sent, x.answeredFor(x.relay.now()))
 		x.ended = o.end
+		if o.unproven {
+			x.addUnproven(up, o.status)
+		}
 		if o.replacedBy == nil {
 			return o, up
 		}
@@ -128,6 +131,13 @@
 		}
 		k = o.replacedBy
 		up, sent = k.up, k.sent
+		if o.unproven {
+			bounded, stop := x.boundProof(ctx)
+			defer stop()
+			ctx = bounded
+			k.detach()
+			k.detach = context.AfterFunc(ctx, k.conn.Abort)
+		}
 	}
 }
 
@@ -173,7 +183,7 @@
 func (x *exchange) receive(ctx context.Context, k *call) outcome {
 	o, released := x.readResponse(ctx, k)
 	k.end(released)
-	if x.route.Kind == fleet.Stream && k.res != nil {
+	if x.route.Kind == fleet.Stream && k.res != nil && k.verdict == fleet.Answered && k.res.StatusCode == http.StatusOK {
 		if o.end == "" {
 			o.end = metric.EndBroken
 		}
@@ -202,11 +212,7 @@
 // must close the connection.
 func (x *exchange) readResponse(ctx context.Context, k *call) (o outcome, released bool) {
 	if k.res == nil {
-		timeout := x.firstByteTimeout()
-		if x.pendingEnd() {
-			timeout = min(timeout, x.gapTimeout())
-		}
-		if o, ok := x.awaitByte(ctx, k, timeout, false); !ok {
+		if o, ok := x.awaitByte(ctx, k, x.firstByteTimeout(), false); !ok {
 			return o, false
 		}
 		st := newStall(ctx, x, k, x.relay.now(), x.firstByteTimeout())
@@ -296,9 +302,6 @@
 			return outcome{}, true
 		case ctx.Err() != nil:
 			return outcome{mayHaveRun: true, result: pick.Inconclusive, cause: ctx.Err().Error()}, false
-		case x.pendingEnd():
-			// The caller has all events that there are, most likely.
-			return outcome{mayHaveRun: true, result: pick.GivenUp, cause: "no data received for " + x.relay.now().Sub(since).String()}, false
 		}
 	}
 }
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -26,6 +26,8 @@
 	res           *http.Response
 	verdict       fleet.Verdict
 	firstByteTime time.Duration
+	// eventsBefore is the number of events of the stream before the response.
+	eventsBefore int
 }
 
 // replacementWindow bounds the time for which a silent upstream and its replacement
@@ -173,6 +175,9 @@
 	switch {
 	case !x.repeatable():
 		return c, "not-repeatable"
+	case x.pendingEnd():
+		// It has nothing to add, most likely.
+		return c, "end-pending"
 	case x.possibleRuns+running >= x.route.MaxAttempts || x.attempts >= x.route.MaxAttempts+extraAttempts:
 		return c, "attempts-used"
 	}
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -76,9 +76,12 @@
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
 		headerSent bool
-		// unproven is the end of a stream of which it isn't known whether anything
-		// follows, nil if there is none.
-		unproven *unprovenStream
+		// unproven are the ends of the stream, after the same event, of which it isn't
+		// known whether anything follows.
+		unproven []unprovenStream
+		// proof ends the attempt that is to show that nothing follows, nil if there was
+		// none.
+		proof *time.Timer
 		// resets is set while the end of the caller's connection resets it.
 		resets bool
 		// ended is what ended the response of the last attempt, as outcome.end.
@@ -229,13 +232,9 @@
 	var kept outcome
 	var keptFrom fleet.Upstream
 	for {
-		c, resp, ok := x.acquire(ctx)
-		if ok {
-			// Crashes may have become known during the wait.
-			var again bool
-			if resp, ok, again = x.confirm(c); again {
-				continue
-			}
+		o, up, resp, ok, again := x.next(ctx)
+		if again {
+			continue
 		}
 		if !ok && kept.response != nil && !x.headerSent {
 			x.finishFailed(ctx, kept, keptFrom)
@@ -248,17 +247,16 @@
 			x.fail(ctx, resp)
 			return
 		}
-		o, up := x.attempt(ctx, c)
-		x.endTrial(&o, up)
 		if o.done {
 			x.finishWhole(up, o.status)
 			return
 		}
-		if o.unproven {
-			x.unproven = &unprovenStream{up, o.status, x.events.EventCount}
-			if !x.canFailOver() && x.finishUnproven(ctx) {
-				return
-			}
+		if o.unproven && x.mayProve(ctx) {
+			x.possibleRuns++
+			continue
+		}
+		if x.finishUnproven(ctx) {
+			return
 		}
 		if o.response != nil {
 			kept, keptFrom = o, up
@@ -269,14 +267,36 @@
 		if kept.response != nil {
 			o, up = kept, keptFrom
 		}
-		if x.finishUnproven(ctx) {
-			return
-		}
 		x.finishFailed(ctx, o, up)
 		return
 	}
 }
 
+// next makes an attempt once an upstream can take it. If ok isn't set there was none, and
+// resp is the refusal; again is set if that may change at once.
+func (x *exchange) next(ctx context.Context) (o outcome, up fleet.Upstream, resp refusal, ok, again bool) {
+	proves := x.pendingEnd()
+	if proves {
+		var stop func()
+		ctx, stop = x.boundProof(ctx)
+		defer stop()
+	}
+	c, resp, ok := x.acquire(ctx)
+	if ok {
+		// Crashes may have become known during the wait.
+		resp, ok, again = x.confirm(c)
+	}
+	if !ok {
+		if proves && !again {
+			x.returnRetryToken()
+		}
+		return o, up, resp, false, again
+	}
+	o, up = x.attempt(ctx, c)
+	x.endTrial(&o, up)
+	return o, up, resp, true, false
+}
+
 // admit counts the request, and refuses it if it is quarantined for crashing upstreams
 // or might not end before the daemon does.
 func (x *exchange) admit() (refusal, bool) {
--- a/internal/node/relay/stall.go
+++ b/internal/node/relay/stall.go
@@ -47,7 +47,7 @@
 	s.expired = true
 	s.next = s.x.replaceStalled(s.ctx, s.call, s.since)
 	s.until = s.x.relay.now().Add(s.limit)
-	return s.next == nil && !s.x.pendingEnd()
+	return s.next == nil
 }
 
 // read reads from the body of the response.
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -34,6 +34,7 @@
 	if ct := res.Header.Get("Content-Type"); x.headerSent && !strings.HasPrefix(ct, "text/event-stream") {
 		return interrupted(&contentTypeError{ct}, 0)
 	}
+	k.eventsBefore = x.events.EventCount
 	if res.ContentLength == 0 {
 		return x.finishStream(ctx, k)
 	}
@@ -64,10 +65,13 @@
 			x.events.TakePartial()
 			return st.outcome()
 		}
-		if len(whole) > 0 {
+		if x.events.EventCount > k.eventsBefore {
 			x.beginAnswer()
 			x.continueAnswer()
 			x.beginStream(k.up)
+			x.endProof()
+		}
+		if len(whole) > 0 {
 			if now := x.relay.now(); now.Sub(x.heardAt) >= heardInterval {
 				x.heard(now, k.up)
 			}
@@ -101,8 +105,8 @@
 // event. A stream that ends within an event is truncated however its response is framed: an
 // upstream that gives up may still write the last chunk. So is one without any event, unless
 // it follows an event that the caller has. Without a length or chunks, one that ends before
-// the first event of this attempt is truncated too, and one that ends after an event is
-// unproven.
+// the first event of this attempt is truncated too, unless another response has ended in
+// order at the same place, and one that ends after an event is unproven.
 //
 // One that ends at the time limit that the upstream was sent may have been given up there.
 func (x *exchange) finishStream(ctx context.Context, k *call) outcome {
@@ -119,7 +123,7 @@
 		cause = "response ended within an event"
 	case isEventStream(res) && x.events.EventCount == 0 && x.resumeFrom() == "":
 		cause = "response ended before its first event"
-	case !framed(res) && (x.events.Buffered() > 0 || x.answeredAt.IsZero()):
+	case !framed(res) && (x.events.Buffered() > 0 || x.events.EventCount == k.eventsBefore && !x.pendingEnd()):
 		cause = "response ended with its connection before it was complete"
 	}
 	rest := x.events.TakePartial()
--- a/internal/node/relay/unproven.go
+++ b/internal/node/relay/unproven.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
@@ -11,8 +12,9 @@
 )
 
 // unprovenStream is a stream whose response, with neither a length nor chunks, has ended
-// after an event. Its upstream's process closes the connection in order when it ends, so
-// only another upstream that has nothing to add shows that the stream is complete.
+// after an event that the caller has. Its upstream's process closes the connection in order
+// when it ends, so only another upstream that has nothing to add shows that the stream is
+// complete.
 type unprovenStream struct {
 	up     fleet.Upstream
 	status int
@@ -25,37 +27,88 @@
 	return outcome{mayHaveRun: true, unframed: true, unproven: true, end: endKind(res), status: res.StatusCode, result: pick.Succeeded, cause: "response ended with its connection after an event"}
 }
 
+// addUnproven records an unproven end of the stream at an upstream.
+func (x *exchange) addUnproven(up fleet.Upstream, status int) {
+	if !x.pendingEnd() {
+		x.unproven = nil
+	}
+	x.unproven = append(x.unproven, unprovenStream{up, status, x.events.EventCount})
+}
+
 // pendingEnd reports whether the present attempt is to show that nothing follows an unproven
 // end, and has brought nothing yet.
 func (x *exchange) pendingEnd() bool {
-	return x.unproven != nil && x.unproven.events == x.events.EventCount
+	n := len(x.unproven)
+	return n > 0 && x.unproven[n-1].events == x.events.EventCount
+}
+
+// mayProve reports whether another upstream is asked to show that nothing follows an unproven
+// end, and takes a token of the retry budget for it. Half of the budget is left to retries
+// of what has failed. One upstream is asked for each such end.
+func (x *exchange) mayProve(ctx context.Context) bool {
+	if ctx.Err() != nil || len(x.unproven) > 1 || x.possibleRuns+1 >= x.route.MaxAttempts || !x.canFailOver() {
+		return false
+	}
+	r := x.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	b := r.budget(now, x.query.Key.Service)
+	return b.Take(now, b.Limit()/2)
 }
 
-// finishUnproven ends the request if the end of its stream is unproven, no other upstream
-// has added to it, and its upstream's process still runs. It reports whether it has.
+// boundProof returns a context that ends when an upstream that was asked for the proof has
+// brought no event for as long as a stream may pause. stop releases its resources.
+func (x *exchange) boundProof(ctx context.Context) (bounded context.Context, stop func()) {
+	bounded, cancel := context.WithCancel(ctx)
+	t := time.AfterFunc(x.gapTimeout(), cancel)
+	x.proof = t
+	return bounded, func() {
+		t.Stop()
+		cancel()
+	}
+}
+
+// endProof lifts the bound of the proof: the stream goes on.
+func (x *exchange) endProof() {
+	if x.proof != nil {
+		x.proof.Stop()
+	}
+}
+
+// finishUnproven ends the request if the end of its stream is unproven, no upstream has added
+// to it, and the process of one at which it ended still runs. It reports whether it has.
 func (x *exchange) finishUnproven(ctx context.Context) bool {
 	if !x.pendingEnd() {
 		return false
 	}
-	u := x.unproven
+	ends := x.unproven
 	x.unproven = nil
-	if !x.outlived(ctx, u.up) {
-		return false
+	for _, u := range ends {
+		if !x.outlived(ctx, u.up) {
+			continue
+		}
+		x.ended = metric.EndConnection
+		x.finishWhole(u.up, u.status)
+		return true
 	}
-	x.finishWhole(u.up, u.status)
-	return true
+	return false
 }
 
 // outlived reports whether the process of an upstream that has ended a response still runs:
-// the same one answers a report, or accepts a connection if its service has none.
+// the same one answers a report, or accepts a connection if its service has none. A
+// connection that was kept might be one that the end of the process hasn't reached yet.
 func (x *exchange) outlived(ctx context.Context, up fleet.Upstream) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	r := x.relay
 	began := r.now()
 	deadline := began.Add(identifyTimeout)
 	dial, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	born := int64(0)
-	conn, err := r.pool.Get(dial, up.ID, up.Address, false)
+	conn, err := r.pool.Get(dial, up.ID, up.Address, true)
 	if err == nil {
 		defer conn.Abort()
 		if up.Born != 0 && r.Config().Services[up.Service].Engine != nil {
