relay: a body that ends with its process isn't taken for whole

What callers saw: the first part of a body as a whole 200, on safe and unsafe routes (rule MIXED).

A buffered response with neither a length nor chunks ended when the connection was closed in order, which the kernel does for a process that ends.

Evidence: TestUnframedBodyOfEndedProcess gets "half of it" as a whole response without the change.

Change: such a 2xx is complete unless its upstream's address refuses connections. Then a safe request is sent to another upstream where its route allows that, and else the answer is 502: it may have run. Any other failure to connect says nothing, so the response is passed on. Failures stay as they are: part of the text of one is still that upstream's failure.

Cost: a connection for each such response.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -242,7 +242,7 @@
 		// Nothing but the rest of the stream may follow what the caller has.
 		return outcome{mayHaveRun: true, status: k.res.StatusCode, result: pick.Failed, firstByteTime: k.firstByteTime, cause: k.res.Status + " in place of the rest of a stream"}, false
 	}
-	return x.forwardBuffered(k)
+	return x.forwardBuffered(ctx, k)
 }
 
 // firstByteTimeout returns how long to wait for the first byte before a
@@ -356,7 +356,7 @@
 // forwardBuffered reads the complete response and writes it to the caller. A
 // response with a 5xx status is not written but returned in the outcome, since
 // a retry may succeed.
-func (x *exchange) forwardBuffered(k *call) (o outcome, released bool) {
+func (x *exchange) forwardBuffered(ctx context.Context, k *call) (o outcome, released bool) {
 	res, firstByteTime := k.res, k.firstByteTime
 	x.beginAnswer()
 	hold := x.hold(k.up)
@@ -366,6 +366,10 @@
 		return interrupted(err, firstByteTime), false
 	}
 	k.release()
+	if !framed(res) && res.StatusCode < http.StatusMultipleChoices && x.vanished(ctx, k.up) {
+		hold.Release()
+		return outcome{mayHaveRun: true, status: res.StatusCode, result: pick.Interrupted, firstByteTime: firstByteTime, cause: "response ended with its connection and its upstream's process"}, true
+	}
 	full := &response{res, body}
 	if res.StatusCode >= http.StatusInternalServerError {
 		o := outcome{status: res.StatusCode, mayHaveRun: true, result: pick.Failed, firstByteTime: firstByteTime, response: full, cause: res.Status}
--- a/internal/node/relay/unproven.go
+++ b/internal/node/relay/unproven.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
 	"github.com/azurespan/azurespan/internal/base/metric"
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/link/http1"
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
 
@@ -130,3 +132,17 @@
 	event.StreamEndChecked.Log("request", x.req.ID, "upstream", up.ID, "outlived", outlived, "registered", up.Born, "born", born, "took", r.now().Sub(began), "cause", cause)
 	return outlived
 }
+
+// vanished reports whether nothing accepts connections at the address of an upstream that
+// has ended a buffered response with its connection: its process has ended, maybe before
+// the response was complete. Other failures say nothing of that.
+func (x *exchange) vanished(ctx context.Context, up fleet.Upstream) bool {
+	dial, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	conn, err := x.relay.pool.Get(dial, up.ID, up.Address, true)
+	if err == nil {
+		conn.Abort()
+	}
+	var failed *http1.DialError
+	return errors.As(err, &failed) && failed.Refused
+}
--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -165,3 +165,28 @@
 	f, us = newEndsFixture(t, route(fleet.Stream, 1, false), comment)
 	must.StrNotContains(t, take(t, f, us, nil), "whole")
 }
+
+// TestUnframedBodyOfEndedProcess guards against a part of a body that reaches the caller as
+// a whole response, because the upstream's process has ended in the middle of one without a
+// length or chunks.
+func TestUnframedBodyOfEndedProcess(t *testing.T) {
+	half := streamEnd{response: always("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf of it"), gone: true}
+	lives := half
+	lives.gone = false
+	sound := streamEnd{response: always("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nfine")}
+	failure := streamEnd{response: always("HTTP/1.1 404 Not Found\r\nId: 1\r\n\r\nnone"), gone: true}
+	for _, c := range []struct {
+		kind  fleet.Kind
+		first streamEnd
+		want  string
+	}{
+		{fleet.Safe, half, `whole, "fine", sends 1 1`},
+		{fleet.Unsafe, half, `502, events [], sends 1 0`},
+		{fleet.Safe, lives, `whole, "half of it", sends 1 0`},
+		{fleet.Unsafe, lives, `whole, "half of it", sends 1 0`},
+		{fleet.Unsafe, failure, `404, events [], sends 1 0`},
+	} {
+		f, us := newEndsFixture(t, route(c.kind, 2, false), c.first, sound)
+		must.Eq(t, c.want, take(t, f, us, map[string]string{"Model": ""}))
+	}
+}
