--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# Targets: test, check, demo, faults, drills, builds, model, measure, generate, bench, path.
+# Targets: test, check, demo, faults, drills, ends, builds, model, measure, generate, bench, path.
 GO ?= go
 
-.PHONY: all build test check demo faults drills builds model measure generate bench path
+.PHONY: all build test check demo faults drills ends builds model measure generate bench path
 
 all: build
 
@@ -31,6 +31,11 @@
 drills:
 	$(GO) test ./platform -run 'TestDrill' -drill-seeds 50 -timeout 60m -v
 
+# Daemons and engines as processes that end in the middle of streams, with 25 times the
+# seeds of the tests.
+ends:
+	$(GO) test ./platform -run 'TestStreamEndsOfProcesses' -ends-seeds 50 -timeout 30m -v
+
 # Daemons of the version FORMER, a revision, and of this one side by side, upgraded one
 # after the other and back.
 builds:
