relay: an end before any event is no unproven end at a replacement

A response without an event that closed while another upstream had been asked counted as an unproven end; the other one was then cut off after the time of a pause, and the caller got an empty 200. The status of an unproven end, always 200, isn't kept.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -121,7 +121,7 @@
 		x.recordOutcome(ctx, up, &o, sent, x.answeredFor(x.relay.now()))
 		x.ended = o.end
 		if o.unproven {
-			x.addUnproven(up, o.status)
+			x.addUnproven(up)
 		}
 		if o.replacedBy == nil {
 			return o, up
@@ -284,7 +284,7 @@
 		switch {
 		case endAllowed && errors.Is(err, io.EOF) && next == nil:
 			return outcome{}, true
-		case endAllowed && errors.Is(err, io.EOF):
+		case endAllowed && errors.Is(err, io.EOF) && x.events.EventCount > k.eventsBefore:
 			o := unprovenEnd(k.res)
 			o.replacedBy = next
 			return o, false
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -251,7 +251,7 @@
 			x.finishWhole(up, o.status)
 			return
 		}
-		if o.unproven && x.mayProve(ctx) {
+		if o.unproven && x.reserveProof(ctx) {
 			x.possibleRuns++
 			continue
 		}
--- a/internal/node/relay/unproven.go
+++ b/internal/node/relay/unproven.go
@@ -18,8 +18,7 @@
 // when it ends, so only another upstream that has nothing to add shows that the stream is
 // complete.
 type unprovenStream struct {
-	up     fleet.Upstream
-	status int
+	up fleet.Upstream
 	// events is the number of events at the end.
 	events int
 }
@@ -30,11 +29,11 @@
 }
 
 // addUnproven records an unproven end of the stream at an upstream.
-func (x *exchange) addUnproven(up fleet.Upstream, status int) {
+func (x *exchange) addUnproven(up fleet.Upstream) {
 	if !x.pendingEnd() {
 		x.unproven = nil
 	}
-	x.unproven = append(x.unproven, unprovenStream{up, status, x.events.EventCount})
+	x.unproven = append(x.unproven, unprovenStream{up, x.events.EventCount})
 }
 
 // pendingEnd reports whether the present attempt is to show that nothing follows an unproven
@@ -44,10 +43,10 @@
 	return n > 0 && x.unproven[n-1].events == x.events.EventCount
 }
 
-// mayProve reports whether another upstream is asked to show that nothing follows an unproven
-// end, and takes a token of the retry budget for it. Half of the budget is left to retries
-// of what has failed. One upstream is asked for each such end.
-func (x *exchange) mayProve(ctx context.Context) bool {
+// reserveProof takes a token of the retry budget for asking another upstream to show that
+// nothing follows an unproven end, and reports whether one may be asked: one for each such
+// end, while half of the budget is left to retries of what has failed.
+func (x *exchange) reserveProof(ctx context.Context) bool {
 	if ctx.Err() != nil || len(x.unproven) > 1 || x.possibleRuns+1 >= x.route.MaxAttempts || !x.canFailOver() {
 		return false
 	}
@@ -91,7 +90,7 @@
 			continue
 		}
 		x.ended = metric.EndConnection
-		x.finishWhole(u.up, u.status)
+		x.finishWhole(u.up, http.StatusOK)
 		return true
 	}
 	return false
--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -130,6 +130,10 @@
 // the stream, or for a break, while another upstream has been asked to go on, since the
 // first one was silent.
 func TestUnframedEndWhileReplaced(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Second)
+		streamEvents(3, 0)(w, r)
+	}
 	for _, c := range []struct {
 		name   string
 		last   int
@@ -139,6 +143,7 @@
 		{"nothing to add", 3, streamEvents(3, 0)},
 		{"silent", 3, neverRespond},
 		{"reset", 3, resetConnection},
+		{"no event so far", 0, slow},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			asked := make(chan struct{})
