http1: a last look past its deadline is a time-out

TestLookPastDeadline fails without the change. An interrupted system call is no failure of the connection either.

--- a/internal/link/http1/await.go
+++ b/internal/link/http1/await.go
@@ -32,8 +32,11 @@
 			return false, merry.Wrap(err)
 		}
 		quiet, failed := c.quiet()
-		if quiet || failed != nil {
-			return quiet, failed
+		if quiet || errors.Is(failed, os.ErrDeadlineExceeded) {
+			return true, nil
+		}
+		if failed != nil {
+			return false, failed
 		}
 		_, err = c.br.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -203,7 +203,7 @@
 		return false, merry.Wrap(err)
 	case errors.Is(failed, syscall.EAGAIN):
 		return true, nil
-	case failed != nil:
+	case failed != nil && !errors.Is(failed, syscall.EINTR):
 		return false, merry.Wrap(&net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: failed})
 	}
 	return false, nil
--- a/internal/link/http1/reset_test.go
+++ b/internal/link/http1/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -10,6 +11,18 @@
 	"github.com/shoenig/test/must"
 )
 
+// lateConn is a connection whose read deadlines have passed when they are set.
+type lateConn struct {
+	*net.TCPConn
+	deadlines int
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *lateConn) SetReadDeadline(time.Time) error {
+	c.deadlines++
+	return c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // TestAwaitByteOfReset guards against a reset that looks like a close in order, and so like
 // the end of a response without a length (issue 65), to a wait whose deadline has passed
 // when the reset is there: a read that only peeks takes the error of a socket too.
@@ -33,3 +46,20 @@
 		must.ErrorIs(t, err, syscall.ECONNRESET, must.Sprint(name))
 	}
 }
+
+// TestLookPastDeadline guards against a wait that fails, in place of ending as a time-out,
+// because the process got no processor until the time for a last look had passed as well.
+func TestLookPastDeadline(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := pool().Get(context.Background(), "u", l.Addr().String(), true)
+	must.NoError(t, err)
+	defer c.Abort()
+	late := &lateConn{TCPConn: c.Conn.(*net.TCPConn)}
+	c.Conn = late
+	timedOut, err := c.awaited(os.ErrDeadlineExceeded)
+	must.NoError(t, err)
+	must.True(t, timedOut)
+	must.Eq(t, 1, late.deadlines)
+}
