relay: an end within an event isn't unproven while another upstream is asked

Callers got a stream that ended within an event as complete, up to the event before it, where one read had brought that event and a part of the next, the upstream then was silent and closed its connection (neither length nor chunks) while another upstream was being asked, and that one failed.

--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -44,6 +44,32 @@
 	}
 }
 
+// TestEndWithinEventWhileReplaced guards against a stream that looks complete although its
+// response ended within an event, since another upstream was being asked meanwhile.
+func TestEndWithinEventWhileReplaced(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{"reset": resetConnection, "silent": neverRespond} {
+		t.Run(name, func(t *testing.T) {
+			asked := make(chan struct{})
+			first := func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				c, _, err := w.(http.Hijacker).Hijack()
+				must.NoError(t, err)
+				_, _ = io.WriteString(c, unframedStream+wantEvents(2)+"id: 3\nda")
+				<-asked
+				_ = c.Close()
+			}
+			second := func(w http.ResponseWriter, r *http.Request) {
+				close(asked)
+				time.Sleep(100 * time.Millisecond)
+				h(w, r)
+			}
+			f := newFixture(t, route(fleet.Stream, 2, true), reported("1", new(atomic.Int32), first), second)
+			code, _ := f.send(http.MethodPost, "1", "m")
+			must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
+		})
+	}
+}
+
 // TestSoundUnframedStreams guards against sound requests that are quarantined, and sound
 // upstreams that are avoided, where the responses to streams have neither a length nor
 // chunks.
