relay: ask an upstream's process first after an unproven end

Callers of streams with neither a length nor chunks: a sound resumption was cut off where the next upstream needed longer than a proof may take, although the first one's process had ended; a complete stream was held until its time limit and broken off, where less was left than a proof may take; without an engine, a process that had started in the place of one that had ended vouched for it; and a sound last upstream counted as crashed, and the stream was broken off, after ends of ended processes.

Cause: whether the process still runs was asked last, when the attempt that was to prove the end had failed. So each unproven end was treated as most likely complete meanwhile, and the record of these ends was dropped before the retry.

Now the process is asked right after the end. If it has ended, the response was broken off: the stream is resumed like any other, without a bound, with replacements and a token of its own. If it runs, another upstream is asked as before, if there is time. The ends are kept until an event follows them.

Another finding is documented, not changed: a budget of less than two tokens, from eleven daemons on, allows no proof.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -46,12 +46,12 @@
 	StreamEndUnproven = register(Event{
 		Number: 8017, Name: "stream-end-unproven",
 		Meaning: "A response to a request for a stream, with neither a length nor chunks, has ended with its connection after an event; the number and id of that are given.",
-		Action:  "Look at the lines that follow: another upstream was asked to go on (relay-sent with the same event in after), or stream-end-checked.",
+		Action:  "Look at the lines that follow: stream-end-checked, and relay-sent with the same event in after if another upstream was asked to go on.",
 	})
 	StreamEndChecked = register(Event{
 		Number: 8018, Name: "stream-end-checked",
-		Meaning: "No other upstream could say whether anything follows such an end. Whether the upstream's process still runs, so that the stream counts as complete, is given.",
-		Action:  "With outlived=false the caller's response was broken off; cause, or a start (born) other than the registered one, says why.",
+		Meaning: "After such an end, whether the upstream's process still runs, so that the stream counts as complete unless another upstream adds to it, is given.",
+		Action:  "With outlived=false the stream is resumed where its route allows it, or broken off; cause, or a start (born) other than the registered one, says why.",
 	})
 	UpstreamSilent = register(Event{
 		Number: 8008, Name: "upstream-silent",
--- a/internal/base/metric/metric.go
+++ b/internal/base/metric/metric.go
@@ -251,7 +251,7 @@
 		QuarantinedParts:       b.gauge("azurespan_quarantined_prompt_parts", "Parts of prompts with which requests are refused because they crash upstreams."),
 		UpstreamSilences:       b.counter("azurespan_upstream_silences_total", "Silences of upstreams after which another upstream was considered for the request."),
 		StreamEnds:             b.counterVec("azurespan_stream_ends_total", "Ends of upstreams' responses to requests for streams, by what ended them: the last chunk (chunks), the length (length), the connection in a response without either (connection), or an end before that (broken).", "end"),
-		StreamEndChecks:        b.counterVec("azurespan_stream_end_checks_total", "Streams with neither a length nor chunks that ended after an event and that no other upstream could continue, by whether the upstream's process still ran (outlived, not-outlived).", "result"),
+		StreamEndChecks:        b.counterVec("azurespan_stream_end_checks_total", "Streams with neither a length nor chunks that ended after an event, by whether the upstream's process still ran (outlived, not-outlived).", "result"),
 		UpstreamPathLost:       b.gauge("azurespan_upstream_path_lost", "1 while this daemon reaches upstreams only through other daemons, else 0."),
 		ForwardedConnections:   b.counterVec("azurespan_forwarded_connections_total", "Connections to upstreams that this daemon asked another one for, by outcome (ok, failed).", "outcome"),
 		OpenTunnels:            b.gauge("azurespan_open_tunnels", "Connections to upstreams that this daemon forwards for others."),
--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -121,7 +121,7 @@
 		x.recordOutcome(ctx, up, &o, sent, x.answeredFor(x.relay.now()))
 		x.ended = o.end
 		if o.unproven {
-			x.addUnproven(up)
+			x.addUnproven(ctx, up)
 		}
 		if o.replacedBy == nil {
 			return o, up
@@ -131,7 +131,7 @@
 		}
 		k = o.replacedBy
 		up, sent = k.up, k.sent
-		if o.unproven {
+		if o.unproven && x.likelyComplete() {
 			bounded, stop := x.boundProof(ctx)
 			defer stop()
 			ctx = bounded
@@ -285,7 +285,7 @@
 		case endAllowed && errors.Is(err, io.EOF) && next == nil:
 			return outcome{}, true
 		case endAllowed && errors.Is(err, io.EOF) && x.events.EventCount > k.eventsBefore && x.events.Buffered() == 0:
-			o := unprovenEnd(k.res)
+			o := endedUnproven(k.res)
 			o.replacedBy = next
 			return o, false
 		case err != nil:
--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -175,8 +175,7 @@
 	switch {
 	case !x.repeatable():
 		return c, "not-repeatable"
-	case x.pendingEnd():
-		// It has nothing to add, most likely.
+	case x.likelyComplete():
 		return c, "end-pending"
 	case x.possibleRuns+running >= x.route.MaxAttempts || x.attempts >= x.route.MaxAttempts+extraAttempts:
 		return c, "attempts-used"
--- a/internal/node/relay/ends_test.go
+++ b/internal/node/relay/ends_test.go
@@ -26,8 +26,9 @@
 		// response returns the bytes of the response to a request for the events after
 		// one.
 		response func(after int) string
-		// reset is set if a reset follows, gone if the upstream's process has ended.
-		reset, gone bool
+		// reset is set if a reset follows, gone if the upstream's process has ended, and
+		// restarted if another one has started in its place.
+		reset, gone, restarted bool
 	}
 
 	// endingUpstream is an upstream as a process of its own would be: its connections end
@@ -75,7 +76,11 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body) // unread bytes would reset the connection
 		if r.URL.Path == "/report" {
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
+			born := 1
+			if u.end.restarted && u.requests.Load() > 0 {
+				born = 2
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", born)
 			continue
 		}
 		u.requests.Add(1)
--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -76,9 +76,9 @@
 		lastFailure string
 		// headerSent is set once the header of a streamed response was written.
 		headerSent bool
-		// unproven are the ends of the stream, after the same event, of which it isn't
-		// known whether anything follows.
-		unproven []unprovenStream
+		// unproven are the ends of the stream after one event of which it isn't known
+		// whether anything follows.
+		unproven []unprovenEnd
 		// proof ends the attempt that is to show that nothing follows, nil if there was
 		// none.
 		proof *time.Timer
@@ -275,7 +275,7 @@
 // next makes an attempt once an upstream can take it. If ok isn't set there was none, and
 // resp is the refusal; again is set if that may change at once.
 func (x *exchange) next(ctx context.Context) (o outcome, up fleet.Upstream, resp refusal, ok, again bool) {
-	proves := x.pendingEnd()
+	proves := x.likelyComplete()
 	if proves {
 		var stop func()
 		ctx, stop = x.boundProof(ctx)
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -123,7 +123,7 @@
 		cause = "response ended within an event"
 	case isEventStream(res) && x.events.EventCount == 0 && x.resumeFrom() == "":
 		cause = "response ended before its first event"
-	case !framed(res) && (x.events.Buffered() > 0 || x.events.EventCount == k.eventsBefore && !x.pendingEnd()):
+	case !framed(res) && (x.events.Buffered() > 0 || x.events.EventCount == k.eventsBefore && !x.endedHere()):
 		cause = "response ended with its connection before it was complete"
 	}
 	rest := x.events.TakePartial()
@@ -132,7 +132,7 @@
 		return outcome{mayHaveRun: true, status: res.StatusCode, result: pick.Interrupted, crashed: !framed(res), end: endKind(res), cause: cause}
 	}
 	if !framed(res) {
-		return unprovenEnd(res)
+		return endedUnproven(res)
 	}
 	if len(rest) > 0 || !x.headerSent {
 		if !x.forward(res, rest) {
--- a/internal/node/relay/unproven.go
+++ b/internal/node/relay/unproven.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
@@ -13,44 +14,54 @@
 	"github.com/azurespan/azurespan/internal/rule/pick"
 )
 
-// unprovenStream is a stream whose response, with neither a length nor chunks, has ended
-// after an event that the caller has. Its upstream's process closes the connection in order
-// when it ends, so only another upstream that has nothing to add shows that the stream is
-// complete.
-type unprovenStream struct {
+// unprovenEnd is the end of a response, with neither a length nor chunks, after an event that
+// the caller has. An upstream's process that ends closes its connections in order, too, and
+// one that lives may have given up, so only another upstream that has nothing to add shows
+// that the stream is complete.
+type unprovenEnd struct {
 	up fleet.Upstream
 	// events is the number of events at the end.
 	events int
+	// outlived is set if the upstream's process still ran after it.
+	outlived bool
 }
 
-// unprovenEnd returns the outcome of such a response.
-func unprovenEnd(res *http.Response) outcome {
+// endedUnproven returns the outcome of such a response.
+func endedUnproven(res *http.Response) outcome {
 	return outcome{mayHaveRun: true, unframed: true, unproven: true, end: endKind(res), status: res.StatusCode, result: pick.Succeeded, cause: "response ended with its connection after an event"}
 }
 
 // addUnproven records an unproven end of the stream at an upstream.
-func (x *exchange) addUnproven(up fleet.Upstream) {
-	if !x.pendingEnd() {
+func (x *exchange) addUnproven(ctx context.Context, up fleet.Upstream) {
+	if !x.endedHere() {
 		x.unproven = nil
 	}
-	x.unproven = append(x.unproven, unprovenStream{up, x.events.EventCount})
+	x.unproven = append(x.unproven, unprovenEnd{up, x.events.EventCount, x.outlived(ctx, up)})
 }
 
-// pendingEnd reports whether the present attempt is to show that nothing follows an unproven
-// end, and has brought nothing yet.
-func (x *exchange) pendingEnd() bool {
+// endedHere reports whether a response has had an unproven end after the event that was the
+// last one to arrive.
+func (x *exchange) endedHere() bool {
 	n := len(x.unproven)
 	return n > 0 && x.unproven[n-1].events == x.events.EventCount
 }
 
+// likelyComplete reports whether the stream is complete unless an upstream adds to it: it has
+// ended here at one whose process still ran.
+func (x *exchange) likelyComplete() bool {
+	return x.endedHere() && slices.ContainsFunc(x.unproven, func(e unprovenEnd) bool { return e.outlived })
+}
+
 // reserveProof takes a token of the retry budget for asking another upstream to show that
-// nothing follows an unproven end, and reports whether one may be asked: one for each such
-// end, while half of the budget is left to retries of what has failed.
+// nothing follows an unproven end at one whose process still runs, and reports whether one may
+// be asked: one for each such end, if it has time to answer, and while half of the budget is
+// left to retries of what has failed. A budget of less than two tokens allows none.
 func (x *exchange) reserveProof(ctx context.Context) bool {
-	if ctx.Err() != nil || len(x.unproven) > 1 || x.possibleRuns+1 >= x.route.MaxAttempts || !x.canFailOver() {
+	r := x.relay
+	if !x.likelyComplete() || len(x.unproven) > 1 || ctx.Err() != nil || x.deadline.Sub(r.now()) <= x.gapTimeout() ||
+		x.possibleRuns+1 >= x.route.MaxAttempts || !x.canFailOver() {
 		return false
 	}
-	r := x.relay
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -77,23 +88,15 @@
 	}
 }
 
-// finishUnproven ends the request if the end of its stream is unproven, no upstream has added
-// to it, and the process of one at which it ended still runs. It reports whether it has.
+// finishUnproven ends the request if its stream is likely complete and no upstream has added to
+// it. It reports whether it has. A proof that the end of the request has cut short shows nothing.
 func (x *exchange) finishUnproven(ctx context.Context) bool {
-	if !x.pendingEnd() {
+	if ctx.Err() != nil || !x.likelyComplete() {
 		return false
 	}
-	ends := x.unproven
-	x.unproven = nil
-	for _, u := range ends {
-		if !x.outlived(ctx, u.up) {
-			continue
-		}
-		x.ended = metric.EndConnection
-		x.finishWhole(u.up, http.StatusOK)
-		return true
-	}
-	return false
+	x.ended = metric.EndConnection
+	x.finishWhole(x.unproven[len(x.unproven)-1].up, http.StatusOK)
+	return true
 }
 
 // outlived reports whether the process of an upstream that has ended a response still runs:
--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/azurespan/azurespan/internal/core/fleet"
+	"github.com/azurespan/azurespan/internal/rule/retry"
 )
 
 // pingForever sends comments in place of events until the caller leaves.
@@ -30,20 +32,78 @@
 func TestUnprovenEndTwice(t *testing.T) {
 	sound, gone := streamEnd{response: unframed(unframedStream, 3)}, streamEnd{response: unframed(unframedStream, 3), gone: true}
 	for _, c := range []struct {
-		first, second streamEnd
-		want          string
+		ends    []streamEnd
+		daemons int
+		want    string
 	}{
-		{sound, sound, "whole, events [1 2 3], sends 1 1"},
-		{gone, sound, "whole, events [1 2 3], sends 1 1"},
-		{sound, gone, "whole, events [1 2 3], sends 1 1"},
-		{gone, gone, "broken, events [1 2 3], sends 1 1"},
+		{[]streamEnd{sound, sound}, 1, "whole, events [1 2 3], sends 1 1"},
+		{[]streamEnd{gone, sound}, 1, "whole, events [1 2 3], sends 1 1"},
+		{[]streamEnd{sound, gone}, 1, "whole, events [1 2 3], sends 1 1"},
+		{[]streamEnd{gone, gone}, 1, "broken, events [1 2 3], sends 1 1"},
+		{[]streamEnd{gone, gone, sound}, 1, "whole, events [1 2 3], sends 1 1 1"},
+		// A budget of one token is left to retries of what has failed.
+		{[]streamEnd{sound, sound}, 60, "whole, events [1 2 3], sends 1 0"},
+		{[]streamEnd{gone, sound}, 60, "whole, events [1 2 3], sends 1 1"},
 	} {
-		f, us := newEndsFixture(t, route(fleet.Stream, 2, true), c.first, c.second)
-		must.Eq(t, c.want, take(t, f, us, nil))
+		f, us := newEndsFixture(t, route(fleet.Stream, len(c.ends), true), c.ends...)
+		fillBudget(f, c.daemons)
+		must.Eq(t, c.want, take(t, f, us, nil), must.Sprintf("%+v", c))
 		must.Eq(t, 0, f.relay.suspects.Rev())
 	}
 }
 
+// fillBudget gives the service all tokens of the retry budget that a daemon of a fleet has.
+func fillBudget(f *fixture, daemons int) {
+	r := f.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	const slack = 52
+	r.settings.RetrySlack = slack
+	r.setDaemons(time.Now(), daemons)
+	perSecond, limit := r.retryAllowance()
+	r.budgets["s"] = retry.NewBudget(budgetShare*r.settings.RetryRatio, perSecond, limit)
+}
+
+// TestEndOfRestartedProcess guards against a stream that looks complete although its
+// upstream's process has ended in the middle of it, because another one runs in its place: of
+// an engine the same one has to answer, and elsewhere it is asked before another can start.
+func TestEndOfRestartedProcess(t *testing.T) {
+	f, us := newEndsFixture(t, route(fleet.Stream, 1, false), streamEnd{response: unframed(unframedStream, 2), restarted: true})
+	must.Eq(t, "broken, events [1 2], sends 1", take(t, f, us, nil))
+
+	r := route(fleet.Stream, 2, true)
+	f = newFixture(t, r, nil, neverRespond)
+	cfg := &fleet.Config{Version: 2, Routes: []fleet.Route{r}, Services: map[string]fleet.Service{"s": {Name: "s"}}}
+	f.relay.Configure(cfg.Index())
+	u := f.end(t, streamEnd{response: unframed(unframedStream, 2), gone: true})
+	go func() {
+		for u.requests.Load() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond)
+		l, err := net.Listen("tcp4", u.Addr().String())
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		t.Cleanup(func() { _ = l.Close() })
+	}()
+	code, _ := f.send(http.MethodPost, "1", "")
+	must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
+}
+
+// end has the first upstream of a fixture end its responses so.
+func (f *fixture) end(t *testing.T, e streamEnd) *endingUpstream {
+	u := newEndingUpstream(t, e)
+	f.ups[0].Address = u.Addr().String()
+	for i := range f.ups {
+		f.ups[i].Version = "v1"
+	}
+	f.origins.table.Registered(time.Now(), "s", "v1")
+	f.relay.SetUpstreams(time.Now(), f.ups)
+	return u
+}
+
 // TestEndWithinEventWhileReplaced guards against a stream that looks complete although its
 // response ended within an event, since another upstream was being asked meanwhile.
 func TestEndWithinEventWhileReplaced(t *testing.T) {
@@ -70,6 +130,69 @@
 	}
 }
 
+// TestSlowSecondOfEndedProcess guards against a stream whose upstream's process has ended and
+// that is broken off, since the upstream that goes on with it needs longer than the proof of an
+// end may take.
+func TestSlowSecondOfEndedProcess(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 2, true), nil, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(1200 * time.Millisecond)
+		streamEvents(3, 0)(w, r)
+	})
+	f.end(t, streamEnd{response: unframed(unframedStream, 2), gone: true})
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+}
+
+// TestProofNearDeadline guards against a complete stream that is held until its time limit, and
+// broken off then, because no time is left for the upstream that is asked whether anything
+// follows.
+func TestProofNearDeadline(t *testing.T) {
+	r := route(fleet.Stream, 2, true)
+	r.Timeout = 600 * time.Millisecond
+	f := newFixture(t, r, reported("1", new(atomic.Int32), closeAfter(eventStream, wantEvents(3))), neverRespond)
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+}
+
+// TestStopDuringProof guards against a stream that looks complete because the daemon stopped
+// before the upstream that was asked whether anything follows had answered.
+func TestStopDuringProof(t *testing.T) {
+	asked := make(chan struct{}, 1)
+	f := newFixture(t, route(fleet.Stream, 2, true), reported("1", new(atomic.Int32), closeAfter(eventStream, wantEvents(2))), func(w http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		neverRespond(w, r)
+	})
+	go func() {
+		<-asked
+		f.relay.EndRequests()
+	}()
+	code, _ := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
+}
+
+// TestUnprovenEndsKeepMaxAttempts guards against more runs of a request than its route allows,
+// where each response ends one event further.
+func TestUnprovenEndsKeepMaxAttempts(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		for attempts := 2; attempts <= 4; attempts++ {
+			ends := make([]streamEnd, 6)
+			for i := range ends {
+				ends[i] = streamEnd{gone: gone, response: func(after int) string { return unframedStream + eventsBetween(after, after+1) }}
+			}
+			f, us := newEndsFixture(t, route(fleet.Stream, attempts, true), ends...)
+			_ = take(t, f, us, nil)
+			sends := 0
+			for _, u := range us {
+				sends += int(u.requests.Load())
+			}
+			must.Eq(t, attempts, sends)
+		}
+	}
+}
+
 // TestSoundUnframedStreams guards against sound requests that are quarantined, and sound
 // upstreams that are avoided, where the responses to streams have neither a length nor
 // chunks.
