--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -173,6 +173,22 @@
 	must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
 }
 
+// TestTokenOfUnsentProof guards against a retry budget that is used up by proofs that no
+// upstream was asked for.
+func TestTokenOfUnsentProof(t *testing.T) {
+	sound := streamEnd{response: unframed(unframedStream, 3)}
+	f, us := newEndsFixture(t, route(fleet.Stream, 2, true), sound, sound)
+	must.NoError(t, us[1].Close())
+	tokens := func() float64 {
+		f.relay.mu.Lock()
+		defer f.relay.mu.Unlock()
+		return f.relay.budget(time.Now(), "s").Available(time.Now())
+	}
+	before := tokens()
+	must.Eq(t, "whole, events [1 2 3], sends 1 0", take(t, f, us, nil))
+	must.GreaterEq(t, before-0.5, tokens())
+}
+
 // TestUnprovenEndsKeepMaxAttempts guards against more runs of a request than its route allows,
 // where each response ends one event further.
 func TestUnprovenEndsKeepMaxAttempts(t *testing.T) {
