relay: a media type is the same in letters of either case

A stream whose content type was Text/Event-Stream, cut within an event and ended with its last chunk, reached the caller as complete, with the part of the event: the relay took it for a response that doesn't consist of events. TestStreamEnds has the case: whole with the part before, broken off or resumed now.

--- a/internal/node/relay/call.go
+++ b/internal/node/relay/call.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
-	"strings"
 	"time"
 
 	"github.com/azurespan/azurespan/internal/base/event"
@@ -334,7 +333,7 @@
 // continues reports whether the response can take the place of the one in progress.
 func (x *exchange) continues(res *http.Response) bool {
 	if x.headerSent {
-		return res.StatusCode == http.StatusOK && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
+		return res.StatusCode == http.StatusOK && isEvents(res.Header.Get("Content-Type"))
 	}
 	return res.StatusCode < http.StatusInternalServerError
 }
--- a/internal/node/relay/ends_test.go
+++ b/internal/node/relay/ends_test.go
@@ -199,6 +199,7 @@
 	{name: "last chunk after a comment", response: always(chunkedStream + chunk(": x\n\n") + lastChunk)},
 	{name: "cut head", response: always("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")},
 	{name: "another media type", response: always("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ntext")},
+	{name: "another case of the media type, cut in an event", response: always(strings.Replace(chunkedStream, "text/event-stream", "Text/Event-Stream", 1) + chunk(wantEvents(2)+"id: 3\nda") + lastChunk)},
 	{name: "begins anew, whole", response: always(chunkedStream + chunk(wantEvents(3)) + lastChunk)},
 	{name: "begins anew, unframed", response: always(unframedStream + wantEvents(3))},
 	{name: "ids 1 2 2", response: withIDs("1", "2", "2")},
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -31,7 +31,7 @@
 // forwarded, so that another upstream can resume after the last one.
 func (x *exchange) forwardStream(ctx context.Context, k *call) outcome {
 	res := k.res
-	if ct := res.Header.Get("Content-Type"); x.headerSent && !strings.HasPrefix(ct, "text/event-stream") {
+	if ct := res.Header.Get("Content-Type"); x.headerSent && !isEvents(ct) {
 		return interrupted(&contentTypeError{ct}, 0)
 	}
 	k.eventsBefore = x.events.EventCount
@@ -157,7 +157,12 @@
 // without a content type does.
 func isEventStream(res *http.Response) bool {
 	ct := res.Header.Get("Content-Type")
-	return ct == "" || strings.HasPrefix(ct, "text/event-stream")
+	return ct == "" || isEvents(ct)
+}
+
+// isEvents reports whether a content type is that of events, in letters of either case.
+func isEvents(contentType string) bool {
+	return strings.HasPrefix(strings.ToLower(contentType), "text/event-stream")
 }
 
 // forward writes bytes of the stream to the caller, after the header if that
