relay: ask the process again after a proof that showed nothing

Callers got a stream as complete whose upstream closed its connections in order as its process was about to end (a stop), and was gone 100 ms later, where the upstream that was asked whether anything follows was silent.

Both answers are needed now: right after the end, before another process can start at the address, and after a proof that has shown nothing. Where no proof is made, the process is asked once, as before.

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -240,7 +240,7 @@
 			x.finishFailed(ctx, kept, keptFrom)
 			return
 		}
-		if !ok && x.finishUnproven(ctx) {
+		if !ok && x.finishUnproven(ctx, false) {
 			return
 		}
 		if !ok {
@@ -255,7 +255,7 @@
 			x.possibleRuns++
 			continue
 		}
-		if x.finishUnproven(ctx) {
+		if x.finishUnproven(ctx, o.unproven) {
 			return
 		}
 		if o.response != nil {
--- a/internal/node/relay/unproven.go
+++ b/internal/node/relay/unproven.go
@@ -89,14 +89,24 @@
 }
 
 // finishUnproven ends the request if its stream is likely complete and no upstream has added to
-// it. It reports whether it has. A proof that the end of the request has cut short shows nothing.
-func (x *exchange) finishUnproven(ctx context.Context) bool {
+// it. It reports whether it has. ended is set if the last attempt has ended so. Processes that
+// ran before a proof that has shown nothing are asked again: they may have closed their
+// connections as they were about to end. A proof that the end of the request has cut short
+// shows nothing either.
+func (x *exchange) finishUnproven(ctx context.Context, ended bool) bool {
 	if ctx.Err() != nil || !x.likelyComplete() {
 		return false
 	}
-	x.ended = metric.EndConnection
-	x.finishWhole(x.unproven[len(x.unproven)-1].up, http.StatusOK)
-	return true
+	for i, e := range x.unproven {
+		current := ended && i == len(x.unproven)-1
+		if !e.outlived || !current && !x.outlived(ctx, e.up) {
+			continue
+		}
+		x.ended = metric.EndConnection
+		x.finishWhole(e.up, http.StatusOK)
+		return true
+	}
+	return false
 }
 
 // outlived reports whether the process of an upstream that has ended a response still runs:
--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -360,3 +360,20 @@
 		must.Eq(t, c.want, take(t, f, us, map[string]string{"Model": ""}))
 	}
 }
+
+// TestProcessEndsDuringProof guards against a stream that looks complete although its upstream
+// closed it early as its process was about to end, and the upstream that was asked whether
+// anything follows said nothing.
+func TestProcessEndsDuringProof(t *testing.T) {
+	f := newFixture(t, route(fleet.Stream, 2, true), nil, neverRespond)
+	u := f.end(t, streamEnd{response: unframed(unframedStream, 2)})
+	go func() {
+		for u.requests.Load() == 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		_ = u.Close()
+	}()
+	code, _ := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
+}
