relay: a part of a further event shows that a stream isn't complete

Callers got a stream as complete, up to event 2, although the upstream that was asked whether anything follows had sent a part of event 3 before it broke off: the relay kept the earlier end, whose process still ran.

An id or data of a further event drops the record of the ends before it. The request then goes to a third upstream, or is broken off.

--- a/internal/link/sse/splitter.go
+++ b/internal/link/sse/splitter.go
@@ -122,6 +122,12 @@
 // those of an incomplete event.
 func (s *Splitter) Buffered() int { return len(s.buf) }
 
+// HasMore reports whether the buffer, after TakeEvents, holds an id or data of a further event.
+func (s *Splitter) HasMore() bool {
+	_, numbered := eventID(s.buf)
+	return numbered || hasData(s.buf)
+}
+
 // WithinEvent reports whether the buffer, after TakeEvents, holds a part of an event. Blank
 // lines and complete comment lines are none.
 func (s *Splitter) WithinEvent() bool { return hasField(s.buf) }
--- a/internal/node/relay/stream.go
+++ b/internal/node/relay/stream.go
@@ -65,6 +65,9 @@
 			x.events.TakePartial()
 			return st.outcome()
 		}
+		if x.events.HasMore() {
+			x.unproven = nil
+		}
 		if x.events.EventCount > k.eventsBefore {
 			x.beginAnswer()
 			x.continueAnswer()
--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -377,3 +377,16 @@
 	code, _ := f.send(http.MethodPost, "1", "m")
 	must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
 }
+
+// TestProofBringsMore guards against a stream that counts as complete although the upstream that
+// was asked whether anything follows has sent more, and then breaks off.
+func TestProofBringsMore(t *testing.T) {
+	first := streamEnd{response: unframed(unframedStream, 2)}
+	f, us := newEndsFixture(t, route(fleet.Stream, 2, true), first, brokenAfter(3))
+	must.Eq(t, "broken, events [1 2 3], sends 1 1", take(t, f, us, nil))
+	part := streamEnd{response: always(unframedStream + "id: 3\nda")}
+	f, us = newEndsFixture(t, route(fleet.Stream, 2, true), first, part)
+	must.Eq(t, "broken, events [1 2], sends 1 1", take(t, f, us, nil))
+	f, us = newEndsFixture(t, route(fleet.Stream, 3, true), first, part, wholeEnd)
+	must.Eq(t, "whole, events [1 2 3], sends 1 1 1", take(t, f, us, nil))
+}
