relay: an upstream with nothing to add to an ended stream isn't crashed

An upstream counted as crashed, and the request with it, that was asked to resume a complete stream whose first upstream's process had ended, sent only a head without a length or chunks, was silent until a further upstream was asked, and closed in order.

--- a/internal/node/relay/attempt.go
+++ b/internal/node/relay/attempt.go
@@ -284,7 +284,7 @@
 		switch {
 		case endAllowed && errors.Is(err, io.EOF) && next == nil:
 			return outcome{}, true
-		case endAllowed && errors.Is(err, io.EOF) && x.events.EventCount > k.eventsBefore && x.events.Buffered() == 0:
+		case endAllowed && errors.Is(err, io.EOF) && (x.events.EventCount > k.eventsBefore || x.endedHere()) && x.events.Buffered() == 0:
 			o := endedUnproven(k.res)
 			o.replacedBy = next
 			return o, false
--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -390,3 +390,31 @@
 	f, us = newEndsFixture(t, route(fleet.Stream, 3, true), first, part, wholeEnd)
 	must.Eq(t, "whole, events [1 2 3], sends 1 1 1", take(t, f, us, nil))
 }
+
+// TestSilentResumptionOfWholeStream guards against an upstream that counts as crashed because it
+// had nothing to add to a stream whose first upstream has ended, and was silent until a further
+// one was asked.
+func TestSilentResumptionOfWholeStream(t *testing.T) {
+	asked := make(chan struct{})
+	var requests atomic.Int32
+	h := reported("1", new(atomic.Int32), func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) > 1 {
+			close(asked)
+			time.Sleep(100 * time.Millisecond)
+			streamEvents(3, 0)(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := w.(http.Hijacker).Hijack()
+		must.NoError(t, err)
+		_, _ = io.WriteString(c, unframedStream)
+		<-asked
+		_ = c.Close()
+	})
+	f := newFixture(t, route(fleet.Stream, 3, true), nil, h, h)
+	f.end(t, streamEnd{response: unframed(unframedStream, 3), gone: true})
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+	must.Eq(t, 0, f.relay.suspects.Rev())
+}
