relay: keep the token of a proof that was sent and cut off

A proof that an upstream had been asked for, and that its bound cut within a refusal, returned its token to the retry budget: the end of the context makes the outcome inconclusive, as that of an attempt that wasn't sent.

--- a/internal/node/relay/exchange.go
+++ b/internal/node/relay/exchange.go
@@ -294,7 +294,7 @@
 	}
 	o, up = x.attempt(ctx, c)
 	x.endTrial(&o, up)
-	if proves && o.unsent() {
+	if proves && ctx.Err() == nil && o.unsent() {
 		x.returnRetryToken()
 	}
 	return o, up, resp, true, false
--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -418,3 +418,33 @@
 	must.Eq(t, wantEvents(3), body)
 	must.Eq(t, 0, f.relay.suspects.Rev())
 }
+
+// TestTokenOfRefusedProof guards against a retry budget that gets back the token of a proof that
+// an upstream was asked for and refused.
+func TestTokenOfRefusedProof(t *testing.T) {
+	for name, length := range map[string]int{"at once": 1, "slowly": 9} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, route(fleet.Stream, 2, true), reported("1", new(atomic.Int32), closeAfter(eventStream, wantEvents(3))), func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set("Not-Run", "1")
+				w.Header().Set("Content-Length", fmt.Sprint(length))
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(w, "x")
+				_ = http.NewResponseController(w).Flush()
+				if length > 1 {
+					<-r.Context().Done()
+				}
+			})
+			const tokens = 20
+			f.relay.mu.Lock()
+			f.relay.budgets["s"] = retry.NewBudget(0, 0, tokens)
+			before := f.relay.budgets["s"].Available(time.Now())
+			f.relay.mu.Unlock()
+			code, _ := f.send(http.MethodPost, "1", "m")
+			must.Eq(t, http.StatusOK, code)
+			f.relay.mu.Lock()
+			defer f.relay.mu.Unlock()
+			must.Eq(t, before-float64(f.requestCount(1)), f.relay.budgets["s"].Available(time.Now()))
+		})
+	}
+}
