tunnel: a write that is ending doesn't make a close in order a reset

Callers of a complete response with neither a length nor chunks would have seen it broken off through a forwarder.

Cause: takes an end for a reset while a write to the upstream holds its lock, also one that has succeeded and not yet released it. Under the race detector, six processes at once, six of six runs of the test failed within 400 repetitions.

The forwarder now waits for the write, at most 100 ms: one that is stuck then fails, and the end counts as a reset as before. No failure in six processes of 100 s each, some 50 repetitions a process.

--- a/internal/link/tunnel/server.go
+++ b/internal/link/tunnel/server.go
@@ -50,6 +50,9 @@
 	dialTimeout = 120 * time.Millisecond
 	// maxHeadBytes is how much of a response is kept to find its head in.
 	maxHeadBytes = 16 << 10
+	// lastWriteTimeout bounds the wait for a write to an upstream that has sent its end. One
+	// that reads takes a frame within a round trip.
+	lastWriteTimeout = 100 * time.Millisecond
 )
 
 // New returns a Server.
@@ -132,7 +135,7 @@
 		defer close(sent)
 		t.send(rw.Reader)
 	}()
-	t.receive(func(heads []byte) { s.upstreams.Observe(up, since, heads) })
+	t.receive(s.now, func(heads []byte) { s.upstreams.Observe(up, since, heads) })
 	<-sent
 }
 
@@ -190,12 +193,13 @@
 	return err == nil
 }
 
-// closedInOrder reports whether an io.EOF from the upstream is known to be a close in order:
-// no write has failed, or is about to.
-func (t *transfer) closedInOrder() bool {
-	if !t.writing.TryLock() {
+// closedInOrder reports whether an io.EOF from the upstream at now is known to be a close in
+// order: no write has failed. One in progress fails if it doesn't end in time.
+func (t *transfer) closedInOrder(now time.Time) bool {
+	if err := t.upstream.SetWriteDeadline(now.Add(lastWriteTimeout)); err != nil {
 		return false
 	}
+	t.writing.Lock()
 	defer t.writing.Unlock()
 	return !t.writeFailed
 }
@@ -203,7 +207,7 @@
 // receive copies what the upstream sends in frames, and reports to the daemon how it ended.
 // observe is called with the heads of the response, interim ones included, once the final
 // one is complete or one is malformed.
-func (t *transfer) receive(observe func([]byte)) {
+func (t *transfer) receive(now func() time.Time, observe func([]byte)) {
 	buf := make([]byte, headerBytes+maxFrameBytes)
 	var seen []byte
 	var heads head.Scanner
@@ -229,7 +233,7 @@
 			continue
 		}
 		switch {
-		case errors.Is(err, io.EOF) && t.closedInOrder():
+		case errors.Is(err, io.EOF) && t.closedInOrder(now()):
 			err = t.frame(buf, frameClosed, 0)
 		case errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET):
 			err = t.frame(buf, frameReset, 0)
