relay: a process that has ended during a proof no longer vouches for the end

A sound resumption was cut off after 0.7 s, as a proof, where the process of the first upstream had ended during the proof before and had been asked in vain: the first answer was kept.

--- a/internal/node/relay/unproven.go
+++ b/internal/node/relay/unproven.go
@@ -97,14 +97,16 @@
 	if ctx.Err() != nil || !x.likelyComplete() {
 		return false
 	}
-	for i, e := range x.unproven {
-		current := ended && i == len(x.unproven)-1
-		if !e.outlived || !current && !x.outlived(ctx, e.up) {
-			continue
+	for i := range x.unproven {
+		e := &x.unproven[i]
+		if asked := ended && i == len(x.unproven)-1; e.outlived && !asked {
+			e.outlived = x.outlived(ctx, e.up)
+		}
+		if e.outlived {
+			x.ended = metric.EndConnection
+			x.finishWhole(e.up, http.StatusOK)
+			return true
 		}
-		x.ended = metric.EndConnection
-		x.finishWhole(e.up, http.StatusOK)
-		return true
 	}
 	return false
 }
--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -378,6 +378,33 @@
 	must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
 }
 
+// TestResumptionAfterProof guards against a sound resumption that is cut off as a proof, after one
+// that showed nothing and during which the process has ended.
+func TestResumptionAfterProof(t *testing.T) {
+	var requests atomic.Int32
+	h := func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) == 1 {
+			neverRespond(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(1200 * time.Millisecond)
+		streamEvents(3, 0)(w, r)
+	}
+	f := newFixture(t, route(fleet.Stream, 3, true), nil, h, h)
+	u := f.end(t, streamEnd{response: unframed(unframedStream, 2)})
+	go func() {
+		for u.requests.Load() == 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		_ = u.Close()
+	}()
+	code, body := f.send(http.MethodPost, "1", "m")
+	must.Eq(t, http.StatusOK, code)
+	must.Eq(t, wantEvents(3), body)
+}
+
 // TestProofBringsMore guards against a stream that counts as complete although the upstream that
 // was asked whether anything follows has sent more, and then breaks off.
 func TestProofBringsMore(t *testing.T) {
