relay: share what tests of unproven ends do twice

The upstream that ends soon after its response and the one that is slow to resume were written out in several tests. The checks are the same.

--- a/internal/node/relay/unproven_test.go
+++ b/internal/node/relay/unproven_test.go
@@ -77,10 +77,7 @@
 	f.relay.Configure(cfg.Index())
 	u := f.end(t, streamEnd{response: unframed(unframedStream, 2), gone: true})
 	go func() {
-		for u.requests.Load() == 0 {
-			time.Sleep(10 * time.Millisecond)
-		}
-		time.Sleep(300 * time.Millisecond)
+		u.leave(300 * time.Millisecond)
 		l, err := net.Listen("tcp4", u.Addr().String())
 		if err != nil {
 			t.Error(err)
@@ -92,6 +89,23 @@
 	must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
 }
 
+// leave closes the listener some time after the first request, as a process that ends soon after
+// it has closed its connections.
+func (u *endingUpstream) leave(after time.Duration) {
+	for u.requests.Load() == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(after)
+	_ = u.Close()
+}
+
+// streamAfterProof sends a stream of three events later than the proof of an end may take.
+func streamAfterProof(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(1200 * time.Millisecond)
+	streamEvents(3, 0)(w, r)
+}
+
 // end has the first upstream of a fixture end its responses so.
 func (f *fixture) end(t *testing.T, e streamEnd) *endingUpstream {
 	u := newEndingUpstream(t, e)
@@ -131,14 +145,10 @@
 }
 
 // TestSlowSecondOfEndedProcess guards against a stream whose upstream's process has ended and
-// that is broken off, since the upstream that goes on with it needs longer than the proof of an
-// end may take.
+// that is broken off, since the upstream that resumes it needs longer than the proof of an end may
+// take.
 func TestSlowSecondOfEndedProcess(t *testing.T) {
-	f := newFixture(t, route(fleet.Stream, 2, true), nil, func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		time.Sleep(1200 * time.Millisecond)
-		streamEvents(3, 0)(w, r)
-	})
+	f := newFixture(t, route(fleet.Stream, 2, true), nil, streamAfterProof)
 	f.end(t, streamEnd{response: unframed(unframedStream, 2), gone: true})
 	code, body := f.send(http.MethodPost, "1", "m")
 	must.Eq(t, http.StatusOK, code)
@@ -367,13 +377,7 @@
 func TestProcessEndsDuringProof(t *testing.T) {
 	f := newFixture(t, route(fleet.Stream, 2, true), nil, neverRespond)
 	u := f.end(t, streamEnd{response: unframed(unframedStream, 2)})
-	go func() {
-		for u.requests.Load() == 0 {
-			time.Sleep(5 * time.Millisecond)
-		}
-		time.Sleep(100 * time.Millisecond)
-		_ = u.Close()
-	}()
+	go u.leave(100 * time.Millisecond)
 	code, _ := f.send(http.MethodPost, "1", "m")
 	must.Eq(t, 0, code, must.Sprint("the answer looks complete"))
 }
@@ -387,19 +391,11 @@
 			neverRespond(w, r)
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		time.Sleep(1200 * time.Millisecond)
-		streamEvents(3, 0)(w, r)
+		streamAfterProof(w, r)
 	}
 	f := newFixture(t, route(fleet.Stream, 3, true), nil, h, h)
 	u := f.end(t, streamEnd{response: unframed(unframedStream, 2)})
-	go func() {
-		for u.requests.Load() == 0 {
-			time.Sleep(5 * time.Millisecond)
-		}
-		time.Sleep(100 * time.Millisecond)
-		_ = u.Close()
-	}()
+	go u.leave(100 * time.Millisecond)
 	code, body := f.send(http.MethodPost, "1", "m")
 	must.Eq(t, http.StatusOK, code)
 	must.Eq(t, wantEvents(3), body)
