--- a/internal/node/router/malformed_test.go
+++ b/internal/node/router/malformed_test.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -48,3 +51,25 @@
 	}
 	golden.Check(t, "malformed-response.golden", b.String())
 }
+
+// TestServiceEndsWithinBody guards against a part of a body that counts as the whole answer of a
+// plain service, and is stored for repetitions of a booking: it has neither a length nor chunks,
+// and the service's process has ended.
+func TestServiceEndsWithinBody(t *testing.T) {
+	s := newSite(t, 1)
+	c := booking("k")
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() {
+		conn, err := l.Accept()
+		must.NoError(t, err)
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		must.NoError(t, err)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\n\r\nhalf of it")
+		_ = l.Close()
+		_ = conn.Close()
+	}()
+	reply, err := s.router.sendCall(t.Context(), &declare.Upstream{Name: "desk-1", Service: "desk", Address: l.Addr().String()}, &c)
+	must.Error(t, err, must.Sprintf("%d %q", reply.Status, reply.Body))
+}
